--- /dev/null
+++ b/cmd/jaystile/entry.go
@@ -0,0 +1,47 @@
+package main
+
+import (
+	"fmt"
+	"net"
+
+	"github.com/jessevdk/go-flags"
+
+	"github.com/jaystile/jaystile/internal/process/jayentry"
+	"github.com/jaystile/jaystile/internal/version/jaysettings"
+)
+
+const usageEntry = `Runs an entry: the process that callers and operators reach. It stops
+gracefully at SIGTERM and SIGINT: readiness goes off, and what is in flight ends.`
+
+type settingsOption struct {
+	Settings string `long:"settings" required:"yes" description:"settings file"`
+}
+
+type entryCommand struct{ settingsOption }
+
+func addEntry(p *flags.Parser) { add(p, "entry", "run an entry", usageEntry, &entryCommand{}) }
+
+// Execute implements flags.Commander.
+func (c *entryCommand) Execute([]string) error {
+	source, err := jaysettings.ReadSource(c.Settings)
+	if err != nil {
+		return err
+	}
+	s, err := jaysettings.ParseEntry(source)
+	if err != nil {
+		return &exitError{status: exitInvalid, cause: err}
+	}
+	http, err := net.Listen("tcp", s.HTTP)
+	if err != nil {
+		return fmt.Errorf("listen for callers: %w", err)
+	}
+	link, err := net.Listen("tcp", s.Link)
+	if err != nil {
+		return fmt.Errorf("listen for links: %w", err)
+	}
+	e, clean := jayentry.New(s, http, link, logger())
+	defer clean()
+	ctx, cancel := interruptible()
+	defer cancel()
+	return e.Run(ctx)
+}
--- /dev/null
+++ b/cmd/jaystile/side.go
@@ -0,0 +1,40 @@
+package main
+
+import (
+	"fmt"
+	"net"
+
+	"github.com/jessevdk/go-flags"
+
+	"github.com/jaystile/jaystile/internal/process/jayside"
+	"github.com/jaystile/jaystile/internal/version/jaysettings"
+)
+
+const usageSide = `Runs a side: the process beside a runner, which owns its slots and the
+accelerators of its worker. At SIGTERM and SIGINT it takes no new work at once
+and ends when what is in flight has ended.`
+
+type sideCommand struct{ settingsOption }
+
+func addSide(p *flags.Parser) { add(p, "side", "run a side", usageSide, &sideCommand{}) }
+
+// Execute implements flags.Commander.
+func (c *sideCommand) Execute([]string) error {
+	source, err := jaysettings.ReadSource(c.Settings)
+	if err != nil {
+		return err
+	}
+	s, err := jaysettings.ParseSide(source)
+	if err != nil {
+		return &exitError{status: exitInvalid, cause: err}
+	}
+	link, err := net.Listen("tcp", s.Link)
+	if err != nil {
+		return fmt.Errorf("listen for links: %w", err)
+	}
+	side, clean := jayside.New(s, link, logger())
+	defer clean()
+	ctx, cancel := interruptible()
+	defer cancel()
+	return side.Run(ctx)
+}
--- /dev/null
+++ b/internal/connection/jayframe/codec.go
@@ -0,0 +1,163 @@
+package jayframe
+
+import (
+	"fmt"
+
+	"github.com/fxamacker/cbor/v2"
+)
+
+// MaxFrameBytes bounds one frame: a payload, its results and their envelope.
+const MaxFrameBytes = 8 << 20
+
+const (
+	maxArrayElements = 1 << 17
+	maxNesting       = 8
+)
+
+// Frame is a message with the number that pairs a call with its reply; the
+// number is zero on messages that are neither.
+type Frame struct {
+	call  uint64
+	reply bool
+	body  Message
+}
+
+// NewFrame returns a message that starts no call.
+func NewFrame(m Message) Frame { return Frame{body: m} }
+
+// NewCall returns a message that wants a reply.
+func NewCall(call uint64, m Message) Frame { return Frame{call: call, body: m} }
+
+// NewReply returns the reply to a call.
+func NewReply(call uint64, m Message) Frame { return Frame{call: call, reply: true, body: m} }
+
+// Call returns the number of the call, or zero.
+func (f Frame) Call() uint64 { return f.call }
+
+// IsReply reports whether the frame answers a call.
+func (f Frame) IsReply() bool { return f.reply }
+
+// Message returns the message.
+func (f Frame) Message() Message { return f.body }
+
+type envelope struct {
+	_     struct{} `cbor:",toarray"`
+	Kind  Kind
+	Call  uint64
+	Reply bool
+	Body  cbor.RawMessage
+}
+
+// CorruptError reports bytes that are no frame.
+type CorruptError struct {
+	Kind  Kind
+	Cause error
+}
+
+// Error implements error.
+func (e *CorruptError) Error() string {
+	return fmt.Sprintf("corrupt frame of kind %d: %v", e.Kind, e.Cause)
+}
+
+// Unwrap returns the codec's error.
+func (e *CorruptError) Unwrap() error { return e.Cause }
+
+// UnknownKindError reports a frame of a kind that this version does not know.
+type UnknownKindError struct{ Kind Kind }
+
+// Error implements error.
+func (e *UnknownKindError) Error() string { return fmt.Sprintf("unknown kind of frame %d", e.Kind) }
+
+var (
+	encoder = mustEncoder()
+	decoder = mustDecoder()
+)
+
+func mustEncoder() cbor.EncMode {
+	m, err := cbor.CoreDetEncOptions().EncMode()
+	if err != nil {
+		panic(fmt.Errorf("frame encoder: %w", err))
+	}
+	return m
+}
+
+func mustDecoder() cbor.DecMode {
+	m, err := cbor.DecOptions{
+		MaxArrayElements: maxArrayElements,
+		MaxMapPairs:      maxArrayElements,
+		MaxNestedLevels:  maxNesting,
+		IndefLength:      cbor.IndefLengthForbidden,
+		TagsMd:           cbor.TagsForbidden,
+	}.DecMode()
+	if err != nil {
+		panic(fmt.Errorf("frame decoder: %w", err))
+	}
+	return m
+}
+
+// Encode returns the frame's bytes.
+func Encode(f Frame) ([]byte, error) {
+	body, err := encoder.Marshal(f.body)
+	if err != nil {
+		return nil, &CorruptError{Kind: f.body.Kind(), Cause: err}
+	}
+	b, err := encoder.Marshal(envelope{Kind: f.body.Kind(), Call: f.call, Reply: f.reply, Body: body})
+	if err != nil {
+		return nil, &CorruptError{Kind: f.body.Kind(), Cause: err}
+	}
+	return b, nil
+}
+
+// Decode reads one frame or returns a CorruptError or UnknownKindError.
+func Decode(b []byte) (Frame, error) {
+	var e envelope
+	if err := decoder.Unmarshal(b, &e); err != nil {
+		return Frame{}, &CorruptError{Cause: err}
+	}
+	m := newMessage(e.Kind)
+	if m == nil {
+		return Frame{}, &UnknownKindError{Kind: e.Kind}
+	}
+	if err := decoder.Unmarshal(e.Body, m); err != nil {
+		return Frame{}, &CorruptError{Kind: e.Kind, Cause: err}
+	}
+	return Frame{call: e.Call, reply: e.Reply, body: m}, nil
+}
+
+// constructors makes an empty message of each kind.
+var constructors = [...]func() Message{
+	KindHello:      func() Message { return &Hello{} },
+	KindWelcome:    func() Message { return &Welcome{} },
+	KindBeat:       func() Message { return &Beat{} },
+	KindReport:     func() Message { return &Report{} },
+	KindManifest:   func() Message { return &Manifest{} },
+	KindHomes:      func() Message { return &Homes{} },
+	KindHold:       func() Message { return &Hold{} },
+	KindHoldReply:  func() Message { return &HoldReply{} },
+	KindCommit:     func() Message { return &Commit{} },
+	KindOutcome:    func() Message { return &Outcome{} },
+	KindRelease:    func() Message { return &Release{} },
+	KindSettle:     func() Message { return &Settle{} },
+	KindCancel:     func() Message { return &Cancel{} },
+	KindJoin:       func() Message { return &Join{} },
+	KindPrepare:    func() Message { return &Prepare{} },
+	KindPrepared:   func() Message { return &Prepared{} },
+	KindGo:         func() Message { return &Go{} },
+	KindMemberDone: func() Message { return &MemberDone{} },
+	KindStop:       func() Message { return &Stop{} },
+	KindAck:        func() Message { return &Ack{} },
+	KindJobQuery:   func() Message { return &JobQuery{} },
+	KindJobReply:   func() Message { return &JobReply{} },
+	KindDrain:      func() Message { return &Drain{} },
+	KindTimeline:   func() Message { return &Timeline{} },
+	KindEvents:     func() Message { return &Events{} },
+	KindVersions:   func() Message { return &Versions{} },
+	KindVersionMap: func() Message { return &VersionMap{} },
+}
+
+func newMessage(k Kind) Message {
+	if int(k) >= len(constructors) || constructors[k] == nil {
+		return nil
+	}
+	return constructors[k]()
+}
--- /dev/null
+++ b/internal/connection/jayframe/message.go
@@ -0,0 +1,550 @@
+// Package jayframe holds the messages between jaystile's own processes and
+// their CBOR codec. The message types are wire types; domain types are mapped
+// to and from them by hand.
+package jayframe
+
+import (
+	"time"
+
+	"github.com/jaystile/jaystile/internal/request/jayattempt"
+	"github.com/jaystile/jaystile/internal/request/jayjob"
+)
+
+// Kind tells the type of a message.
+type Kind uint8
+
+// The kinds of messages. A number is never used again for another kind.
+const (
+	KindHello      Kind = 1
+	KindWelcome    Kind = 2
+	KindBeat       Kind = 3
+	KindReport     Kind = 4
+	KindManifest   Kind = 5
+	KindHomes      Kind = 6
+	KindHold       Kind = 7
+	KindHoldReply  Kind = 8
+	KindCommit     Kind = 9
+	KindOutcome    Kind = 10
+	KindRelease    Kind = 11
+	KindSettle     Kind = 12
+	KindCancel     Kind = 13
+	KindJoin       Kind = 14
+	KindPrepare    Kind = 15
+	KindPrepared   Kind = 16
+	KindGo         Kind = 17
+	KindMemberDone Kind = 18
+	KindStop       Kind = 19
+	KindAck        Kind = 20
+	KindJobQuery   Kind = 21
+	KindJobReply   Kind = 22
+	KindDrain      Kind = 23
+	KindTimeline   Kind = 24
+	KindEvents     Kind = 25
+	KindVersions   Kind = 26
+	KindVersionMap Kind = 27
+)
+
+// Message is one message between two processes.
+type Message interface{ Kind() Kind }
+
+// Attempt is an attempt's identity on the wire.
+type Attempt struct {
+	_       struct{} `cbor:",toarray"`
+	Origin  uint64
+	Counter uint64
+}
+
+// FromID maps an attempt's identity to the wire.
+func FromID(i jayattempt.ID) Attempt {
+	return Attempt{Origin: uint64(i.Origin()), Counter: i.Counter()}
+}
+
+// ID maps the wire form to an attempt's identity.
+func (a Attempt) ID() jayattempt.ID {
+	return jayattempt.NewID(jayattempt.Incarnation(a.Origin), a.Counter)
+}
+
+// Role says what a process is.
+type Role uint8
+
+// The roles of processes that open links.
+const (
+	RoleEntry Role = iota + 1
+	RoleSide
+)
+
+// Hello is the first message on a link, sent by the process that dialed.
+type Hello struct {
+	_            struct{} `cbor:",toarray"`
+	Role         Role
+	Name         string
+	Incarnation  uint64
+	Address      string
+	HTTPAddress  string
+	DataCentre   string
+	Rack         string
+	Cell         string
+	Service      string
+	Accelerators int
+	Slots        int
+	Connections  int
+	Proof        []byte
+	Nonce        []byte
+}
+
+// Kind implements Message.
+func (*Hello) Kind() Kind { return KindHello }
+
+// Welcome answers a Hello.
+type Welcome struct {
+	_           struct{} `cbor:",toarray"`
+	Name        string
+	Incarnation uint64
+	Entries     []string
+	Proof       []byte
+}
+
+// Kind implements Message.
+func (*Welcome) Kind() Kind { return KindWelcome }
+
+// Beat is the heartbeat of both directions. Ack echoes the highest sequence
+// that the sender has received, so that each end notices when its own messages
+// no longer arrive.
+type Beat struct {
+	_        struct{} `cbor:",toarray"`
+	Sequence uint64
+	Ack      uint64
+	Time     uint64
+	Manifest uint64
+	Entries  []string
+}
+
+// Kind implements Message.
+func (*Beat) Kind() Kind { return KindBeat }
+
+// Held is one hold in a Report. Ages are in milliseconds at the time of the
+// report, so that no clocks need agree.
+type Held struct {
+	_             struct{} `cbor:",toarray"`
+	Attempt       Attempt
+	Member        int
+	Job           string
+	Workspace     string
+	KindName      string
+	Class         uint8
+	Accelerators  int
+	Stoppable     bool
+	Checkpointing bool
+	Leaving       bool
+	AgeMillis     int64
+	SavedMillis   int64
+}
+
+// Report is the owner's own word on what it holds.
+type Report struct {
+	_          struct{} `cbor:",toarray"`
+	Sequence   uint64
+	Draining   bool
+	Manifest   uint64
+	FreeSlots  int
+	InFlight   int
+	LatencyMic int64
+	Unhealthy  bool
+	Held       []Held
+}
+
+// Kind implements Message.
+func (*Report) Kind() Kind { return KindReport }
+
+// Manifest spreads a version of the configuration.
+type Manifest struct {
+	_       struct{} `cbor:",toarray"`
+	Version uint64
+	Source  []byte
+}
+
+// Kind implements Message.
+func (*Manifest) Kind() Kind { return KindManifest }
+
+// Home is one workspace's part of a worker.
+type Home struct {
+	_            struct{} `cbor:",toarray"`
+	Workspace    string
+	Accelerators int
+}
+
+// Homes tells an owner whose homes lie on its worker.
+type Homes struct {
+	_        struct{} `cbor:",toarray"`
+	Manifest uint64
+	Homes    []Home
+}
+
+// Kind implements Message.
+func (*Homes) Kind() Kind { return KindHomes }
+
+// Spec is a job's specification on the wire.
+type Spec struct {
+	_              struct{} `cbor:",toarray"`
+	Workspace      string
+	KindName       string
+	Class          uint8
+	Members        int
+	Accelerators   int
+	Near           uint8
+	Payload        []byte
+	RuntimeMillis  int64
+	DeadlineMillis int64
+	Key            string
+	Idempotent     bool
+	Checkpointing  bool
+}
+
+// FromSpec maps a specification to the wire.
+func FromSpec(s jayjob.Spec) Spec {
+	return Spec{
+		Workspace:      s.Workspace(),
+		KindName:       s.Kind(),
+		Class:          uint8(s.Class()),
+		Members:        s.Shape().Members(),
+		Accelerators:   s.Shape().Accelerators(),
+		Near:           uint8(s.Shape().Near()),
+		Payload:        s.Payload(),
+		RuntimeMillis:  s.Runtime().Milliseconds(),
+		DeadlineMillis: s.Deadline().Milliseconds(),
+		Key:            s.Key(),
+		Idempotent:     s.Idempotent(),
+		Checkpointing:  s.Checkpointing(),
+	}
+}
+
+// Spec checks the wire form and maps it to a specification.
+func (s Spec) Spec() (jayjob.Spec, error) {
+	shape, err := jayjob.NewShape(s.Members, s.Accelerators, jayjob.Near(s.Near))
+	if err != nil {
+		return jayjob.Spec{}, err
+	}
+	return jayjob.New(jayjob.Fields{
+		Workspace:     s.Workspace,
+		Kind:          s.KindName,
+		Class:         jayjob.Class(s.Class),
+		Shape:         shape,
+		Payload:       s.Payload,
+		Runtime:       time.Duration(s.RuntimeMillis) * time.Millisecond,
+		Deadline:      time.Duration(s.DeadlineMillis) * time.Millisecond,
+		Key:           s.Key,
+		Idempotent:    s.Idempotent,
+		Checkpointing: s.Checkpointing,
+	})
+}
+
+// Way says by what right a hold may displace other work.
+type Way uint8
+
+// The ways to get accelerators.
+const (
+	WayFree Way = iota
+	WayHome
+	WayUrgent
+	WayShorter
+)
+
+// Hold asks an owner to hold accelerators or a slot for one member.
+type Hold struct {
+	_          struct{} `cbor:",toarray"`
+	Attempt    Attempt
+	Member     int
+	Members    int
+	Job        string
+	Spec       Spec
+	Digest     []byte
+	TTLMillis  int64
+	Way        Way
+	Victims    []string
+	Anchor     string
+	AnchorName string
+	Checkpoint []byte
+	// Run starts a gang of one member at once, without a Commit.
+	Run bool
+	// LeftMillis is the time left until the caller's deadline, or zero.
+	LeftMillis int64
+}
+
+// Kind implements Message.
+func (*Hold) Kind() Kind { return KindHold }
+
+// HoldReply answers a Hold. A hold that waits for victims is answered when they
+// have left.
+type HoldReply struct {
+	_       struct{} `cbor:",toarray"`
+	Granted bool
+	Token   uint64
+	Code    string
+	Message string
+}
+
+// Kind implements Message.
+func (*HoldReply) Kind() Kind { return KindHoldReply }
+
+// MemberToken names one granted hold of a gang.
+type MemberToken struct {
+	_     struct{} `cbor:",toarray"`
+	Side  string
+	Token uint64
+}
+
+// Commit asks a gang's anchor to decide that the gang runs.
+type Commit struct {
+	_       struct{} `cbor:",toarray"`
+	Attempt Attempt
+	Members []MemberToken
+}
+
+// Kind implements Message.
+func (*Commit) Kind() Kind { return KindCommit }
+
+// Status is what an anchor knows of an attempt.
+type Status uint8
+
+// The statuses of an attempt at its anchor.
+const (
+	// StatusNever means that no member started and none ever will.
+	StatusNever Status = iota + 1
+	// StatusHeld means that the attempt is held and may still start.
+	StatusHeld
+	// StatusRunning means that members may have started.
+	StatusRunning
+	// StatusAnswered means that every member ended with a result.
+	StatusAnswered
+	// StatusFailed means that members started and the gang was stopped.
+	StatusFailed
+	// StatusStopped means that the gang was stopped for another and may resume.
+	StatusStopped
+	// StatusCanceled means that the gang was stopped because its caller asked.
+	StatusCanceled
+	// StatusLost means that the asked process does not know.
+	StatusLost
+)
+
+// Outcome is the anchor's word on an attempt. It answers Commit, Settle and a
+// Hold with Run set, and is sent unasked when the attempt ends.
+type Outcome struct {
+	_          struct{} `cbor:",toarray"`
+	Attempt    Attempt
+	Digest     []byte
+	Status     Status
+	Code       string
+	Message    string
+	Results    [][]byte
+	Checkpoint []byte
+	DoneMillis int64
+	RanMillis  int64
+	Worker     string
+}
+
+// Kind implements Message.
+func (*Outcome) Kind() Kind { return KindOutcome }
+
+// Release frees a hold that has not started and leaves a tombstone.
+type Release struct {
+	_       struct{} `cbor:",toarray"`
+	Attempt Attempt
+}
+
+// Kind implements Message.
+func (*Release) Kind() Kind { return KindRelease }
+
+// Settle asks an anchor what became of an attempt. An attempt that the anchor
+// has never heard of gets a tombstone, so that it never starts afterwards.
+type Settle struct {
+	_       struct{} `cbor:",toarray"`
+	Attempt Attempt
+	// Owner is the incarnation of the side that the attempt was sent to.
+	Owner uint64
+	// Bury makes the anchor give up an attempt that has not started.
+	Bury bool
+}
+
+// Kind implements Message.
+func (*Settle) Kind() Kind { return KindSettle }
+
+// Cancel asks an anchor to stop an attempt.
+type Cancel struct {
+	_       struct{} `cbor:",toarray"`
+	Attempt Attempt
+	// Owner is the incarnation of the side that the attempt was sent to.
+	Owner uint64
+}
+
+// Kind implements Message.
+func (*Cancel) Kind() Kind { return KindCancel }
+
+// Join tells a gang's anchor that a member holds its accelerators.
+type Join struct {
+	_       struct{} `cbor:",toarray"`
+	Attempt Attempt
+	Member  int
+	Side    string
+	Token   uint64
+	Prepped bool
+	Done    bool
+	Result  []byte
+}
+
+// Kind implements Message.
+func (*Join) Kind() Kind { return KindJoin }
+
+// Prepare tells a member to load its task without starting it.
+type Prepare struct {
+	_       struct{} `cbor:",toarray"`
+	Attempt Attempt
+	Member  int
+	Token   uint64
+}
+
+// Kind implements Message.
+func (*Prepare) Kind() Kind { return KindPrepare }
+
+// Prepared tells the anchor whether the member's task is loaded.
+type Prepared struct {
+	_       struct{} `cbor:",toarray"`
+	Attempt Attempt
+	Member  int
+	OK      bool
+	Message string
+}
+
+// Kind implements Message.
+func (*Prepared) Kind() Kind { return KindPrepared }
+
+// Go releases the start barrier.
+type Go struct {
+	_       struct{} `cbor:",toarray"`
+	Attempt Attempt
+	Member  int
+}
+
+// Kind implements Message.
+func (*Go) Kind() Kind { return KindGo }
+
+// MemberDone tells the anchor how a member ended.
+type MemberDone struct {
+	_          struct{} `cbor:",toarray"`
+	Attempt    Attempt
+	Member     int
+	Status     Status
+	Result     []byte
+	Message    string
+	Checkpoint []byte
+	DoneMillis int64
+}
+
+// Kind implements Message.
+func (*MemberDone) Kind() Kind { return KindMemberDone }
+
+// Stop tells a member to stop its task and free what it holds.
+type Stop struct {
+	_          struct{} `cbor:",toarray"`
+	Attempt    Attempt
+	Member     int
+	Checkpoint bool
+}
+
+// Kind implements Message.
+func (*Stop) Kind() Kind { return KindStop }
+
+// Ack answers a message that needs no other answer.
+type Ack struct {
+	_  struct{} `cbor:",toarray"`
+	OK bool
+}
+
+// Kind implements Message.
+func (*Ack) Kind() Kind { return KindAck }
+
+// JobQuery asks another entry about a job, or to cancel it.
+type JobQuery struct {
+	_          struct{} `cbor:",toarray"`
+	Workspace  string
+	Job        string
+	Cancel     bool
+	WaitMillis int64
+}
+
+// Kind implements Message.
+func (*JobQuery) Kind() Kind { return KindJobQuery }
+
+// JobReply answers a JobQuery with the job's public status as JSON.
+type JobReply struct {
+	_      struct{} `cbor:",toarray"`
+	Found  bool
+	Status []byte
+}
+
+// Kind implements Message.
+func (*JobReply) Kind() Kind { return KindJobReply }
+
+// Drain tells a side to take no new work, or to take it again.
+type Drain struct {
+	_  struct{} `cbor:",toarray"`
+	On bool
+}
+
+// Kind implements Message.
+func (*Drain) Kind() Kind { return KindDrain }
+
+// Timeline asks a process for its events.
+type Timeline struct {
+	_     struct{} `cbor:",toarray"`
+	Since uint64
+	Most  int
+}
+
+// Kind implements Message.
+func (*Timeline) Kind() Kind { return KindTimeline }
+
+// Event is one event of a process's time line.
+type Event struct {
+	_         struct{} `cbor:",toarray"`
+	Time      uint64
+	Process   string
+	Name      string
+	Job       string
+	Attempt   string
+	Workspace string
+	Worker    string
+	Detail    string
+}
+
+// Events answers Timeline.
+type Events struct {
+	_      struct{} `cbor:",toarray"`
+	Events []Event
+}
+
+// Kind implements Message.
+func (*Events) Kind() Kind { return KindEvents }
+
+// Versions asks an entry which manifest each process it knows has in force.
+type Versions struct {
+	_ struct{} `cbor:",toarray"`
+}
+
+// Kind implements Message.
+func (*Versions) Kind() Kind { return KindVersions }
+
+// ProcessVersion is one process and the manifest that it has in force.
+type ProcessVersion struct {
+	_        struct{} `cbor:",toarray"`
+	Process  string
+	Manifest uint64
+}
+
+// VersionMap answers Versions.
+type VersionMap struct {
+	_         struct{} `cbor:",toarray"`
+	Processes []ProcessVersion
+}
+
+// Kind implements Message.
+func (*VersionMap) Kind() Kind { return KindVersionMap }
--- /dev/null
+++ b/internal/connection/jayplatform/classify.go
@@ -0,0 +1,21 @@
+package jayplatform
+
+import (
+	"errors"
+	"net"
+
+	"github.com/valyala/fasthttp"
+)
+
+// classify tells a request that never left this machine from one whose fate is
+// unknown.
+func classify(err error) error {
+	var dial *net.OpError
+	if errors.As(err, &dial) && dial.Op == "dial" {
+		return &NotRunError{Cause: err.Error()}
+	}
+	if errors.Is(err, fasthttp.ErrNoFreeConns) || errors.Is(err, fasthttp.ErrDialTimeout) {
+		return &NotRunError{Cause: err.Error()}
+	}
+	return &NoAnswerError{Operation: "run", Cause: err.Error()}
+}
--- /dev/null
+++ b/internal/connection/jayplatform/worker.go
@@ -0,0 +1,247 @@
+// Package jayplatform speaks with workers and runners through the interfaces
+// that docs/PLATFORM.md describes.
+package jayplatform
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/valyala/fasthttp"
+)
+
+const (
+	requestTimeout = 2 * time.Second
+	// listWait is how long a worker may hold a list open for changes.
+	listWait     = time.Second
+	maxBodyBytes = 8 << 20
+	jsonType     = "application/json"
+)
+
+// RejectedError reports that a worker or runner answered and did not act.
+type RejectedError struct {
+	Operation string
+	Status    int
+	Message   string
+}
+
+// Error implements error.
+func (e *RejectedError) Error() string {
+	return fmt.Sprintf("%s rejected with status %d: %s", e.Operation, e.Status, e.Message)
+}
+
+// NoAnswerError reports that it is unknown whether a worker or runner acted.
+type NoAnswerError struct {
+	Operation string
+	Cause     string
+}
+
+// Error implements error.
+func (e *NoAnswerError) Error() string { return e.Operation + ": no answer: " + e.Cause }
+
+// TaskState is where a worker's task stands.
+type TaskState string
+
+// The states of a task.
+const (
+	TaskPrepared TaskState = "prepared"
+	TaskRunning  TaskState = "running"
+	TaskDone     TaskState = "done"
+	TaskFailed   TaskState = "failed"
+	TaskStopped  TaskState = "stopped"
+	TaskLapsed   TaskState = "lapsed"
+)
+
+// Task describes a task to a worker.
+type Task struct {
+	ID           string
+	Job          string
+	Token        uint64
+	TTL          time.Duration
+	Accelerators int
+	Payload      []byte
+	Checkpoint   []byte
+	// Start runs the task at once instead of only loading it.
+	Start bool
+}
+
+// Status is what a worker says of a task.
+type Status struct {
+	task  string
+	job   string
+	state TaskState
+	used  int
+	done  time.Duration
+	bytes []byte
+}
+
+// Task returns the task's identity.
+func (s Status) Task() string { return s.task }
+
+// Job returns the job that the task belongs to.
+func (s Status) Job() string { return s.job }
+
+// State returns where the task stands.
+func (s Status) State() TaskState { return s.state }
+
+// Accelerators returns how many accelerators the task uses.
+func (s Status) Accelerators() int { return s.used }
+
+// Done returns the run time that the task has behind it.
+func (s Status) Done() time.Duration { return s.done }
+
+// Result returns the task's answer once it is done.
+func (s Status) Result() []byte { return s.bytes }
+
+type wireTask struct {
+	Task         string `json:"task"`
+	Job          string `json:"job"`
+	Token        uint64 `json:"token"`
+	TTLMillis    int64  `json:"ttl_ms"`
+	Accelerators int    `json:"accelerators"`
+	Payload      []byte `json:"payload"`
+	Checkpoint   []byte `json:"checkpoint"`
+	Start        bool   `json:"start"`
+}
+
+type wireStatus struct {
+	Task         string    `json:"task"`
+	Job          string    `json:"job"`
+	State        TaskState `json:"state"`
+	Accelerators int       `json:"accelerators"`
+	Result       []byte    `json:"result"`
+	DoneMillis   int64     `json:"done_ms"`
+}
+
+type wireList struct {
+	Revision uint64       `json:"revision"`
+	Tasks    []wireStatus `json:"tasks"`
+}
+
+type wireCheckpoint struct {
+	Checkpoint []byte `json:"checkpoint"`
+	DoneMillis int64  `json:"done_ms"`
+}
+
+type wireLeases struct {
+	TTLMillis int64    `json:"ttl_ms"`
+	Tasks     []string `json:"tasks"`
+}
+
+type wireThrottle struct {
+	Share float64 `json:"share"`
+}
+
+// Worker is a client of one worker.
+type Worker struct {
+	address string
+	http    fasthttp.Client
+}
+
+// NewWorker returns a client of the worker at the address and a function that
+// closes its connections.
+func NewWorker(address string) (*Worker, func()) {
+	w := &Worker{address: address}
+	w.http.MaxResponseBodySize = maxBodyBytes
+	w.http.NoDefaultUserAgentHeader = true
+	return w, w.http.CloseIdleConnections
+}
+
+func (w *Worker) taskURL(id, step string) string {
+	u := "http://" + w.address + "/v1/tasks/" + url.PathEscape(id)
+	if step != "" {
+		u += "/" + step
+	}
+	return u
+}
+
+// Create loads a task and starts it when it says so.
+func (w *Worker) Create(t Task) error {
+	return w.do("create task", fasthttp.MethodPost, "http://"+w.address+"/v1/tasks", wireTask{
+		Task:         t.ID,
+		Job:          t.Job,
+		Token:        t.Token,
+		TTLMillis:    t.TTL.Milliseconds(),
+		Accelerators: t.Accelerators,
+		Payload:      t.Payload,
+		Checkpoint:   t.Checkpoint,
+		Start:        t.Start,
+	}, nil, requestTimeout)
+}
+
+// Start runs a loaded task.
+func (w *Worker) Start(id string) error {
+	return w.do("start task", fasthttp.MethodPost, w.taskURL(id, "start"), nil, nil, requestTimeout)
+}
+
+// Renew extends the leases of tasks.
+func (w *Worker) Renew(ids []string, ttl time.Duration) error {
+	return w.do("renew leases", fasthttp.MethodPost, "http://"+w.address+"/v1/leases", wireLeases{TTLMillis: ttl.Milliseconds(), Tasks: ids}, nil, requestTimeout)
+}
+
+// Checkpoint saves a running task within the timeout. It returns the checkpoint
+// and the run time that it holds.
+func (w *Worker) Checkpoint(id string, timeout time.Duration) ([]byte, time.Duration, error) {
+	var answer wireCheckpoint
+	err := w.do("checkpoint task", fasthttp.MethodPost, w.taskURL(id, "checkpoint"), nil, &answer, timeout)
+	return answer.Checkpoint, time.Duration(answer.DoneMillis) * time.Millisecond, err
+}
+
+// Throttle limits a task to a share of its speed, above 0 and at most 1.
+func (w *Worker) Throttle(id string, share float64) error {
+	return w.do("throttle task", fasthttp.MethodPost, w.taskURL(id, "throttle"), wireThrottle{Share: share}, nil, requestTimeout)
+}
+
+// Forget stops a task if it runs and removes it from the worker.
+func (w *Worker) Forget(id string) error {
+	return w.do("forget task", fasthttp.MethodDelete, w.taskURL(id, ""), nil, nil, requestTimeout)
+}
+
+// List returns the tasks that changed after the revision, waiting a while for
+// one when wait is set, and the revision that the list shows.
+func (w *Worker) List(since uint64, wait bool) ([]Status, uint64, error) {
+	q := url.Values{"since": {strconv.FormatUint(since, 10)}}
+	if wait {
+		q.Set("wait_ms", strconv.FormatInt(listWait.Milliseconds(), 10))
+	}
+	var answer wireList
+	if err := w.do("list tasks", fasthttp.MethodGet, "http://"+w.address+"/v1/tasks?"+q.Encode(), nil, &answer, requestTimeout+listWait); err != nil {
+		return nil, since, err
+	}
+	statuses := make([]Status, len(answer.Tasks))
+	for i, t := range answer.Tasks {
+		statuses[i] = Status{task: t.Task, job: t.Job, state: t.State, used: t.Accelerators, done: time.Duration(t.DoneMillis) * time.Millisecond, bytes: t.Result}
+	}
+	return statuses, answer.Revision, nil
+}
+
+func (w *Worker) do(operation, method, target string, body, answer any, timeout time.Duration) error {
+	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(request)
+	defer fasthttp.ReleaseResponse(response)
+	request.SetRequestURI(target)
+	request.Header.SetMethod(method)
+	if body != nil {
+		b, err := json.Marshal(body)
+		if err != nil {
+			return &RejectedError{Operation: operation, Message: err.Error()}
+		}
+		request.Header.SetContentType(jsonType)
+		request.SetBody(b)
+	}
+	if err := w.http.DoTimeout(request, response, timeout); err != nil {
+		return &NoAnswerError{Operation: operation, Cause: err.Error()}
+	}
+	if s := response.StatusCode(); s < 200 || s > 299 {
+		return &RejectedError{Operation: operation, Status: s, Message: string(response.Body())}
+	}
+	if answer == nil {
+		return nil
+	}
+	if err := json.Unmarshal(response.Body(), answer); err != nil {
+		return &NoAnswerError{Operation: operation, Cause: "malformed answer: " + err.Error()}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/process/jaydemo/faults.go
@@ -0,0 +1,227 @@
+package jaydemo
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sort"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/jaystile/jaystile/internal/process/jaystandin"
+)
+
+// Fault is one kind of failure that a demonstration injects.
+type Fault string
+
+// The kinds of faults.
+const (
+	FaultKillEntry    Fault = "kill_entry"
+	FaultKillSide     Fault = "kill_side"
+	FaultPauseEntry   Fault = "pause_entry"
+	FaultPauseSide    Fault = "pause_side"
+	FaultSilentLink   Fault = "silent_link"
+	FaultOneWayLink   Fault = "one_way_link"
+	FaultSlowLink     Fault = "slow_link"
+	FaultLogOut       Fault = "log_out"
+	FaultLogSlow      Fault = "log_slow"
+	FaultLogLoses     Fault = "log_loses_answers"
+	FaultLogStale     Fault = "log_stale_reads"
+	FaultDrainSide    Fault = "drain_side"
+	FaultStopEntry    Fault = "stop_entry"
+	FaultCrossAnswers Fault = "cross_answers"
+	FaultBadWorker    Fault = "bad_worker"
+	FaultRunnerDown   Fault = "runner_down"
+)
+
+// AllFaults lists every kind.
+var AllFaults = []Fault{FaultKillEntry, FaultKillSide, FaultPauseEntry, FaultPauseSide, FaultSilentLink, FaultOneWayLink, FaultSlowLink, FaultLogOut, FaultLogSlow, FaultLogLoses, FaultLogStale, FaultDrainSide, FaultStopEntry, FaultCrossAnswers, FaultBadWorker, FaultRunnerDown}
+
+// Faults says which faults are injected and how often.
+type Faults struct {
+	kinds []Fault
+	every time.Duration
+}
+
+// UnknownFaultError reports a name that is no kind of fault.
+type UnknownFaultError struct{ Given string }
+
+// Error implements error.
+func (e *UnknownFaultError) Error() string {
+	names := make([]string, len(AllFaults))
+	for i, f := range AllFaults {
+		names[i] = string(f)
+	}
+	return fmt.Sprintf("fault: given %q, allowed: all or a list of %s", e.Given, strings.Join(names, ","))
+}
+
+// ParseFaults reads a list of kinds separated by commas, or "all". Two of them
+// are injected at once, about every interval.
+func ParseFaults(s string, every time.Duration) (Faults, error) {
+	f := Faults{every: every}
+	if s == "" {
+		return f, nil
+	}
+	if s == "all" {
+		f.kinds = AllFaults
+		return f, nil
+	}
+	known := map[Fault]bool{}
+	for _, k := range AllFaults {
+		known[k] = true
+	}
+	for _, name := range strings.Split(s, ",") {
+		k := Fault(strings.TrimSpace(name))
+		if !known[k] {
+			return Faults{}, &UnknownFaultError{Given: name}
+		}
+		f.kinds = append(f.kinds, k)
+	}
+	sort.Slice(f.kinds, func(a, b int) bool { return f.kinds[a] < f.kinds[b] })
+	return f, nil
+}
+
+// injector injects faults into a fleet, two at a time.
+type injector struct {
+	fleet  *Fleet
+	faults Faults
+	random *rand.Rand
+	judge  *Judge
+
+	mutex  sync.Mutex
+	counts map[string]int
+	log    jaystandin.LogFaults
+}
+
+func newInjector(f *Fleet, faults Faults, seed uint64, j *Judge) *injector {
+	return &injector{fleet: f, faults: faults, random: rand.New(rand.NewPCG(seed, 99)), judge: j, counts: map[string]int{}}
+}
+
+// run injects pairs of faults until ctx or the span ends. It leaves the last
+// tenth of the span free, so that jobs end.
+func (i *injector) run(ctx context.Context, span time.Duration) {
+	if len(i.faults.kinds) == 0 {
+		return
+	}
+	end := time.Now().Add(span * 9 / 10)
+	for ctx.Err() == nil && time.Now().Before(end) {
+		pause := i.faults.every/2 + time.Duration(i.random.Int64N(int64(i.faults.every)))
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(pause):
+		}
+		first := i.faults.kinds[i.random.IntN(len(i.faults.kinds))]
+		second := i.faults.kinds[i.random.IntN(len(i.faults.kinds))]
+		undoFirst := i.inject(first)
+		undoSecond := i.inject(second)
+		hold := i.faults.every/2 + time.Duration(i.random.Int64N(int64(i.faults.every)))
+		select {
+		case <-ctx.Done():
+		case <-time.After(hold):
+		}
+		undoFirst()
+		undoSecond()
+	}
+}
+
+// heal ends every scripted fault.
+func (i *injector) heal() {
+	i.fleet.log.SetFaults(jaystandin.LogFaults{})
+	for n := range i.fleet.workers {
+		i.fleet.workers[n].SetFaults(jaystandin.WorkerFaults{})
+		i.fleet.runners[n].SetFaults(jaystandin.RunnerFaults{})
+	}
+	for _, r := range i.fleet.relays {
+		r.SpoilAll(jaystandin.RelayFault{})
+	}
+}
+
+func nothing() {}
+
+// inject causes one fault and returns what ends it.
+func (i *injector) inject(f Fault) func() {
+	i.mutex.Lock()
+	i.counts[string(f)]++
+	i.mutex.Unlock()
+	entry := i.random.IntN(i.fleet.Entries)
+	side := i.random.IntN(i.fleet.Sides)
+	lease := i.fleet.Timing.Lease
+	switch f {
+	case FaultKillEntry:
+		i.fleet.KillEntry(entry)
+		_ = i.fleet.StartEntry(entry)
+	case FaultStopEntry:
+		i.fleet.StopEntry(entry)
+		_ = i.fleet.StartEntry(entry)
+	case FaultKillSide:
+		i.fleet.KillSide(side)
+		_ = i.fleet.StartSide(side)
+	case FaultPauseEntry:
+		i.fleet.Entry(entry).Freeze(lease + lease/2)
+	case FaultPauseSide:
+		i.fleet.Side(side).Freeze(lease + lease/2)
+	case FaultSilentLink:
+		i.fleet.relays[entry].Spoil(jaystandin.RelayFault{DropForward: true, DropBack: true})
+	case FaultOneWayLink:
+		i.fleet.relays[entry].Spoil(jaystandin.RelayFault{DropBack: true})
+	case FaultSlowLink:
+		i.fleet.relays[entry].SpoilAll(jaystandin.RelayFault{Delay: 20 * time.Millisecond})
+		return func() { i.fleet.relays[entry].SpoilAll(jaystandin.RelayFault{}) }
+	case FaultLogOut, FaultLogSlow, FaultLogLoses, FaultLogStale:
+		return i.injectLog(f)
+	case FaultDrainSide:
+		return i.drainSide(side)
+	case FaultCrossAnswers:
+		i.fleet.runners[side].SetFaults(jaystandin.RunnerFaults{CrossAnswers: true})
+		return func() { i.fleet.runners[side].SetFaults(jaystandin.RunnerFaults{}) }
+	case FaultRunnerDown:
+		i.fleet.runners[side].SetFaults(jaystandin.RunnerFaults{Down: true})
+		return func() { i.fleet.runners[side].SetFaults(jaystandin.RunnerFaults{}) }
+	case FaultBadWorker:
+		i.fleet.workers[side].SetFaults(jaystandin.WorkerFaults{FailAll: true})
+		return func() { i.fleet.workers[side].SetFaults(jaystandin.WorkerFaults{}) }
+	}
+	return nothing
+}
+
+func (i *injector) injectLog(f Fault) func() {
+	switch f {
+	case FaultLogOut:
+		i.log.Out = true
+	case FaultLogSlow:
+		i.log.Delay = 200 * time.Millisecond
+	case FaultLogLoses:
+		i.log.LoseAnswers = 0.5
+	default:
+		i.log.StaleReads = 0.5
+	}
+	i.fleet.log.SetFaults(i.log)
+	return func() {
+		i.log = jaystandin.LogFaults{}
+		i.fleet.log.SetFaults(i.log)
+	}
+}
+
+// leavingBound is how long after it began to leave a runner may still get new
+// work.
+const leavingBound = 3 * time.Second
+
+// drainSide makes a side leave, checks that its runner gets no work after the
+// bound, and lets it come back.
+func (i *injector) drainSide(side int) func() {
+	s := i.fleet.Side(side)
+	s.SetDraining(true)
+	begin := time.Now()
+	return func() {
+		late := 0
+		for _, r := range i.fleet.runners[side].Runs() {
+			if r.Begin.After(begin.Add(leavingBound)) {
+				late++
+			}
+		}
+		i.judge.check(promiseLeaving, late == 0, "runner %d began %d requests after it had left", side+1, late)
+		s.SetDraining(false)
+	}
+}
--- /dev/null
+++ b/internal/process/jayentry/place.go
@@ -0,0 +1,310 @@
+package jayentry
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/sourcegraph/conc/iter"
+
+	"github.com/jaystile/jaystile/internal/connection/jayframe"
+	"github.com/jaystile/jaystile/internal/connection/jaylink"
+	"github.com/jaystile/jaystile/internal/process/jayroute"
+	"github.com/jaystile/jaystile/internal/process/jaysched"
+	"github.com/jaystile/jaystile/internal/process/jaytimeline"
+	"github.com/jaystile/jaystile/internal/request/jayattempt"
+	"github.com/jaystile/jaystile/pkg/jayapi"
+	"github.com/jaystile/jaystile/pkg/jayrefusal"
+)
+
+const (
+	// holdTTL is how long an owner keeps a hold that is not committed; it covers
+	// the time in which victims write their checkpoints.
+	holdTTL = 6 * time.Second
+	// sheddingMargin is the least time left to a request that is still sent.
+	sheddingMargin = 2 * time.Millisecond
+)
+
+// dispatch sends waiting requests to runners with room.
+func (e *Entry) dispatch() {
+	now := e.now()
+	for _, i := range e.queue.Expired(now, sheddingMargin) {
+		if j := e.jobs[i.ID]; j != nil {
+			e.giveUp(j, jayrefusal.DeadlinePassed, "the deadline passed")
+		}
+	}
+	for {
+		i, ok := e.queue.Pop()
+		if !ok {
+			return
+		}
+		j := e.jobs[i.ID]
+		if j == nil || j.ended() {
+			continue
+		}
+		if !e.route(j, now) {
+			e.queue.PutBack(i)
+			return
+		}
+	}
+}
+
+// route sends a request to a runner and reports whether one had room.
+func (e *Entry) route(j *job, now time.Duration) bool {
+	name := e.router.Pick(now, j.avoid)
+	if name == "" && len(j.avoid) > 0 {
+		name = e.router.Pick(now, nil)
+	}
+	if name == "" {
+		return false
+	}
+	s := e.sides[name]
+	a := e.newAttempt(j, []string{name}, s, now)
+	a.router = true
+	hold := e.holdFor(a, 0, jayframe.WayFree, nil)
+	if s.link == nil || s.link.Send(hold) != nil {
+		e.router.Done(name, jayroute.Failed, 0, now)
+		e.dropAttempt(a, "link is down")
+		return false
+	}
+	e.move(a, jayattempt.Sent)
+	return true
+}
+
+// newAttempt makes an attempt whose anchor is the first seat.
+func (e *Entry) newAttempt(j *job, seats []string, anchor *side, now time.Duration) *attempt {
+	id := e.source.Next()
+	digest := j.spec.Digest()
+	a := &attempt{id: id, state: jayattempt.New(id), job: j, digest: digest[:], seats: seats, anchor: seats[0], owner: anchor.incarnation, sent: now, heard: now}
+	j.attempt = a
+	j.tries++
+	if j.started == 0 {
+		j.started = now
+	}
+	e.attempts[id] = a
+	e.recorder.Record(jaytimeline.AttemptSent, e.attemptFields(a, strings.Join(seats, " ")))
+	return a
+}
+
+func (e *Entry) attemptFields(a *attempt, detail string) jaytimeline.Fields {
+	return jaytimeline.Fields{Job: a.job.id, Attempt: a.id.String(), Workspace: a.job.spec.Workspace(), Worker: a.anchor, Detail: detail}
+}
+
+// dropAttempt forgets an attempt that is certain never to run.
+func (e *Entry) dropAttempt(a *attempt, detail string) {
+	e.endAttempt(a, detail)
+	if !a.state.NeverRan() {
+		e.move(a, jayattempt.Refused)
+	}
+}
+
+// endAttempt takes an attempt out of the tables and remembers it for the job's
+// explanation.
+func (e *Entry) endAttempt(a *attempt, detail string) {
+	delete(e.attempts, a.id)
+	j := a.job
+	if j.attempt == a {
+		j.attempt = nil
+	}
+	if len(j.tried) == maxTried {
+		j.tried = j.tried[1:]
+	}
+	j.tried = append(j.tried, jayapi.Attempt{ID: a.id.String(), State: a.state.State().String(), Seats: strings.Join(a.seats, " "), Detail: detail})
+}
+
+func (e *Entry) holdFor(a *attempt, member int, way jayframe.Way, victims []string) *jayframe.Hold {
+	j := a.job
+	h := &jayframe.Hold{
+		Attempt:    jayframe.FromID(a.id),
+		Member:     member,
+		Members:    len(a.seats),
+		Job:        j.id,
+		Spec:       jayframe.FromSpec(j.spec),
+		Digest:     a.digest,
+		TTLMillis:  holdTTL.Milliseconds(),
+		Way:        way,
+		Victims:    victims,
+		AnchorName: a.anchor,
+		Checkpoint: j.saved,
+		Run:        len(a.seats) == 1,
+	}
+	if s := e.sides[a.anchor]; s != nil {
+		h.Anchor = s.hello.Address
+	}
+	if j.due > 0 {
+		h.LeftMillis = max((j.due - e.now()).Milliseconds(), 1)
+	}
+	return h
+}
+
+var ways = map[jaysched.Cause]jayframe.Way{
+	jaysched.OnHome:    jayframe.WayHome,
+	jaysched.ByReclaim: jayframe.WayHome,
+	jaysched.ByUrgency: jayframe.WayUrgent,
+	jaysched.ByShorter: jayframe.WayShorter,
+}
+
+// place carries out what the scheduler decides.
+func (e *Entry) place() {
+	begin := time.Now()
+	decisions := e.scheduler.Decide(e.now())
+	e.metrics.GetOrCreateHistogram(`jaystile_entry_decide_seconds`).UpdateDuration(begin)
+	for _, d := range decisions {
+		if j := e.jobs[d.Job().ID()]; j != nil {
+			e.start(j, d)
+			continue
+		}
+		e.scheduler.Cancel(d.Job().ID())
+	}
+}
+
+// start sends the holds of a decision to the owners.
+func (e *Entry) start(j *job, d jaysched.Decision) {
+	var seats []string
+	for _, s := range d.Seats() {
+		for range s.Members() {
+			seats = append(seats, s.Worker())
+		}
+	}
+	anchor := e.sides[seats[0]]
+	a := e.newAttempt(j, seats, anchor, e.now())
+	victims := make([]string, len(d.Victims()))
+	for i, v := range d.Victims() {
+		victims[i] = v.Job()
+		e.counter(`jaystile_entry_victims_total{cause="` + string(d.Reason().Cause()) + `"}`).Inc()
+	}
+	detail := d.Reason().String()
+	if len(victims) > 0 {
+		detail += ", stops " + strings.Join(victims, " ")
+	}
+	e.recorder.Record(jaytimeline.JobPlaced, e.attemptFields(a, detail))
+	way := ways[d.Reason().Cause()]
+	links := make([]*jaylink.Link, len(seats))
+	holds := make([]*jayframe.Hold, len(seats))
+	for i, name := range seats {
+		if s := e.sides[name]; s != nil {
+			links[i] = s.link
+		}
+		holds[i] = e.holdFor(a, i, way, victims)
+		if links[i] == nil {
+			e.dropAttempt(a, "no link to "+name)
+			e.scheduler.Retry(j.id, jaysched.NewReason(jaysched.WaitsForWorkers, name, 0, e.now()))
+			return
+		}
+	}
+	e.move(a, jayattempt.Sent)
+	if len(seats) == 1 {
+		if err := links[0].Send(holds[0]); err != nil {
+			e.dropAttempt(a, err.Error())
+			e.scheduler.Retry(j.id, jaysched.NewReason(jaysched.WaitsForOwner, err.Error(), 0, e.now()))
+		}
+		return
+	}
+	e.spawn(func() { e.gather(a, links, holds) })
+}
+
+// gather holds on every worker, then asks the anchor to decide.
+func (e *Entry) gather(a *attempt, links []*jaylink.Link, holds []*jayframe.Hold) {
+	ctx, cancel := context.WithTimeout(context.Background(), holdTTL)
+	defer cancel()
+	tokens := make([]jayframe.MemberToken, len(holds))
+	refusals := make([]error, len(holds))
+	members := make([]int, len(holds))
+	for i := range members {
+		members[i] = i
+	}
+	iter.ForEach(members, func(i *int) {
+		token, err := e.holdMember(ctx, links[*i], holds[*i])
+		tokens[*i] = jayframe.MemberToken{Side: a.seats[*i], Token: token}
+		refusals[*i] = err
+	})
+	if err := errors.Join(refusals...); err != nil {
+		e.giveBack(a, links, err)
+		return
+	}
+	if !e.beginCommit(a) {
+		e.giveBack(a, links, &HoldRefusedError{Worker: a.anchor, Code: "given up before the commit"})
+		return
+	}
+	reply, err := links[0].Call(ctx, &jayframe.Commit{Attempt: jayframe.FromID(a.id), Members: tokens})
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	if err != nil {
+		// The anchor may have decided: only it can tell.
+		e.move(a, jayattempt.Unknown)
+		a.job.mayHave = true
+		return
+	}
+	if o, ok := reply.(*jayframe.Outcome); ok {
+		e.takeOutcome(a, o)
+	}
+}
+
+// beginCommit marks an attempt whose anchor is about to be asked to decide. It
+// returns false when the job has been given up meanwhile.
+func (e *Entry) beginCommit(a *attempt) bool {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	if a.job.attempt != a || a.job.ended() {
+		return false
+	}
+	a.committed = true
+	return true
+}
+
+// HoldRefusedError reports an owner that refused to hold for a member.
+type HoldRefusedError struct {
+	Worker string
+	Code   string
+}
+
+// Error implements error.
+func (e *HoldRefusedError) Error() string { return fmt.Sprintf("%s: %s", e.Worker, e.Code) }
+
+func (e *Entry) holdMember(ctx context.Context, l *jaylink.Link, h *jayframe.Hold) (uint64, error) {
+	reply, err := l.Call(ctx, h)
+	if err != nil {
+		return 0, err
+	}
+	r, ok := reply.(*jayframe.HoldReply)
+	if !ok || !r.Granted {
+		code := "malformed reply"
+		if ok {
+			code = r.Code
+		}
+		return 0, &HoldRefusedError{Worker: l.Peer(), Code: code}
+	}
+	return r.Token, nil
+}
+
+// giveBack releases every hold of an attempt that was never committed: without
+// a commit its anchor starts nothing.
+func (e *Entry) giveBack(a *attempt, links []*jaylink.Link, cause error) {
+	for _, l := range links {
+		_ = l.Send(&jayframe.Release{Attempt: jayframe.FromID(a.id)})
+	}
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	if a.job.attempt != a {
+		return
+	}
+	e.counter(`jaystile_entry_gathers_failed_total`).Inc()
+	e.dropAttempt(a, cause.Error())
+	e.retryPlacement(a.job, cause.Error())
+}
+
+// retryPlacement queues a job again whose attempt never ran.
+func (e *Entry) retryPlacement(j *job, blocker string) {
+	if j.ended() {
+		return
+	}
+	e.recorder.Record(jaytimeline.JobRequeued, jaytimeline.Fields{Job: j.id, Workspace: j.spec.Workspace(), Detail: blocker})
+	if j.request {
+		e.queue.PutBack(e.itemOf(j))
+	} else {
+		e.scheduler.Retry(j.id, jaysched.NewReason(jaysched.WaitsForOwner, blocker, 0, e.now()))
+	}
+	e.kick()
+}
--- /dev/null
+++ b/internal/process/jayqueue/queue.go
@@ -0,0 +1,213 @@
+// Package jayqueue holds the requests that wait for a runner's slot: bounded
+// queues by workspace and class, the earliest deadline first within one, and
+// weighted fair turns between workspaces. It has no clock.
+package jayqueue
+
+import (
+	"fmt"
+	"math"
+	"sort"
+	"time"
+
+	"github.com/google/btree"
+
+	"github.com/jaystile/jaystile/internal/request/jayjob"
+)
+
+// Item is one waiting request.
+type Item struct {
+	ID        string
+	Workspace string
+	Class     jayjob.Class
+	Arrived   time.Duration
+	// Due is when the caller's deadline passes; zero means never.
+	Due time.Duration
+	// Share is the workspace's weight.
+	Share int
+}
+
+const never = time.Duration(1<<63 - 1)
+
+func (i Item) due() time.Duration {
+	if i.Due == 0 {
+		return never
+	}
+	return i.Due
+}
+
+// FullError reports a queue at its bound.
+type FullError struct {
+	Workspace string
+	Class     jayjob.Class
+	Limit     int
+}
+
+// Error implements error.
+func (e *FullError) Error() string {
+	return fmt.Sprintf("workspace %s has %d %s jobs waiting already", e.Workspace, e.Limit, e.Class)
+}
+
+type queueKey struct {
+	workspace string
+	class     jayjob.Class
+}
+
+type queue struct {
+	items *btree.BTreeG[Item]
+}
+
+func newQueue() *queue {
+	return &queue{items: btree.NewG(16, func(a, b Item) bool {
+		if a.due() != b.due() {
+			return a.due() < b.due()
+		}
+		if a.Arrived != b.Arrived {
+			return a.Arrived < b.Arrived
+		}
+		return a.ID < b.ID
+	})}
+}
+
+// Queue holds the waiting requests. It is not safe for concurrent use.
+type Queue struct {
+	queues map[queueKey]*queue
+	items  map[string]Item
+	// turns is each workspace's virtual time: service received over share.
+	turns map[string]float64
+	now   float64
+}
+
+// New returns an empty queue.
+func New() *Queue {
+	return &Queue{queues: map[queueKey]*queue{}, items: map[string]Item{}, turns: map[string]float64{}}
+}
+
+// Len returns how many requests wait.
+func (q *Queue) Len() int { return len(q.items) }
+
+// LenOf returns how many requests of a workspace and class wait.
+func (q *Queue) LenOf(workspace string, class jayjob.Class) int {
+	if s := q.queues[queueKey{workspace, class}]; s != nil {
+		return s.items.Len()
+	}
+	return 0
+}
+
+// Push adds a request unless its queue holds limit requests already.
+func (q *Queue) Push(i Item, limit int) error {
+	k := queueKey{i.Workspace, i.Class}
+	s := q.queues[k]
+	if s == nil {
+		s = newQueue()
+		q.queues[k] = s
+	}
+	if s.items.Len() >= limit {
+		return &FullError{Workspace: i.Workspace, Class: i.Class, Limit: limit}
+	}
+	if q.idle(i.Workspace) {
+		// A workspace that was idle saves up no turns.
+		q.turns[i.Workspace] = max(q.turns[i.Workspace], q.now)
+	}
+	s.items.ReplaceOrInsert(i)
+	q.items[i.ID] = i
+	return nil
+}
+
+func (q *Queue) idle(workspace string) bool {
+	for _, c := range jayjob.Classes {
+		if q.LenOf(workspace, c) > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// Remove takes a request out and reports whether it was waiting.
+func (q *Queue) Remove(id string) bool {
+	i, ok := q.items[id]
+	if !ok {
+		return false
+	}
+	delete(q.items, id)
+	k := queueKey{i.Workspace, i.Class}
+	q.queues[k].items.Delete(i)
+	if q.queues[k].items.Len() == 0 {
+		delete(q.queues, k)
+	}
+	return true
+}
+
+// Pop takes the next request: of the most urgent class that has any, from the
+// workspace that has had the least service for its share. Source: the virtual
+// clock of start-time fair queueing, P. Goyal et al., 1996.
+func (q *Queue) Pop() (Item, bool) {
+	for _, c := range jayjob.Classes {
+		if i, ok := q.popClass(c); ok {
+			return i, true
+		}
+	}
+	return Item{}, false
+}
+
+func (q *Queue) popClass(c jayjob.Class) (Item, bool) {
+	best := ""
+	found := false
+	for k := range q.queues {
+		if k.class != c {
+			continue
+		}
+		if !found || q.turns[k.workspace] < q.turns[best] || (q.turns[k.workspace] == q.turns[best] && k.workspace < best) {
+			best, found = k.workspace, true
+		}
+	}
+	if !found {
+		return Item{}, false
+	}
+	i, _ := q.queues[queueKey{best, c}].items.Min()
+	q.Remove(i.ID)
+	q.now = max(q.now, q.turns[best])
+	q.turns[best] += 1 / float64(max(i.Share, 1))
+	return i, true
+}
+
+// PutBack returns a popped request to its place without charging a turn.
+func (q *Queue) PutBack(i Item) {
+	_ = q.Push(i, math.MaxInt)
+	q.turns[i.Workspace] -= 1 / float64(max(i.Share, 1))
+}
+
+// Ahead returns how many requests are served before a new one of the workspace
+// and class, if every workspace takes its fair turn.
+func (q *Queue) Ahead(workspace string, class jayjob.Class) int {
+	own := 0
+	for c := range class + 1 {
+		own += q.LenOf(workspace, c)
+	}
+	ahead := own
+	for k, s := range q.queues {
+		if k.workspace != workspace && k.class <= class {
+			ahead += min(s.items.Len(), own+1)
+		}
+	}
+	return ahead
+}
+
+// Expired takes out and returns the requests whose deadline leaves less than
+// the given time.
+func (q *Queue) Expired(now, needed time.Duration) []Item {
+	var expired []Item
+	for _, s := range q.queues {
+		s.items.Ascend(func(i Item) bool {
+			if i.due() == never || i.due()-now > needed {
+				return false
+			}
+			expired = append(expired, i)
+			return true
+		})
+	}
+	for _, i := range expired {
+		q.Remove(i.ID)
+	}
+	sort.Slice(expired, func(a, b int) bool { return expired[a].ID < expired[b].ID })
+	return expired
+}
--- /dev/null
+++ b/internal/process/jaysched/fragmentation.go
@@ -0,0 +1,43 @@
+package jaysched
+
+import (
+	"github.com/jaystile/jaystile/internal/process/jaypool"
+	"github.com/jaystile/jaystile/internal/request/jayjob"
+	"github.com/jaystile/jaystile/internal/version/jaymanifest"
+)
+
+// Fragmentation returns one minus the largest guaranteed shape that could start
+// now on free accelerators, over the free accelerators that such a shape could
+// use at the most. It is zero when nothing is free.
+func Fragmentation(pool *jaypool.Pool, guarantees []jaymanifest.Guarantee) float64 {
+	largest := 0
+	for _, g := range guarantees {
+		largest = max(largest, g.Shape().Total())
+	}
+	usable := min(largest, pool.Free())
+	if usable <= 0 {
+		return 0
+	}
+	best := 0
+	for _, g := range guarantees {
+		if g.Shape().Total() <= usable && g.Shape().Total() > best && startsNow(pool, g.Shape()) {
+			best = g.Shape().Total()
+		}
+	}
+	return 1 - float64(best)/float64(usable)
+}
+
+func startsNow(pool *jaypool.Pool, shape jayjob.Shape) bool {
+	for _, group := range pool.Groups(shape.Near()) {
+		seats := 0
+		for _, w := range group {
+			if !w.Closed() {
+				seats += membersIn(w.Free(), shape)
+			}
+		}
+		if seats >= shape.Members() {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/process/jaysched/health.go
@@ -0,0 +1,121 @@
+package jaysched
+
+import "time"
+
+const (
+	// failuresToSuspect is how many failures of different kinds of job, without
+	// a success between them, put a worker into quarantine.
+	failuresToSuspect  = 4
+	kindsToSuspect     = 2
+	maxQuarantineShare = 0.2
+	quarantineFirst    = 10 * time.Second
+	quarantineMost     = 10 * time.Minute
+	// poisonedAfter is how many workers a kind of job must have failed on,
+	// without a success, before its failures no longer count against workers.
+	poisonedAfter = 3
+)
+
+type workerHealth struct {
+	failures    int
+	kinds       map[learnerKey]bool
+	quarantines int
+	until       time.Duration
+	out         bool
+	probation   bool
+}
+
+type kindHealth struct{ workers map[string]bool }
+
+// Health tells workers that fail everything from jobs that fail everywhere. It
+// counts failures by worker and by kind of job.
+type Health struct {
+	workers map[string]*workerHealth
+	kinds   map[learnerKey]*kindHealth
+}
+
+// NewHealth returns a table without failures.
+func NewHealth() *Health {
+	return &Health{workers: map[string]*workerHealth{}, kinds: map[learnerKey]*kindHealth{}}
+}
+
+func (h *Health) worker(name string) *workerHealth {
+	w := h.workers[name]
+	if w == nil {
+		w = &workerHealth{kinds: map[learnerKey]bool{}}
+		h.workers[name] = w
+	}
+	return w
+}
+
+// Succeeded records that a job of the kind ended well on the worker.
+func (h *Health) Succeeded(worker, workspace, kind string) {
+	delete(h.kinds, learnerKey{workspace, kind})
+	w := h.worker(worker)
+	w.failures = 0
+	w.probation = false
+	w.quarantines = 0
+	clear(w.kinds)
+}
+
+// Failed records that the worker failed a job of the kind. It returns true when
+// the worker is now to be quarantined; total is the number of workers.
+func (h *Health) Failed(worker, workspace, kind string, total int, now time.Duration) bool {
+	k := learnerKey{workspace, kind}
+	kh := h.kinds[k]
+	if kh == nil {
+		kh = &kindHealth{workers: map[string]bool{}}
+		h.kinds[k] = kh
+	}
+	kh.workers[worker] = true
+	w := h.worker(worker)
+	if len(kh.workers) >= poisonedAfter || w.out {
+		return false
+	}
+	w.failures++
+	w.kinds[k] = true
+	suspect := w.failures >= failuresToSuspect && len(w.kinds) >= kindsToSuspect
+	if (!suspect && !w.probation) || float64(h.out()+1) > maxQuarantineShare*float64(total) {
+		return false
+	}
+	w.out = true
+	w.probation = false
+	w.until = now + min(quarantineFirst<<min(w.quarantines, 6), quarantineMost)
+	w.quarantines++
+	return true
+}
+
+func (h *Health) out() int {
+	n := 0
+	for _, w := range h.workers {
+		if w.out {
+			n++
+		}
+	}
+	return n
+}
+
+// Poisoned reports whether jobs of the kind have failed on several workers
+// without a success.
+func (h *Health) Poisoned(workspace, kind string) bool {
+	k := h.kinds[learnerKey{workspace, kind}]
+	return k != nil && len(k.workers) >= poisonedAfter
+}
+
+// Release returns the workers whose quarantine is over. They are on probation:
+// one more failure puts them back for twice as long.
+func (h *Health) Release(now time.Duration) []string {
+	var released []string
+	for name, w := range h.workers {
+		if w.out && now >= w.until {
+			w.out = false
+			w.probation = true
+			w.failures = 0
+			clear(w.kinds)
+			released = append(released, name)
+		}
+	}
+	return released
+}
+
+// Forget drops what is known of a worker that is gone.
+func (h *Health) Forget(worker string) { delete(h.workers, worker) }
--- /dev/null
+++ b/internal/process/jaysched/job.go
@@ -0,0 +1,122 @@
+package jaysched
+
+import (
+	"math/bits"
+	"time"
+
+	"github.com/google/btree"
+
+	"github.com/jaystile/jaystile/internal/process/jaypool"
+	"github.com/jaystile/jaystile/internal/request/jayjob"
+)
+
+// Job is a job as the scheduler sees it.
+type Job struct {
+	id       string
+	spec     jayjob.Spec
+	arrived  time.Duration
+	due      time.Duration
+	estimate time.Duration
+	upper    time.Duration
+	done     time.Duration
+	started  time.Duration
+	stops    int
+	reason   Reason
+	lane     *lane
+}
+
+// NewJob returns a job that arrived at the given time. A job without a deadline
+// is due never.
+func NewJob(id string, spec jayjob.Spec, arrived time.Duration) *Job {
+	j := &Job{id: id, spec: spec, arrived: arrived, due: never}
+	if spec.Deadline() > 0 {
+		j.due = arrived + spec.Deadline()
+	}
+	return j
+}
+
+const never = time.Duration(1<<63 - 1)
+
+// ID returns the job's identity.
+func (j *Job) ID() string { return j.id }
+
+// Spec returns what the caller asked for.
+func (j *Job) Spec() jayjob.Spec { return j.spec }
+
+// Arrived returns when the job was accepted.
+func (j *Job) Arrived() time.Duration { return j.arrived }
+
+// Done returns how much of its run time a checkpoint has saved.
+func (j *Job) Done() time.Duration { return j.done }
+
+// Started returns when the job's latest start was decided.
+func (j *Job) Started() time.Duration { return j.started }
+
+// Stops returns how often the job has been stopped for another.
+func (j *Job) Stops() int { return j.stops }
+
+// Reason returns why the job waits or where it was placed.
+func (j *Job) Reason() Reason { return j.reason }
+
+// left returns the estimated run time that is still to do.
+func (j *Job) left() time.Duration { return max(j.estimate-j.done, time.Millisecond) }
+
+// laneKey names jobs that the scheduler need not tell apart: when the first of
+// them cannot be placed, none can.
+type laneKey struct {
+	workspace     string
+	kind          string
+	class         jayjob.Class
+	shape         jayjob.Shape
+	stoppable     bool
+	checkpointing bool
+	sizeBits      int
+}
+
+// lane is the queue of one laneKey: the earliest deadline first, then the
+// earliest arrival.
+type lane struct {
+	key  laneKey
+	jobs *btree.BTreeG[*Job]
+}
+
+func newLane(k laneKey) *lane {
+	return &lane{key: k, jobs: btree.NewG(16, func(a, b *Job) bool {
+		if a.due != b.due {
+			return a.due < b.due
+		}
+		if a.arrived != b.arrived {
+			return a.arrived < b.arrived
+		}
+		return a.id < b.id
+	})}
+}
+
+func keyOf(j *Job) laneKey {
+	return laneKey{
+		workspace:     j.spec.Workspace(),
+		kind:          j.spec.Kind(),
+		class:         j.spec.Class(),
+		shape:         j.spec.Shape(),
+		stoppable:     j.spec.Stoppable(),
+		checkpointing: j.spec.Checkpointing(),
+		sizeBits:      bits.Len64(uint64(j.left())),
+	}
+}
+
+// hold describes what one member of the job holds.
+func (j *Job) hold(id string, accelerators int, now time.Duration) jaypool.Hold {
+	return jaypool.Hold{
+		ID:            id,
+		Job:           j.id,
+		Workspace:     j.spec.Workspace(),
+		Kind:          j.spec.Kind(),
+		Class:         j.spec.Class(),
+		Accelerators:  accelerators,
+		Stoppable:     j.spec.Stoppable(),
+		Checkpointing: j.spec.Checkpointing(),
+		Since:         now,
+		Saved:         now,
+		Until:         now + j.left(),
+	}
+}
--- /dev/null
+++ b/internal/process/jaysched/learner.go
@@ -0,0 +1,92 @@
+package jaysched
+
+import (
+	"math"
+	"sort"
+	"time"
+)
+
+const (
+	learnerWindow     = 48
+	learnerMinSamples = 3
+	// defaultRuntime is assumed of a job that declares nothing and of whose kind
+	// nothing is known.
+	defaultRuntime = time.Minute
+	// errorDecay weighs the newest error of a predictor against those before it.
+	errorDecay = 0.1
+)
+
+type learnerKey struct{ workspace, kind string }
+
+// history holds the latest run times of one kind of job of one workspace.
+type history struct {
+	runtimes   []float64
+	ratios     []float64
+	next       int
+	plainError float64
+	ratioError float64
+}
+
+// Learner predicts run times from those seen before, since declared run times
+// are far off. It keeps, for each workspace and kind, the latest run times and
+// the latest ratios of the real to the declared run time, and predicts with
+// whichever of the two has been nearer to the truth.
+type Learner struct {
+	histories map[learnerKey]*history
+}
+
+// NewLearner returns a learner that has seen nothing.
+func NewLearner() *Learner { return &Learner{histories: map[learnerKey]*history{}} }
+
+// Observe records how long a job ran for.
+func (l *Learner) Observe(workspace, kind string, declared, actual time.Duration) {
+	if actual <= 0 {
+		return
+	}
+	k := learnerKey{workspace, kind}
+	h := l.histories[k]
+	if h == nil {
+		h = &history{}
+		l.histories[k] = h
+	}
+	seconds := actual.Seconds()
+	if declared <= 0 {
+		declared = actual
+	}
+	ratio := seconds / declared.Seconds()
+	if len(h.runtimes) >= learnerMinSamples {
+		h.plainError += errorDecay * (math.Abs(math.Log(seconds/quantile(h.runtimes, 0.5))) - h.plainError)
+		h.ratioError += errorDecay * (math.Abs(math.Log(ratio/quantile(h.ratios, 0.5))) - h.ratioError)
+	}
+	if len(h.runtimes) < learnerWindow {
+		h.runtimes = append(h.runtimes, seconds)
+		h.ratios = append(h.ratios, ratio)
+		return
+	}
+	h.runtimes[h.next] = seconds
+	h.ratios[h.next] = ratio
+	h.next = (h.next + 1) % learnerWindow
+}
+
+// Predict returns the run time that a job stays under with probability q.
+func (l *Learner) Predict(workspace, kind string, declared time.Duration, q float64) time.Duration {
+	h := l.histories[learnerKey{workspace, kind}]
+	if h == nil || len(h.runtimes) < learnerMinSamples {
+		if declared > 0 {
+			return declared
+		}
+		return defaultRuntime
+	}
+	if declared > 0 && h.ratioError < h.plainError {
+		return seconds(quantile(h.ratios, q) * declared.Seconds())
+	}
+	return seconds(quantile(h.runtimes, q))
+}
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
+func quantile(values []float64, q float64) float64 {
+	sorted := append([]float64(nil), values...)
+	sort.Float64s(sorted)
+	return sorted[min(int(q*float64(len(sorted))), len(sorted)-1)]
+}
--- /dev/null
+++ b/internal/process/jaysched/placement.go
@@ -0,0 +1,341 @@
+package jaysched
+
+import (
+	"math"
+	"sort"
+	"time"
+
+	"github.com/jaystile/jaystile/internal/process/jaypool"
+	"github.com/jaystile/jaystile/internal/request/jayjob"
+	"github.com/jaystile/jaystile/internal/version/jayplan"
+)
+
+// Costs of the parts of a placement, as shares of one worker.
+const (
+	costLeftover     = 1.0
+	costBreakWorker  = 1.0
+	costBreakRack    = 0.5
+	costForeignHome  = 1.5
+	gainOwnHome      = 0.5
+	costStopVictim   = 0.5
+	unlimitedMembers = math.MaxInt32
+)
+
+// roomFunc returns how many accelerators a job could take on a worker.
+type roomFunc func(*jaypool.Worker) int
+
+// freeRoom counts accelerators that nobody holds, less those that work which
+// may not be stopped must leave to guarantees.
+func (s *Scheduler) freeRoom(j *Job) roomFunc {
+	return func(w *jaypool.Worker) int {
+		if w.Closed() {
+			return 0
+		}
+		return s.guarded(j, w, w.Free())
+	}
+}
+
+// guarded lowers room so that a job which may not be stopped breaks no
+// guarantee.
+func (s *Scheduler) guarded(j *Job, w *jaypool.Worker, room int) int {
+	if j.spec.Stoppable() {
+		return room
+	}
+	return max(min(room, s.plan.FixedRoom(w, j.spec.Workspace())), 0)
+}
+
+// homeRoom counts free accelerators and those of the workspace's own home that
+// others borrow.
+func (s *Scheduler) homeRoom(j *Job) roomFunc {
+	return func(w *jaypool.Worker) int {
+		if w.Closed() {
+			return 0
+		}
+		home := s.plan.Home(w.ID(), j.spec.Workspace()) - w.Held(j.spec.Workspace())
+		return s.guarded(j, w, max(w.Free(), home))
+	}
+}
+
+// displacedRoom counts free accelerators and those that the job may take from
+// others by the given test.
+func (s *Scheduler) displacedRoom(j *Job, may func(*jaypool.Holding) bool) roomFunc {
+	return func(w *jaypool.Worker) int {
+		if w.Closed() {
+			return 0
+		}
+		room := w.Free()
+		for _, h := range w.Holdings() {
+			if may(h) {
+				room += h.Accelerators()
+			}
+		}
+		return s.guarded(j, w, room)
+	}
+}
+
+// seatJob finds the cheapest seats for a shape within the room, or nil.
+func (s *Scheduler) seatJob(j *Job, room roomFunc) []Seat {
+	shape := j.spec.Shape()
+	var best []Seat
+	bestCost := math.Inf(1)
+	groups := s.pool.Groups(shape.Near())
+	for _, name := range s.groupNames(shape.Near()) {
+		seats, cost := s.seatGroup(j, groups[name], room)
+		if seats != nil && cost < bestCost {
+			best, bestCost = seats, cost
+		}
+	}
+	return best
+}
+
+// groupNames caches the ordered names of groups until the pool's workers
+// change.
+func (s *Scheduler) groupNames(near jayjob.Near) []string {
+	if s.namesVersion != s.pool.Version() {
+		s.namesVersion = s.pool.Version()
+		clear(s.names)
+	}
+	if s.names[near] == nil {
+		s.names[near] = s.pool.GroupNames(near)
+	}
+	return s.names[near]
+}
+
+type candidate struct {
+	worker  *jaypool.Worker
+	members int
+	cost    float64
+}
+
+// seatGroup seats all members within one group of workers.
+func (s *Scheduler) seatGroup(j *Job, group []*jaypool.Worker, room roomFunc) ([]Seat, float64) {
+	shape := j.spec.Shape()
+	if shape.Members() == 1 {
+		return s.seatOne(j, group, room)
+	}
+	total := 0
+	candidates := s.scratch[:0]
+	for _, w := range group {
+		n := membersIn(room(w), shape)
+		if n == 0 {
+			continue
+		}
+		n = min(n, shape.Members())
+		total += n
+		candidates = append(candidates, candidate{worker: w, members: n, cost: s.cost(j, w, n*shape.Accelerators()) / float64(n)})
+	}
+	s.scratch = candidates
+	if total < shape.Members() {
+		return nil, 0
+	}
+	sort.SliceStable(candidates, func(a, b int) bool { return candidates[a].cost < candidates[b].cost })
+	return takeSeats(candidates, shape.Members())
+}
+
+func takeSeats(candidates []candidate, members int) ([]Seat, float64) {
+	var seats []Seat
+	cost := 0.0
+	for _, c := range candidates {
+		if members == 0 {
+			break
+		}
+		n := min(c.members, members)
+		members -= n
+		cost += c.cost * float64(n)
+		seats = append(seats, Seat{worker: c.worker.ID(), members: n})
+	}
+	return seats, cost
+}
+
+// seatOne seats a single member without building a list.
+func (s *Scheduler) seatOne(j *Job, group []*jaypool.Worker, room roomFunc) ([]Seat, float64) {
+	shape := j.spec.Shape()
+	var best *jaypool.Worker
+	bestCost := math.Inf(1)
+	for _, w := range group {
+		if w.Free() < shape.Accelerators() && room(w) < shape.Accelerators() {
+			continue
+		}
+		if c := s.cost(j, w, shape.Accelerators()); c < bestCost && room(w) >= shape.Accelerators() {
+			best, bestCost = w, c
+		}
+	}
+	if best == nil {
+		return nil, 0
+	}
+	return []Seat{{worker: best.ID(), members: 1}}, bestCost
+}
+
+func membersIn(room int, shape jayjob.Shape) int {
+	if shape.Accelerators() == 0 {
+		return unlimitedMembers
+	}
+	return max(room, 0) / shape.Accelerators()
+}
+
+// cost weighs what placing n accelerators on a worker costs in fragmentation
+// and in completion time.
+func (s *Scheduler) cost(j *Job, w *jaypool.Worker, n int) float64 {
+	all := float64(w.Accelerators())
+	left := w.Free() - n
+	fragmentation := 0.0
+	if left >= 0 {
+		fragmentation = costLeftover * float64(left) / all
+	}
+	if w.Free() == w.Accelerators() && left > 0 {
+		fragmentation += costBreakWorker + costBreakRack
+	}
+	completion := 0.0
+	if left < 0 {
+		completion += costStopVictim * float64(-left) / all
+	}
+	completion += costForeignHome * float64(s.intrusion(j, w, n)) / all
+	home := s.plan.Home(w.ID(), j.spec.Workspace()) - w.Held(j.spec.Workspace())
+	if home > 0 {
+		completion -= gainOwnHome * float64(min(home, n)) / all
+	}
+	return s.weights.Fragmentation()*fragmentation + s.weights.Completion()*completion
+}
+
+// intrusion returns how many of n accelerators would lie in the unused homes of
+// other workspaces.
+func (s *Scheduler) intrusion(j *Job, w *jaypool.Worker, n int) int {
+	idle := 0
+	for space, home := range s.plan.Homes(w.ID()) {
+		if space != j.spec.Workspace() {
+			idle += max(home-w.Held(space), 0)
+		}
+	}
+	return max(n-max(w.Free()-idle, 0), 0)
+}
+
+// victimsFor chooses what must stop so that the seats become free, the least
+// lost work first. It returns false when the seats cannot be freed.
+func (s *Scheduler) victimsFor(j *Job, seats []Seat, now time.Duration, may func(*jaypool.Holding) bool) ([]Victim, bool) {
+	var victims []Victim
+	stopped := map[string]bool{}
+	for _, seat := range seats {
+		w := s.pool.Worker(seat.worker)
+		need := seat.members*j.spec.Shape().Accelerators() - w.Free()
+		holdings := w.Holdings()
+		for _, h := range holdings {
+			if stopped[h.Job()] {
+				need -= h.Accelerators()
+			}
+		}
+		if need <= 0 {
+			continue
+		}
+		chosen, ok := s.cheapest(holdings, need, now, stopped, may)
+		if !ok {
+			return nil, false
+		}
+		for _, h := range chosen {
+			stopped[h.Job()] = true
+			victims = append(victims, Victim{job: h.Job(), workspace: h.Workspace(), lost: s.lost(h, now)})
+		}
+	}
+	return victims, true
+}
+
+// cheapest picks holdings that free at least need accelerators: greedily by
+// lost work per accelerator, then without those that turn out to be needless.
+func (s *Scheduler) cheapest(holdings []*jaypool.Holding, need int, now time.Duration, stopped map[string]bool, may func(*jaypool.Holding) bool) ([]*jaypool.Holding, bool) {
+	var allowed []*jaypool.Holding
+	for _, h := range holdings {
+		if !stopped[h.Job()] && may(h) {
+			allowed = append(allowed, h)
+		}
+	}
+	sort.SliceStable(allowed, func(a, b int) bool {
+		x, y := allowed[a], allowed[b]
+		if x.Class() != y.Class() {
+			return x.Class() > y.Class()
+		}
+		return s.lost(x, now)*time.Duration(y.Accelerators()) < s.lost(y, now)*time.Duration(x.Accelerators())
+	})
+	freed := 0
+	var chosen []*jaypool.Holding
+	for _, h := range allowed {
+		if freed >= need {
+			break
+		}
+		freed += h.Accelerators()
+		chosen = append(chosen, h)
+	}
+	if freed < need {
+		return nil, false
+	}
+	for i := 0; i < len(chosen); i++ {
+		if freed-chosen[i].Accelerators() >= need {
+			freed -= chosen[i].Accelerators()
+			chosen = append(chosen[:i], chosen[i+1:]...)
+			i--
+		}
+	}
+	return chosen, true
+}
+
+// lost returns the accelerator time that is thrown away when the holding's
+// whole gang stops: all since its last checkpoint, or the cost of taking one.
+func (s *Scheduler) lost(h *jaypool.Holding, now time.Duration) time.Duration {
+	since := now - h.Saved()
+	if h.Checkpointing() {
+		since = min(since, s.Policy.CheckpointCost)
+	}
+	total := 0
+	for _, o := range s.pool.JobHoldings(h.Job()) {
+		total += o.Accelerators()
+	}
+	return time.Duration(total) * max(since, 0)
+}
+
+// left estimates how long the holding's work still takes. Work that outlives
+// its estimate is expected to go on for half as long as it has run.
+func left(h *jaypool.Holding, now time.Duration) time.Duration {
+	if h.Until() > now {
+		return h.Until() - now
+	}
+	return max((now-h.Since())/2, time.Second)
+}
+
+// canEverRun returns a NeverFitsError when the shape fits no state of the pool.
+func (s *Scheduler) canEverRun(j *Job) error {
+	shape := j.spec.Shape()
+	room := func(w *jaypool.Worker) int { return s.emptyRoom(j, w) }
+	if !jayplan.Fits(shape, s.pool, room) {
+		return &NeverFitsError{Shape: shape, Cause: "no set of workers has the room", Nearest: s.nearestShape(j, room)}
+	}
+	return nil
+}
+
+// emptyRoom is what the job could take of a worker on which nothing runs.
+func (s *Scheduler) emptyRoom(j *Job, w *jaypool.Worker) int {
+	if j.spec.Stoppable() {
+		return w.Accelerators()
+	}
+	room := w.Accelerators()
+	for space, n := range s.plan.Homes(w.ID()) {
+		if space != j.spec.Workspace() {
+			room -= n
+		}
+	}
+	return room
+}
+
+// nearestShape looks for a shape that could run: first with looser nearness,
+// then with fewer members, then with fewer accelerators each.
+func (s *Scheduler) nearestShape(j *Job, room roomFunc) *jayjob.Shape {
+	shape := j.spec.Shape()
+	for accelerators := shape.Accelerators(); accelerators > 0; accelerators-- {
+		for members := shape.Members(); members > 0; members-- {
+			for near := int(shape.Near()); near >= 0; near-- {
+				n, err := jayjob.NewShape(members, accelerators, jayjob.Near(near))
+				if err == nil && jayplan.Fits(n, s.pool, room) {
+					return &n
+				}
+			}
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/process/jayside/gangs.go
@@ -0,0 +1,288 @@
+package jayside
+
+import (
+	"time"
+
+	"github.com/jaystile/jaystile/internal/connection/jayframe"
+	"github.com/jaystile/jaystile/internal/connection/jaylink"
+	"github.com/jaystile/jaystile/internal/process/jaygang"
+	"github.com/jaystile/jaystile/internal/process/jayowner"
+	"github.com/jaystile/jaystile/internal/process/jaytimeline"
+	"github.com/jaystile/jaystile/internal/request/jayattempt"
+)
+
+// gang is the anchor's book of one attempt with the links to its members and to
+// those who want to hear of its end.
+type gang struct {
+	book      *jaygang.Gang
+	job       string
+	workspace string
+	digest    []byte
+	links     []*jaylink.Link
+	listeners map[jayattempt.Incarnation]bool
+	announced bool
+	cancel    bool
+}
+
+// openGang starts the book of an attempt whose anchor is this process.
+func (s *Side) openGang(m *member, now time.Duration) {
+	a := m.key.Attempt
+	if s.gangs[a] != nil {
+		return
+	}
+	g := &gang{
+		book:      jaygang.New(a, m.hold.Members, s.Settings.Lease, time.Duration(m.hold.TTLMillis)*time.Millisecond, now),
+		job:       m.hold.Job,
+		workspace: m.spec.Workspace(),
+		digest:    m.hold.Digest,
+		links:     make([]*jaylink.Link, m.hold.Members),
+		listeners: map[jayattempt.Incarnation]bool{a.Origin(): true},
+	}
+	s.gangs[a] = g
+	s.active[a] = g
+}
+
+// onCommit decides, once every member has joined, that the gang runs.
+func (s *Side) onCommit(l *jaylink.Link, call uint64, m *jayframe.Commit) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	g := s.gangs[m.Attempt.ID()]
+	if g == nil {
+		s.bury(m.Attempt.ID(), "committed without a hold")
+		_ = l.Reply(call, &jayframe.Outcome{Attempt: m.Attempt, Status: jayframe.StatusNever, Code: "no_hold", Message: "the anchor holds nothing for this attempt"})
+		return
+	}
+	tokens := make([]uint64, len(m.Members))
+	for i, t := range m.Members {
+		tokens[i] = t.Token
+	}
+	actions, err := g.book.Commit(tokens, s.now())
+	if err == nil {
+		s.extendHold(jayowner.Key{Attempt: g.book.Attempt()})
+		s.recorder.Record(jaytimeline.AttemptCommitted, jaytimeline.Fields{Job: g.job, Attempt: g.book.Attempt().String(), Workspace: g.workspace, Worker: s.Settings.Name})
+		s.carryOut(g, actions)
+	}
+	_ = l.Reply(call, s.outcome(g))
+}
+
+// extendHold gives a local member of a committed gang one lease to start.
+func (s *Side) extendHold(k jayowner.Key) { s.ledger.Extend(k, s.now()+s.Settings.Lease) }
+
+// carryOut sends the book's orders to the members.
+func (s *Side) carryOut(g *gang, actions []jaygang.Action) {
+	if len(actions) > 0 && actions[0].Order() == jaygang.Go {
+		s.recorder.Record(jaytimeline.AttemptStarted, jaytimeline.Fields{Job: g.job, Attempt: g.book.Attempt().String(), Workspace: g.workspace, Worker: s.Settings.Name, Detail: "start barrier released"})
+	}
+	for _, a := range actions {
+		s.order(g, a)
+	}
+	s.announce(g)
+}
+
+// order hands one order to a member, here or on another side.
+func (s *Side) order(g *gang, a jaygang.Action) {
+	attempt := g.book.Attempt()
+	l := g.links[a.Member()]
+	wire := jayframe.FromID(attempt)
+	save := g.book.Result() == jaygang.Stopped
+	switch a.Order() {
+	case jaygang.Prepare:
+		if l == nil {
+			s.prepareLocal(attempt, a.Member())
+			return
+		}
+		_ = l.Send(&jayframe.Prepare{Attempt: wire, Member: a.Member()})
+	case jaygang.Go:
+		if l == nil {
+			s.goLocal(attempt, a.Member())
+			return
+		}
+		_ = l.Send(&jayframe.Go{Attempt: wire, Member: a.Member()})
+	case jaygang.Stop:
+		if l == nil {
+			s.stopLocal(attempt, a.Member(), save)
+			return
+		}
+		_ = l.Send(&jayframe.Stop{Attempt: wire, Member: a.Member(), Checkpoint: save})
+	}
+}
+
+// onJoin records a member of another side.
+func (s *Side) onJoin(l *jaylink.Link, call uint64, m *jayframe.Join) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	g := s.gangs[m.Attempt.ID()]
+	if g == nil {
+		// The entry's hold for the anchor may still be on its way: the member
+		// asks again until its own hold lapses.
+		_ = l.Reply(call, &jayframe.Ack{OK: !s.ledger.Buried(m.Attempt.ID())})
+		return
+	}
+	if m.Member >= 0 && m.Member < len(g.links) {
+		g.links[m.Member] = l
+	}
+	actions, err := g.book.Join(m.Member, m.Token, s.now())
+	_ = l.Reply(call, &jayframe.Ack{OK: err == nil})
+	s.carryOut(g, actions)
+}
+
+func (s *Side) onPrepared(m *jayframe.Prepared) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.preparedMember(m.Attempt.ID(), m.Member, m.OK, m.Message)
+}
+
+func (s *Side) preparedMember(a jayattempt.ID, i int, ok bool, cause string) {
+	if g := s.gangs[a]; g != nil {
+		s.carryOut(g, g.book.Prepared(i, ok, cause, s.now()))
+	}
+}
+
+var results = map[jayframe.Status]jaygang.Result{
+	jayframe.StatusNever:    jaygang.Never,
+	jayframe.StatusAnswered: jaygang.Answered,
+	jayframe.StatusFailed:   jaygang.Failed,
+	jayframe.StatusStopped:  jaygang.Stopped,
+	jayframe.StatusCanceled: jaygang.Canceled,
+}
+
+var statuses = map[jaygang.Result]jayframe.Status{
+	jaygang.Never:    jayframe.StatusNever,
+	jaygang.Answered: jayframe.StatusAnswered,
+	jaygang.Failed:   jayframe.StatusFailed,
+	jaygang.Stopped:  jayframe.StatusStopped,
+	jaygang.Canceled: jayframe.StatusCanceled,
+}
+
+func (s *Side) onMemberDone(m *jayframe.MemberDone) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.memberDone(m)
+}
+
+// memberDone records how a member of a gang anchored here ended.
+func (s *Side) memberDone(m *jayframe.MemberDone) {
+	g := s.gangs[m.Attempt.ID()]
+	if g == nil {
+		return
+	}
+	if m.Checkpoint != nil {
+		g.book.Saved(m.Member, m.Checkpoint, time.Duration(m.DoneMillis)*time.Millisecond)
+	}
+	actions := g.book.Done(m.Member, results[m.Status], m.Result, m.Message, s.now())
+	g.book.Left(m.Member)
+	s.carryOut(g, actions)
+}
+
+// announce tells the listeners once how the gang ended, as soon as no member
+// runs any more.
+func (s *Side) announce(g *gang) {
+	if g.announced || !g.book.Settled() {
+		return
+	}
+	g.announced = true
+	delete(s.active, g.book.Attempt())
+	s.ended = append(s.ended, g)
+	s.recorder.Record(jaytimeline.AttemptEnded, jaytimeline.Fields{Job: g.job, Attempt: g.book.Attempt().String(), Workspace: g.workspace, Worker: s.Settings.Name, Detail: g.book.Cause()})
+	o := s.outcome(g)
+	for _, e := range s.entries {
+		if e.link != nil && g.listeners[e.incarnation] {
+			_ = e.link.Send(o)
+		}
+	}
+	s.poke()
+}
+
+// outcome is the anchor's word on a gang as it stands.
+func (s *Side) outcome(g *gang) *jayframe.Outcome {
+	o := &jayframe.Outcome{Attempt: jayframe.FromID(g.book.Attempt()), Digest: g.digest, Worker: s.Settings.Name, Message: g.book.Cause()}
+	switch g.book.Phase() {
+	case jaygang.Gathering:
+		o.Status = jayframe.StatusHeld
+	case jaygang.Preparing, jaygang.Started:
+		o.Status = jayframe.StatusRunning
+	case jaygang.Ended:
+		o.Status = statuses[g.book.Result()]
+		if !g.book.Settled() {
+			o.Status = jayframe.StatusRunning
+		}
+		if g.book.Started() > 0 {
+			o.RanMillis = (g.book.EndedAt() - g.book.Started()).Milliseconds()
+		}
+	}
+	if o.Status == jayframe.StatusAnswered {
+		o.Results = g.book.Answers()
+	}
+	if o.Status == jayframe.StatusStopped {
+		checkpoint, done := g.book.Checkpoint()
+		o.Checkpoint = checkpoint
+		o.DoneMillis = done.Milliseconds()
+	}
+	return o
+}
+
+// onSettle says what became of an attempt. An attempt never heard of gets a
+// tombstone; from then on the asking entry hears of its end.
+func (s *Side) onSettle(l *jaylink.Link, call uint64, m *jayframe.Settle) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	a := m.Attempt.ID()
+	g := s.gangs[a]
+	if g == nil {
+		_ = l.Reply(call, s.unheard(m.Attempt, m.Owner))
+		return
+	}
+	if e := s.entryOf(l); e != nil {
+		g.listeners[e.incarnation] = true
+	}
+	if m.Bury {
+		s.carryOut(g, s.stopIfNotStarted(g, "given up by its entry"))
+	}
+	_ = l.Reply(call, s.outcome(g))
+}
+
+// unheard judges an attempt that has no book here. It never started and never
+// will, unless it was meant for an earlier life of this process or its book is
+// old enough to have been forgotten: then nothing is known.
+func (s *Side) unheard(a jayframe.Attempt, owner uint64) *jayframe.Outcome {
+	o := &jayframe.Outcome{Attempt: a, Status: jayframe.StatusNever, Code: "never_heard_of", Worker: s.Settings.Name}
+	id := a.ID()
+	forgotten := id.Counter() <= s.forgotten[id.Origin()] && !s.ledger.Buried(id)
+	if owner != uint64(s.incarnation) || forgotten || !s.bury(id, "settled: never heard of") {
+		o.Status = jayframe.StatusLost
+		o.Code = "not_known"
+	}
+	return o
+}
+
+func (s *Side) stopIfNotStarted(g *gang, cause string) []jaygang.Action {
+	if g.book.Phase() == jaygang.Started {
+		return nil
+	}
+	return g.book.Stop(jaygang.Never, cause, s.now())
+}
+
+func (s *Side) onCancel(l *jaylink.Link, call uint64, m *jayframe.Cancel) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	g := s.gangs[m.Attempt.ID()]
+	if g == nil {
+		_ = l.Reply(call, s.unheard(m.Attempt, m.Owner))
+		return
+	}
+	s.carryOut(g, g.book.Stop(jaygang.Canceled, "canceled by its caller", s.now()))
+	_ = l.Reply(call, s.outcome(g))
+}
+
+// forgetGangs drops the books of gangs that ended long ago, or the oldest when
+// there are too many. It keeps, for each origin, the highest attempt forgotten,
+// so that none of them is later said never to have run.
+func (s *Side) forgetGangs(now time.Duration) {
+	for len(s.ended) > 0 && (len(s.ended) > endedGangs || now-s.ended[0].book.EndedAt() > endedGangLife) {
+		g := s.ended[0]
+		s.ended = s.ended[1:]
+		a := g.book.Attempt()
+		delete(s.gangs, a)
+		s.forgotten[a.Origin()] = max(s.forgotten[a.Origin()], a.Counter())
+	}
+}
--- /dev/null
+++ b/internal/process/jayside/side.go
@@ -0,0 +1,302 @@
+// Package jayside is the process beside each runner. It owns the accelerators
+// of one worker and the slots of one runner, runs members of gangs and decides,
+// as anchor, whether a gang runs.
+package jayside
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/rs/zerolog"
+	"github.com/sourcegraph/conc"
+	"github.com/sourcegraph/conc/pool"
+
+	"github.com/jaystile/jaystile/internal/connection/jayframe"
+	"github.com/jaystile/jaystile/internal/connection/jaylink"
+	"github.com/jaystile/jaystile/internal/connection/jayplatform"
+	"github.com/jaystile/jaystile/internal/process/jayclock"
+	"github.com/jaystile/jaystile/internal/process/jayowner"
+	"github.com/jaystile/jaystile/internal/process/jaytimeline"
+	"github.com/jaystile/jaystile/internal/request/jayattempt"
+	"github.com/jaystile/jaystile/internal/version/jaymanifest"
+	"github.com/jaystile/jaystile/internal/version/jaysettings"
+)
+
+const (
+	tickEvery     = 50 * time.Millisecond
+	reportEvery   = time.Second
+	taskWorkers   = 64
+	taskQueue     = 4096
+	maxPeerLinks  = 4096
+	redialFirst   = 50 * time.Millisecond
+	redialMost    = time.Second
+	endedGangs    = 20_000
+	endedGangLife = 5 * time.Minute
+)
+
+// Side is one side process. Exported fields are set before Run.
+//
+// One mutex guards all tables; nothing waits for input or output under it.
+type Side struct {
+	Settings jaysettings.Side
+	Logger   zerolog.Logger
+	// Listener accepts the links of gang members; Run closes it.
+	Listener net.Listener
+
+	incarnation jayattempt.Incarnation
+	recorder    *jaytimeline.Recorder
+	metrics     *metrics.Set
+	worker      *jayplatform.Worker
+	runner      *jayplatform.Runner
+	endpoint    *jaylink.Endpoint
+	tasks       chan func()
+	wake        chan struct{}
+	drained     chan struct{}
+
+	mutex     sync.Mutex
+	ledger    *jayowner.Ledger
+	members   map[jayowner.Key]*member
+	gangs     map[jayattempt.ID]*gang
+	active    map[jayattempt.ID]*gang
+	ended     []*gang
+	forgotten map[jayattempt.Incarnation]uint64
+	entries   map[string]*entryLink
+	anchors   map[string]*anchorLink
+	manifest  *jaymanifest.Manifest
+	reports   uint64
+	latency   time.Duration
+	sick      bool
+	stopping  bool
+
+	now func() time.Duration
+	// carry moves the frames of a dialed link until it ends; Run sets it.
+	carry func(l *jaylink.Link, ended func())
+	// follow keeps a link to the entry at an address; Run sets it.
+	follow func(address string)
+}
+
+// entryLink is the link to one entry.
+type entryLink struct {
+	address     string
+	link        *jaylink.Link
+	name        string
+	incarnation jayattempt.Incarnation
+	homes       map[string]int
+	homesOf     uint64
+}
+
+// New returns a side process and a function that closes its clients.
+func New(settings jaysettings.Side, listener net.Listener, logger zerolog.Logger) (*Side, func()) {
+	s := &Side{
+		Settings:    settings,
+		Logger:      logger.With().Str("process", settings.Name).Logger(),
+		Listener:    listener,
+		incarnation: jayattempt.NewIncarnation(time.Now()),
+		recorder:    jaytimeline.NewRecorder(settings.Name),
+		metrics:     metrics.NewSet(),
+		tasks:       make(chan func(), taskQueue),
+		wake:        make(chan struct{}, 1),
+		drained:     make(chan struct{}),
+		members:     map[jayowner.Key]*member{},
+		gangs:       map[jayattempt.ID]*gang{},
+		active:      map[jayattempt.ID]*gang{},
+		forgotten:   map[jayattempt.Incarnation]uint64{},
+		entries:     map[string]*entryLink{},
+		anchors:     map[string]*anchorLink{},
+		now:         jayclock.Elapsed,
+	}
+	s.ledger = jayowner.New(settings.Accelerators, settings.Slots, uint64(s.incarnation), settings.Tombstones)
+	var closeWorker, closeRunner func()
+	s.worker, closeWorker = jayplatform.NewWorker(settings.Worker)
+	s.runner, closeRunner = jayplatform.NewRunner(settings.Runner, settings.Connections)
+	s.endpoint = &jaylink.Endpoint{
+		Name:        settings.Name,
+		Incarnation: uint64(s.incarnation),
+		SharedKey:   []byte(settings.SharedKey),
+		Timing:      jaylink.Timing{Beat: settings.Beat, Silence: settings.Silence},
+		Handler:     s.handle,
+		MakeBeat:    s.makeBeat,
+		Admit:       func(*jayframe.Hello) (*jayframe.Welcome, error) { return &jayframe.Welcome{}, nil },
+		Opened:      func(*jaylink.Link, *jayframe.Hello) {},
+		Ended:       func(*jaylink.Link) {},
+		MaxLinks:    maxPeerLinks,
+	}
+	return s, func() {
+		closeWorker()
+		closeRunner()
+	}
+}
+
+// Recorder returns the process's time line.
+func (s *Side) Recorder() *jaytimeline.Recorder { return s.recorder }
+
+// Metrics returns the process's metrics.
+func (s *Side) Metrics() *metrics.Set { return s.metrics }
+
+// Incarnation returns this life of the process.
+func (s *Side) Incarnation() jayattempt.Incarnation { return s.incarnation }
+
+// Evaluations returns how often the owner's invariants were evaluated.
+func (s *Side) Evaluations() uint64 {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.ledger.Evaluations()
+}
+
+// Holds returns how many holds the owner has granted.
+func (s *Side) Holds() int {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return len(s.ledger.Holds())
+}
+
+// Run works until ctx ends, then drains: it takes no new work, finishes what is
+// in flight within the drain timeout, and returns.
+func (s *Side) Run(ctx context.Context) error {
+	s.settleOrphans()
+	s.recorder.Record(jaytimeline.ProcessStarted, jaytimeline.Fields{Worker: s.Settings.Name, Detail: "incarnation " + s.incarnation.String()})
+	s.Logger.Info().Str("incarnation", s.incarnation.String()).Msg("side started")
+	inner, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	var wg conc.WaitGroup
+	s.mutex.Lock()
+	s.carry = func(l *jaylink.Link, ended func()) {
+		wg.Go(func() {
+			l.Carry(inner)
+			ended()
+		})
+	}
+	s.follow = func(address string) { s.followEntry(inner, &wg, address) }
+	s.mutex.Unlock()
+	for _, a := range s.Settings.Entries {
+		s.followEntry(inner, &wg, a)
+	}
+	var serveErr error
+	wg.Go(func() { serveErr = s.endpoint.Serve(inner, s.Listener) })
+	wg.Go(func() { s.runTasks(inner) })
+	wg.Go(func() { s.tickLoop(inner) })
+	wg.Go(func() { s.reportLoop(inner) })
+	wg.Go(func() { s.watchTasks(inner) })
+	wg.Go(func() { s.renewLoop(inner) })
+	<-ctx.Done()
+	if !jayclock.Killed(ctx) {
+		s.drain()
+	}
+	cancel()
+	wg.Wait()
+	s.recorder.Record(jaytimeline.ProcessStopped, jaytimeline.Fields{Worker: s.Settings.Name})
+	s.Logger.Info().Msg("side stopped")
+	if serveErr != nil {
+		return fmt.Errorf("side %s: %w", s.Settings.Name, serveErr)
+	}
+	return nil
+}
+
+// drain refuses new work, tells every entry so and waits for work in flight.
+func (s *Side) drain() {
+	s.SetDraining(true)
+	deadline := time.Now().Add(s.Settings.DrainTimeout)
+	for time.Now().Before(deadline) {
+		s.mutex.Lock()
+		idle := len(s.members) == 0 && len(s.active) == 0
+		s.mutex.Unlock()
+		if idle {
+			// The last outcomes are still in the links' outboxes.
+			time.Sleep(2 * tickEvery)
+			return
+		}
+		time.Sleep(tickEvery)
+	}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	for k, m := range s.members {
+		s.Logger.Warn().Str("attempt", k.Attempt.String()).Str("job", m.hold.Job).Msg("work in flight cut by the drain timeout")
+	}
+}
+
+// Freeze stops the whole process for d, as when its machine is paused. It is for
+// tests and demonstrations of failure.
+func (s *Side) Freeze(d time.Duration) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	time.Sleep(d)
+}
+
+// SetDraining makes the side refuse new work, or take it again.
+func (s *Side) SetDraining(on bool) {
+	s.mutex.Lock()
+	changed := s.ledger.Draining() != on
+	s.ledger.SetDraining(on)
+	s.mutex.Unlock()
+	if changed {
+		s.recorder.Record(jaytimeline.ProcessDraining, jaytimeline.Fields{Worker: s.Settings.Name, Detail: fmt.Sprintf("draining %v", on)})
+		s.Logger.Info().Bool("draining", on).Msg("draining changed")
+		s.poke()
+	}
+}
+
+// poke makes the report loop send a report soon.
+func (s *Side) poke() {
+	select {
+	case s.wake <- struct{}{}:
+	default:
+	}
+}
+
+// spawn runs input and output outside the mutex on the pool of workers. It
+// never blocks: what the pool's queue cannot take gets a goroutine of its own.
+func (s *Side) spawn(f func()) {
+	select {
+	case s.tasks <- f:
+	default:
+		go f()
+	}
+}
+
+func (s *Side) runTasks(ctx context.Context) {
+	p := pool.New().WithMaxGoroutines(taskWorkers + s.Settings.Slots)
+	for {
+		select {
+		case <-ctx.Done():
+			p.Wait()
+			return
+		case f := <-s.tasks:
+			p.Go(f)
+		}
+	}
+}
+
+func (s *Side) tickLoop(ctx context.Context) {
+	ticker := time.NewTicker(tickEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			s.tick()
+		}
+	}
+}
+
+// tick frees what has lapsed.
+func (s *Side) tick() {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	now := s.now()
+	for _, h := range s.ledger.Expire(now) {
+		k := h.Request().Key
+		s.recorder.Record(jaytimeline.LeaseLapsed, jaytimeline.Fields{Job: h.Request().Job, Attempt: k.Attempt.String(), Worker: s.Settings.Name, Detail: "hold was not started in time"})
+		s.dropMember(k)
+	}
+	for _, g := range s.active {
+		s.carryOut(g, g.book.Tick(now))
+	}
+	s.closeIdleAnchors(now)
+	s.checkMemberLeases(now)
+	s.promote()
+	s.forgetGangs(now)
+}
--- /dev/null
+++ b/internal/process/jaystandin/log.go
@@ -0,0 +1,206 @@
+// Package jaystandin holds small stand-ins for the platform: the log service,
+// workers and runners. They are for tests and for trying jaystile on one
+// machine, and speak the protocols of docs/PLATFORM.md.
+package jaystandin
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/gofiber/fiber/v2"
+)
+
+// LogFaults scripts how the log service misbehaves.
+type LogFaults struct {
+	// Out refuses every request.
+	Out bool
+	// Delay is added to every request.
+	Delay time.Duration
+	// LoseAnswers is the share of appends that act but answer with a failure.
+	LoseAnswers float64
+	// StaleReads is the share of reads that see nothing new.
+	StaleReads float64
+}
+
+type stream struct {
+	first   uint64
+	records [][]byte
+}
+
+// Log is the log service's stand-in. It keeps its records in memory.
+type Log struct {
+	// Retention is how many records a stream keeps; zero keeps all.
+	Retention int
+
+	mutex   sync.Mutex
+	streams map[string]*stream
+	changed chan struct{}
+	faults  LogFaults
+	random  *rand.Rand
+	appends int
+}
+
+// NewLog returns an empty log whose faults are drawn from the seed.
+func NewLog(seed uint64) *Log {
+	return &Log{streams: map[string]*stream{}, changed: make(chan struct{}), random: rand.New(rand.NewPCG(seed, 1))}
+}
+
+// SetFaults changes how the service misbehaves from now on.
+func (l *Log) SetFaults(f LogFaults) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.faults = f
+}
+
+// Appends returns how many appends have acted.
+func (l *Log) Appends() int {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return l.appends
+}
+
+// Records returns a copy of the records that a stream still keeps.
+func (l *Log) Records(name string) [][]byte {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if l.streams[name] == nil {
+		return nil
+	}
+	return append([][]byte(nil), l.streams[name].records...)
+}
+
+func (l *Log) stream(name string) *stream {
+	s := l.streams[name]
+	if s == nil {
+		s = &stream{}
+		l.streams[name] = s
+	}
+	return s
+}
+
+func (l *Log) append(name string, records [][]byte) uint64 {
+	s := l.stream(name)
+	offset := s.first + uint64(len(s.records))
+	s.records = append(s.records, records...)
+	if over := len(s.records) - l.Retention; l.Retention > 0 && over > 0 {
+		s.records = append([][]byte(nil), s.records[over:]...)
+		s.first += uint64(over)
+	}
+	l.appends++
+	close(l.changed)
+	l.changed = make(chan struct{})
+	return offset
+}
+
+// begin applies the faults that come before an action. It reports whether the
+// request goes on.
+func (l *Log) begin() bool {
+	l.mutex.Lock()
+	f := l.faults
+	l.mutex.Unlock()
+	time.Sleep(f.Delay)
+	return !f.Out
+}
+
+func (l *Log) chance(share float64) bool { return share > 0 && l.random.Float64() < share }
+
+type logAppend struct {
+	Records [][]byte `json:"records"`
+}
+
+type logRecord struct {
+	Offset uint64 `json:"offset"`
+	Data   []byte `json:"data"`
+}
+
+type logBatch struct {
+	Records []logRecord `json:"records"`
+	First   uint64      `json:"first"`
+	Next    uint64      `json:"next"`
+}
+
+func (l *Log) handleAppend(c *fiber.Ctx) error {
+	if !l.begin() {
+		return fiber.ErrServiceUnavailable
+	}
+	var body logAppend
+	if err := c.BodyParser(&body); err != nil || len(body.Records) == 0 {
+		return fiber.ErrBadRequest
+	}
+	l.mutex.Lock()
+	offset := l.append(c.Params("stream"), body.Records)
+	lost := l.chance(l.faults.LoseAnswers)
+	l.mutex.Unlock()
+	if lost {
+		return fiber.ErrGatewayTimeout
+	}
+	return c.JSON(fiber.Map{"first_offset": offset})
+}
+
+func (l *Log) handleRead(c *fiber.Ctx) error {
+	if !l.begin() {
+		return fiber.ErrServiceUnavailable
+	}
+	from := uint64(max(c.QueryInt("from"), 0))
+	most := max(c.QueryInt("most", 1024), 1)
+	deadline := time.NewTimer(time.Duration(c.QueryInt("wait_ms")) * time.Millisecond)
+	defer deadline.Stop()
+	for {
+		batch, changed := l.read(c.Params("stream"), from, most)
+		if len(batch.Records) > 0 || batch.First > from {
+			return c.JSON(batch)
+		}
+		select {
+		case <-changed:
+		case <-deadline.C:
+			return c.JSON(batch)
+		}
+	}
+}
+
+func (l *Log) read(name string, from uint64, most int) (logBatch, chan struct{}) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	s := l.stream(name)
+	next := s.first + uint64(len(s.records))
+	b := logBatch{Records: []logRecord{}, First: s.first, Next: next}
+	if l.chance(l.faults.StaleReads) {
+		b.Next = min(from, next)
+		return b, l.changed
+	}
+	for o := max(from, s.first); o < next && len(b.Records) < most; o++ {
+		b.Records = append(b.Records, logRecord{Offset: o, Data: s.records[o-s.first]})
+	}
+	return b, l.changed
+}
+
+type faultsBody struct {
+	Out          bool    `json:"out"`
+	DelayMillis  int64   `json:"delay_ms"`
+	LoseAnswers  float64 `json:"lose_answers"`
+	StaleReads   float64 `json:"stale_reads"`
+	KeepExisting bool    `json:"-"`
+}
+
+func (l *Log) handleFaults(c *fiber.Ctx) error {
+	var b faultsBody
+	if err := c.BodyParser(&b); err != nil {
+		return fiber.ErrBadRequest
+	}
+	l.SetFaults(LogFaults{Out: b.Out, Delay: time.Duration(b.DelayMillis) * time.Millisecond, LoseAnswers: b.LoseAnswers, StaleReads: b.StaleReads})
+	return c.SendStatus(fiber.StatusNoContent)
+}
+
+// App returns the service's HTTP interface.
+func (l *Log) App() *fiber.App {
+	app := newApp()
+	app.Post("/v1/streams/:stream/records", l.handleAppend)
+	app.Get("/v1/streams/:stream/records", l.handleRead)
+	app.Post("/v1/faults", l.handleFaults)
+	return app
+}
+
+func newApp() *fiber.App {
+	return fiber.New(fiber.Config{DisableStartupMessage: true, BodyLimit: 64 << 20, Immutable: true})
+}
--- /dev/null
+++ b/internal/process/jaystate/members.go
@@ -0,0 +1,71 @@
+package jaystate
+
+import (
+	"sort"
+
+	"github.com/jaystile/jaystile/internal/process/jaylog"
+	"github.com/jaystile/jaystile/internal/request/jayattempt"
+)
+
+type wireMember struct {
+	_           struct{} `cbor:",toarray"`
+	Name        string
+	Incarnation uint64
+	Link        string
+}
+
+// Member is an entry as it announced itself on the log.
+type Member struct {
+	name        string
+	incarnation jayattempt.Incarnation
+	link        string
+}
+
+// Name returns the entry's name.
+func (m Member) Name() string { return m.name }
+
+// Incarnation returns the entry's life.
+func (m Member) Incarnation() jayattempt.Incarnation { return m.incarnation }
+
+// Link returns the address for links.
+func (m Member) Link() string { return m.link }
+
+// Members is the fold of the members stream: the latest life of each entry. It
+// is not safe for concurrent use.
+type Members struct{ byName map[string]Member }
+
+// NewMembers returns an empty fold.
+func NewMembers() *Members { return &Members{byName: map[string]Member{}} }
+
+// Apply folds one record and returns the member that it changed, if any.
+func (f *Members) Apply(r jaylog.Record) (Member, bool) {
+	e, err := decode(MembersStream, r.Data())
+	if err != nil || e.Kind != kindMember {
+		return Member{}, false
+	}
+	var w wireMember
+	if decodeBody(MembersStream, e, &w) != nil {
+		return Member{}, false
+	}
+	m := Member{name: w.Name, incarnation: jayattempt.Incarnation(w.Incarnation), link: w.Link}
+	if f.byName[m.name].incarnation >= m.incarnation {
+		return Member{}, false
+	}
+	f.byName[m.name] = m
+	return m, true
+}
+
+// All returns the members ordered by name.
+func (f *Members) All() []Member {
+	all := make([]Member, 0, len(f.byName))
+	for _, m := range f.byName {
+		all = append(all, m)
+	}
+	sort.Slice(all, func(a, b int) bool { return all[a].name < all[b].name })
+	return all
+}
+
+// EncodeMember returns the record by which an entry announces itself.
+func EncodeMember(name string, incarnation jayattempt.Incarnation, link string) ([]byte, error) {
+	return encode(MembersStream, kindMember, wireMember{Name: name, Incarnation: uint64(incarnation), Link: link})
+}
--- /dev/null
+++ b/internal/process/jaystate/snapshot.go
@@ -0,0 +1,118 @@
+package jaystate
+
+import (
+	"sort"
+	"time"
+
+	"github.com/jaystile/jaystile/internal/connection/jayframe"
+	"github.com/jaystile/jaystile/internal/process/jaylog"
+	"github.com/jaystile/jaystile/internal/request/jayattempt"
+)
+
+// Snapshot returns the records of a snapshot of the fold as it stands. Parts of
+// one snapshot share the identity, which must be unique.
+func (j *Jobs) Snapshot(id uint64, now time.Time) ([][]byte, error) {
+	rows := j.wireRows()
+	parts := max((len(rows)+snapshotRows-1)/snapshotRows, 1)
+	records := make([][]byte, 0, parts)
+	for p := range parts {
+		w := wireSnapshot{ID: id, Part: p, Parts: parts, Covers: j.next, Millis: j.lastTime, Rows: rows[p*snapshotRows : min((p+1)*snapshotRows, len(rows))]}
+		b, err := encode(JobsStream, kindSnapshot, w)
+		if err != nil {
+			return nil, err
+		}
+		records = append(records, b)
+	}
+	return records, nil
+}
+
+// wireRows lists the rows in the order of their acceptance.
+func (j *Jobs) wireRows() []wireRow {
+	ordered := make([]*Row, 0, len(j.rows))
+	for _, r := range j.rows {
+		ordered = append(ordered, r)
+	}
+	sort.Slice(ordered, func(a, b int) bool { return ordered[a].sequence < ordered[b].sequence })
+	rows := make([]wireRow, 0, len(ordered))
+	for _, r := range ordered {
+		w := wireRow{Won: r.won, Exhausted: r.exhausted, Accepted: wireAccepted{Job: r.id, Owner: uint64(r.owner), Millis: r.at.UnixMilli(), Digest: r.digest, Spec: jayframe.FromSpec(r.spec)}}
+		if r.end != nil {
+			w.Ended = &wireEnded{Job: r.id, Millis: r.end.at.UnixMilli(), Answers: r.end.answers, TooLong: r.end.tooLong}
+			if r.end.refusal != nil {
+				w.Ended.Code = string(r.end.refusal.Code())
+				w.Ended.Outcome = string(r.end.refusal.Outcome())
+				w.Ended.Message = r.end.refusal.Message()
+			}
+		}
+		rows = append(rows, w)
+	}
+	return rows
+}
+
+// TakeSnapshot collects the parts of snapshots; it fits Restorer.Snapshot.
+func (j *Jobs) TakeSnapshot(record jaylog.Record) (covers uint64, complete, is bool) {
+	e, err := decode(JobsStream, record.Data())
+	if err != nil || e.Kind != kindSnapshot {
+		return 0, false, false
+	}
+	var w wireSnapshot
+	if decodeBody(JobsStream, e, &w) != nil {
+		return 0, false, true
+	}
+	j.next = max(j.next, record.Offset()+1)
+	parts := append(j.parts[w.ID], w)
+	if len(parts) < w.Parts {
+		j.parts[w.ID] = parts
+		return w.Covers, false, true
+	}
+	j.parts = map[uint64][]wireSnapshot{}
+	j.ready = parts
+	return w.Covers, true, true
+}
+
+// LoadSnapshot replaces the fold by the last complete snapshot; it fits
+// Restorer.Load.
+func (j *Jobs) LoadSnapshot() {
+	parts := j.ready
+	j.ready = nil
+	j.clear()
+	for p := range parts {
+		for _, w := range parts {
+			if w.Part == p {
+				j.loadPart(w)
+			}
+		}
+	}
+}
+
+func (j *Jobs) loadPart(w wireSnapshot) {
+	j.lastTime = max(j.lastTime, w.Millis)
+	for _, row := range w.Rows {
+		spec, err := row.Accepted.Spec.Spec()
+		if err != nil {
+			j.corrupt++
+			continue
+		}
+		r := &Row{id: row.Accepted.Job, spec: spec, digest: row.Accepted.Digest, owner: jayattempt.Incarnation(row.Accepted.Owner), at: time.UnixMilli(row.Accepted.Millis), won: row.Won, exhausted: row.Exhausted}
+		j.sequence++
+		r.sequence = j.sequence
+		j.rows[r.id] = r
+		if r.won && spec.Key() != "" {
+			j.hold(keyOf{spec.Workspace(), spec.Key()}, r.id)
+		}
+		if row.Ended != nil {
+			r.end = endOf(*row.Ended)
+		}
+		if !r.won || r.end != nil {
+			j.expire(r, finalMillis(row))
+		}
+	}
+}
+
+// finalMillis is when the row became final.
+func finalMillis(row wireRow) int64 {
+	if !row.Won {
+		return row.Accepted.Millis
+	}
+	return row.Ended.Millis
+}
--- /dev/null
+++ b/internal/request/jayjob/job.go
@@ -0,0 +1,251 @@
+// Package jayjob holds what a caller asks for: a job, its shape and its class.
+package jayjob
+
+import (
+	"crypto/sha256"
+	"encoding/binary"
+	"fmt"
+	"time"
+)
+
+// Limits of one job.
+const (
+	MaxMembers      = 128
+	MaxAccelerators = 64
+	MaxPayloadBytes = 1 << 20
+	MaxKeyBytes     = 128
+	MaxNameBytes    = 64
+	MaxDuration     = 30 * 24 * time.Hour
+)
+
+// Class orders jobs by how long they may wait.
+type Class uint8
+
+// The classes from the most to the least urgent.
+const (
+	Urgent Class = iota
+	Standard
+	Deferrable
+)
+
+// Classes lists every class in order of urgency.
+var Classes = []Class{Urgent, Standard, Deferrable}
+
+var classNames = []string{"urgent", "standard", "deferrable"}
+
+// String returns the name used on the wire and in the manifest.
+func (c Class) String() string { return nameOf(classNames, int(c)) }
+
+// ParseClass returns the class of a name.
+func ParseClass(s string) (Class, error) {
+	i, err := indexOf("class", classNames, s)
+	return Class(i), err
+}
+
+// Near says how close together the members of a gang must be.
+type Near uint8
+
+// The degrees of nearness from loose to tight.
+const (
+	Anywhere Near = iota
+	SameDataCentre
+	SameRack
+	SameWorker
+)
+
+var nearNames = []string{"anywhere", "data_centre", "rack", "worker"}
+
+// String returns the name used on the wire and in the manifest.
+func (n Near) String() string { return nameOf(nearNames, int(n)) }
+
+// ParseNear returns the nearness of a name; an empty name means Anywhere.
+func ParseNear(s string) (Near, error) {
+	if s == "" {
+		return Anywhere, nil
+	}
+	i, err := indexOf("near", nearNames, s)
+	return Near(i), err
+}
+
+// FieldError reports one field of a job that is outside its limits.
+type FieldError struct {
+	Field   string
+	Given   string
+	Allowed string
+}
+
+// Error implements error.
+func (e *FieldError) Error() string {
+	return fmt.Sprintf("%s: given %q, allowed %s", e.Field, e.Given, e.Allowed)
+}
+
+func nameOf(names []string, i int) string {
+	if i < len(names) {
+		return names[i]
+	}
+	return fmt.Sprintf("invalid_%d", i)
+}
+
+func indexOf(field string, names []string, s string) (int, error) {
+	for i, n := range names {
+		if n == s {
+			return i, nil
+		}
+	}
+	return 0, &FieldError{Field: field, Given: s, Allowed: fmt.Sprintf("one of %v", names)}
+}
+
+// Shape is what a gang needs: members that each take some accelerators of one
+// worker, and how near the members must be. A shape without accelerators needs
+// one slot of a runner for each member.
+type Shape struct {
+	members      int
+	accelerators int
+	near         Near
+}
+
+// NewShape returns a checked shape.
+func NewShape(members, accelerators int, near Near) (Shape, error) {
+	if members < 1 || members > MaxMembers {
+		return Shape{}, rangeError("members", members, 1, MaxMembers)
+	}
+	if accelerators < 0 || accelerators > MaxAccelerators {
+		return Shape{}, rangeError("accelerators", accelerators, 0, MaxAccelerators)
+	}
+	if near > SameWorker {
+		return Shape{}, &FieldError{Field: "near", Given: near.String(), Allowed: fmt.Sprintf("one of %v", nearNames)}
+	}
+	return Shape{members: members, accelerators: accelerators, near: near}, nil
+}
+
+func rangeError(field string, given, low, high int) error {
+	return &FieldError{Field: field, Given: fmt.Sprint(given), Allowed: fmt.Sprintf("%d to %d", low, high)}
+}
+
+// Members returns how many members the gang has.
+func (s Shape) Members() int { return s.members }
+
+// Accelerators returns how many accelerators each member takes.
+func (s Shape) Accelerators() int { return s.accelerators }
+
+// Near returns how close the members must be.
+func (s Shape) Near() Near { return s.near }
+
+// Total returns the accelerators of all members.
+func (s Shape) Total() int { return s.members * s.accelerators }
+
+// String describes the shape for people.
+func (s Shape) String() string {
+	return fmt.Sprintf("%dx%d near %s", s.members, s.accelerators, s.near)
+}
+
+// Fields are the values of a specification before they are checked.
+type Fields struct {
+	Workspace     string
+	Kind          string
+	Class         Class
+	Shape         Shape
+	Payload       []byte
+	Runtime       time.Duration
+	Deadline      time.Duration
+	Key           string
+	Idempotent    bool
+	Checkpointing bool
+}
+
+// Spec is a checked job as its caller described it.
+type Spec struct{ f Fields }
+
+// New checks the fields and returns the specification.
+func New(f Fields) (Spec, error) {
+	if err := checkName("workspace", f.Workspace); err != nil {
+		return Spec{}, err
+	}
+	if err := checkName("kind", f.Kind); err != nil {
+		return Spec{}, err
+	}
+	if f.Class > Deferrable {
+		return Spec{}, &FieldError{Field: "class", Given: f.Class.String(), Allowed: fmt.Sprintf("one of %v", classNames)}
+	}
+	if f.Shape.members == 0 {
+		return Spec{}, rangeError("members", 0, 1, MaxMembers)
+	}
+	if len(f.Payload) > MaxPayloadBytes {
+		return Spec{}, rangeError("payload bytes", len(f.Payload), 0, MaxPayloadBytes)
+	}
+	if len(f.Key) > MaxKeyBytes {
+		return Spec{}, rangeError("idempotency key bytes", len(f.Key), 0, MaxKeyBytes)
+	}
+	if f.Runtime < 0 || f.Runtime > MaxDuration {
+		return Spec{}, &FieldError{Field: "runtime", Given: f.Runtime.String(), Allowed: "0s to " + MaxDuration.String()}
+	}
+	if f.Deadline < 0 || f.Deadline > MaxDuration {
+		return Spec{}, &FieldError{Field: "deadline", Given: f.Deadline.String(), Allowed: "0s to " + MaxDuration.String()}
+	}
+	if !f.Idempotent && f.Key == "" {
+		return Spec{}, &FieldError{Field: "idempotency key", Given: "", Allowed: "a key with each non-idempotent job"}
+	}
+	return Spec{f: f}, nil
+}
+
+func checkName(field, s string) error {
+	if s == "" || len(s) > MaxNameBytes {
+		return rangeError(field+" bytes", len(s), 1, MaxNameBytes)
+	}
+	for _, c := range s {
+		if c != '-' && c != '_' && c != '.' && (c < '0' || c > '9') && (c < 'a' || c > 'z') && (c < 'A' || c > 'Z') {
+			return &FieldError{Field: field, Given: s, Allowed: "letters, digits, '-', '_' and '.'"}
+		}
+	}
+	return nil
+}
+
+// Workspace returns the workspace that submitted the job.
+func (s Spec) Workspace() string { return s.f.Workspace }
+
+// Kind returns the kind of job, under which run times are learnt.
+func (s Spec) Kind() string { return s.f.Kind }
+
+// Class returns how urgent the job is.
+func (s Spec) Class() Class { return s.f.Class }
+
+// Shape returns what the gang needs.
+func (s Spec) Shape() Shape { return s.f.Shape }
+
+// Payload returns the input that each member receives.
+func (s Spec) Payload() []byte { return s.f.Payload }
+
+// Runtime returns the declared run time, or zero.
+func (s Spec) Runtime() time.Duration { return s.f.Runtime }
+
+// Deadline returns how long after its submission the caller needs the answer,
+// or zero for no deadline.
+func (s Spec) Deadline() time.Duration { return s.f.Deadline }
+
+// Key returns the idempotency key, or an empty string.
+func (s Spec) Key() string { return s.f.Key }
+
+// Idempotent reports whether the job may run more than once.
+func (s Spec) Idempotent() bool { return s.f.Idempotent }
+
+// Checkpointing reports whether the job resumes from a checkpoint.
+func (s Spec) Checkpointing() bool { return s.f.Checkpointing }
+
+// Stoppable reports whether the job may be stopped for another workspace's
+// guarantee: idempotent work starts anew, checkpointing work resumes.
+func (s Spec) Stoppable() bool { return s.f.Idempotent || s.f.Checkpointing }
+
+// Digest identifies the body of the job: two jobs under one key must have the
+// same digest.
+func (s Spec) Digest() [sha256.Size]byte {
+	h := sha256.New()
+	for _, p := range [][]byte{[]byte(s.f.Workspace), []byte(s.f.Kind), []byte(s.f.Shape.String()), s.f.Payload} {
+		var n [8]byte
+		binary.BigEndian.PutUint64(n[:], uint64(len(p)))
+		h.Write(n[:])
+		h.Write(p)
+	}
+	var d [sha256.Size]byte
+	h.Sum(d[:0])
+	return d
+}
--- /dev/null
+++ b/internal/version/jaymanifest/codec.go
@@ -0,0 +1,261 @@
+package jaymanifest
+
+import (
+	"bytes"
+	"crypto/rand"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"regexp"
+	"sort"
+	"strings"
+
+	"github.com/jaystile/jaystile/internal/request/jayjob"
+)
+
+var namePattern = regexp.MustCompile(`^[A-Za-z0-9._-]{1,64}$`)
+
+type wireManifest struct {
+	Format     int64           `json:"format"`
+	Base       uint64          `json:"base"`
+	Deployment string          `json:"deployment"`
+	Weights    wireWeights     `json:"weights"`
+	Workspaces []wireWorkspace `json:"workspaces"`
+}
+
+type wireWeights struct {
+	Completion    float64 `json:"completion"`
+	Fragmentation float64 `json:"fragmentation"`
+}
+
+type wireWorkspace struct {
+	Name       string          `json:"name"`
+	KeySalt    string          `json:"key_salt"`
+	KeyHash    string          `json:"key_hash"`
+	Quota      int             `json:"quota_accelerators"`
+	Share      int             `json:"share"`
+	QueueLimit int             `json:"queue_limit,omitempty"`
+	Guarantees []wireGuarantee `json:"guarantees"`
+}
+
+type wireGuarantee struct {
+	Name         string `json:"name"`
+	Members      int    `json:"members"`
+	Accelerators int    `json:"accelerators"`
+	Near         string `json:"near"`
+}
+
+// Problem is one fault of a manifest and the place where it stands.
+type Problem struct {
+	Place   string
+	Given   string
+	Allowed string
+}
+
+// String describes the problem for people.
+func (p Problem) String() string {
+	return fmt.Sprintf("%s: given %s, allowed %s", p.Place, p.Given, p.Allowed)
+}
+
+// InvalidError lists every problem of a manifest at once.
+type InvalidError struct{ Problems []Problem }
+
+// Error implements error.
+func (e *InvalidError) Error() string {
+	lines := make([]string, len(e.Problems))
+	for i, p := range e.Problems {
+		lines[i] = p.String()
+	}
+	return "manifest: " + strings.Join(lines, "; ")
+}
+
+type checker struct{ problems []Problem }
+
+func (c *checker) add(place, allowed string, given any) {
+	c.problems = append(c.problems, Problem{Place: place, Given: fmt.Sprintf("%q", fmt.Sprint(given)), Allowed: allowed})
+}
+
+func (c *checker) number(place string, v, low, high int) {
+	if v < low || v > high {
+		c.add(place, fmt.Sprintf("%d to %d", low, high), v)
+	}
+}
+
+// Parse reads a manifest strictly: unknown fields, trailing bytes and values
+// outside their limits are all reported in one InvalidError.
+func Parse(source []byte) (*Manifest, error) {
+	if len(source) > MaxManifestBytes {
+		return nil, &InvalidError{Problems: []Problem{{Place: "size", Given: fmt.Sprint(len(source)), Allowed: fmt.Sprintf("0 to %d bytes", MaxManifestBytes)}}}
+	}
+	var w wireManifest
+	d := json.NewDecoder(bytes.NewReader(source))
+	d.DisallowUnknownFields()
+	if err := d.Decode(&w); err != nil {
+		return nil, syntaxError(source, d.InputOffset(), err)
+	}
+	if _, err := d.Token(); !errors.Is(err, io.EOF) {
+		return nil, syntaxError(source, d.InputOffset(), errors.New("bytes after the manifest"))
+	}
+	return build(w, source)
+}
+
+func syntaxError(source []byte, offset int64, err error) error {
+	var typeError *json.UnmarshalTypeError
+	if errors.As(err, &typeError) {
+		offset = typeError.Offset
+	}
+	var syntax *json.SyntaxError
+	if errors.As(err, &syntax) {
+		offset = syntax.Offset
+	}
+	line := 1 + bytes.Count(source[:min(int(offset), len(source))], []byte("\n"))
+	return &InvalidError{Problems: []Problem{{Place: fmt.Sprintf("line %d", line), Given: err.Error(), Allowed: "the JSON of docs/operations/manifest.md"}}}
+}
+
+func build(w wireManifest, source []byte) (*Manifest, error) {
+	c := &checker{}
+	if w.Format != currentFormat {
+		c.add("format", fmt.Sprint(currentFormat), w.Format)
+	}
+	if !namePattern.MatchString(w.Deployment) {
+		c.add("deployment", namePattern.String(), w.Deployment)
+	}
+	if w.Weights.Completion < 0 || w.Weights.Fragmentation < 0 || w.Weights.Completion+w.Weights.Fragmentation <= 0 {
+		c.add("weights", "two numbers of at least 0 that are not both 0", w.Weights)
+	}
+	c.number("workspaces", len(w.Workspaces), 0, MaxWorkspaces)
+	m := &Manifest{base: w.Base, deployment: w.Deployment, source: source, digest: sha256.Sum256(source), workspaces: map[string]*Workspace{}}
+	for i, ww := range w.Workspaces {
+		space := buildWorkspace(c, fmt.Sprintf("workspaces[%d]", i), ww)
+		if m.workspaces[space.name] != nil {
+			c.add(fmt.Sprintf("workspaces[%d].name", i), "a name that is used once", space.name)
+		}
+		m.workspaces[space.name] = space
+		m.names = append(m.names, space.name)
+	}
+	if len(c.problems) > 0 {
+		return nil, &InvalidError{Problems: c.problems}
+	}
+	m.weights = NewWeights(w.Weights.Completion, w.Weights.Fragmentation)
+	sort.Strings(m.names)
+	return m, nil
+}
+
+func buildWorkspace(c *checker, place string, w wireWorkspace) *Workspace {
+	if !namePattern.MatchString(w.Name) {
+		c.add(place+".name", namePattern.String(), w.Name)
+	}
+	salt, err := hex.DecodeString(w.KeySalt)
+	if err != nil || len(salt) != saltBytes {
+		c.add(place+".key_salt", fmt.Sprintf("%d bytes in hexadecimal", saltBytes), w.KeySalt)
+	}
+	hash, err := hex.DecodeString(w.KeyHash)
+	if err != nil || len(hash) != sha256.Size {
+		c.add(place+".key_hash", fmt.Sprintf("%d bytes in hexadecimal", sha256.Size), w.KeyHash)
+	}
+	c.number(place+".quota_accelerators", w.Quota, 0, MaxQuota)
+	c.number(place+".share", w.Share, 1, MaxShare)
+	c.number(place+".queue_limit", w.QueueLimit, 0, MaxQuota)
+	c.number(place+".guarantees", len(w.Guarantees), 0, MaxGuarantees)
+	space := &Workspace{name: w.Name, salt: salt, quota: w.Quota, share: w.Share, queueLimit: w.QueueLimit}
+	copy(space.hash[:], hash)
+	seen := map[string]bool{}
+	total := 0
+	for i, wg := range w.Guarantees {
+		at := fmt.Sprintf("%s.guarantees[%d]", place, i)
+		g, ok := buildGuarantee(c, at, w.Name, wg)
+		if seen[wg.Name] {
+			c.add(at+".name", "a name that is used once", wg.Name)
+		}
+		seen[wg.Name] = true
+		if ok {
+			space.guarantees = append(space.guarantees, g)
+			total += g.shape.Total()
+		}
+	}
+	if w.Quota > 0 && total > w.Quota {
+		c.add(place+".quota_accelerators", fmt.Sprintf("at least the %d that are guaranteed", total), w.Quota)
+	}
+	return space
+}
+
+func buildGuarantee(c *checker, place, workspace string, w wireGuarantee) (Guarantee, bool) {
+	if !namePattern.MatchString(w.Name) {
+		c.add(place+".name", namePattern.String(), w.Name)
+	}
+	near, err := jayjob.ParseNear(w.Near)
+	if err != nil {
+		c.add(place+".near", "worker, rack, data_centre or anywhere", w.Near)
+		return Guarantee{}, false
+	}
+	if w.Accelerators < 1 {
+		c.add(place+".accelerators", "at least 1", w.Accelerators)
+		return Guarantee{}, false
+	}
+	shape, err := jayjob.NewShape(w.Members, w.Accelerators, near)
+	if err != nil {
+		c.add(place, err.Error(), fmt.Sprintf("%dx%d", w.Members, w.Accelerators))
+		return Guarantee{}, false
+	}
+	return NewGuarantee(workspace, w.Name, shape), true
+}
+
+// Credential is a workspace's key in the form that a manifest stores.
+type Credential struct{ salt, hash string }
+
+// NewCredential returns the stored form of a key under a fresh salt.
+func NewCredential(key string) Credential {
+	salt := make([]byte, saltBytes)
+	_, _ = rand.Read(salt)
+	return credential(salt, key)
+}
+
+// FixedCredential returns the stored form of a key under a salt made from the
+// key itself, for settings that must come out the same at every run.
+func FixedCredential(key string) Credential {
+	salt := sha256.Sum256([]byte("salt " + key))
+	return credential(salt[:saltBytes], key)
+}
+
+func credential(salt []byte, key string) Credential {
+	hash := HashKey(salt, key)
+	return Credential{salt: hex.EncodeToString(salt), hash: hex.EncodeToString(hash[:])}
+}
+
+// Draft is a manifest that a program puts together before it is published.
+type Draft struct {
+	Base       uint64
+	Deployment string
+	Weights    Weights
+	Workspaces []DraftWorkspace
+}
+
+// DraftWorkspace is one workspace of a draft.
+type DraftWorkspace struct {
+	Name       string
+	Key        Credential
+	Quota      int
+	Share      int
+	QueueLimit int
+	Guarantees []Guarantee
+}
+
+// Encode returns the draft in the form that Parse reads.
+func (d Draft) Encode() ([]byte, error) {
+	w := wireManifest{Format: currentFormat, Base: d.Base, Deployment: d.Deployment, Weights: wireWeights{Completion: d.Weights.completion, Fragmentation: d.Weights.fragmentation}}
+	for _, s := range d.Workspaces {
+		ww := wireWorkspace{Name: s.Name, KeySalt: s.Key.salt, KeyHash: s.Key.hash, Quota: s.Quota, Share: s.Share, QueueLimit: s.QueueLimit}
+		for _, g := range s.Guarantees {
+			ww.Guarantees = append(ww.Guarantees, wireGuarantee{Name: g.name, Members: g.shape.Members(), Accelerators: g.shape.Accelerators(), Near: g.shape.Near().String()})
+		}
+		w.Workspaces = append(w.Workspaces, ww)
+	}
+	b, err := json.MarshalIndent(w, "", "  ")
+	if err != nil {
+		return nil, fmt.Errorf("encode manifest: %w", err)
+	}
+	return append(b, '\n'), nil
+}
--- /dev/null
+++ b/internal/version/jaysettings/settings.go
@@ -0,0 +1,231 @@
+// Package jaysettings reads the INI settings of each role, checks every value
+// and names file, line and key in every error.
+package jaysettings
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"net"
+	"os"
+	"sort"
+	"strconv"
+	"strings"
+	"time"
+
+	"gopkg.in/ini.v1"
+)
+
+// Problem is one fault of a settings file.
+type Problem struct {
+	File    string
+	Line    int
+	Key     string
+	Given   string
+	Allowed string
+}
+
+// String describes the problem for people.
+func (p Problem) String() string {
+	return fmt.Sprintf("%s:%d: %s: given %q, allowed: %s", p.File, p.Line, p.Key, p.Given, p.Allowed)
+}
+
+// InvalidError lists every problem of a settings file.
+type InvalidError struct{ Problems []Problem }
+
+// Error implements error.
+func (e *InvalidError) Error() string {
+	lines := make([]string, len(e.Problems))
+	for i, p := range e.Problems {
+		lines[i] = p.String()
+	}
+	return strings.Join(lines, "\n")
+}
+
+// field is one key of a role: where its value goes and what it may be.
+type field struct {
+	section  string
+	key      string
+	doc      string
+	allowed  string
+	example  string
+	required bool
+	set      func(string) bool
+}
+
+func (f field) name() string { return f.section + "." + f.key }
+
+func text(section, key, doc, example string, required bool, target *string) field {
+	return field{section: section, key: key, doc: doc, allowed: "text of 1 to 128 bytes", example: example, required: required, set: func(s string) bool {
+		*target = s
+		return len(s) <= 128 && (s != "" || !required)
+	}}
+}
+
+func address(section, key, doc, example string, required bool, target *string) field {
+	return field{section: section, key: key, doc: doc, allowed: "IP:port", example: example, required: required, set: func(s string) bool {
+		*target = s
+		return validAddress(s) || (s == "" && !required)
+	}}
+}
+
+func addresses(section, key, doc, example string, target *[]string) field {
+	return field{section: section, key: key, doc: doc, allowed: "IP:port, separated by commas", example: example, required: true, set: func(s string) bool {
+		*target = nil
+		for _, a := range strings.Split(s, ",") {
+			a = strings.TrimSpace(a)
+			if !validAddress(a) {
+				return false
+			}
+			*target = append(*target, a)
+		}
+		return true
+	}}
+}
+
+func validAddress(s string) bool {
+	host, port, err := net.SplitHostPort(s)
+	if err != nil || net.ParseIP(host) == nil {
+		return false
+	}
+	n, err := strconv.Atoi(port)
+	return err == nil && n >= 0 && n <= 65535
+}
+
+func number(section, key, doc string, low, high int, target *int) field {
+	return field{section: section, key: key, doc: doc, allowed: fmt.Sprintf("whole number from %d to %d", low, high), example: strconv.Itoa(*target), set: func(s string) bool {
+		n, err := strconv.Atoi(s)
+		*target = n
+		return err == nil && n >= low && n <= high
+	}}
+}
+
+func duration(section, key, doc string, low, high time.Duration, target *time.Duration) field {
+	return field{section: section, key: key, doc: doc, allowed: fmt.Sprintf("duration with its unit from %s to %s", low, high), example: target.String(), set: func(s string) bool {
+		d, err := time.ParseDuration(s)
+		*target = d
+		return err == nil && d >= low && d <= high
+	}}
+}
+
+// Source is a settings file that has been read but not checked.
+type Source struct {
+	file  string
+	bytes []byte
+}
+
+// NewSource returns settings that stand in memory under a file's name.
+func NewSource(file string, content []byte) Source { return Source{file: file, bytes: content} }
+
+// ReadSource reads a settings file.
+func ReadSource(file string) (Source, error) {
+	b, err := os.ReadFile(file)
+	if err != nil {
+		return Source{}, fmt.Errorf("read settings: %w", err)
+	}
+	return NewSource(file, b), nil
+}
+
+// decode checks the source against the fields and sets their targets.
+func (s Source) decode(fields []field) error {
+	f, err := ini.LoadSources(ini.LoadOptions{AllowShadows: true, SpaceBeforeInlineComment: true}, s.bytes)
+	if err != nil {
+		return &InvalidError{Problems: []Problem{{File: s.file, Line: s.syntaxLine(err), Key: "syntax", Given: err.Error(), Allowed: "INI: [section] and key = value"}}}
+	}
+	known := map[string]field{}
+	for _, d := range fields {
+		known[d.name()] = d
+	}
+	var problems []Problem
+	given := map[string]bool{}
+	for _, section := range f.Sections() {
+		for _, key := range section.Keys() {
+			name := section.Name() + "." + key.Name()
+			given[name] = true
+			if p, bad := s.check(known, name, key); bad {
+				problems = append(problems, p)
+			}
+		}
+	}
+	for _, d := range fields {
+		if d.required && !given[d.name()] {
+			problems = append(problems, Problem{File: s.file, Line: s.line(d.section, ""), Key: d.name(), Given: "", Allowed: d.allowed + " (required)"})
+		}
+	}
+	if len(problems) > 0 {
+		sort.SliceStable(problems, func(i, j int) bool { return problems[i].Line < problems[j].Line })
+		return &InvalidError{Problems: problems}
+	}
+	return nil
+}
+
+func (s Source) check(known map[string]field, name string, key *ini.Key) (Problem, bool) {
+	section, bare, _ := strings.Cut(name, ".")
+	p := Problem{File: s.file, Line: s.line(section, bare), Key: name, Given: key.Value()}
+	d, ok := known[name]
+	if !ok {
+		p.Allowed = "no such key; the keys are those of `jaystile settings example`"
+		return p, true
+	}
+	p.Allowed = d.allowed
+	if len(key.ValueWithShadows()) > 1 {
+		p.Given = strings.Join(key.ValueWithShadows(), ", ")
+		p.Allowed = "the key once"
+		return p, true
+	}
+	return p, !d.set(strings.TrimSpace(key.Value()))
+}
+
+// syntaxLine finds the first line that is no comment, section or assignment.
+func (s Source) syntaxLine(error) int {
+	scanner := bufio.NewScanner(bytes.NewReader(s.bytes))
+	for n := 1; scanner.Scan(); n++ {
+		t := strings.TrimSpace(scanner.Text())
+		if t == "" || t[0] == '#' || t[0] == ';' || (t[0] == '[' && t[len(t)-1] == ']') || strings.ContainsAny(t, "=:") {
+			continue
+		}
+		return n
+	}
+	return 1
+}
+
+// line finds a key's line, or that of its section when the key is empty or
+// absent.
+func (s Source) line(section, key string) int {
+	current := ini.DefaultSection
+	found := 1
+	scanner := bufio.NewScanner(bytes.NewReader(s.bytes))
+	for n := 1; scanner.Scan(); n++ {
+		t := strings.TrimSpace(scanner.Text())
+		if strings.HasPrefix(t, "[") && strings.HasSuffix(t, "]") {
+			current = strings.TrimSpace(t[1 : len(t)-1])
+			if current == section {
+				found = n
+			}
+			continue
+		}
+		at := strings.IndexAny(t, "=:")
+		if current == section && at > 0 && strings.TrimSpace(t[:at]) == key && key != "" {
+			return n
+		}
+	}
+	return found
+}
+
+// example writes settings that pass the check, each key with its unit and
+// meaning above it.
+func example(fields []field) string {
+	var b strings.Builder
+	section := ""
+	for _, f := range fields {
+		if f.section != section {
+			if section != "" {
+				b.WriteString("\n")
+			}
+			section = f.section
+			fmt.Fprintf(&b, "[%s]\n", section)
+		}
+		fmt.Fprintf(&b, "# %s (%s)\n%s = %s\n", f.doc, f.allowed, f.key, f.example)
+	}
+	return b.String()
+}
