Crash on a broken invariant, settle gangs whose members vanished

Cause: with killed sides a gang's book never settled, since a vanished member never reports that it left, and its job was asked about for ever. A broken invariant inside a pooled goroutine was caught by the pool and hid. After an owner's refusal the same decision was taken again at once. Change: a member out of contact for two leases counts as stopped; invariants end the process through jayassert; a refused placement waits with growing jittered delays.

--- a/internal/process/jaydemo/demo.go
+++ b/internal/process/jaydemo/demo.go
@@ -110,10 +110,11 @@
 	all := arrivals(d.Deployment, d.Seed, d.Span, d.Load)
 	injected := r.drive(ctx, all)
 	r.countReclaims()
+	elapsed := time.Since(begin)
 	stop()
 	r.judge.conclude(fleet)
 	s := r.summary(all, injected)
-	s.Elapsed = time.Since(begin)
+	s.Elapsed = elapsed
 	return s, nil
 }
 
--- a/internal/process/jaydemo/fleet.go
+++ b/internal/process/jaydemo/fleet.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net"
+	"os"
 	"sync"
 	"time"
 
@@ -21,6 +22,14 @@
 // loopback is an address whose port the system chooses.
 const loopback = "127.0.0.1:0"
 
+// ownLoopback is a loopback address of this process alone: its ports are free
+// for a second life, since no outgoing connection and no other process takes
+// them.
+func ownLoopback() string {
+	pid := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.%d:0", 1+pid>>14&0x7f, pid>>7&0x7f, 1+pid&0x7f)
+}
+
 // sharedKey is the demonstration's secret of links between processes.
 const sharedKey = "demo-shared-key"
 
@@ -171,7 +180,7 @@
 }
 
 func freeAddress() (string, error) {
-	l, err := net.Listen("tcp", loopback)
+	l, err := net.Listen("tcp", ownLoopback())
 	if err != nil {
 		return "", fmt.Errorf("find a free port: %w", err)
 	}
@@ -354,12 +363,15 @@
 }
 
 func (f *Fleet) stop() {
+	var wg conc.WaitGroup
 	for i := range f.Entries {
-		f.StopEntry(i)
+		wg.Go(func() { f.StopEntry(i) })
 	}
+	wg.Wait()
 	for i := range f.Sides {
-		f.sideProcess(i).stop()
+		wg.Go(func() { f.sideProcess(i).stop() })
 	}
+	wg.Wait()
 	for i := len(f.cleanups) - 1; i >= 0; i-- {
 		f.cleanups[i]()
 	}
--- a/internal/process/jayentry/job.go
+++ b/internal/process/jayentry/job.go
@@ -27,17 +27,19 @@
 
 // job is one job that this entry is responsible for.
 type job struct {
-	id        string
-	spec      jayjob.Spec
-	durable   bool
-	waiters   int
-	accepted  time.Duration
-	due       time.Duration
-	queued    *jaysched.Job
-	request   bool
-	attempt   *attempt
-	tries     int
-	failures  int
+	id       string
+	spec     jayjob.Spec
+	durable  bool
+	waiters  int
+	accepted time.Duration
+	due      time.Duration
+	queued   *jaysched.Job
+	request  bool
+	attempt  *attempt
+	tries    int
+	failures int
+	// refused counts attempts that never ran since the last that did.
+	refused   int
 	tried     []jayapi.Attempt
 	avoid     map[string]bool
 	saved     []byte
--- a/internal/process/jayentry/outcome.go
+++ b/internal/process/jayentry/outcome.go
@@ -150,6 +150,7 @@
 func (e *Entry) stopped(a *attempt, o *jayframe.Outcome) {
 	j := a.job
 	j.mayHave = true
+	j.refused = 0
 	e.move(a, jayattempt.Answered)
 	e.endAttempt(a, "stopped for other work")
 	done := time.Duration(o.DoneMillis) * time.Millisecond
--- a/internal/process/jayentry/place.go
+++ b/internal/process/jayentry/place.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"strings"
 	"time"
 
@@ -25,6 +26,8 @@
 	holdTTL = 6 * time.Second
 	// sheddingMargin is the least time left to a request that is still sent.
 	sheddingMargin = 2 * time.Millisecond
+	replaceFirst   = 2 * time.Millisecond
+	replaceMost    = 500 * time.Millisecond
 )
 
 // dispatch sends waiting requests to runners with room.
@@ -190,7 +193,7 @@
 		holds[i] = e.holdFor(a, i, way, victims)
 		if links[i] == nil {
 			e.dropAttempt(a, "no link to "+name)
-			e.scheduler.Retry(j.id, jaysched.NewReason(jaysched.WaitsForWorkers, name, 0, e.now()))
+			e.retryPlacement(j, "no link to "+name)
 			return
 		}
 	}
@@ -198,7 +201,7 @@
 	if len(seats) == 1 {
 		if err := links[0].Send(holds[0]); err != nil {
 			e.dropAttempt(a, err.Error())
-			e.scheduler.Retry(j.id, jaysched.NewReason(jaysched.WaitsForOwner, err.Error(), 0, e.now()))
+			e.retryPlacement(j, err.Error())
 		}
 		return
 	}
@@ -295,16 +298,39 @@
 	e.retryPlacement(a.job, cause.Error())
 }
 
-// retryPlacement queues a job again whose attempt never ran.
+// replaceDelay returns how long a job waits before it is placed again: an owner
+// that refused knows more than this entry's table, which must catch up first.
+func replaceDelay(tries int) time.Duration {
+	d := min(replaceFirst<<min(tries, 8), replaceMost)
+	return d/2 + rand.N(d)
+}
+
+// retryPlacement queues a job again, after a while, whose attempt never ran.
 func (e *Entry) retryPlacement(j *job, blocker string) {
 	if j.ended() {
 		return
 	}
 	e.recorder.Record(jaytimeline.JobRequeued, jaytimeline.Fields{Job: j.id, Workspace: j.spec.Workspace(), Detail: blocker})
+	j.refused++
+	if !j.request {
+		e.scheduler.Suspend(j.id, jaysched.NewReason(jaysched.WaitsForOwner, blocker, 0, e.now()))
+	}
+	time.AfterFunc(replaceDelay(j.refused), func() {
+		e.mutex.Lock()
+		defer e.mutex.Unlock()
+		e.placeAgain(j)
+	})
+}
+
+// placeAgain queues a job whose delay is over, unless it has ended meanwhile.
+func (e *Entry) placeAgain(j *job) {
+	if j.ended() {
+		return
+	}
 	if j.request {
 		e.queue.PutBack(e.itemOf(j))
 	} else {
-		e.scheduler.Retry(j.id, jaysched.NewReason(jaysched.WaitsForOwner, blocker, 0, e.now()))
+		e.scheduler.Queue(j.queued)
 	}
 	e.kick()
 }
--- a/internal/process/jayowner/ledger.go
+++ b/internal/process/jayowner/ledger.go
@@ -8,6 +8,7 @@
 	"sort"
 	"time"
 
+	"github.com/jaystile/jaystile/internal/process/jayassert"
 	"github.com/jaystile/jaystile/internal/request/jayattempt"
 	"github.com/jaystile/jaystile/internal/request/jayjob"
 )
@@ -498,22 +499,11 @@
 	return lapsed
 }
 
-// InvariantError reports a book that grants a thing twice.
-type InvariantError struct{ What string }
-
-// Error implements error.
-func (e *InvariantError) Error() string { return "invariant broken: " + e.What }
-
 // assert stops the process rather than grant a thing twice.
 func (l *Ledger) assert() {
 	l.checked++
-	if n := l.occupied(); n > l.accelerators {
-		panic(&InvariantError{What: fmt.Sprintf("%d of %d accelerators occupied", n, l.accelerators)})
-	}
-	if n := l.claimed(); n > l.accelerators {
-		panic(&InvariantError{What: fmt.Sprintf("%d of %d accelerators claimed", n, l.accelerators)})
-	}
-	if l.usedSlots > l.slots || l.usedSlots < 0 {
-		panic(&InvariantError{What: fmt.Sprintf("%d of %d slots held", l.usedSlots, l.slots)})
-	}
+	occupied, claimed := l.occupied(), l.claimed()
+	jayassert.That(occupied <= l.accelerators, "%d of %d accelerators occupied", occupied, l.accelerators)
+	jayassert.That(claimed <= l.accelerators, "%d of %d accelerators claimed", claimed, l.accelerators)
+	jayassert.That(l.usedSlots >= 0 && l.usedSlots <= l.slots, "%d of %d slots held", l.usedSlots, l.slots)
 }
--- a/internal/process/jayroute/router.go
+++ b/internal/process/jayroute/router.go
@@ -43,7 +43,6 @@
 	failures    int
 	ejections   int
 	ejectedTill time.Duration
-	returning   bool
 	draining    bool
 }
 
--- a/internal/process/jaysched/scheduler.go
+++ b/internal/process/jaysched/scheduler.go
@@ -239,8 +239,9 @@
 	s.Queue(j)
 }
 
-// Retry queues a running job again whose start an owner refused.
-func (s *Scheduler) Retry(id string, reason Reason) {
+// Suspend takes back the start of a job that an owner refused. The caller
+// queues it again.
+func (s *Scheduler) Suspend(id string, reason Reason) {
 	j := s.running[id]
 	if j == nil {
 		return
@@ -248,7 +249,6 @@
 	delete(s.running, id)
 	s.pool.ReleaseJob(id)
 	j.reason = reason
-	s.Queue(j)
 }
 
 // Adopt makes a job known that runs already.
--- a/internal/process/jayside/gangs.go
+++ b/internal/process/jayside/gangs.go
@@ -21,7 +21,6 @@
 	links     []*jaylink.Link
 	listeners map[jayattempt.Incarnation]bool
 	announced bool
-	cancel    bool
 }
 
 // openGang starts the book of an attempt whose anchor is this process.
@@ -177,7 +176,7 @@
 // announce tells the listeners once how the gang ended, as soon as no member
 // runs any more.
 func (s *Side) announce(g *gang) {
-	if g.announced || !g.book.Settled() {
+	if g.announced || !g.book.Settled(s.now()) {
 		return
 	}
 	g.announced = true
@@ -203,7 +202,7 @@
 		o.Status = jayframe.StatusRunning
 	case jaygang.Ended:
 		o.Status = statuses[g.book.Result()]
-		if !g.book.Settled() {
+		if !g.book.Settled(s.now()) {
 			o.Status = jayframe.StatusRunning
 		}
 		if g.book.Started() > 0 {
--- a/internal/process/jayside/side.go
+++ b/internal/process/jayside/side.go
@@ -70,7 +70,6 @@
 	reports   uint64
 	latency   time.Duration
 	sick      bool
-	stopping  bool
 
 	now func() time.Duration
 	// carry moves the frames of a dialed link until it ends; Run sets it.
--- a/internal/process/jaystate/manifest.go
+++ b/internal/process/jaystate/manifest.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"time"
 
+	"github.com/jaystile/jaystile/internal/process/jayassert"
 	"github.com/jaystile/jaystile/internal/process/jaylog"
 	"github.com/jaystile/jaystile/internal/version/jaymanifest"
 )
@@ -155,9 +156,7 @@
 }
 
 func (f *Manifests) put(m *jaymanifest.Manifest) {
-	if m.Version() <= f.Version() {
-		panic(&RevertError{From: f.Version(), To: m.Version()})
-	}
+	jayassert.That(m.Version() > f.Version(), "manifest would go back from version %d to %d", f.Version(), m.Version())
 	f.current = m
 	f.history = append(f.history, m)
 	if len(f.history) > historyVersions {
@@ -166,13 +165,6 @@
 	}
 }
 
-// RevertError reports that a lower version would replace a higher one. The
-// process ends rather than do so.
-type RevertError struct{ From, To uint64 }
-
-// Error implements error.
-func (e *RevertError) Error() string { return "invariant broken: manifest version would go back" }
-
 // Snapshot returns the record that keeps the manifest in force inside the log's
 // retention, or nil when there is none.
 func (f *Manifests) Snapshot(now time.Time) ([]byte, error) {
