--- /dev/null
+++ b/cmd/jaystile/settings.go
@@ -0,0 +1,59 @@
+package main
+
+import (
+	"fmt"
+
+	"github.com/jessevdk/go-flags"
+
+	"github.com/jaystile/jaystile/internal/version/jaysettings"
+)
+
+const (
+	usageSettings        = `Checks settings files and prints examples of them.`
+	usageSettingsCheck   = `Checks a settings file. Every fault is named with its file, line and key, what was given and what is allowed. It exits with 3 when the file is wrong.`
+	usageSettingsExample = `Prints settings that pass the check, each key with its meaning and unit.`
+)
+
+type settingsCommand struct{}
+
+type settingsCheckCommand struct {
+	Role string `long:"role" default:"entry" description:"entry, side or standin"`
+	Args struct {
+		File string `positional-arg-name:"FILE"`
+	} `positional-args:"yes" required:"yes"`
+}
+
+type settingsExampleCommand struct {
+	Args struct {
+		Role string `positional-arg-name:"ROLE"`
+	} `positional-args:"yes" required:"yes"`
+}
+
+func addSettings(p *flags.Parser) {
+	c := add(p, "settings", "check settings files", usageSettings, &settingsCommand{})
+	add(c, "check", "check a settings file", usageSettingsCheck, &settingsCheckCommand{})
+	add(c, "example", "print example settings", usageSettingsExample, &settingsExampleCommand{})
+}
+
+// Execute implements flags.Commander.
+func (c *settingsCheckCommand) Execute([]string) error {
+	source, err := jaysettings.ReadSource(c.Args.File)
+	if err != nil {
+		return err
+	}
+	if err := jaysettings.Check(jaysettings.Role(c.Role), source); err != nil {
+		return &exitError{status: exitInvalid, cause: err}
+	}
+	fmt.Printf("%s: settings of role %s are right\n", c.Args.File, c.Role)
+	return nil
+}
+
+// Execute implements flags.Commander.
+func (c *settingsExampleCommand) Execute([]string) error {
+	s, err := jaysettings.Example(jaysettings.Role(c.Args.Role))
+	if err != nil {
+		return &exitError{status: exitUsage, cause: err}
+	}
+	fmt.Print(s)
+	return nil
+}
--- a/internal/process/jayentry/entry.go
+++ b/internal/process/jayentry/entry.go
@@ -62,6 +62,7 @@
 	app         *fiber.App
 	tasks       chan func()
 	wake        chan struct{}
+	closed      chan struct{}
 	now         func() time.Duration
 	started     time.Duration
 
@@ -109,6 +110,7 @@
 		metrics:      metrics.NewSet(),
 		tasks:        make(chan func(), taskQueue),
 		wake:         make(chan struct{}, 1),
+		closed:       make(chan struct{}),
 		now:          jayclock.Elapsed,
 		started:      jayclock.Elapsed(),
 		sides:        map[string]*side{},
@@ -175,6 +177,7 @@
 	if !jayclock.Killed(ctx) {
 		e.drain()
 	}
+	close(e.closed)
 	_ = e.app.ShutdownWithTimeout(time.Second)
 	cancel()
 	wg.Wait()
@@ -204,6 +207,7 @@
 	for _, j := range e.jobs {
 		if !j.ended() && j.mustFinish() {
 			e.Logger.Warn().Str("job", j.id).Msg("job in flight cut by the drain timeout")
+			e.giveUp(j, jayrefusal.Draining, "the entry shut down")
 		}
 	}
 	e.mutex.Unlock()
--- a/internal/process/jayentry/http.go
+++ b/internal/process/jayentry/http.go
@@ -215,7 +215,10 @@
 		return sendJob(c, *known)
 	}
 	if s.wait {
-		wait(j, s.openFor())
+		e.wait(j, s.openFor())
+		if !j.ended() && e.isClosed() {
+			return c.Context().Conn().Close()
+		}
 		e.mutex.Lock()
 		j.waiters--
 		e.mutex.Unlock()
@@ -257,7 +260,7 @@
 		if cancel {
 			e.cancelJob(j, jayrefusal.Canceled, "canceled by its caller")
 		}
-		wait(j, hold)
+		e.wait(j, hold)
 		s := e.status(j)
 		return &s, nil
 	}
--- a/internal/process/jayentry/job.go
+++ b/internal/process/jayentry/job.go
@@ -200,8 +200,17 @@
 	return j
 }
 
-// wait waits until the job has ended, at most for d.
-func wait(j *job, d time.Duration) {
+func (e *Entry) isClosed() bool {
+	select {
+	case <-e.closed:
+		return true
+	default:
+		return false
+	}
+}
+
+// wait waits until the job or this process has ended, at most for d.
+func (e *Entry) wait(j *job, d time.Duration) {
 	if d <= 0 {
 		return
 	}
@@ -209,6 +218,7 @@
 	defer t.Stop()
 	select {
 	case <-j.done:
+	case <-e.closed:
 	case <-t.C:
 	}
 }
--- a/internal/process/jayentry/sides.go
+++ b/internal/process/jayentry/sides.go
@@ -332,7 +332,7 @@
 	if m.Cancel {
 		e.cancelJob(j, jayrefusal.Canceled, "canceled by its caller")
 	}
-	wait(j, time.Duration(m.WaitMillis)*time.Millisecond)
+	e.wait(j, time.Duration(m.WaitMillis)*time.Millisecond)
 	_ = l.Reply(call, &jayframe.JobReply{Found: true, Status: e.encodeStatus(j)})
 }
 
--- a/internal/process/jayentry/submit.go
+++ b/internal/process/jayentry/submit.go
@@ -201,7 +201,7 @@
 }
 
 func (e *Entry) awaitLocal(j *job, s submission) jayapi.Job {
-	wait(j, s.waitTime())
+	e.wait(j, s.waitTime())
 	return e.status(j)
 }
 
--- /dev/null
+++ b/internal/process/jaypolicy/mix.go
@@ -0,0 +1,240 @@
+// Package jaypolicy drives the decision core and its baselines on a virtual
+// clock, over stated mixes of jobs, and measures what comes of it.
+package jaypolicy
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"time"
+
+	"github.com/jaystile/jaystile/internal/process/jaypool"
+	"github.com/jaystile/jaystile/internal/request/jayjob"
+	"github.com/jaystile/jaystile/internal/version/jaymanifest"
+)
+
+const (
+	workers        = 11
+	workersPerRack = 3
+	accelerators   = 8
+	// declaredError is the greatest factor by which declared run times are off.
+	declaredError = 10.0
+	// runtimeSigma makes run times heavy-tailed around their median.
+	runtimeSigma = 1.0
+	burstEvery   = 4 * time.Hour
+	burstLength  = 10 * time.Minute
+	burstFactor  = 4.0
+	workerMTBF   = 40 * time.Hour
+	workerRepair = 15 * time.Minute
+	longestRun   = 12 * time.Hour
+	shortestRun  = time.Second
+)
+
+// Kind is one kind of job of a mix.
+type Kind struct {
+	name          string
+	workspace     string
+	class         jayjob.Class
+	shape         jayjob.Shape
+	mean          time.Duration
+	idempotent    bool
+	checkpointing bool
+	weight        float64
+}
+
+// Mix is a stated mix of jobs on a stated pool.
+type Mix struct {
+	name       string
+	weights    jaymanifest.Weights
+	kinds      []Kind
+	guarantees []jaymanifest.Guarantee
+}
+
+// Name returns the deployment that the mix stands for.
+func (m Mix) Name() string { return m.name }
+
+// UnknownMixError reports a name that is no mix.
+type UnknownMixError struct{ Given string }
+
+// Error implements error.
+func (e *UnknownMixError) Error() string {
+	return fmt.Sprintf("deployment: given %q, allowed: kjaergaard or salish", e.Given)
+}
+
+func shape(members, accelerators int, near jayjob.Near) jayjob.Shape {
+	s, err := jayjob.NewShape(members, accelerators, near)
+	if err != nil {
+		panic(fmt.Errorf("shape of a mix: %w", err))
+	}
+	return s
+}
+
+// FindMix returns the mix of a deployment.
+func FindMix(name string) (Mix, error) {
+	switch name {
+	case "kjaergaard":
+		return Mix{
+			name:    name,
+			weights: jaymanifest.NewWeights(0.7, 0.3),
+			kinds: []Kind{
+				{name: "replan", workspace: "dispatch", class: jayjob.Standard, shape: shape(2, 8, jayjob.SameRack), mean: 30 * time.Minute, idempotent: true, checkpointing: true, weight: 0.03},
+				{name: "pricecheck", workspace: "order-desk", class: jayjob.Urgent, shape: shape(1, 1, jayjob.Anywhere), mean: time.Minute, idempotent: true, weight: 0.7},
+				{name: "shelflife", workspace: "warehouse", class: jayjob.Deferrable, shape: shape(1, 4, jayjob.SameWorker), mean: 15 * time.Minute, idempotent: true, checkpointing: true, weight: 0.15},
+				{name: "restock", workspace: "purchasing", class: jayjob.Standard, shape: shape(4, 1, jayjob.SameDataCentre), mean: 8 * time.Minute, idempotent: true, checkpointing: true, weight: 0.1},
+				{name: "contract", workspace: "purchasing", class: jayjob.Standard, shape: shape(1, 2, jayjob.Anywhere), mean: 10 * time.Minute, weight: 0.02},
+			},
+			guarantees: []jaymanifest.Guarantee{
+				jaymanifest.NewGuarantee("dispatch", "night-plan", shape(2, 8, jayjob.SameRack)),
+				jaymanifest.NewGuarantee("order-desk", "quotes", shape(8, 1, jayjob.SameDataCentre)),
+				jaymanifest.NewGuarantee("warehouse", "forecast", shape(1, 8, jayjob.SameWorker)),
+				jaymanifest.NewGuarantee("purchasing", "batch", shape(4, 1, jayjob.Anywhere)),
+			},
+		}, nil
+	case "salish":
+		return Mix{
+			name:    name,
+			weights: jaymanifest.NewWeights(0.3, 0.7),
+			kinds: []Kind{
+				{name: "end-of-day", workspace: "billing", class: jayjob.Standard, shape: shape(3, 8, jayjob.SameRack), mean: 30 * time.Minute, idempotent: true, checkpointing: true, weight: 0.03},
+				{name: "clear-slip", workspace: "harbour-desk", class: jayjob.Urgent, shape: shape(1, 1, jayjob.Anywhere), mean: time.Minute, idempotent: true, weight: 0.65},
+				{name: "occupancy", workspace: "ports", class: jayjob.Deferrable, shape: shape(1, 4, jayjob.SameWorker), mean: 15 * time.Minute, idempotent: true, checkpointing: true, weight: 0.2},
+				{name: "reminders", workspace: "arrears", class: jayjob.Standard, shape: shape(4, 1, jayjob.SameDataCentre), mean: 8 * time.Minute, idempotent: true, checkpointing: true, weight: 0.1},
+				{name: "ledger", workspace: "arrears", class: jayjob.Standard, shape: shape(1, 2, jayjob.Anywhere), mean: 10 * time.Minute, weight: 0.02},
+			},
+			guarantees: []jaymanifest.Guarantee{
+				jaymanifest.NewGuarantee("billing", "end-of-day", shape(3, 8, jayjob.SameRack)),
+				jaymanifest.NewGuarantee("harbour-desk", "slips", shape(8, 1, jayjob.SameDataCentre)),
+				jaymanifest.NewGuarantee("ports", "close-of-day", shape(1, 8, jayjob.SameWorker)),
+				jaymanifest.NewGuarantee("arrears", "reminders", shape(4, 1, jayjob.Anywhere)),
+			},
+		}, nil
+	}
+	return Mix{}, &UnknownMixError{Given: name}
+}
+
+// newPool returns the pool of today: eleven workers of eight accelerators,
+// three to a rack, in three data centres.
+func newPool() *jaypool.Pool {
+	p := jaypool.New()
+	for i := range workers {
+		addWorker(p, i)
+	}
+	return p
+}
+
+func addWorker(p *jaypool.Pool, i int) {
+	rack := i / workersPerRack
+	p.Add(workerName(i), jaypool.NewPlace(fmt.Sprintf("dc-%d", max(rack-1, 0)), fmt.Sprintf("rack-%d", rack), "cell"), accelerators)
+}
+
+func workerName(i int) string { return fmt.Sprintf("w%02d", i) }
+
+// manifest puts the mix's guarantees and weights in force.
+func (m Mix) manifest() (*jaymanifest.Manifest, error) {
+	d := jaymanifest.Draft{Deployment: m.name, Weights: m.weights}
+	at := map[string]int{}
+	for _, g := range m.guarantees {
+		i, ok := at[g.Workspace()]
+		if !ok {
+			i = len(d.Workspaces)
+			at[g.Workspace()] = i
+			d.Workspaces = append(d.Workspaces, jaymanifest.DraftWorkspace{Name: g.Workspace(), Key: jaymanifest.FixedCredential(g.Workspace()), Share: 1})
+		}
+		d.Workspaces[i].Guarantees = append(d.Workspaces[i].Guarantees, g)
+	}
+	b, err := d.Encode()
+	if err != nil {
+		return nil, err
+	}
+	parsed, err := jaymanifest.Parse(b)
+	if err != nil {
+		return nil, err
+	}
+	return parsed.WithVersion(1), nil
+}
+
+// task is one job of a run with its true run time.
+type task struct {
+	id      string
+	spec    jayjob.Spec
+	arrived time.Duration
+	work    time.Duration
+}
+
+// outage is one worker's absence.
+type outage struct {
+	worker   int
+	from, to time.Duration
+}
+
+// draw makes the jobs and outages of one run from a seed.
+func (m Mix) draw(seed uint64, load float64, jobs int) ([]task, []outage, error) {
+	random := rand.New(rand.NewPCG(seed, 2026))
+	rate := load * workers * accelerators / m.workPerArrival()
+	tasks := make([]task, 0, jobs)
+	at := time.Duration(0)
+	for n := range jobs {
+		r := rate / (1 + (burstFactor-1)*burstLength.Seconds()/burstEvery.Seconds())
+		if at%burstEvery < burstLength {
+			r *= burstFactor
+		}
+		at += time.Duration(random.ExpFloat64() / r * float64(time.Second))
+		t, err := m.drawTask(random, n, at)
+		if err != nil {
+			return nil, nil, err
+		}
+		tasks = append(tasks, t)
+	}
+	return tasks, drawOutages(random, at), nil
+}
+
+func (m Mix) drawTask(random *rand.Rand, n int, at time.Duration) (task, error) {
+	k := m.kinds[m.pick(random.Float64())]
+	work := time.Duration(float64(k.mean) * math.Exp(runtimeSigma*random.NormFloat64()-runtimeSigma*runtimeSigma/2))
+	work = min(max(work, shortestRun), longestRun)
+	declared := time.Duration(float64(work) * math.Pow(declaredError, 2*random.Float64()-1))
+	spec, err := jayjob.New(jayjob.Fields{Workspace: k.workspace, Kind: k.name, Class: k.class, Shape: k.shape, Runtime: declared, Key: "key", Idempotent: k.idempotent, Checkpointing: k.checkpointing})
+	return task{id: fmt.Sprintf("%06d", n), spec: spec, arrived: at, work: work}, err
+}
+
+func drawOutages(random *rand.Rand, span time.Duration) []outage {
+	var all []outage
+	for w := range workers {
+		for at := time.Duration(0); ; {
+			at += time.Duration(random.ExpFloat64() * float64(workerMTBF))
+			if at >= span {
+				break
+			}
+			all = append(all, outage{worker: w, from: at, to: at + workerRepair})
+			at += workerRepair
+		}
+	}
+	return all
+}
+
+func (m Mix) totalWeight() float64 {
+	sum := 0.0
+	for _, k := range m.kinds {
+		sum += k.weight
+	}
+	return sum
+}
+
+func (m Mix) pick(x float64) int {
+	x *= m.totalWeight()
+	for i, k := range m.kinds {
+		if x -= k.weight; x < 0 {
+			return i
+		}
+	}
+	return len(m.kinds) - 1
+}
+
+// workPerArrival returns the mean accelerator seconds of a job.
+func (m Mix) workPerArrival() float64 {
+	work := 0.0
+	for _, k := range m.kinds {
+		work += k.weight * k.mean.Seconds() * float64(k.shape.Total())
+	}
+	return work / m.totalWeight()
+}
--- /dev/null
+++ b/internal/process/jaypolicy/planner.go
@@ -0,0 +1,249 @@
+package jaypolicy
+
+import (
+	"fmt"
+	"math"
+	"sort"
+	"time"
+
+	"github.com/jaystile/jaystile/internal/process/jaypool"
+	"github.com/jaystile/jaystile/internal/process/jaysched"
+	"github.com/jaystile/jaystile/internal/request/jayjob"
+	"github.com/jaystile/jaystile/internal/version/jaymanifest"
+)
+
+// start is one decision: a job begins, after its victims have stopped.
+type start struct {
+	job     string
+	victims []string
+	cause   jaysched.Cause
+}
+
+// planner is a policy under measurement. Its fields are set by a constructor.
+type planner struct {
+	name string
+	// submit queues a job, for the first time or after it was stopped with the
+	// given run time saved.
+	submit func(t task, done time.Duration)
+	// finish frees a job that ended after the given run time in all.
+	finish func(id string, ran time.Duration)
+	// stop frees a job that lost a worker.
+	stop func(id string, done time.Duration)
+	// changed is told that a worker came or went.
+	changed func()
+	// decide returns what starts now, booked in the pool.
+	decide func(now time.Duration) []start
+	pool   *jaypool.Pool
+}
+
+// newCore returns jaystile's own decision core as a planner.
+func newCore(m *jaymanifest.Manifest, policy jaysched.Policy) *planner {
+	pool := newPool()
+	s := jaysched.New(pool)
+	s.Policy = policy
+	s.Configure(m)
+	jobs := map[string]*jaysched.Job{}
+	return &planner{
+		name: "jaystile",
+		pool: pool,
+		submit: func(t task, done time.Duration) {
+			jobs[t.id] = jaysched.NewJob(t.id, t.spec, t.arrived)
+			s.Queue(jobs[t.id])
+		},
+		finish:  s.Finish,
+		stop:    s.Stopped,
+		changed: s.Replan,
+		decide: func(now time.Duration) []start {
+			var starts []start
+			for _, d := range s.Decide(now) {
+				st := start{job: d.Job().ID(), cause: d.Reason().Cause()}
+				for _, v := range d.Victims() {
+					st.victims = append(st.victims, v.Job())
+				}
+				starts = append(starts, st)
+			}
+			return starts
+		},
+	}
+}
+
+// queued is a waiting job of a baseline.
+type queued struct {
+	task task
+	left time.Duration
+}
+
+// baseline is the common part of the baselines: one queue in order of arrival.
+type baseline struct {
+	pool    *jaypool.Pool
+	queue   []queued
+	holds   int
+	ends    map[string]time.Duration
+	bestFit bool
+	easy    bool
+}
+
+// newBaseline returns first-come first-fit, or best-fit with EASY backfill on
+// declared run times. Source of EASY: D. Lifka, The ANL/IBM SP Scheduling
+// System, 1995.
+func newBaseline(easy bool) *planner {
+	b := &baseline{pool: newPool(), ends: map[string]time.Duration{}, bestFit: easy, easy: easy}
+	name := "fcfs_first_fit"
+	if easy {
+		name = "easy_best_fit"
+	}
+	return &planner{
+		name:    name,
+		pool:    b.pool,
+		submit:  b.submit,
+		finish:  func(id string, _ time.Duration) { b.free(id) },
+		stop:    func(id string, _ time.Duration) { b.free(id) },
+		changed: func() {},
+		decide:  b.decide,
+	}
+}
+
+func (b *baseline) submit(t task, done time.Duration) {
+	q := queued{task: t, left: max(t.spec.Runtime()-done, time.Second)}
+	i := sort.Search(len(b.queue), func(i int) bool { return b.queue[i].task.arrived > t.arrived })
+	b.queue = append(b.queue, queued{})
+	copy(b.queue[i+1:], b.queue[i:])
+	b.queue[i] = q
+}
+
+func (b *baseline) free(id string) {
+	b.pool.ReleaseJob(id)
+	delete(b.ends, id)
+}
+
+// decide starts jobs in order of arrival; with EASY, jobs behind the first that
+// must wait start too if they do not delay it by their declared run times.
+func (b *baseline) decide(now time.Duration) []start {
+	var starts []start
+	for len(b.queue) > 0 && b.begin(b.queue[0], now) {
+		starts = append(starts, start{job: b.queue[0].task.id})
+		b.queue = b.queue[1:]
+	}
+	if !b.easy || len(b.queue) == 0 {
+		return starts
+	}
+	shadow, reserved := b.shadow(b.queue[0].task.spec.Shape(), now)
+	for i := 1; i < len(b.queue); i++ {
+		q := b.queue[i]
+		if b.backfills(q, shadow, reserved, now) {
+			starts = append(starts, start{job: q.task.id})
+			b.queue = append(b.queue[:i], b.queue[i+1:]...)
+			i--
+		}
+	}
+	return starts
+}
+
+func (b *baseline) begin(q queued, now time.Duration) bool {
+	seats := b.seats(q.task.spec.Shape(), func(w *jaypool.Worker) int { return w.Free() })
+	if seats == nil {
+		return false
+	}
+	b.book(q, seats, now)
+	return true
+}
+
+func (b *baseline) book(q queued, seats []*jaypool.Worker, now time.Duration) {
+	for _, w := range seats {
+		b.holds++
+		_, err := b.pool.Hold(w.ID(), jaypool.Hold{ID: fmt.Sprint(b.holds), Job: q.task.id, Workspace: q.task.spec.Workspace(), Accelerators: q.task.spec.Shape().Accelerators(), Since: now})
+		if err != nil {
+			panic(fmt.Errorf("baseline: %w", err))
+		}
+	}
+	b.ends[q.task.id] = now + q.left
+}
+
+func (b *baseline) backfills(q queued, shadow time.Duration, reserved map[string]int, now time.Duration) bool {
+	room := func(w *jaypool.Worker) int { return w.Free() }
+	if now+q.left > shadow {
+		room = func(w *jaypool.Worker) int { return w.Free() - reserved[w.ID()] }
+	}
+	seats := b.seats(q.task.spec.Shape(), room)
+	if seats == nil {
+		return false
+	}
+	b.book(q, seats, now)
+	return true
+}
+
+// seats takes the first workers that fit, or with best fit the fullest.
+func (b *baseline) seats(s jayjob.Shape, room func(*jaypool.Worker) int) []*jaypool.Worker {
+	for _, name := range b.pool.GroupNames(s.Near()) {
+		group := append([]*jaypool.Worker(nil), b.pool.Groups(s.Near())[name]...)
+		if b.bestFit {
+			sort.SliceStable(group, func(i, j int) bool { return room(group[i]) < room(group[j]) })
+		}
+		var seats []*jaypool.Worker
+		for _, w := range group {
+			for n := room(w); n >= s.Accelerators() && len(seats) < s.Members(); n -= s.Accelerators() {
+				seats = append(seats, w)
+			}
+		}
+		if len(seats) == s.Members() {
+			return seats
+		}
+	}
+	return nil
+}
+
+// shadow returns when the shape is expected to fit, by declared ends, and what
+// it will need of each worker beyond what ends by then.
+func (b *baseline) shadow(s jayjob.Shape, now time.Duration) (time.Duration, map[string]int) {
+	bestAt, best := time.Duration(math.MaxInt64), map[string]int{}
+	for _, name := range b.pool.GroupNames(s.Near()) {
+		if at, need, ok := b.shadowIn(b.pool.Groups(s.Near())[name], s, now); ok && at < bestAt {
+			bestAt, best = at, need
+		}
+	}
+	return bestAt, best
+}
+
+func (b *baseline) shadowIn(group []*jaypool.Worker, s jayjob.Shape, now time.Duration) (time.Duration, map[string]int, bool) {
+	type end struct {
+		at    time.Duration
+		w     *jaypool.Worker
+		count int
+	}
+	var ends []end
+	free := map[string]int{}
+	for _, w := range group {
+		free[w.ID()] = w.Free()
+		for _, h := range w.Holdings() {
+			ends = append(ends, end{at: max(b.ends[h.Job()], now), w: w, count: h.Accelerators()})
+		}
+	}
+	sort.SliceStable(ends, func(i, j int) bool { return ends[i].at < ends[j].at })
+	at := now
+	for i := 0; ; i++ {
+		members := 0
+		for _, n := range free {
+			members += n / s.Accelerators()
+		}
+		if members >= s.Members() {
+			return at, b.need(group, free, s), true
+		}
+		if i == len(ends) {
+			return 0, nil, false
+		}
+		at = ends[i].at
+		free[ends[i].w.ID()] += ends[i].count
+	}
+}
+
+func (b *baseline) need(group []*jaypool.Worker, free map[string]int, s jayjob.Shape) map[string]int {
+	need := map[string]int{}
+	members := s.Members()
+	for _, w := range group {
+		n := min(free[w.ID()]/s.Accelerators(), members)
+		members -= n
+		ending := free[w.ID()] - w.Free()
+		need[w.ID()] = max(n*s.Accelerators()-ending, 0)
+	}
+	return need
+}
--- a/internal/version/jaymanifest/codec.go
+++ b/internal/version/jaymanifest/codec.go
@@ -259,3 +259,8 @@
 	}
 	return append(b, '\n'), nil
 }
+
+// String prints the salt and hash as a manifest's keys.
+func (c Credential) String() string {
+	return fmt.Sprintf("\"key_salt\": %q, \"key_hash\": %q", c.salt, c.hash)
+}
