Move checkpointing work to make whole workers free

Cause: partly used workers keep gangs waiting. Change: Scheduler.Compact picks work that fits elsewhere; the entry asks its anchor to stop it with a checkpoint and places it anew. Standard gangs may displace checkpointing deferrable work. Intrusion into idle homes costs less, since what borrows can be stopped.

--- a/internal/connection/jayframe/message.go
+++ b/internal/connection/jayframe/message.go
@@ -372,6 +372,8 @@
 type Cancel struct {
 	_       struct{} `cbor:",toarray"`
 	Attempt Attempt
+	// Resume stops the attempt with a checkpoint, so that it is placed anew.
+	Resume bool
 	// Owner is the incarnation of the side that the attempt was sent to.
 	Owner uint64
 }
--- a/internal/process/jayentry/entry.go
+++ b/internal/process/jayentry/entry.go
@@ -91,6 +91,8 @@
 	replanned uint64
 	// nextAdoption is when orphaned jobs are looked for again.
 	nextAdoption time.Duration
+	// nextCompact is when work may be moved again.
+	nextCompact time.Duration
 
 	// follow keeps a link to the entry at an address; Run sets it.
 	follow func(address string)
@@ -288,6 +290,7 @@
 	e.adoptOrphans(now)
 	e.releaseProbation(now)
 	e.forgetJobs(now)
+	e.compact(now)
 	snapshot := e.snapshotDue(now)
 	e.mutex.Unlock()
 	if snapshot {
--- a/internal/process/jayentry/place.go
+++ b/internal/process/jayentry/place.go
@@ -28,6 +28,8 @@
 	sheddingMargin = 2 * time.Millisecond
 	replaceFirst   = 2 * time.Millisecond
 	replaceMost    = 500 * time.Millisecond
+	// compactEvery is the least time between two moves of work.
+	compactEvery = 10 * time.Second
 )
 
 // dispatch sends waiting requests to runners with room.
@@ -163,6 +165,28 @@
 	}
 }
 
+// compact stops work that can move to fuller workers; its checkpoint is placed
+// anew when its anchor has answered.
+func (e *Entry) compact(now time.Duration) {
+	if now < e.nextCompact {
+		return
+	}
+	for _, id := range e.scheduler.Compact(now) {
+		j := e.jobs[id]
+		if j == nil || j.attempt == nil || len(j.attempt.seats) > 1 || j.canceling {
+			continue
+		}
+		s := e.sides[j.attempt.anchor]
+		if s == nil || s.link == nil {
+			continue
+		}
+		e.nextCompact = now + compactEvery
+		e.counter(`jaystile_entry_moves_total`).Inc()
+		e.recorder.Record(jaytimeline.JobMoved, e.attemptFields(j.attempt, "to make a whole worker free"))
+		_ = s.link.Send(&jayframe.Cancel{Attempt: jayframe.FromID(j.attempt.id), Owner: uint64(j.attempt.owner), Resume: true})
+	}
+}
+
 // start sends the holds of a decision to the owners.
 func (e *Entry) start(j *job, d jaysched.Decision) {
 	var seats []string
--- a/internal/process/jaypolicy/driver.go
+++ b/internal/process/jaypolicy/driver.go
@@ -12,6 +12,8 @@
 	checkpointEvery = 5 * time.Minute
 	// stopCost is how long a victim takes to save itself and leave.
 	stopCost = 2 * time.Second
+	// compactEvery is the least time between two moves of work.
+	compactEvery = 30 * time.Second
 	// minRuntime bounds the slowdown of very short jobs from below. Source:
 	// D. Feitelson and L. Rudolph, bounded slowdown, 1998.
 	minRuntime = 10 * time.Second
@@ -60,25 +62,28 @@
 	begun   time.Duration
 	first   time.Duration
 	running bool
-	life    int
-	ended   time.Duration
-	stops   int
+	// entitled says that the job's shape was guaranteed to it when it arrived.
+	entitled bool
+	life     int
+	ended    time.Duration
+	stops    int
 }
 
 // driver runs one planner over one run's jobs and outages.
 type driver struct {
-	planner    *planner
-	events     events
-	order      int
-	jobs       map[string]*progress
-	list       []*progress
-	lastAt     time.Duration
-	horizon    time.Duration
-	fragmented float64
-	busy       float64
-	weighed    float64
-	lost       time.Duration
-	reclaims   []time.Duration
+	planner     *planner
+	events      events
+	order       int
+	jobs        map[string]*progress
+	list        []*progress
+	lastAt      time.Duration
+	horizon     time.Duration
+	fragmented  float64
+	busy        float64
+	weighed     float64
+	lost        time.Duration
+	nextCompact time.Duration
+	reclaims    []time.Duration
 }
 
 func (d *driver) push(at time.Duration, kind eventKind, index, life int) {
@@ -129,7 +134,9 @@
 func (d *driver) happen(e event, outages []outage) {
 	switch e.kind {
 	case arrives:
-		d.planner.submit(d.list[e.index].task, 0)
+		p := d.list[e.index]
+		p.entitled = d.planner.entitled != nil && d.planner.entitled(p.task)
+		d.planner.submit(p.task, 0)
 	case finishes:
 		d.finish(d.list[e.index], e)
 	case fails:
@@ -194,8 +201,36 @@
 	}
 }
 
-// decide starts what the planner says.
+// decide starts what the planner says until it has nothing more to start, then
+// lets it compact once.
 func (d *driver) decide(now time.Duration) {
+	for d.startAll(now) {
+	}
+	if d.planner.compact == nil || now < d.nextCompact {
+		return
+	}
+	moved := d.planner.compact(now)
+	for _, id := range moved {
+		d.evict(d.jobs[id], now)
+	}
+	if len(moved) > 0 {
+		d.nextCompact = now + compactEvery
+		for d.startAll(now) {
+		}
+	}
+}
+
+// evict stops a job that made room and queues it again.
+func (d *driver) evict(p *progress, now time.Duration) {
+	d.interrupt(p, now, false)
+	d.lost += stopCost * time.Duration(p.task.spec.Shape().Total())
+	d.planner.stop(p.task.id, p.done)
+}
+
+// startAll starts one round of decisions and reports whether any had victims,
+// which are queued again.
+func (d *driver) startAll(now time.Duration) bool {
+	again := false
 	for _, s := range d.planner.decide(now) {
 		begin := now
 		for _, v := range s.victims {
@@ -203,22 +238,22 @@
 			if !p.running {
 				continue
 			}
-			d.interrupt(p, now, false)
-			d.lost += stopCost * time.Duration(p.task.spec.Shape().Total())
-			d.planner.stop(v, p.done)
+			d.evict(p, now)
 			begin = now + stopCost
+			again = true
 		}
-		d.begin(d.jobs[s.job], begin, s.cause)
+		d.begin(d.jobs[s.job], begin)
 	}
+	return again
 }
 
-func (d *driver) begin(p *progress, at time.Duration, cause jaysched.Cause) {
+func (d *driver) begin(p *progress, at time.Duration) {
 	p.begun = at
 	p.running = true
 	p.life++
 	if p.first == 0 {
 		p.first = at
-		if cause == jaysched.ByReclaim || cause == jaysched.OnHome {
+		if p.entitled {
 			d.reclaims = append(d.reclaims, at-p.task.arrived)
 		}
 	}
--- a/internal/process/jaypolicy/planner.go
+++ b/internal/process/jaypolicy/planner.go
@@ -33,7 +33,12 @@
 	changed func()
 	// decide returns what starts now, booked in the pool.
 	decide func(now time.Duration) []start
-	pool   *jaypool.Pool
+	// compact returns jobs to stop and place anew; it may be nil.
+	compact func(now time.Duration) []string
+	// entitled reports whether a job fits the unused part of its workspace's
+	// home; it may be nil.
+	entitled func(t task) bool
+	pool     *jaypool.Pool
 }
 
 // newCore returns jaystile's own decision core as a planner.
@@ -50,9 +55,11 @@
 			jobs[t.id] = jaysched.NewJob(t.id, t.spec, t.arrived)
 			s.Queue(jobs[t.id])
 		},
-		finish:  s.Finish,
-		stop:    s.Stopped,
-		changed: s.Replan,
+		finish:   s.Finish,
+		stop:     s.Stopped,
+		changed:  s.Replan,
+		compact:  s.Compact,
+		entitled: func(t task) bool { return s.Entitled(t.spec) },
 		decide: func(now time.Duration) []start {
 			var starts []start
 			for _, d := range s.Decide(now) {
--- a/internal/process/jaysched/placement.go
+++ b/internal/process/jaysched/placement.go
@@ -15,7 +15,7 @@
 	costLeftover     = 1.0
 	costBreakWorker  = 1.0
 	costBreakRack    = 0.5
-	costForeignHome  = 1.5
+	costForeignHome  = 0.2
 	gainOwnHome      = 0.5
 	costStopVictim   = 0.5
 	unlimitedMembers = math.MaxInt32
@@ -56,6 +56,19 @@
 	}
 }
 
+// Entitled reports whether the shape of a job fits the part of its workspace's
+// home that the workspace does not use now.
+func (s *Scheduler) Entitled(spec jayjob.Spec) bool {
+	j := NewJob("", spec, 0)
+	return jayplan.Fits(spec.Shape(), s.pool, func(w *jaypool.Worker) int {
+		home := s.plan.Home(w.ID(), spec.Workspace()) - w.Held(spec.Workspace())
+		if w.Closed() || home <= 0 {
+			return 0
+		}
+		return s.guarded(j, w, home)
+	})
+}
+
 // displacedRoom counts free accelerators and those that the job may take from
 // others by the given test.
 func (s *Scheduler) displacedRoom(j *Job, may func(*jaypool.Holding) bool) roomFunc {
--- a/internal/process/jaysched/round.go
+++ b/internal/process/jaysched/round.go
@@ -157,7 +157,10 @@
 		return Decision{}, false
 	}
 	may := func(h *jaypool.Holding) bool {
-		if !h.Stoppable() || !h.Checkpointing() || h.Class() < j.spec.Class() || left(h, r.now) < least {
+		if !h.Stoppable() || !h.Checkpointing() || h.Class() < j.spec.Class() {
+			return false
+		}
+		if left(h, r.now) < least && h.Class() == j.spec.Class() {
 			return false
 		}
 		if v := s.running[h.Job()]; v == nil || v.stops >= s.Policy.MaxStops || r.now-h.Since() < s.Policy.CheckpointCost {
--- a/internal/process/jaysched/scheduler.go
+++ b/internal/process/jaysched/scheduler.go
@@ -30,6 +30,11 @@
 	// BackfillQuantile is the quantile of the run time that a backfilled job
 	// must end within.
 	BackfillQuantile float64
+	// CompactAbove is the fragmentation above which checkpointing work is moved
+	// to fuller workers; one or more turns this off.
+	CompactAbove float64
+	// CompactAfter is how long work must have run before it is moved.
+	CompactAfter time.Duration
 	// SizeExponent raises the rank of large shapes, scaled by the weight of
 	// fragmentation.
 	SizeExponent float64
@@ -44,6 +49,8 @@
 		LostShare:        0.5,
 		Reservations:     1,
 		BackfillQuantile: 0.75,
+		CompactAbove:     0.2,
+		CompactAfter:     time.Minute,
 		SizeExponent:     0.5,
 	}
 }
--- a/internal/process/jayside/gangs.go
+++ b/internal/process/jayside/gangs.go
@@ -269,7 +269,11 @@
 		_ = l.Reply(call, s.unheard(m.Attempt, m.Owner))
 		return
 	}
-	s.carryOut(g, g.book.Stop(jaygang.Canceled, "canceled by its caller", s.now()))
+	result, cause := jaygang.Canceled, "canceled by its caller"
+	if m.Resume {
+		result, cause = jaygang.Stopped, "moved by its entry"
+	}
+	s.carryOut(g, g.book.Stop(result, cause, s.now()))
 	_ = l.Reply(call, s.outcome(g))
 }
 
--- a/internal/process/jaytimeline/timeline.go
+++ b/internal/process/jaytimeline/timeline.go
@@ -71,6 +71,7 @@
 	JobEnded          Name = "job_ended"
 	JobAdopted        Name = "job_adopted"
 	JobCanceled       Name = "job_canceled"
+	JobMoved          Name = "job_moved"
 	AttemptSent       Name = "attempt_sent"
 	AttemptHeld       Name = "attempt_held"
 	AttemptRefused    Name = "attempt_refused"
