--- /dev/null
+++ b/internal/connection/jaylink/link_test.go
@@ -0,0 +1,118 @@
+package jaylink
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/jaystile/jaystile/internal/connection/jayframe"
+	"github.com/jaystile/jaystile/internal/process/jaystandin"
+)
+
+func endpoint(name, key string) *Endpoint {
+	return &Endpoint{
+		Name:        name,
+		Incarnation: 1,
+		SharedKey:   []byte(key),
+		Timing:      Timing{Beat: 10 * time.Millisecond, Silence: 150 * time.Millisecond},
+		Handler: func(l *Link, call uint64, m jayframe.Message) {
+			if _, ok := m.(*jayframe.Drain); ok {
+				_ = l.Reply(call, &jayframe.Ack{OK: true})
+			}
+		},
+		MakeBeat: func() jayframe.Beat { return jayframe.Beat{} },
+		Admit:    func(*jayframe.Hello) (*jayframe.Welcome, error) { return &jayframe.Welcome{}, nil },
+		Opened:   func(*Link, *jayframe.Hello) {},
+		Ended:    func(*Link) {},
+		MaxLinks: 16,
+	}
+}
+
+// serve runs a listening endpoint behind a relay.
+func serve(t *testing.T, e *Endpoint) *jaystandin.Relay {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- e.Serve(ctx, l) }()
+	relay, closeRelay, err := jaystandin.NewRelay(l.Addr().String())
+	assert.NilError(t, err)
+	t.Cleanup(func() {
+		closeRelay()
+		cancel()
+		assert.NilError(t, <-done)
+	})
+	return relay
+}
+
+func dial(t *testing.T, e *Endpoint, address string) *Link {
+	t.Helper()
+	l, _, err := e.Dial(context.Background(), address, &jayframe.Hello{Role: jayframe.RoleSide})
+	assert.NilError(t, err)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		l.Carry(context.Background())
+	}()
+	t.Cleanup(func() {
+		l.Close("test is over")
+		<-done
+	})
+	return l
+}
+
+func TestCallIsAnswered(t *testing.T) {
+	relay := serve(t, endpoint("listener", "key"))
+	l := dial(t, endpoint("dialer", "key"), relay.Address())
+	reply, err := l.Call(context.Background(), &jayframe.Drain{On: true})
+	assert.NilError(t, err)
+	_, ok := reply.(*jayframe.Ack)
+	assert.Assert(t, ok)
+}
+
+func TestStrangersAreRefused(t *testing.T) {
+	relay := serve(t, endpoint("listener", "key"))
+	_, _, err := endpoint("dialer", "another").Dial(context.Background(), relay.Address(), &jayframe.Hello{})
+	assert.Assert(t, err != nil)
+}
+
+// TestSilentDirectionsCloseTheLink makes an open connection silent in one or
+// both directions; a new one through the same relay works at once.
+func TestSilentDirectionsCloseTheLink(t *testing.T) {
+	cases := []struct {
+		name  string
+		fault jaystandin.RelayFault
+	}{
+		{"both", jaystandin.RelayFault{DropForward: true, DropBack: true}},
+		{"forward", jaystandin.RelayFault{DropForward: true}},
+		{"back", jaystandin.RelayFault{DropBack: true}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			relay := serve(t, endpoint("listener", "key"))
+			old := dial(t, endpoint("dialer", "key"), relay.Address())
+			_, err := old.Call(context.Background(), &jayframe.Drain{})
+			assert.NilError(t, err)
+			relay.Spoil(c.fault)
+			<-old.Done()
+			assert.ErrorContains(t, old.Err(), "closed")
+			fresh := dial(t, endpoint("dialer", "key"), relay.Address())
+			_, err = fresh.Call(context.Background(), &jayframe.Drain{})
+			assert.NilError(t, err)
+		})
+	}
+}
+
+func TestSlowLinkStaysOpen(t *testing.T) {
+	relay := serve(t, endpoint("listener", "key"))
+	l := dial(t, endpoint("dialer", "key"), relay.Address())
+	relay.Spoil(jaystandin.RelayFault{Delay: 20 * time.Millisecond})
+	for range 10 {
+		_, err := l.Call(context.Background(), &jayframe.Drain{})
+		assert.NilError(t, err)
+	}
+}
