--- /dev/null
+++ b/internal/process/jaygang/gang_test.go
@@ -0,0 +1,157 @@
+package jaygang
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/jaystile/jaystile/internal/process/jayassert"
+	"github.com/jaystile/jaystile/internal/request/jayattempt"
+)
+
+const (
+	lease   = 4 * time.Second
+	ttl     = 6 * time.Second
+	members = 3
+)
+
+func id() jayattempt.ID { return jayattempt.NewID(1, 1) }
+
+// steps lists every message that takes a gang of three from its holds to its
+// answer, in order.
+func steps() []func(g *Gang, now time.Duration) []Action {
+	var all []func(g *Gang, now time.Duration) []Action
+	for i := range members {
+		all = append(all, func(g *Gang, now time.Duration) []Action {
+			a, _ := g.Join(i, uint64(i+1), now)
+			return a
+		})
+	}
+	all = append(all, func(g *Gang, now time.Duration) []Action {
+		a, _ := g.Commit([]uint64{1, 2, 3}, now)
+		return a
+	})
+	for i := range members {
+		all = append(all, func(g *Gang, now time.Duration) []Action { return g.Prepared(i, true, "", now) })
+	}
+	for i := range members {
+		all = append(all, func(g *Gang, now time.Duration) []Action {
+			return g.Done(i, Answered, []byte(fmt.Sprint(i)), "", now)
+		})
+	}
+	return all
+}
+
+// fleet tells what the members would do with the orders that they get.
+type fleet struct {
+	started [members]bool
+	stopped [members]bool
+	orders  map[Order]int
+}
+
+func (f *fleet) take(actions []Action) {
+	for _, a := range actions {
+		f.orders[a.Order()]++
+		switch a.Order() {
+		case Go:
+			f.started[a.Member()] = true
+		case Stop:
+			f.stopped[a.Member()] = true
+		case Prepare:
+		}
+	}
+}
+
+func (f *fleet) check(t *testing.T, g *Gang, at string) {
+	t.Helper()
+	started := 0
+	for i := range members {
+		if f.started[i] {
+			started++
+		}
+	}
+	assert.Assert(t, started == 0 || started == members, "%s: %d of %d members were started", at, started, members)
+	if g.Result() == Never {
+		assert.Equal(t, started, 0, at)
+	}
+	if g.Phase() == Ended && g.Result() != Answered {
+		assert.Equal(t, f.stopped, [members]bool{true, true, true}, at)
+	}
+}
+
+func TestWholeGangAnswers(t *testing.T) {
+	g := New(id(), members, lease, ttl, 0)
+	f := &fleet{orders: map[Order]int{}}
+	for _, s := range steps() {
+		f.take(s(g, 0))
+	}
+	assert.Equal(t, g.Result(), Answered)
+	assert.DeepEqual(t, g.Answers(), [][]byte{[]byte("0"), []byte("1"), []byte("2")})
+	assert.Equal(t, f.orders[Go], members)
+	assert.Equal(t, f.orders[Stop], 0)
+	assert.Assert(t, g.Settled(0))
+}
+
+// TestFailureAtEveryStep stops the exchange after each step in turn by each kind
+// of failure. All members run or none, and all are told to stop.
+func TestFailureAtEveryStep(t *testing.T) {
+	failures := []struct {
+		name string
+		fail func(g *Gang, i int, now time.Duration) []Action
+	}{
+		{"silence", func(g *Gang, _ int, now time.Duration) []Action { return g.Tick(now + lease + ttl) }},
+		{"cancel", func(g *Gang, _ int, now time.Duration) []Action { return g.Stop(Canceled, "cancel", now) }},
+		{"reclaim", func(g *Gang, i int, now time.Duration) []Action { return g.Done(i, Stopped, nil, "reclaim", now) }},
+		{"crash", func(g *Gang, i int, now time.Duration) []Action { return g.Done(i, Failed, nil, "crash", now) }},
+		{"refused", func(g *Gang, i int, now time.Duration) []Action { return g.Done(i, Never, nil, "refused", now) }},
+		{"unprepared", func(g *Gang, i int, now time.Duration) []Action { return g.Prepared(i, false, "cannot load", now) }},
+	}
+	all := steps()
+	for _, f := range failures {
+		for done := range len(all) + 1 {
+			for m := range members {
+				at := fmt.Sprintf("%s of member %d after step %d", f.name, m, done)
+				g := New(id(), members, lease, ttl, 0)
+				fl := &fleet{orders: map[Order]int{}}
+				for _, s := range all[:done] {
+					fl.take(s(g, 0))
+				}
+				fl.take(f.fail(g, m, 0))
+				fl.check(t, g, at)
+				for _, s := range all[done:] {
+					fl.take(s(g, time.Second))
+				}
+				fl.check(t, g, at+", then the rest")
+				if g.Phase() != Ended {
+					fl.take(g.Tick(time.Hour))
+				}
+				assert.Equal(t, g.Phase(), Ended, at)
+				assert.Assert(t, g.Settled(time.Hour), at)
+			}
+		}
+	}
+}
+
+func TestAnotherTokenCannotJoin(t *testing.T) {
+	g := New(id(), members, lease, ttl, 0)
+	_, err := g.Join(0, 1, 0)
+	assert.NilError(t, err)
+	_, err = g.Join(0, 2, 0)
+	var step *StepError
+	assert.Assert(t, errors.As(err, &step))
+}
+
+// TestAssertionNoticesFalseNever shows that the check can fail.
+func TestAssertionNoticesFalseNever(t *testing.T) {
+	var broken error
+	before := jayassert.OnBroken
+	jayassert.OnBroken = func(err error) { broken = err }
+	defer func() { jayassert.OnBroken = before }()
+	g := New(id(), members, lease, ttl, 0)
+	g.phase = Started
+	g.end(Never, "", 0)
+	assert.ErrorContains(t, broken, "is said never to have")
+}
--- /dev/null
+++ b/internal/process/jaysched/scheduler_test.go
@@ -0,0 +1,237 @@
+package jaysched
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/jaystile/jaystile/internal/process/jaypool"
+	"github.com/jaystile/jaystile/internal/request/jayjob"
+	"github.com/jaystile/jaystile/internal/version/jaymanifest"
+)
+
+func shapeOf(t rapid.TB, members, accelerators int, near jayjob.Near) jayjob.Shape {
+	s, err := jayjob.NewShape(members, accelerators, near)
+	assert.NilError(t, err)
+	return s
+}
+
+func pool(workers int) *jaypool.Pool {
+	p := jaypool.New()
+	for i := range workers {
+		p.Add(fmt.Sprintf("w%d", i), jaypool.NewPlace("dc", fmt.Sprintf("r%d", i/2), "c"), 4)
+	}
+	return p
+}
+
+// scheduler returns a scheduler over a pool with a guarantee of the shape for
+// workspace "a".
+func scheduler(t rapid.TB, workers int, guaranteed jayjob.Shape) *Scheduler {
+	d := jaymanifest.Draft{Deployment: "t", Weights: jaymanifest.NewWeights(1, 1), Workspaces: []jaymanifest.DraftWorkspace{
+		{Name: "a", Key: jaymanifest.FixedCredential("a"), Share: 1, Guarantees: []jaymanifest.Guarantee{jaymanifest.NewGuarantee("a", "g", guaranteed)}},
+		{Name: "b", Key: jaymanifest.FixedCredential("b"), Share: 1, Quota: 100},
+	}}
+	b, err := d.Encode()
+	assert.NilError(t, err)
+	m, err := jaymanifest.Parse(b)
+	assert.NilError(t, err)
+	s := New(pool(workers))
+	s.Configure(m.WithVersion(1))
+	return s
+}
+
+func spec(t rapid.TB, f jayjob.Fields) jayjob.Spec {
+	if f.Kind == "" {
+		f.Kind = "k"
+	}
+	if !f.Idempotent {
+		f.Key = "key"
+	}
+	s, err := jayjob.New(f)
+	assert.NilError(t, err)
+	return s
+}
+
+// TestReplanGetsItsAcceleratorsBack fills the pool with quotes and then claims
+// the adjacent accelerators of the guarantee.
+func TestReplanGetsItsAcceleratorsBack(t *testing.T) {
+	s := scheduler(t, 4, shapeOf(t, 2, 4, jayjob.SameRack))
+	quote := spec(t, jayjob.Fields{Workspace: "b", Class: jayjob.Urgent, Shape: shapeOf(t, 1, 1, jayjob.Anywhere), Idempotent: true, Runtime: time.Hour})
+	for i := range 16 {
+		assert.NilError(t, s.Submit(NewJob(fmt.Sprint(i), quote, 0)))
+	}
+	assert.Equal(t, len(s.Decide(0)), 16)
+	assert.Equal(t, s.Pool().Free(), 0)
+	replan := spec(t, jayjob.Fields{Workspace: "a", Class: jayjob.Standard, Shape: shapeOf(t, 2, 4, jayjob.SameRack), Idempotent: true})
+	assert.NilError(t, s.Submit(NewJob("replan", replan, 0)))
+	d := s.Decide(time.Second)
+	assert.Equal(t, len(d), 1)
+	assert.Equal(t, d[0].Reason().Cause(), ByReclaim)
+	assert.Equal(t, len(d[0].Victims()), 8)
+	assert.Equal(t, len(d[0].Seats()), 2)
+}
+
+// TestGuaranteeIsReclaimableAfterAnyDecisions lets random jobs of another
+// workspace arrive and end, then claims the whole guarantee: it must start at
+// once.
+func TestGuaranteeIsReclaimableAfterAnyDecisions(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		near := jayjob.Near(rapid.IntRange(0, 3).Draw(t, "near"))
+		members := rapid.IntRange(1, 3).Draw(t, "members")
+		accelerators := rapid.IntRange(1, 4).Draw(t, "accelerators")
+		s := scheduler(t, 4, shapeOf(t, members, accelerators, near))
+		if len(s.Plan().Unmet()) > 0 {
+			t.Skip("no room for the guarantee")
+		}
+		now := time.Duration(0)
+		for i := range rapid.IntRange(1, 25).Draw(t, "steps") {
+			now += time.Second
+			if ids := runningIDs(s); len(ids) > 0 && rapid.Bool().Draw(t, "end") {
+				s.Finish(rapid.SampledFrom(ids).Draw(t, "job"), time.Second)
+			}
+			j := spec(t, jayjob.Fields{
+				Workspace:     "b",
+				Class:         jayjob.Class(rapid.IntRange(0, 2).Draw(t, "class")),
+				Shape:         shapeOf(t, rapid.IntRange(1, 3).Draw(t, "m"), rapid.IntRange(1, 4).Draw(t, "n"), jayjob.Near(rapid.IntRange(0, 3).Draw(t, "at"))),
+				Idempotent:    rapid.Bool().Draw(t, "idempotent"),
+				Checkpointing: rapid.Bool().Draw(t, "checkpointing"),
+				Runtime:       time.Duration(rapid.IntRange(1, 100).Draw(t, "runtime")) * time.Second,
+			})
+			var never *NeverFitsError
+			if err := s.Submit(NewJob(fmt.Sprintf("b%d", i), j, now)); err != nil {
+				assert.Assert(t, errors.As(err, &never))
+			}
+			decideAll(s, now)
+			assert.NilError(t, s.Plan().Check(s.Pool()))
+			assert.NilError(t, s.Pool().Check())
+		}
+		claim := spec(t, jayjob.Fields{Workspace: "a", Class: jayjob.Standard, Shape: shapeOf(t, members, accelerators, near), Idempotent: true})
+		assert.Assert(t, s.Entitled(claim))
+		assert.NilError(t, s.Submit(NewJob("claim", claim, now)))
+		s.Decide(now)
+		assert.Assert(t, s.running["claim"] != nil, "the guarantee was not reclaimed: %s", s.waiting["claim"])
+	})
+}
+
+func runningIDs(s *Scheduler) []string {
+	var ids []string
+	for i := range 30 {
+		if id := fmt.Sprintf("b%d", i); s.running[id] != nil {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
+// decideAll decides as an entry does: victims are queued again.
+func decideAll(s *Scheduler, now time.Duration) {
+	for _, d := range s.Decide(now) {
+		for _, v := range d.Victims() {
+			s.Stopped(v.Job(), 0)
+		}
+	}
+}
+
+func TestJobsThatNeverFitAreRefusedWithTheNearestShape(t *testing.T) {
+	s := scheduler(t, 4, shapeOf(t, 1, 4, jayjob.SameWorker))
+	cases := []struct {
+		shape   jayjob.Shape
+		fixed   bool
+		nearest string
+	}{
+		{shapeOf(t, 3, 4, jayjob.SameRack), false, "3x4 near data_centre"},
+		{shapeOf(t, 1, 8, jayjob.SameWorker), false, "1x4 near worker"},
+		{shapeOf(t, 4, 4, jayjob.Anywhere), true, "3x4 near anywhere"},
+	}
+	for _, c := range cases {
+		err := s.Submit(NewJob("x", spec(t, jayjob.Fields{Workspace: "b", Shape: c.shape, Idempotent: !c.fixed}), 0))
+		var never *NeverFitsError
+		assert.Assert(t, errors.As(err, &never))
+		assert.Equal(t, never.Nearest.String(), c.nearest)
+	}
+}
+
+func TestWaitingJobsSayWhy(t *testing.T) {
+	s := scheduler(t, 2, shapeOf(t, 1, 1, jayjob.Anywhere))
+	long := spec(t, jayjob.Fields{Workspace: "b", Class: jayjob.Standard, Shape: shapeOf(t, 2, 4, jayjob.Anywhere), Idempotent: true, Runtime: time.Hour})
+	first, second := NewJob("first", long, 0), NewJob("second", long, 0)
+	assert.NilError(t, s.Submit(first))
+	assert.NilError(t, s.Submit(second))
+	assert.Equal(t, len(s.Decide(0)), 1)
+	assert.Equal(t, second.Reason().Cause(), WaitsReserved)
+	assert.Equal(t, second.Reason().Expected(), time.Hour)
+	assert.Equal(t, second.Reason().Blocker(), "0 accelerators free of 8, 2x4 near anywhere needed")
+}
+
+func TestCancelWaveLeavesNoHold(t *testing.T) {
+	s := scheduler(t, 4, shapeOf(t, 1, 1, jayjob.Anywhere))
+	j := spec(t, jayjob.Fields{Workspace: "b", Class: jayjob.Standard, Shape: shapeOf(t, 1, 1, jayjob.Anywhere), Idempotent: true})
+	for i := range 10_000 {
+		s.Queue(NewJob(fmt.Sprint(i), j, 0))
+	}
+	s.Decide(0)
+	for i := range 10_000 {
+		s.Cancel(fmt.Sprint(i))
+	}
+	assert.Equal(t, s.Pool().Free(), s.Pool().Total())
+	assert.Equal(t, s.Waiting(), 0)
+	assert.Equal(t, s.WaitingOf("b", jayjob.Standard), 0)
+}
+
+func TestCompactMovesWorkOffThePartlyUsedWorker(t *testing.T) {
+	s := scheduler(t, 2, shapeOf(t, 1, 4, jayjob.SameWorker))
+	j := spec(t, jayjob.Fields{Workspace: "b", Class: jayjob.Standard, Shape: shapeOf(t, 1, 2, jayjob.Anywhere), Idempotent: true, Checkpointing: true, Runtime: time.Hour})
+	for i, worker := range []string{"w0", "w1"} {
+		job := s.Adopt(fmt.Sprint(i), j, 0)
+		job.estimate = time.Hour
+		_, err := s.Pool().Hold(worker, job.hold(job.id, 2, 0))
+		assert.NilError(t, err)
+	}
+	assert.Equal(t, len(s.Compact(time.Second)), 0)
+	assert.Equal(t, len(s.Compact(2*time.Minute)), 1)
+}
+
+func TestLearnerForgetsDeclaredTimes(t *testing.T) {
+	l := NewLearner()
+	assert.Equal(t, l.Predict("w", "k", time.Hour, 0.5), time.Hour)
+	for range 20 {
+		l.Observe("w", "k", time.Hour, time.Minute)
+	}
+	assert.Equal(t, l.Predict("w", "k", time.Hour, 0.5), time.Minute)
+	assert.Equal(t, l.Predict("w", "other", 0, 0.5), defaultRuntime)
+}
+
+func TestHealthTellsBadWorkersFromPoisonedJobs(t *testing.T) {
+	h := NewHealth()
+	for i := range 10 {
+		assert.Assert(t, !h.Failed(fmt.Sprintf("w%d", i), "a", "poisoned", 11, 0), "a poisoned job was blamed on a worker")
+	}
+	assert.Assert(t, h.Poisoned("a", "poisoned"))
+	out := false
+	for i := range 8 {
+		out = out || h.Failed("bad", "a", fmt.Sprint("kind", i%3), 11, 0)
+	}
+	assert.Assert(t, out)
+	for _, w := range []string{"second", "third", "fourth"} {
+		for i := range 12 {
+			h.Failed(w, "b", fmt.Sprint(w, i), 11, 0)
+		}
+	}
+	assert.Assert(t, h.out() <= 2, "more than the set share is quarantined")
+	assert.Equal(t, len(h.Release(quarantineMost)), h.out()+len(h.workers)-countIn(h))
+}
+
+// countIn counts workers that are not quarantined and were not released.
+func countIn(h *Health) int {
+	n := 0
+	for _, w := range h.workers {
+		if !w.probation {
+			n++
+		}
+	}
+	return n
+}
