Test the folds, the log's reader, the request queue and the router

Cause: state and routing stood without tests. An answer to a request sent before an ejection brought the ejected runner back at once. Change: rapid machines for both streams with oracles; the router ignores answers that arrive during an ejection and forgets old ejections after a window of good answers. Conclusion: the folds agree from any retained offset.

--- a/internal/process/jayroute/router.go
+++ b/internal/process/jayroute/router.go
@@ -220,6 +220,10 @@
 	}
 	n.samples++
 	n.latency += time.Duration(latencyWeight * float64(took-n.latency))
+	if n.ejectedTill > now {
+		// An answer to what was sent before the ejection.
+		return
+	}
 	if n.ejectedTill > 0 {
 		n.ejectedTill = 0
 		n.limit = minLimit
@@ -227,7 +231,9 @@
 		r.tell(Change{Runner: n.name, Cause: "answered again"})
 		return
 	}
-	n.ejections = max(n.ejections-1, 0) * min(n.samples/minSlowSamples, 1)
+	if n.samples == minSlowSamples {
+		n.ejections = 0
+	}
 	if median := r.medianLatency(); n.samples >= minSlowSamples && median > 0 && float64(n.latency) > slowToEject*float64(median) {
 		r.eject(n, now, "slow")
 	}
--- /dev/null
+++ b/internal/process/jaystate/state_test.go
@@ -0,0 +1,226 @@
+package jaystate
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/jaystile/jaystile/internal/process/jayassert"
+	"github.com/jaystile/jaystile/internal/process/jaylog"
+	"github.com/jaystile/jaystile/internal/request/jayattempt"
+	"github.com/jaystile/jaystile/internal/request/jayjob"
+	"github.com/jaystile/jaystile/internal/version/jaymanifest"
+	"github.com/jaystile/jaystile/pkg/jayrefusal"
+)
+
+var epoch = time.UnixMilli(1_000_000)
+
+func keyed(t rapid.TB, key, payload string) jayjob.Spec {
+	shape, err := jayjob.NewShape(1, 0, jayjob.Anywhere)
+	assert.NilError(t, err)
+	s, err := jayjob.New(jayjob.Fields{Workspace: "w", Kind: "order", Shape: shape, Key: key, Payload: []byte(payload)})
+	assert.NilError(t, err)
+	return s
+}
+
+func jobs() *Jobs { return NewJobs(time.Minute, time.Second, 3) }
+
+// follow returns a fold that reads the records from the first one that is kept.
+func follow(records []jaylog.Record, kept int) (*Jobs, *Restorer) {
+	j := jobs()
+	r := &Restorer{Snapshot: j.TakeSnapshot, Load: j.LoadSnapshot, Apply: func(r jaylog.Record) { j.Apply(r) }}
+	if kept > 0 {
+		r.Gap(uint64(kept))
+	}
+	for _, record := range records[kept:] {
+		r.Take(record)
+	}
+	return j, r
+}
+
+// TestEveryReaderFoldsTheSame appends random records and snapshots, by any
+// reader, and compares readers that begin at any retained offset with one that
+// saw everything, and with an oracle for the keys.
+func TestEveryReaderFoldsTheSame(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var records []jaylog.Record
+		put := func(b []byte, err error) {
+			assert.NilError(t, err)
+			records = append(records, jaylog.NewRecord(uint64(len(records)), b))
+		}
+		now := epoch
+		holder := map[string]string{}
+		ran := map[string]bool{}
+		accepted := 0
+		for range rapid.IntRange(1, 40).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 500).Draw(t, "pass")) * time.Millisecond)
+			switch rapid.IntRange(0, 3).Draw(t, "action") {
+			case 0, 1:
+				accepted++
+				key := rapid.SampledFrom([]string{"k1", "k2", "k3"}).Draw(t, "key")
+				id := fmt.Sprintf("j%d", accepted)
+				put(EncodeAccepted(id, 1, now, keyed(t, key, id)))
+				if holder[key] == "" {
+					holder[key] = id
+				}
+			case 2:
+				id := fmt.Sprintf("j%d", rapid.IntRange(1, 20).Draw(t, "ended"))
+				whole, _ := follow(records, 0)
+				row := whole.Row(id)
+				if row == nil || row.End() != nil {
+					continue
+				}
+				var refusal *jayrefusal.Refusal
+				if rapid.Bool().Draw(t, "not run") {
+					refusal = jayrefusal.New(jayrefusal.Canceled, jayrefusal.NotRun, "x")
+				}
+				put(EncodeEnded(id, now, refusal, [][]byte{[]byte("a")}))
+				key := row.Spec().Key()
+				if holder[key] == id && refusal != nil {
+					holder[key] = ""
+				}
+				ran[id] = refusal == nil
+			case 3:
+				writer, _ := follow(records, 0)
+				parts, err := writer.Snapshot(rapid.Uint64().Draw(t, "snapshot"), now)
+				for _, p := range parts {
+					put(p, err)
+				}
+			}
+		}
+		whole, _ := follow(records, 0)
+		for key, id := range holder {
+			if id != "" {
+				assert.Equal(t, whole.ByKey("w", key).ID(), id)
+			}
+		}
+		late, restorer := follow(records, rapid.IntRange(0, len(records)).Draw(t, "kept"))
+		if restorer.Missing() {
+			return
+		}
+		assert.Equal(t, describe(late), describe(whole))
+	})
+}
+
+func describe(j *Jobs) string {
+	s := ""
+	for _, row := range j.wireRows() {
+		s += fmt.Sprintf("%s %v %v %v;", row.Accepted.Job, row.Accepted.Owner, row.Won, row.Ended != nil)
+	}
+	return s
+}
+
+func TestFirstClaimWinsAndKeysAreBounded(t *testing.T) {
+	j := jobs()
+	apply := func(offset uint64, b []byte, err error) *Row {
+		assert.NilError(t, err)
+		return j.Apply(jaylog.NewRecord(offset, b))
+	}
+	accept := func(offset uint64, id, key string) *Row {
+		b, err := EncodeAccepted(id, 1, epoch, keyed(t, key, "body"))
+		return apply(offset, b, err)
+	}
+	assert.Assert(t, accept(0, "first", "k1").Won())
+	second := accept(1, "second", "k1")
+	assert.Assert(t, !second.Won() && !second.Exhausted())
+	assert.Assert(t, accept(2, "first", "k1").Won(), "a repeated append must be harmless")
+	accept(3, "a", "k2")
+	accept(4, "b", "k3")
+	assert.Assert(t, accept(5, "c", "k4").Exhausted())
+	b, err := EncodeEnded("first", epoch, nil, nil)
+	apply(6, b, err)
+	later, err := EncodeAccepted("later", 1, epoch.Add(2*time.Minute), keyed(t, "k1", "body"))
+	assert.Assert(t, !apply(7, later, err).Won(), "a key is forgotten by the fold's time, which this record moves")
+	assert.Assert(t, j.Row("first") == nil)
+	again, err := EncodeAccepted("again", 1, epoch.Add(2*time.Minute), keyed(t, "k1", "body"))
+	assert.Assert(t, apply(8, again, err).Won())
+}
+
+func TestOneAdopterWins(t *testing.T) {
+	j := jobs()
+	feed := func(offset uint64, b []byte, err error) {
+		assert.NilError(t, err)
+		j.Apply(jaylog.NewRecord(offset, b))
+	}
+	b, err := EncodeAccepted("j", 1, epoch, keyed(t, "k", "body"))
+	feed(0, b, err)
+	for offset, adopter := range []jayattempt.Incarnation{2, 3} {
+		b, err := EncodeAdopted("j", 1, adopter, epoch)
+		feed(uint64(offset+1), b, err)
+	}
+	assert.Equal(t, j.Row("j").Owner(), jayattempt.Incarnation(2))
+}
+
+func TestCorruptRecordsAreSkipped(t *testing.T) {
+	j := jobs()
+	for i, b := range [][]byte{nil, {0xff}, []byte("text"), {0x82, 0x01, 0x80}} {
+		assert.Assert(t, j.Apply(jaylog.NewRecord(uint64(i), b)) == nil)
+	}
+	assert.Equal(t, j.Corrupt(), uint64(4))
+}
+
+func manifest(t rapid.TB, base uint64, name string) []byte {
+	b, err := jaymanifest.Draft{Base: base, Deployment: name, Weights: jaymanifest.NewWeights(1, 1)}.Encode()
+	assert.NilError(t, err)
+	return b
+}
+
+// TestRacingPublishers appends manifests on random bases, snapshots and offers
+// from peers; the oracle is a plain list that grows by one where the base is its
+// length.
+func TestRacingPublishers(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var accepted []string
+		var records []jaylog.Record
+		put := func(b []byte) { records = append(records, jaylog.NewRecord(uint64(len(records)), b)) }
+		writer := NewManifests()
+		for n := range rapid.IntRange(1, 30).Draw(t, "steps") {
+			if rapid.IntRange(0, 4).Draw(t, "snapshot") == 0 {
+				b, err := writer.Snapshot(epoch)
+				assert.NilError(t, err)
+				if b != nil {
+					put(b)
+				}
+				continue
+			}
+			base := uint64(max(len(accepted)-rapid.IntRange(0, 2).Draw(t, "stale"), 0))
+			name := fmt.Sprintf("m%d", n)
+			put(manifest(t, base, name))
+			if base == uint64(len(accepted)) {
+				accepted = append(accepted, name)
+			}
+			writer.Apply(records[len(records)-1])
+		}
+		reader := NewManifests()
+		highest := uint64(0)
+		for _, r := range records {
+			if writer.Current() != nil && rapid.IntRange(0, 5).Draw(t, "peer") == 0 {
+				reader.Offer(writer.Version(), writer.Current().Source())
+			}
+			reader.Apply(r)
+			assert.Assert(t, reader.Version() >= highest)
+			highest = reader.Version()
+		}
+		assert.Equal(t, reader.Version(), uint64(len(accepted)))
+		if len(accepted) > 0 {
+			assert.Equal(t, reader.Current().Deployment(), accepted[len(accepted)-1])
+		}
+	})
+}
+
+// TestAssertionNoticesRevert shows that the check can fail.
+func TestAssertionNoticesRevert(t *testing.T) {
+	var broken error
+	before := jayassert.OnBroken
+	jayassert.OnBroken = func(err error) { broken = err }
+	defer func() { jayassert.OnBroken = before }()
+	f := NewManifests()
+	assert.Assert(t, f.Offer(7, manifest(t, 6, "m")))
+	old, err := jaymanifest.Parse(manifest(t, 1, "old"))
+	assert.NilError(t, err)
+	f.put(old.WithVersion(2))
+	assert.ErrorContains(t, broken, "go back from version 7 to 2")
+}
