Test the whole path in one process, under faults and replacement

Ports of second lives collided. Change: a killed entry answers nobody; callers who wait on an earlier job hear of the shutdown; ports come from an address of the process's own.

--- a/internal/process/jaydemo/demo.go
+++ b/internal/process/jaydemo/demo.go
@@ -214,6 +214,10 @@
 	begin := time.Now()
 	for asked := 1; ; asked++ {
 		j, err := r.clients[a.kind.Workspace].Submit(ctx, a.body)
+		if err == nil && !j.State.Ended() {
+			// An earlier request under the key still runs.
+			j, err = r.clients[a.kind.Workspace].Job(ctx, j.ID, submitGrace)
+		}
 		if err == nil {
 			r.judge.took(verdict{arrival: a, job: j, took: time.Since(begin)})
 			return
--- /dev/null
+++ b/internal/process/jaydemo/demo_test.go
@@ -0,0 +1,332 @@
+package jaydemo
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/sourcegraph/conc/iter"
+	"gotest.tools/v3/assert"
+
+	"github.com/jaystile/jaystile/internal/process/jaystandin"
+	"github.com/jaystile/jaystile/pkg/jayapi"
+	"github.com/jaystile/jaystile/pkg/jayclient"
+	"github.com/jaystile/jaystile/pkg/jayrefusal"
+)
+
+// quick makes failures be noticed soon, so that tests are short.
+var quick = Timing{Beat: 50 * time.Millisecond, Silence: 400 * time.Millisecond, Lease: 800 * time.Millisecond}
+
+// patience bounds the waits of tests; nothing is measured by it.
+const patience = 30 * time.Second
+
+// startFleet starts a deployment with its manifest in force.
+func startFleet(t *testing.T) *run {
+	t.Helper()
+	f := NewFleet(kjaergaard(), 3, quick, zerolog.Nop())
+	stop, err := f.Start(1)
+	assert.NilError(t, err)
+	t.Cleanup(stop)
+	r := &run{demo: &Demo{Deployment: f.Deployment, Entries: 3}, fleet: f, judge: NewJudge(), clients: map[string]*jayclient.Client{}}
+	t.Cleanup(r.connect())
+	assert.NilError(t, r.prepare(context.Background()))
+	return r
+}
+
+// client returns a client of one entry for a workspace.
+func (r *run) client(t *testing.T, entry int, workspace string) *jayclient.Client {
+	t.Helper()
+	c, closeClient := jayclient.New(r.fleet.Addresses()[entry])
+	c.Workspace, c.Key, c.OperatorKey = workspace, WorkspaceKey(workspace), OperatorKey
+	t.Cleanup(closeClient)
+	return c
+}
+
+func program(millis int, answer string) []byte {
+	return []byte(fmt.Sprintf(`{"standin_ms":%d,"answer":%q}`, millis, answer))
+}
+
+func order(answer, key string, millis int) jayapi.Submission {
+	return jayapi.Submission{Kind: "order", Class: "urgent", Members: 1, Payload: program(millis, answer), Key: key, Wait: true, DeadlineMillis: 20_000}
+}
+
+func gang(answer string, millis int) jayapi.Submission {
+	return jayapi.Submission{Kind: "replan", Class: "standard", Members: 2, Accelerators: 8, Near: "rack", Payload: program(millis, answer), Idempotent: true, Checkpointing: true}
+}
+
+func (r *run) runs(answer string) int {
+	var records [][]jaystandin.Run
+	for i := range r.fleet.workers {
+		records = append(records, r.fleet.workers[i].Runs(), r.fleet.runners[i].Runs())
+	}
+	return len(runsByToken(records...)[answer])
+}
+
+func eventually(t *testing.T, what string, f func() bool) {
+	t.Helper()
+	for deadline := time.Now().Add(patience); time.Now().Before(deadline); time.Sleep(20 * time.Millisecond) {
+		if f() {
+			return
+		}
+	}
+	t.Fatalf("never happened: %s", what)
+}
+
+func TestDemoKeepsItsPromises(t *testing.T) {
+	cases := []struct {
+		deployment string
+		seed       uint64
+		seconds    int
+		load       float64
+		faults     string
+	}{
+		{"kjaergaard", 1, 2, 0.7, ""},
+		{"salish", 2, 2, 1.1, ""},
+		{"kjaergaard", 3, 6, 0.5, "kill_entry,kill_side"},
+		{"salish", 4, 6, 0.5, "pause_entry,pause_side,silent_link,one_way_link,slow_link"},
+		{"kjaergaard", 5, 6, 0.5, "log_out,log_slow,log_loses_answers,log_stale_reads,drain_side,stop_entry"},
+		{"salish", 6, 6, 0.5, "cross_answers,bad_worker,runner_down"},
+	}
+	for _, c := range cases {
+		t.Run(fmt.Sprintf("%s %d %s", c.deployment, c.seed, c.faults), func(t *testing.T) {
+			d, err := Find(c.deployment)
+			assert.NilError(t, err)
+			faults, err := ParseFaults(c.faults, time.Second)
+			assert.NilError(t, err)
+			demo := &Demo{Deployment: d, Entries: 3, Span: time.Duration(c.seconds) * time.Second, Seed: c.seed, Load: c.load, Faults: faults, Timing: quick, Logger: zerolog.Nop(), Progress: testLog{t}}
+			s, err := demo.Run(context.Background())
+			assert.NilError(t, err)
+			assert.NilError(t, s.Err())
+			assert.Equal(t, s.Completed+s.Refused+s.Unknown, s.Submitted)
+		})
+	}
+}
+
+// TestAtMostOnceThroughEveryEntry sends one keyed request through all entries at
+// once, then again, then with another body.
+func TestAtMostOnceThroughEveryEntry(t *testing.T) {
+	r := startFleet(t)
+	key := jayclient.NewKey()
+	entries := []int{0, 1, 2}
+	iter.ForEach(entries, func(i *int) {
+		j, err := r.client(t, *i, "order-desk").Submit(context.Background(), order("pallet", key, 200))
+		assert.Check(t, err)
+		assert.Check(t, j != nil && string(j.Answers[0]) == "pallet")
+	})
+	j, err := r.client(t, 1, "order-desk").Submit(context.Background(), order("pallet", key, 200))
+	assert.NilError(t, err)
+	assert.Equal(t, string(j.Answers[0]), "pallet")
+	assert.Equal(t, r.runs("pallet"), 1)
+	_, err = r.client(t, 2, "order-desk").Submit(context.Background(), order("another", key, 200))
+	assert.Equal(t, jayrefusal.From(err).Code(), jayrefusal.KeyReused)
+	assert.Equal(t, r.runs("another"), 0)
+}
+
+// TestKeyOutlivesItsEntry kills the entry that has a keyed request: a retry
+// elsewhere gets the outcome or "unknown", never a second run.
+func TestKeyOutlivesItsEntry(t *testing.T) {
+	r := startFleet(t)
+	key := jayclient.NewKey()
+	done := make(chan error, 1)
+	go func() {
+		_, err := r.client(t, 0, "order-desk").Submit(context.Background(), order("fish", key, 1000))
+		done <- err
+	}()
+	eventually(t, "the request runs", func() bool { return r.runs("fish") == 1 })
+	r.fleet.KillEntry(0)
+	assert.Equal(t, jayrefusal.From(<-done).Outcome(), jayrefusal.Unknown)
+	eventually(t, "another entry knows the outcome", func() bool {
+		j, err := r.client(t, 1, "order-desk").Submit(context.Background(), order("fish", key, 1000))
+		return err == nil && string(j.Answers[0]) == "fish" || err != nil && jayrefusal.From(err).Outcome() == jayrefusal.Unknown && jayrefusal.From(err).RetryAfter() == 0
+	})
+	assert.Equal(t, r.runs("fish"), 1)
+	assert.NilError(t, r.fleet.StartEntry(0))
+}
+
+func TestWorkspacesCannotSeeEachOther(t *testing.T) {
+	r := startFleet(t)
+	j, err := r.client(t, 0, "dispatch").Submit(context.Background(), gang("plan", 1))
+	assert.NilError(t, err)
+	other := r.client(t, 0, "warehouse")
+	_, mine := other.Job(context.Background(), j.ID, 0)
+	_, none := other.Job(context.Background(), "j0000000000000001-1", 0)
+	assert.Equal(t, mine.Error(), none.Error())
+	_, err = other.Cancel(context.Background(), j.ID)
+	assert.Equal(t, jayrefusal.From(err).Code(), jayrefusal.NotFound)
+	wrong := r.client(t, 0, "dispatch")
+	wrong.Key = "guess"
+	_, err = wrong.Job(context.Background(), j.ID, 0)
+	assert.Equal(t, jayrefusal.From(err).Code(), jayrefusal.Unauthorized)
+	elsewhere, err := r.client(t, 2, "dispatch").Job(context.Background(), j.ID, patience)
+	assert.NilError(t, err)
+	assert.Equal(t, len(elsewhere.Answers), 2)
+	l, err := other.List(context.Background(), "", 10)
+	assert.NilError(t, err)
+	assert.Equal(t, len(l.Jobs), 0)
+}
+
+func TestOneOfRacingPublishersWins(t *testing.T) {
+	r := startFleet(t)
+	r.fleet.Log().SetFaults(jaystandin.LogFaults{LoseAnswers: 0.5})
+	defer r.fleet.Log().SetFaults(jaystandin.LogFaults{})
+	var won atomic.Int32
+	entries := []int{0, 1, 2}
+	iter.ForEach(entries, func(i *int) {
+		d := kjaergaard()
+		d.name = fmt.Sprintf("publisher-%d", *i)
+		b, err := d.Manifest(1)
+		assert.Check(t, err)
+		_, err = r.client(t, *i, "").Publish(context.Background(), b, false)
+		if err == nil {
+			won.Add(1)
+			return
+		}
+		assert.Check(t, jayrefusal.From(err).Code() == jayrefusal.Conflict, "%v", err)
+	})
+	assert.Equal(t, won.Load(), int32(1))
+	assert.NilError(t, r.await(context.Background(), 2))
+}
+
+// TestAllEntriesReplaced kills every entry while a durable gang runs. New ones
+// start with the log out, serve with the manifest that the sides hold, and adopt
+// the gang when the log is back.
+func TestAllEntriesReplaced(t *testing.T) {
+	r := startFleet(t)
+	j, err := r.client(t, 0, "dispatch").Submit(context.Background(), gang("night", 4000))
+	assert.NilError(t, err)
+	eventually(t, "the gang runs", func() bool {
+		s, err := r.client(t, 0, "dispatch").Job(context.Background(), j.ID, 0)
+		return err == nil && s.State == jayapi.JobRunning || err == nil && s.State == jayapi.JobStarting && r.held(16)
+	})
+	for i := range 3 {
+		r.fleet.KillEntry(i)
+	}
+	r.fleet.Log().SetFaults(jaystandin.LogFaults{Out: true})
+	for i := range 3 {
+		assert.NilError(t, r.fleet.StartEntry(i))
+	}
+	assert.NilError(t, r.await(context.Background(), 1))
+	quote := jayapi.Submission{Kind: "pricecheck", Class: "urgent", Members: 1, Accelerators: 1, Payload: program(1, "quote"), Idempotent: true, Wait: true, DeadlineMillis: 20_000}
+	answered, err := r.client(t, 1, "order-desk").Submit(context.Background(), quote)
+	assert.NilError(t, err)
+	assert.Equal(t, string(answered.Answers[0]), "quote")
+	_, err = r.client(t, 1, "order-desk").Submit(context.Background(), order("charge", jayclient.NewKey(), 1))
+	assert.Equal(t, jayrefusal.From(err).Code(), jayrefusal.LogUnavailable)
+	assert.Equal(t, jayrefusal.From(err).Outcome(), jayrefusal.NotRun)
+	r.fleet.Log().SetFaults(jaystandin.LogFaults{})
+	eventually(t, "the gang's answer", func() bool {
+		s, err := r.client(t, 2, "dispatch").Job(context.Background(), j.ID, 0)
+		return err == nil && len(s.Answers) == 2 && string(s.Answers[1]) == "night"
+	})
+	assert.Equal(t, r.runs("charge"), 0)
+}
+
+// held reports whether some entry knows that many accelerators to be held.
+func (r *run) held(n int) bool {
+	s, err := r.operator.Status(context.Background())
+	return err == nil && s.Total-s.Free >= n
+}
+
+// TestGracefulShutdownCutsNothing holds requests open while every entry and
+// side is stopped and started in turn.
+func TestGracefulShutdownCutsNothing(t *testing.T) {
+	r := startFleet(t)
+	stop := make(chan struct{})
+	var wg sync.WaitGroup
+	var cut, answered atomic.Int32
+	for caller := range 12 {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			c := r.client(t, caller%3, "order-desk")
+			for n := 0; ; n++ {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				_, err := c.Submit(context.Background(), order(fmt.Sprintf("%d-%d", caller, n), jayclient.NewKey(), 150))
+				if err == nil {
+					answered.Add(1)
+					continue
+				}
+				refusal := jayrefusal.From(err)
+				if refusal.Outcome() != jayrefusal.NotRun && !refusedToConnect(refusal) {
+					cut.Add(1)
+					t.Log(refusal)
+				}
+				time.Sleep(20 * time.Millisecond)
+			}
+		}()
+	}
+	for i := range 3 {
+		r.fleet.StopEntry(i)
+		assert.NilError(t, r.fleet.StartEntry(i))
+		assert.NilError(t, r.await(context.Background(), 1))
+	}
+	for _, i := range []int{0, 5} {
+		r.fleet.StopSide(i)
+		assert.NilError(t, r.fleet.StartSide(i))
+	}
+	close(stop)
+	wg.Wait()
+	assert.Equal(t, cut.Load(), int32(0))
+	assert.Assert(t, answered.Load() > 0)
+}
+
+// refusedToConnect reports a request that met no listening entry: a balancer
+// would have sent it elsewhere.
+func refusedToConnect(r *jayrefusal.Refusal) bool {
+	return r.Code() == jayrefusal.Internal && (strings.Contains(r.Message(), "connection refused") || strings.Contains(r.Message(), "closed connection before returning"))
+}
+
+func TestUnknownNamesAreErrors(t *testing.T) {
+	_, err := Find("atlantis")
+	var deployment *UnknownDeploymentError
+	assert.Assert(t, errors.As(err, &deployment))
+	_, err = ParseFaults("flood", time.Second)
+	var fault *UnknownFaultError
+	assert.Assert(t, errors.As(err, &fault))
+}
+
+// TestJudgeNoticesBrokenPromises feeds the judge with outcomes that break each
+// promise.
+func TestJudgeNoticesBrokenPromises(t *testing.T) {
+	d := kjaergaard()
+	a := arrival{kind: d.kinds[4], token: "t"}
+	run := jaystandin.Run{Answer: "t", Attempt: "x.0"}
+	cases := []struct {
+		promise string
+		verdict verdict
+		runs    []jaystandin.Run
+	}{
+		{promiseOwnAnswer, verdict{arrival: a, job: &jayapi.Job{State: jayapi.JobAnswered, Answers: [][]byte{[]byte("other")}}}, nil},
+		{promiseOwnAnswer, verdict{arrival: a, job: &jayapi.Job{State: jayapi.JobAnswered}}, nil},
+		{promiseNotRun, verdict{arrival: a, refusal: jayrefusal.New(jayrefusal.QueueFull, jayrefusal.NotRun, "x")}, []jaystandin.Run{run}},
+		{promiseAtMostOnce, verdict{arrival: a, job: &jayapi.Job{State: jayapi.JobAnswered, Answers: [][]byte{[]byte("t")}}}, []jaystandin.Run{run, run}},
+		{promiseSettled, verdict{arrival: a, job: &jayapi.Job{State: jayapi.JobRunning}}, nil},
+		{promiseWholeGang, verdict{arrival: arrival{kind: d.kinds[0], token: "t"}, refusal: jayrefusal.New(jayrefusal.Failed, jayrefusal.Ran, "x")}, []jaystandin.Run{{Answer: "t", Attempt: "x.0", End: time.Time{}.Add(time.Hour)}}},
+	}
+	for _, c := range cases {
+		j := NewJudge()
+		j.took(c.verdict)
+		j.judgeRuns(runsByToken(c.runs), time.Second)
+		assert.Equal(t, len(j.Breaches()), 1, c.promise)
+		assert.Equal(t, j.Breaches()[0].Promise, c.promise)
+	}
+}
+
+// testLog writes progress into the test's log.
+type testLog struct{ t *testing.T }
+
+// Write implements io.Writer.
+func (l testLog) Write(b []byte) (int, error) {
+	l.t.Log(strings.TrimSpace(string(b)))
+	return len(b), nil
+}
--- a/internal/process/jaydemo/fleet.go
+++ b/internal/process/jaydemo/fleet.go
@@ -6,6 +6,7 @@
 	"net"
 	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/gofiber/fiber/v2"
@@ -27,9 +28,18 @@
 // them.
 func ownLoopback() string {
 	pid := os.Getpid()
-	return fmt.Sprintf("127.%d.%d.%d:0", 1+pid>>14&0x7f, pid>>7&0x7f, 1+pid&0x7f)
+	port := firstPort + lastPort.Add(1)%ports
+	return fmt.Sprintf("127.%d.%d.%d:%d", 1+pid>>14&0x7f, pid>>7&0x7f, 1+pid&0x7f, port)
 }
 
+// Ports are given out one after the other, so that no two processes get one.
+const (
+	firstPort = 20_000
+	ports     = 40_000
+)
+
+var lastPort atomic.Int64
+
 // sharedKey is the demonstration's secret of links between processes.
 const sharedKey = "demo-shared-key"
 
@@ -159,14 +169,7 @@
 	f.entries = make([]*jayentry.Entry, f.Entries)
 	f.entryRun = make([]*process, f.Entries)
 	for range f.Entries {
-		h, err := freeAddress()
-		if err != nil {
-			return err
-		}
-		l, err := freeAddress()
-		if err != nil {
-			return err
-		}
+		h, l := ownLoopback(), ownLoopback()
 		relay, closeRelay, err := jaystandin.NewRelay(l)
 		if err != nil {
 			return fmt.Errorf("relay: %w", err)
@@ -179,15 +182,6 @@
 	return nil
 }
 
-func freeAddress() (string, error) {
-	l, err := net.Listen("tcp", ownLoopback())
-	if err != nil {
-		return "", fmt.Errorf("find a free port: %w", err)
-	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String(), nil
-}
-
 // linkSeeds returns where sides and entries reach the entries' links.
 func (f *Fleet) linkSeeds() []string {
 	seeds := make([]string, len(f.relays))
@@ -208,10 +202,7 @@
 	if err != nil {
 		return err
 	}
-	link, err := freeAddress()
-	if err != nil {
-		return err
-	}
+	link := ownLoopback()
 	f.workers = append(f.workers, w)
 	f.runners = append(f.runners, r)
 	site := f.Deployment.Site(i)
--- a/internal/process/jaydemo/judge.go
+++ b/internal/process/jaydemo/judge.go
@@ -96,7 +96,11 @@
 		records = append(records, f.workers[i].Runs(), f.runners[i].Runs())
 		j.check(promiseSlots, f.runners[i].Peak() <= runnerSlots, "runner %d had %d requests at once", i+1, f.runners[i].Peak())
 	}
-	runs := runsByToken(records...)
+	j.judgeRuns(runsByToken(records...), f.partialBound())
+}
+
+// judgeRuns compares the verdicts with what ran.
+func (j *Judge) judgeRuns(runs map[string][]jaystandin.Run, bound time.Duration) {
 	for _, v := range j.verdicts {
 		token := v.arrival.token
 		if v.refusal != nil && v.refusal.Outcome() == jayrefusal.NotRun {
@@ -106,7 +110,7 @@
 			j.check(promiseAtMostOnce, len(runs[token]) <= v.arrival.kind.Shape.Members(), "job %s ran %d times", token, len(runs[token]))
 		}
 		if v.arrival.kind.Shape.Members() > 1 {
-			j.checkGang(v.arrival, runs[token], f.partialBound())
+			j.checkGang(v.arrival, runs[token], bound)
 		}
 	}
 }
--- a/internal/process/jayentry/http.go
+++ b/internal/process/jayentry/http.go
@@ -60,6 +60,7 @@
 		IdleTimeout:           idleTimeout,
 		ErrorHandler:          e.handleError,
 	})
+	app.Use(e.refuseWhenClosed)
 	app.Get("/healthz", func(c *fiber.Ctx) error { return c.SendString("ok\n") })
 	app.Get("/readyz", e.handleReady)
 	app.Get("/metrics", e.handleMetrics)
@@ -80,6 +81,15 @@
 	return app
 }
 
+// refuseWhenClosed cuts callers whose connection has outlived this process's
+// tables.
+func (e *Entry) refuseWhenClosed(c *fiber.Ctx) error {
+	if e.isClosed() {
+		return c.Context().Conn().Close()
+	}
+	return c.Next()
+}
+
 // handleError writes every error in the one shape of refusals.
 func (e *Entry) handleError(c *fiber.Ctx, err error) error {
 	var f *fiber.Error
--- a/internal/process/jayentry/sides.go
+++ b/internal/process/jayentry/sides.go
@@ -333,6 +333,9 @@
 		e.cancelJob(j, jayrefusal.Canceled, "canceled by its caller")
 	}
 	e.wait(j, time.Duration(m.WaitMillis)*time.Millisecond)
+	if e.isClosed() && !j.ended() {
+		return
+	}
 	_ = l.Reply(call, &jayframe.JobReply{Found: true, Status: e.encodeStatus(j)})
 }
 
--- a/internal/process/jayentry/submit.go
+++ b/internal/process/jayentry/submit.go
@@ -154,8 +154,7 @@
 	if j.spec.Digest() != s.spec.Digest() {
 		return nil, keyReused()
 	}
-	status := e.awaitLocal(j, s)
-	return &status, nil
+	return e.awaitLocal(j, s)
 }
 
 // released reports whether the row's key is free again: its job never ran.
@@ -175,8 +174,7 @@
 	}
 	e.counter(`jaystile_entry_repeated_keys_total`).Inc()
 	if j := e.localJob(s.spec.Workspace(), row.ID()); j != nil {
-		status := e.awaitLocal(j, s)
-		return &status, nil
+		return e.awaitLocal(j, s)
 	}
 	if row.End() != nil {
 		status := rowStatus(row)
@@ -200,9 +198,14 @@
 	return followTimeout
 }
 
-func (e *Entry) awaitLocal(j *job, s submission) jayapi.Job {
+// awaitLocal waits with the caller for a job that was here before.
+func (e *Entry) awaitLocal(j *job, s submission) (*jayapi.Job, error) {
 	e.wait(j, s.waitTime())
-	return e.status(j)
+	if e.isClosed() && !j.ended() {
+		return nil, jayrefusal.New(jayrefusal.Draining, jayrefusal.Unknown, "this entry shut down while the job ran").WithRetryAfter(retryAfterLeast)
+	}
+	status := e.status(j)
+	return &status, nil
 }
 
 // claim appends the job to the log and waits until the log's order has said
