End an entry that is stopped before its server serves

Cause: the fleet test with killed entries hung in 4 of 4 parallel runs. The dump shows an entry waiting for its HTTP server, which ignored a shutdown that came before it had begun to serve. Ruled out: callers without an answer (all jobs had ended) and links (none left). Change: the listener is closed as well; a test stops entries right after their start. Conclusion: a SIGTERM right after the start no longer hangs an entry.

--- a/internal/process/jaydemo/demo_test.go
+++ b/internal/process/jaydemo/demo_test.go
@@ -330,3 +330,12 @@
 	l.t.Log(strings.TrimSpace(string(b)))
 	return len(b), nil
 }
+
+// TestEntryStopsRightAfterItsStart ends entries before their servers serve.
+func TestEntryStopsRightAfterItsStart(t *testing.T) {
+	r := startFleet(t)
+	for range 5 {
+		r.fleet.KillEntry(0)
+		assert.NilError(t, r.fleet.StartEntry(0))
+	}
+}
--- a/internal/process/jaydemo/fleet.go
+++ b/internal/process/jaydemo/fleet.go
@@ -131,7 +131,10 @@
 		return "", fmt.Errorf("stand-in: %w", err)
 	}
 	f.group.Go(func() { _ = app.Listener(l) })
-	f.cleanups = append(f.cleanups, func() { _ = app.ShutdownWithTimeout(time.Second) })
+	f.cleanups = append(f.cleanups, func() {
+		_ = app.ShutdownWithTimeout(time.Second)
+		_ = l.Close()
+	})
 	return l.Addr().String(), nil
 }
 
--- a/internal/process/jayentry/entry.go
+++ b/internal/process/jayentry/entry.go
@@ -181,6 +181,8 @@
 	}
 	close(e.closed)
 	_ = e.app.ShutdownWithTimeout(time.Second)
+	// A server that has not begun to serve ignores its shutdown.
+	_ = e.HTTPListener.Close()
 	cancel()
 	wg.Wait()
 	e.recorder.Record(jaytimeline.ProcessStopped, jaytimeline.Fields{})
