Shorten the request path, the claim and the decision

Cause: a request waited for the decision loop; a claim waited 5 ms for company; the decision sorted every worker's holdings again for every waiting lane. Change: requests are dispatched where they are accepted; a lone record is appended at once and records that nobody waits for wait for others; holdings stay sorted; shapes larger than what is free are not searched for.

--- a/internal/process/jayentry/job.go
+++ b/internal/process/jayentry/job.go
@@ -136,6 +136,10 @@
 	}
 	close(j.done)
 	e.endedJobs = append(e.endedJobs, j)
+	if j.request {
+		e.dispatch()
+		return
+	}
 	e.kick()
 }
 
--- a/internal/process/jayentry/submit.go
+++ b/internal/process/jayentry/submit.go
@@ -325,6 +325,7 @@
 	if s.wait {
 		j.waiters++
 	}
+	e.recorder.Record(jaytimeline.JobAccepted, jaytimeline.Fields{Job: id, Workspace: s.spec.Workspace(), Detail: s.spec.Kind() + " " + s.spec.Shape().String()})
 	if err := e.queueJob(j); err != nil {
 		refusal := jayrefusal.New(jayrefusal.QueueFull, jayrefusal.NotRun, "%v", err).WithRetryAfter(spread(time.Second))
 		if j.durable {
@@ -334,8 +335,9 @@
 	}
 	e.budget.earn()
 	e.counter(`jaystile_entry_jobs_accepted_total`).Inc()
-	e.recorder.Record(jaytimeline.JobAccepted, jaytimeline.Fields{Job: id, Workspace: s.spec.Workspace(), Detail: s.spec.Kind() + " " + s.spec.Shape().String()})
-	e.kick()
+	if !j.request {
+		e.kick()
+	}
 	return j, nil, nil
 }
 
@@ -347,6 +349,7 @@
 			return err
 		}
 		e.jobs[j.id] = j
+		e.dispatch()
 		return nil
 	}
 	j.queued = jaysched.NewJob(j.id, j.spec, j.accepted)
--- a/internal/process/jaylog/appender.go
+++ b/internal/process/jaylog/appender.go
@@ -7,8 +7,11 @@
 )
 
 const (
-	// gather is how long the appender waits for records to share one append.
-	gather        = 5 * time.Millisecond
+	// appendEvery is the least time between two appends of one process: a lone
+	// record is appended at once, those of a burst share appends.
+	appendEvery = 5 * time.Millisecond
+	// postDelay is how long a record that nobody waits for waits for others.
+	postDelay     = 50 * time.Millisecond
 	appenderQueue = 8192
 )
 
@@ -18,6 +21,7 @@
 // Error implements error.
 func (*QueueFullError) Error() string { return "log append queue is full" }
 
+// pending is a queued record; done is nil when nobody waits for it.
 type pending struct {
 	data []byte
 	done chan error
@@ -33,6 +37,7 @@
 	Appended func(records int, took time.Duration, err error)
 
 	queue chan pending
+	last  time.Time
 }
 
 // NewAppender returns an appender for the stream.
@@ -60,7 +65,7 @@
 // Post queues one record without waiting.
 func (a *Appender) Post(data []byte) error {
 	select {
-	case a.queue <- pending{data: data, done: make(chan error, 1)}:
+	case a.queue <- pending{data: data}:
 		return nil
 	default:
 		return &QueueFullError{}
@@ -95,7 +100,11 @@
 
 func (a *Appender) collect(first pending) []pending {
 	batch := []pending{first}
-	timer := time.NewTimer(gather)
+	delay := time.Until(a.last.Add(appendEvery))
+	if first.done == nil {
+		delay = postDelay
+	}
+	timer := time.NewTimer(delay)
 	defer timer.Stop()
 	size := len(first.data)
 	for len(batch) < MaxBatchRecords && size < MaxRecordBytes {
@@ -103,6 +112,9 @@
 		case p := <-a.queue:
 			batch = append(batch, p)
 			size += len(p.data)
+			if p.done != nil {
+				timer.Reset(time.Until(a.last.Add(appendEvery)))
+			}
 		case <-timer.C:
 			return batch
 		}
@@ -116,12 +128,15 @@
 		records[i] = p.data
 	}
 	begin := time.Now()
+	a.last = begin
 	_, err := a.Append(ctx, a.Stream, records)
 	a.Appended(len(batch), time.Since(begin), err)
 	if err != nil {
 		err = fmt.Errorf("append to %s: %w", a.Stream, err)
 	}
 	for _, p := range batch {
-		p.done <- err
+		if p.done != nil {
+			p.done <- err
+		}
 	}
 }
--- a/internal/process/jaypool/pool.go
+++ b/internal/process/jaypool/pool.go
@@ -121,8 +121,10 @@
 	free         int
 	closed       bool
 	holdings     map[string]*Holding
-	byWorkspace  map[string]int
-	fixed        map[string]int
+	// ordered caches the holdings by identity; nil after a change.
+	ordered     []*Holding
+	byWorkspace map[string]int
+	fixed       map[string]int
 }
 
 // ID returns the worker's name.
@@ -156,13 +158,18 @@
 	}
 }
 
-// Holdings returns what is held here, ordered by identity.
+// Holdings returns what is held here, ordered by identity. The caller must not
+// change it.
 func (w *Worker) Holdings() []*Holding {
+	if w.ordered != nil {
+		return w.ordered
+	}
 	all := make([]*Holding, 0, len(w.holdings))
 	for _, h := range w.holdings {
 		all = append(all, h)
 	}
 	sort.Slice(all, func(i, j int) bool { return all[i].h.ID < all[j].h.ID })
+	w.ordered = all
 	return all
 }
 
@@ -327,6 +334,7 @@
 func (p *Pool) book(w *Worker, h Hold) *Holding {
 	b := &Holding{h: h, worker: w}
 	w.holdings[h.ID] = b
+	w.ordered = nil
 	p.account(w, h, 1)
 	if p.byJob[h.Job] == nil {
 		p.byJob[h.Job] = map[string]*Holding{}
@@ -363,6 +371,7 @@
 	}
 	b := w.holdings[hold]
 	delete(w.holdings, hold)
+	w.ordered = nil
 	p.account(w, b.h, -1)
 	jobs := p.byJob[b.h.Job]
 	delete(jobs, w.id+"\x00"+hold)
--- a/internal/process/jaysched/decide_bench_test.go
+++ b/internal/process/jaysched/decide_bench_test.go
@@ -36,7 +36,7 @@
 func benchSpec(tb testing.TB, class jayjob.Class, members, accelerators int) jayjob.Spec {
 	shape, err := jayjob.NewShape(members, accelerators, jayjob.SameRack)
 	assert.NilError(tb, err)
-	s, err := jayjob.New(jayjob.Fields{Workspace: "b", Kind: fmt.Sprint(members, accelerators), Class: class, Shape: shape, Idempotent: true, Checkpointing: true, Runtime: time.Hour})
+	s, err := jayjob.New(jayjob.Fields{Workspace: "b", Kind: fmt.Sprintf("%d-%d", members, accelerators), Class: class, Shape: shape, Idempotent: true, Checkpointing: true, Runtime: time.Hour})
 	assert.NilError(tb, err)
 	return s
 }
--- a/internal/process/jaysched/round.go
+++ b/internal/process/jaysched/round.go
@@ -76,6 +76,9 @@
 
 // freeSeats seats the job on free accelerators without delaying a reservation.
 func (r *round) freeSeats(j *Job) []Seat {
+	if r.scheduler.pool.Free() < j.spec.Shape().Total() {
+		return nil
+	}
 	return r.scheduler.seatJob(j, r.unreserved(j, r.scheduler.freeRoom(j)))
 }
 
@@ -106,7 +109,7 @@
 // reclaim takes back the workspace's own home from whoever borrows it.
 func (r *round) reclaim(j *Job) (Decision, bool) {
 	s := r.scheduler
-	if s.guaranteed[j.spec.Workspace()] == 0 {
+	if s.guaranteed[j.spec.Workspace()] < j.spec.Shape().Total() {
 		return Decision{}, false
 	}
 	seats := s.seatJob(j, s.homeRoom(j))
