Share the pool, the loops and the JSON client between processes

Cause: entry and side each had their own pool of workers, ticker loop, pause and redial; the log's and the worker's clients sent the same request in two ways. Change: jaywork and jayhttp serve them all. Idle loops tick at 100 ms and wake the decisions only when something waits.

--- a/internal/connection/jayplatform/classify.go
+++ b/internal/connection/jayplatform/classify.go
@@ -5,6 +5,8 @@
 	"net"
 
 	"github.com/valyala/fasthttp"
+
+	"github.com/jaystile/jaystile/internal/connection/jayhttp"
 )
 
 // classify tells a request that never left this machine from one whose fate is
@@ -17,5 +19,5 @@
 	if errors.Is(err, fasthttp.ErrNoFreeConns) || errors.Is(err, fasthttp.ErrDialTimeout) {
 		return &NotRunError{Cause: err.Error()}
 	}
-	return &NoAnswerError{Operation: "run", Cause: err.Error()}
+	return &jayhttp.NoAnswerError{Operation: "run", Cause: err.Error()}
 }
--- a/internal/connection/jayplatform/runner.go
+++ b/internal/connection/jayplatform/runner.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"github.com/jaystile/jaystile/internal/connection/jayhttp"
 )
 
 // Headers of requests to runners and of their answers.
@@ -69,7 +71,7 @@
 		return nil, &NotRunError{Cause: "runner said so"}
 	}
 	if s := response.StatusCode(); s != fasthttp.StatusOK {
-		return nil, &RejectedError{Operation: "run", Status: s, Message: string(response.Body())}
+		return nil, &jayhttp.RejectedError{Operation: "run", Status: s, Message: string(response.Body())}
 	}
 	echoed := response.Header.Peek(attemptHeader)
 	if string(echoed) != attempt || subtle.ConstantTimeCompare(response.Header.Peek(digestHeader), []byte(hexDigest)) != 1 {
--- a/internal/connection/jayplatform/worker.go
+++ b/internal/connection/jayplatform/worker.go
@@ -3,13 +3,13 @@
 package jayplatform
 
 import (
-	"encoding/json"
-	"fmt"
 	"net/url"
 	"strconv"
 	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"github.com/jaystile/jaystile/internal/connection/jayhttp"
 )
 
 const (
@@ -17,30 +17,8 @@
 	// listWait is how long a worker may hold a list open for changes.
 	listWait     = time.Second
 	maxBodyBytes = 8 << 20
-	jsonType     = "application/json"
 )
 
-// RejectedError reports that a worker or runner answered and did not act.
-type RejectedError struct {
-	Operation string
-	Status    int
-	Message   string
-}
-
-// Error implements error.
-func (e *RejectedError) Error() string {
-	return fmt.Sprintf("%s rejected with status %d: %s", e.Operation, e.Status, e.Message)
-}
-
-// NoAnswerError reports that it is unknown whether a worker or runner acted.
-type NoAnswerError struct {
-	Operation string
-	Cause     string
-}
-
-// Error implements error.
-func (e *NoAnswerError) Error() string { return e.Operation + ": no answer: " + e.Cause }
-
 // TaskState is where a worker's task stands.
 type TaskState string
 
@@ -137,16 +115,14 @@
 // Worker is a client of one worker.
 type Worker struct {
 	address string
-	http    fasthttp.Client
+	http    *jayhttp.Client
 }
 
 // NewWorker returns a client of the worker at the address and a function that
 // closes its connections.
 func NewWorker(address string) (*Worker, func()) {
-	w := &Worker{address: address}
-	w.http.MaxResponseBodySize = maxBodyBytes
-	w.http.NoDefaultUserAgentHeader = true
-	return w, w.http.CloseIdleConnections
+	client, closeClient := jayhttp.NewClient(maxBodyBytes)
+	return &Worker{address: address, http: client}, closeClient
 }
 
 func (w *Worker) taskURL(id, step string) string {
@@ -159,7 +135,7 @@
 
 // Create loads a task and starts it when it says so.
 func (w *Worker) Create(t Task) error {
-	return w.do("create task", fasthttp.MethodPost, "http://"+w.address+"/v1/tasks", wireTask{
+	return w.http.Do("create task", fasthttp.MethodPost, "http://"+w.address+"/v1/tasks", wireTask{
 		Task:         t.ID,
 		Job:          t.Job,
 		Token:        t.Token,
@@ -173,30 +149,30 @@
 
 // Start runs a loaded task.
 func (w *Worker) Start(id string) error {
-	return w.do("start task", fasthttp.MethodPost, w.taskURL(id, "start"), nil, nil, requestTimeout)
+	return w.http.Do("start task", fasthttp.MethodPost, w.taskURL(id, "start"), nil, nil, requestTimeout)
 }
 
 // Renew extends the leases of tasks.
 func (w *Worker) Renew(ids []string, ttl time.Duration) error {
-	return w.do("renew leases", fasthttp.MethodPost, "http://"+w.address+"/v1/leases", wireLeases{TTLMillis: ttl.Milliseconds(), Tasks: ids}, nil, requestTimeout)
+	return w.http.Do("renew leases", fasthttp.MethodPost, "http://"+w.address+"/v1/leases", wireLeases{TTLMillis: ttl.Milliseconds(), Tasks: ids}, nil, requestTimeout)
 }
 
 // Checkpoint saves a running task within the timeout. It returns the checkpoint
 // and the run time that it holds.
 func (w *Worker) Checkpoint(id string, timeout time.Duration) ([]byte, time.Duration, error) {
 	var answer wireCheckpoint
-	err := w.do("checkpoint task", fasthttp.MethodPost, w.taskURL(id, "checkpoint"), nil, &answer, timeout)
+	err := w.http.Do("checkpoint task", fasthttp.MethodPost, w.taskURL(id, "checkpoint"), nil, &answer, timeout)
 	return answer.Checkpoint, time.Duration(answer.DoneMillis) * time.Millisecond, err
 }
 
 // Throttle limits a task to a share of its speed, above 0 and at most 1.
 func (w *Worker) Throttle(id string, share float64) error {
-	return w.do("throttle task", fasthttp.MethodPost, w.taskURL(id, "throttle"), wireThrottle{Share: share}, nil, requestTimeout)
+	return w.http.Do("throttle task", fasthttp.MethodPost, w.taskURL(id, "throttle"), wireThrottle{Share: share}, nil, requestTimeout)
 }
 
 // Forget stops a task if it runs and removes it from the worker.
 func (w *Worker) Forget(id string) error {
-	return w.do("forget task", fasthttp.MethodDelete, w.taskURL(id, ""), nil, nil, requestTimeout)
+	return w.http.Do("forget task", fasthttp.MethodDelete, w.taskURL(id, ""), nil, nil, requestTimeout)
 }
 
 // List returns the tasks that changed after the revision, waiting a while for
@@ -207,7 +183,7 @@
 		q.Set("wait_ms", strconv.FormatInt(listWait.Milliseconds(), 10))
 	}
 	var answer wireList
-	if err := w.do("list tasks", fasthttp.MethodGet, "http://"+w.address+"/v1/tasks?"+q.Encode(), nil, &answer, requestTimeout+listWait); err != nil {
+	if err := w.http.Do("list tasks", fasthttp.MethodGet, "http://"+w.address+"/v1/tasks?"+q.Encode(), nil, &answer, requestTimeout+listWait); err != nil {
 		return nil, since, err
 	}
 	statuses := make([]Status, len(answer.Tasks))
@@ -216,32 +192,3 @@
 	}
 	return statuses, answer.Revision, nil
 }
-
-func (w *Worker) do(operation, method, target string, body, answer any, timeout time.Duration) error {
-	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
-	defer fasthttp.ReleaseRequest(request)
-	defer fasthttp.ReleaseResponse(response)
-	request.SetRequestURI(target)
-	request.Header.SetMethod(method)
-	if body != nil {
-		b, err := json.Marshal(body)
-		if err != nil {
-			return &RejectedError{Operation: operation, Message: err.Error()}
-		}
-		request.Header.SetContentType(jsonType)
-		request.SetBody(b)
-	}
-	if err := w.http.DoTimeout(request, response, timeout); err != nil {
-		return &NoAnswerError{Operation: operation, Cause: err.Error()}
-	}
-	if s := response.StatusCode(); s < 200 || s > 299 {
-		return &RejectedError{Operation: operation, Status: s, Message: string(response.Body())}
-	}
-	if answer == nil {
-		return nil
-	}
-	if err := json.Unmarshal(response.Body(), answer); err != nil {
-		return &NoAnswerError{Operation: operation, Cause: "malformed answer: " + err.Error()}
-	}
-	return nil
-}
--- a/internal/process/jayentry/entry.go
+++ b/internal/process/jayentry/entry.go
@@ -17,7 +17,6 @@
 	"github.com/gofiber/fiber/v2"
 	"github.com/rs/zerolog"
 	"github.com/sourcegraph/conc"
-	"github.com/sourcegraph/conc/pool"
 
 	"github.com/jaystile/jaystile/internal/connection/jaylink"
 	"github.com/jaystile/jaystile/internal/process/jayclock"
@@ -28,6 +27,7 @@
 	"github.com/jaystile/jaystile/internal/process/jaysched"
 	"github.com/jaystile/jaystile/internal/process/jaystate"
 	"github.com/jaystile/jaystile/internal/process/jaytimeline"
+	"github.com/jaystile/jaystile/internal/process/jaywork"
 	"github.com/jaystile/jaystile/internal/request/jayattempt"
 	"github.com/jaystile/jaystile/internal/version/jaysettings"
 	"github.com/jaystile/jaystile/pkg/jayrefusal"
@@ -36,7 +36,6 @@
 const (
 	tickEvery       = 100 * time.Millisecond
 	taskWorkers     = 256
-	taskQueue       = 8192
 	maxKeys         = 200_000
 	adoptAfterBeats = 3
 	shutdownGrace   = 200 * time.Millisecond
@@ -60,7 +59,7 @@
 	follower    map[string]*jaylog.Follower
 	appender    *jaylog.Appender
 	app         *fiber.App
-	tasks       chan func()
+	work        *jaywork.Pool
 	wake        chan struct{}
 	closed      chan struct{}
 	now         func() time.Duration
@@ -110,7 +109,7 @@
 		source:       jayattempt.NewSource(incarnation),
 		recorder:     jaytimeline.NewRecorder(settings.Name),
 		metrics:      metrics.NewSet(),
-		tasks:        make(chan func(), taskQueue),
+		work:         jaywork.NewPool(taskWorkers),
 		wake:         make(chan struct{}, 1),
 		closed:       make(chan struct{}),
 		now:          jayclock.Elapsed,
@@ -164,8 +163,8 @@
 	var linkErr, httpErr error
 	wg.Go(func() { linkErr = e.endpoint.Serve(inner, e.LinkListener) })
 	wg.Go(func() { httpErr = e.app.Listener(e.HTTPListener) })
-	wg.Go(func() { e.runTasks(inner) })
-	wg.Go(func() { e.tickLoop(inner) })
+	wg.Go(func() { e.work.Run(inner) })
+	wg.Go(func() { jaywork.Every(inner, tickEvery, e.tick) })
 	wg.Go(func() { e.decideLoop(inner) })
 	wg.Go(func() { e.appender.Run(inner) })
 	wg.Go(func() { e.announceLoop(inner) })
@@ -246,42 +245,6 @@
 	}
 }
 
-// spawn runs input and output outside the mutex on the pool of workers. It
-// never blocks: what the pool's queue cannot take gets a goroutine of its own.
-func (e *Entry) spawn(f func()) {
-	select {
-	case e.tasks <- f:
-	default:
-		go f()
-	}
-}
-
-func (e *Entry) runTasks(ctx context.Context) {
-	p := pool.New().WithMaxGoroutines(taskWorkers)
-	for {
-		select {
-		case <-ctx.Done():
-			p.Wait()
-			return
-		case f := <-e.tasks:
-			p.Go(f)
-		}
-	}
-}
-
-func (e *Entry) tickLoop(ctx context.Context) {
-	ticker := time.NewTicker(tickEvery)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			e.tick()
-		}
-	}
-}
-
 // tick does what time alone causes.
 func (e *Entry) tick() {
 	e.mutex.Lock()
@@ -293,12 +256,15 @@
 	e.releaseProbation(now)
 	e.forgetJobs(now)
 	e.compact(now)
+	waiting := e.scheduler.Waiting()+e.queue.Len() > 0
 	snapshot := e.snapshotDue(now)
 	e.mutex.Unlock()
 	if snapshot {
-		e.spawn(e.writeSnapshots)
+		e.work.Spawn(e.writeSnapshots)
+	}
+	if waiting {
+		e.kick()
 	}
-	e.kick()
 }
 
 // decideLoop runs the decisions whenever something has changed.
--- a/internal/process/jayentry/operator.go
+++ b/internal/process/jayentry/operator.go
@@ -17,6 +17,7 @@
 	"github.com/jaystile/jaystile/internal/process/jaysched"
 	"github.com/jaystile/jaystile/internal/process/jaystate"
 	"github.com/jaystile/jaystile/internal/process/jaytimeline"
+	"github.com/jaystile/jaystile/internal/process/jaywork"
 	"github.com/jaystile/jaystile/internal/request/jayattempt"
 	"github.com/jaystile/jaystile/internal/version/jaymanifest"
 	"github.com/jaystile/jaystile/internal/version/jayplan"
@@ -225,7 +226,7 @@
 			if done, err := e.verdict(m); done {
 				return p, err
 			}
-			pause(ctx, publishPoll)
+			jaywork.Pause(ctx, publishPoll)
 		}
 	}
 	return nil, jayrefusal.New(jayrefusal.LogUnavailable, jayrefusal.Unknown, "the log did not show the manifest in time; publishing it again is harmless").WithRetryAfter(spread(time.Second))
--- a/internal/process/jayentry/outcome.go
+++ b/internal/process/jayentry/outcome.go
@@ -219,7 +219,7 @@
 		stale := now-a.heard >= settleAfter
 		if a.state.State() == jayattempt.Unknown || (stale && (a.router || len(a.seats) == 1 || a.committed)) {
 			a.settling = true
-			e.spawn(func() { e.settle(a, s.link) })
+			e.work.Spawn(func() { e.settle(a, s.link) })
 		}
 	}
 }
--- a/internal/process/jayentry/place.go
+++ b/internal/process/jayentry/place.go
@@ -229,7 +229,7 @@
 		}
 		return
 	}
-	e.spawn(func() { e.gather(a, links, holds) })
+	e.work.Spawn(func() { e.gather(a, links, holds) })
 }
 
 // gather holds on every worker, then asks the anchor to decide.
--- a/internal/process/jayentry/sides.go
+++ b/internal/process/jayentry/sides.go
@@ -5,20 +5,18 @@
 	"crypto/sha256"
 	"time"
 
-	"github.com/cenkalti/backoff/v5"
 	"github.com/sourcegraph/conc"
 
 	"github.com/jaystile/jaystile/internal/connection/jayframe"
 	"github.com/jaystile/jaystile/internal/connection/jaylink"
 	"github.com/jaystile/jaystile/internal/process/jaypool"
 	"github.com/jaystile/jaystile/internal/process/jaytimeline"
+	"github.com/jaystile/jaystile/internal/process/jaywork"
 	"github.com/jaystile/jaystile/internal/request/jayattempt"
 	"github.com/jaystile/jaystile/pkg/jayrefusal"
 )
 
 const (
-	redialFirst = 50 * time.Millisecond
-	redialMost  = time.Second
 	// absentFor is how long a lost worker still counts when it is judged whether
 	// a job can ever run.
 	absentFor = 10 * time.Minute
@@ -221,7 +219,7 @@
 	case *jayframe.Outcome:
 		e.onOutcome(l, m)
 	case *jayframe.JobQuery:
-		e.spawn(func() { e.onJobQuery(l, call, m) })
+		e.work.Spawn(func() { e.onJobQuery(l, call, m) })
 	case *jayframe.Timeline:
 		_ = l.Reply(call, jaytimeline.ToFrame(e.recorder.Events(jaytimeline.Time(m.Since), m.Most)))
 	case *jayframe.Versions:
@@ -269,13 +267,12 @@
 		return
 	}
 	wg.Go(func() {
-		b := &backoff.ExponentialBackOff{InitialInterval: redialFirst, RandomizationFactor: 0.5, Multiplier: 2, MaxInterval: redialMost}
-		b.Reset()
+		b := jaywork.Redial()
 		for ctx.Err() == nil {
 			if e.linkPeer(ctx, address) {
 				b.Reset()
 			}
-			pause(ctx, b.NextBackOff())
+			jaywork.Pause(ctx, b.NextBackOff())
 		}
 	})
 }
@@ -338,12 +335,3 @@
 	}
 	_ = l.Reply(call, &jayframe.JobReply{Found: true, Status: e.encodeStatus(j)})
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/internal/process/jayentry/streams.go
+++ b/internal/process/jayentry/streams.go
@@ -10,6 +10,7 @@
 	"github.com/jaystile/jaystile/internal/process/jaylog"
 	"github.com/jaystile/jaystile/internal/process/jaystate"
 	"github.com/jaystile/jaystile/internal/process/jaytimeline"
+	"github.com/jaystile/jaystile/internal/process/jaywork"
 )
 
 const (
@@ -158,10 +159,10 @@
 			_, err = e.log.Append(ctx, jaystate.MembersStream, [][]byte{record})
 		}
 		if err != nil {
-			pause(ctx, announceRetry+rand.N(announceRetry))
+			jaywork.Pause(ctx, announceRetry+rand.N(announceRetry))
 			continue
 		}
-		pause(ctx, recordAgainEvery+rand.N(recordAgainEvery/5))
+		jaywork.Pause(ctx, recordAgainEvery+rand.N(recordAgainEvery/5))
 	}
 }
 
--- a/internal/process/jaylog/client.go
+++ b/internal/process/jaylog/client.go
@@ -4,13 +4,14 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"net/url"
 	"strconv"
 	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"github.com/jaystile/jaystile/internal/connection/jayhttp"
 )
 
 // Limits of one request to the log service.
@@ -88,16 +89,14 @@
 type Client struct {
 	// Address is the service's host and port.
 	Address string
-	http    fasthttp.Client
+	http    *jayhttp.Client
 }
 
 // NewClient returns a client of the service at the address and a function that
 // closes its connections.
 func NewClient(address string) (*Client, func()) {
-	c := &Client{Address: address}
-	c.http.MaxResponseBodySize = maxBodyBytes
-	c.http.NoDefaultUserAgentHeader = true
-	return c, c.http.CloseIdleConnections
+	client, closeClient := jayhttp.NewClient(maxBodyBytes)
+	return &Client{Address: address, http: client}, closeClient
 }
 
 func (c *Client) url(stream string) string {
@@ -107,12 +106,8 @@
 // Append adds the records in order and returns the offset of the first. After
 // an UnavailableError the records may have been added all the same.
 func (c *Client) Append(ctx context.Context, stream string, records [][]byte) (uint64, error) {
-	body, err := json.Marshal(wireAppend{Records: records})
-	if err != nil {
-		return 0, &UnavailableError{Operation: "append", Cause: err.Error()}
-	}
 	var answer wireAppended
-	err = c.do(ctx, "append", fasthttp.MethodPost, c.url(stream), body, &answer)
+	err := c.do(ctx, "append", fasthttp.MethodPost, c.url(stream), wireAppend{Records: records}, &answer)
 	return answer.FirstOffset, err
 }
 
@@ -134,31 +129,16 @@
 	return b, nil
 }
 
-func (c *Client) do(ctx context.Context, operation, method, target string, body []byte, answer any) error {
+func (c *Client) do(ctx context.Context, operation, method, target string, body, answer any) error {
 	if err := ctx.Err(); err != nil {
 		return fmt.Errorf("log %s: %w", operation, err)
 	}
-	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
-	defer fasthttp.ReleaseRequest(request)
-	defer fasthttp.ReleaseResponse(response)
-	request.SetRequestURI(target)
-	request.Header.SetMethod(method)
-	if body != nil {
-		request.Header.SetContentType("application/json")
-		request.SetBody(body)
-	}
 	deadline := time.Now().Add(requestTimeout)
 	if d, ok := ctx.Deadline(); ok && d.Before(deadline) {
 		deadline = d
 	}
-	if err := c.http.DoDeadline(request, response, deadline); err != nil {
+	if err := c.http.Do(operation, method, target, body, answer, time.Until(deadline)); err != nil {
 		return &UnavailableError{Operation: operation, Cause: err.Error()}
 	}
-	if s := response.StatusCode(); s != fasthttp.StatusOK {
-		return &UnavailableError{Operation: operation, Cause: fmt.Sprintf("status %d", s)}
-	}
-	if err := json.Unmarshal(response.Body(), answer); err != nil {
-		return &UnavailableError{Operation: operation, Cause: "malformed answer: " + err.Error()}
-	}
 	return nil
 }
--- a/internal/process/jaylog/follower.go
+++ b/internal/process/jaylog/follower.go
@@ -6,15 +6,11 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/cenkalti/backoff/v5"
+	"github.com/jaystile/jaystile/internal/process/jaywork"
 )
 
-const (
-	retryFirst = 50 * time.Millisecond
-	retryMost  = 2 * time.Second
-	// catchUpJitter spreads the readers of a log that is back from an outage.
-	catchUpJitter = 300 * time.Millisecond
-)
+// catchUpJitter spreads the readers of a log that is back from an outage.
+const catchUpJitter = 300 * time.Millisecond
 
 // Health is the state of the log as one process sees it.
 type Health uint8
@@ -68,18 +64,17 @@
 
 // Run follows the stream until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
-	b := &backoff.ExponentialBackOff{InitialInterval: retryFirst, RandomizationFactor: 0.5, Multiplier: 2, MaxInterval: retryMost}
-	b.Reset()
+	b := jaywork.Redial()
 	for ctx.Err() == nil {
 		batch, err := f.Read(ctx, f.Stream, f.next.Load(), f.caughtUp.Load())
 		if err != nil {
 			f.setHealth(Out)
-			sleep(ctx, b.NextBackOff())
+			jaywork.Pause(ctx, b.NextBackOff())
 			continue
 		}
 		b.Reset()
 		if f.Health() == Out {
-			sleep(ctx, rand.N(catchUpJitter))
+			jaywork.Pause(ctx, rand.N(catchUpJitter))
 		}
 		f.setHealth(Healthy)
 		f.take(batch)
@@ -113,12 +108,3 @@
 		f.Changed(h)
 	}
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/internal/process/jayside/anchors.go
+++ b/internal/process/jayside/anchors.go
@@ -32,7 +32,7 @@
 	}
 	a.members[m.key] = true
 	m.contact = s.now()
-	s.spawn(func() { s.joinUntilHeard(a, m) })
+	s.work.Spawn(func() { s.joinUntilHeard(a, m) })
 }
 
 func (s *Side) joinUntilHeard(a *anchorLink, m *member) {
@@ -118,7 +118,7 @@
 		}
 		for k := range a.members {
 			if m := s.members[k]; m != nil {
-				s.spawn(func() { s.joinUntilHeard(a, m) })
+				s.work.Spawn(func() { s.joinUntilHeard(a, m) })
 			}
 		}
 	})
--- a/internal/process/jayside/holds.go
+++ b/internal/process/jayside/holds.go
@@ -190,7 +190,7 @@
 	m.gone = true
 	if m.prepared {
 		task := m.task
-		s.spawn(func() { _ = s.worker.Forget(task) })
+		s.work.Spawn(func() { _ = s.worker.Forget(task) })
 	}
 	if g := s.gangs[k.Attempt]; g != nil {
 		g.book.Left(k.Member)
--- a/internal/process/jayside/links.go
+++ b/internal/process/jayside/links.go
@@ -5,22 +5,16 @@
 	"math/rand/v2"
 	"time"
 
-	"github.com/cenkalti/backoff/v5"
 	"github.com/sourcegraph/conc"
 
 	"github.com/jaystile/jaystile/internal/connection/jayframe"
 	"github.com/jaystile/jaystile/internal/connection/jaylink"
 	"github.com/jaystile/jaystile/internal/process/jaytimeline"
+	"github.com/jaystile/jaystile/internal/process/jaywork"
 	"github.com/jaystile/jaystile/internal/request/jayattempt"
 	"github.com/jaystile/jaystile/internal/version/jaymanifest"
 )
 
-func redial() *backoff.ExponentialBackOff {
-	b := &backoff.ExponentialBackOff{InitialInterval: redialFirst, RandomizationFactor: 0.5, Multiplier: 2, MaxInterval: redialMost}
-	b.Reset()
-	return b
-}
-
 // followEntry keeps a link to the entry at the address for as long as the side
 // lives. An address is followed once.
 func (s *Side) followEntry(ctx context.Context, wg *conc.WaitGroup, address string) {
@@ -34,12 +28,12 @@
 		return
 	}
 	wg.Go(func() {
-		b := redial()
+		b := jaywork.Redial()
 		for ctx.Err() == nil {
 			if s.linkEntry(ctx, wg, address) {
 				b.Reset()
 			}
-			pause(ctx, b.NextBackOff())
+			jaywork.Pause(ctx, b.NextBackOff())
 		}
 	})
 }
@@ -251,7 +245,7 @@
 			return
 		case <-s.wake:
 			t.Stop()
-			pause(ctx, 2*time.Millisecond)
+			jaywork.Pause(ctx, 2*time.Millisecond)
 		case <-t.C:
 		}
 		s.sendReports()
@@ -303,12 +297,3 @@
 	}
 	return r
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/internal/process/jayside/members.go
+++ b/internal/process/jayside/members.go
@@ -7,10 +7,12 @@
 	"time"
 
 	"github.com/jaystile/jaystile/internal/connection/jayframe"
+	"github.com/jaystile/jaystile/internal/connection/jayhttp"
 	"github.com/jaystile/jaystile/internal/connection/jaylink"
 	"github.com/jaystile/jaystile/internal/connection/jayplatform"
 	"github.com/jaystile/jaystile/internal/process/jayowner"
 	"github.com/jaystile/jaystile/internal/process/jaytimeline"
+	"github.com/jaystile/jaystile/internal/process/jaywork"
 	"github.com/jaystile/jaystile/internal/request/jayattempt"
 	"github.com/jaystile/jaystile/internal/request/jayjob"
 )
@@ -71,7 +73,7 @@
 		return
 	}
 	m.prepared = true
-	s.spawn(func() {
+	s.work.Spawn(func() {
 		err := s.worker.Create(s.taskOf(m, false))
 		s.mutex.Lock()
 		defer s.mutex.Unlock()
@@ -136,10 +138,10 @@
 	m.running = true
 	s.poke()
 	if m.spec.Shape().Accelerators() == 0 {
-		s.spawn(func() { s.callRunner(m) })
+		s.work.Spawn(func() { s.callRunner(m) })
 		return
 	}
-	s.spawn(func() { s.startTask(m) })
+	s.work.Spawn(func() { s.startTask(m) })
 }
 
 // startTask starts the member's task at the worker. Its end arrives through
@@ -159,7 +161,7 @@
 	defer s.mutex.Unlock()
 	s.countWorkerFailure()
 	status := jayframe.StatusFailed
-	var rejected *jayplatform.RejectedError
+	var rejected *jayhttp.RejectedError
 	if errors.As(err, &rejected) && m.hold.Members == 1 {
 		status = jayframe.StatusNever
 	}
@@ -274,7 +276,7 @@
 		s.endMember(m, &jayframe.MemberDone{Status: status, Message: cause})
 		return
 	}
-	s.spawn(func() { s.stopTask(m, status, cause, save) })
+	s.work.Spawn(func() { s.stopTask(m, status, cause, save) })
 }
 
 func (s *Side) stopTask(m *member, status jayframe.Status, cause string, save bool) {
@@ -298,19 +300,19 @@
 // that the task no longer runs.
 func (s *Side) forgetTask(task string) bool {
 	err := s.worker.Forget(task)
-	var rejected *jayplatform.RejectedError
+	var rejected *jayhttp.RejectedError
 	return err == nil || errors.As(err, &rejected)
 }
 
 // watchTasks follows the worker's tasks and ends members whose task has ended.
 func (s *Side) watchTasks(ctx context.Context) {
-	b := redial()
+	b := jaywork.Redial()
 	revision := uint64(0)
 	for ctx.Err() == nil {
 		statuses, next, err := s.worker.List(revision, true)
 		if err != nil {
 			s.setWorkerSick(true)
-			pause(ctx, b.NextBackOff())
+			jaywork.Pause(ctx, b.NextBackOff())
 			continue
 		}
 		s.setWorkerSick(false)
@@ -355,7 +357,7 @@
 	done := &jayframe.MemberDone{Status: status, Result: t.Result(), Message: "task " + string(t.State())}
 	task := m.task
 	s.endMember(m, done)
-	s.spawn(func() { _ = s.worker.Forget(task) })
+	s.work.Spawn(func() { _ = s.worker.Forget(task) })
 }
 
 func (s *Side) memberOf(task string) *member {
@@ -367,22 +369,15 @@
 	return nil
 }
 
-// renewLoop extends the leases of tasks at the worker. When this process is
-// paused, the worker stops them.
-func (s *Side) renewLoop(ctx context.Context) {
-	ticker := time.NewTicker(s.Settings.WorkerLease / 4)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
-		if tasks := s.liveTasks(); len(tasks) > 0 {
-			if err := s.worker.Renew(tasks, s.Settings.WorkerLease); err != nil {
-				s.metrics.GetOrCreateCounter(`jaystile_side_renewal_failures_total`).Inc()
-			}
-		}
+// renew extends the leases of tasks at the worker. When this process is paused,
+// the worker stops them.
+func (s *Side) renew() {
+	tasks := s.liveTasks()
+	if len(tasks) == 0 {
+		return
+	}
+	if err := s.worker.Renew(tasks, s.Settings.WorkerLease); err != nil {
+		s.metrics.GetOrCreateCounter(`jaystile_side_renewal_failures_total`).Inc()
 	}
 }
 
--- a/internal/process/jayside/side.go
+++ b/internal/process/jayside/side.go
@@ -13,7 +13,6 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/rs/zerolog"
 	"github.com/sourcegraph/conc"
-	"github.com/sourcegraph/conc/pool"
 
 	"github.com/jaystile/jaystile/internal/connection/jayframe"
 	"github.com/jaystile/jaystile/internal/connection/jaylink"
@@ -21,19 +20,17 @@
 	"github.com/jaystile/jaystile/internal/process/jayclock"
 	"github.com/jaystile/jaystile/internal/process/jayowner"
 	"github.com/jaystile/jaystile/internal/process/jaytimeline"
+	"github.com/jaystile/jaystile/internal/process/jaywork"
 	"github.com/jaystile/jaystile/internal/request/jayattempt"
 	"github.com/jaystile/jaystile/internal/version/jaymanifest"
 	"github.com/jaystile/jaystile/internal/version/jaysettings"
 )
 
 const (
-	tickEvery     = 50 * time.Millisecond
+	tickEvery     = 100 * time.Millisecond
 	reportEvery   = time.Second
 	taskWorkers   = 64
-	taskQueue     = 4096
 	maxPeerLinks  = 4096
-	redialFirst   = 50 * time.Millisecond
-	redialMost    = time.Second
 	endedGangs    = 20_000
 	endedGangLife = 5 * time.Minute
 )
@@ -53,7 +50,7 @@
 	worker      *jayplatform.Worker
 	runner      *jayplatform.Runner
 	endpoint    *jaylink.Endpoint
-	tasks       chan func()
+	work        *jaywork.Pool
 	wake        chan struct{}
 	drained     chan struct{}
 
@@ -97,7 +94,7 @@
 		incarnation: jayattempt.NewIncarnation(time.Now()),
 		recorder:    jaytimeline.NewRecorder(settings.Name),
 		metrics:     metrics.NewSet(),
-		tasks:       make(chan func(), taskQueue),
+		work:        jaywork.NewPool(taskWorkers + settings.Slots),
 		wake:        make(chan struct{}, 1),
 		drained:     make(chan struct{}),
 		members:     map[jayowner.Key]*member{},
@@ -175,11 +172,11 @@
 	}
 	var serveErr error
 	wg.Go(func() { serveErr = s.endpoint.Serve(inner, s.Listener) })
-	wg.Go(func() { s.runTasks(inner) })
-	wg.Go(func() { s.tickLoop(inner) })
+	wg.Go(func() { s.work.Run(inner) })
+	wg.Go(func() { jaywork.Every(inner, tickEvery, s.tick) })
 	wg.Go(func() { s.reportLoop(inner) })
 	wg.Go(func() { s.watchTasks(inner) })
-	wg.Go(func() { s.renewLoop(inner) })
+	wg.Go(func() { jaywork.Every(inner, s.Settings.WorkerLease/4, s.renew) })
 	<-ctx.Done()
 	if !jayclock.Killed(ctx) {
 		s.drain()
@@ -245,42 +242,6 @@
 	}
 }
 
-// spawn runs input and output outside the mutex on the pool of workers. It
-// never blocks: what the pool's queue cannot take gets a goroutine of its own.
-func (s *Side) spawn(f func()) {
-	select {
-	case s.tasks <- f:
-	default:
-		go f()
-	}
-}
-
-func (s *Side) runTasks(ctx context.Context) {
-	p := pool.New().WithMaxGoroutines(taskWorkers + s.Settings.Slots)
-	for {
-		select {
-		case <-ctx.Done():
-			p.Wait()
-			return
-		case f := <-s.tasks:
-			p.Go(f)
-		}
-	}
-}
-
-func (s *Side) tickLoop(ctx context.Context) {
-	ticker := time.NewTicker(tickEvery)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			s.tick()
-		}
-	}
-}
-
 // tick frees what has lapsed.
 func (s *Side) tick() {
 	s.mutex.Lock()
