Let manifests through while the pool has shrunk; lose data centres in the demo

Cause: with 8 of 11 sides stopped, every manifest was refused as never fitting, although it fits the pool that is down for a moment. Loss of a data centre and racing publishers were not among the faults. Change: a manifest is judged against all workers seen of late; two more kinds of fault; reports of one side share 10 ms.

--- a/internal/process/jaydemo/demo_test.go
+++ b/internal/process/jaydemo/demo_test.go
@@ -15,6 +15,8 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/jaystile/jaystile/internal/process/jaystandin"
+	"github.com/jaystile/jaystile/internal/request/jayjob"
+	"github.com/jaystile/jaystile/internal/version/jaymanifest"
 	"github.com/jaystile/jaystile/pkg/jayapi"
 	"github.com/jaystile/jaystile/pkg/jayclient"
 	"github.com/jaystile/jaystile/pkg/jayrefusal"
@@ -339,3 +341,32 @@
 		assert.NilError(t, r.fleet.StartEntry(0))
 	}
 }
+
+// TestShrunkPoolStillTakesManifests publishes while most workers are away, then
+// a manifest that no pool of this size could hold.
+func TestShrunkPoolStillTakesManifests(t *testing.T) {
+	r := startFleet(t)
+	for i := 1; i < workers; i++ {
+		r.fleet.KillSide(i)
+	}
+	defer func() {
+		for i := 1; i < workers; i++ {
+			assert.NilError(t, r.fleet.StartSide(i))
+		}
+	}()
+	eventually(t, "the pool shrinks", func() bool {
+		s, err := r.operator.Status(context.Background())
+		return err == nil && len(s.UnmetGuarantees) > 0
+	})
+	d := kjaergaard()
+	d.name = "changed"
+	b, err := d.Manifest(1)
+	assert.NilError(t, err)
+	_, err = r.operator.Publish(context.Background(), b, false)
+	assert.NilError(t, err)
+	d.spaces = append(d.spaces, space("greedy", 0, 1, jaymanifest.NewGuarantee("greedy", "all", shape(11, 8, jayjob.Anywhere))))
+	b, err = d.Manifest(2)
+	assert.NilError(t, err)
+	_, err = r.operator.Publish(context.Background(), b, false)
+	assert.Equal(t, jayrefusal.From(err).Code(), jayrefusal.NeverFits)
+}
--- a/internal/process/jaydemo/faults.go
+++ b/internal/process/jaydemo/faults.go
@@ -7,9 +7,13 @@
 	"sort"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
+	"github.com/sourcegraph/conc"
+
 	"github.com/jaystile/jaystile/internal/process/jaystandin"
+	"github.com/jaystile/jaystile/pkg/jayclient"
 )
 
 // Fault is one kind of failure that a demonstration injects.
@@ -33,10 +37,15 @@
 	FaultCrossAnswers Fault = "cross_answers"
 	FaultBadWorker    Fault = "bad_worker"
 	FaultRunnerDown   Fault = "runner_down"
+	FaultLoseCentre   Fault = "lose_data_centre"
+	FaultRacePublish  Fault = "race_publish"
 )
 
 // AllFaults lists every kind.
-var AllFaults = []Fault{FaultKillEntry, FaultKillSide, FaultPauseEntry, FaultPauseSide, FaultSilentLink, FaultOneWayLink, FaultSlowLink, FaultLogOut, FaultLogSlow, FaultLogLoses, FaultLogStale, FaultDrainSide, FaultStopEntry, FaultCrossAnswers, FaultBadWorker, FaultRunnerDown}
+var AllFaults = []Fault{FaultKillEntry, FaultKillSide, FaultPauseEntry, FaultPauseSide, FaultSilentLink, FaultOneWayLink, FaultSlowLink, FaultLogOut, FaultLogSlow, FaultLogLoses, FaultLogStale, FaultDrainSide, FaultStopEntry, FaultCrossAnswers, FaultBadWorker, FaultRunnerDown, FaultLoseCentre, FaultRacePublish}
+
+// publishTimeout bounds one racing publication.
+const publishTimeout = 3 * time.Second
 
 // Faults says which faults are injected and how often.
 type Faults struct {
@@ -173,6 +182,10 @@
 		return i.injectLog(f)
 	case FaultDrainSide:
 		return i.drainSide(side)
+	case FaultLoseCentre:
+		return i.loseCentre(i.fleet.Deployment.DataCentre(entry))
+	case FaultRacePublish:
+		i.racePublishers()
 	case FaultCrossAnswers:
 		i.fleet.runners[side].SetFaults(jaystandin.RunnerFaults{CrossAnswers: true})
 		return func() { i.fleet.runners[side].SetFaults(jaystandin.RunnerFaults{}) }
@@ -225,3 +238,64 @@
 		s.SetDraining(false)
 	}
 }
+
+// loseCentre kills every side and entry of a data centre and returns what
+// brings them back.
+func (i *injector) loseCentre(centre string) func() {
+	var sides, entries []int
+	for n := range i.fleet.Sides {
+		if i.fleet.Deployment.Site(n).DataCentre == centre {
+			sides = append(sides, n)
+		}
+	}
+	for n := range i.fleet.Entries {
+		if i.fleet.Deployment.DataCentre(n) == centre {
+			entries = append(entries, n)
+		}
+	}
+	for _, n := range sides {
+		i.fleet.KillSide(n)
+	}
+	for _, n := range entries {
+		i.fleet.KillEntry(n)
+	}
+	return func() {
+		for _, n := range entries {
+			_ = i.fleet.StartEntry(n)
+		}
+		for _, n := range sides {
+			_ = i.fleet.StartSide(n)
+		}
+	}
+}
+
+// racePublishers has every entry publish another manifest on the same base and
+// checks that at most one of them is told that it won.
+func (i *injector) racePublishers() {
+	base := uint64(0)
+	for n := range i.fleet.Entries {
+		base = max(base, i.fleet.Entry(n).ManifestVersion())
+	}
+	var won atomic.Int32
+	var wg conc.WaitGroup
+	for n, address := range i.fleet.Addresses() {
+		wg.Go(func() {
+			d := i.fleet.Deployment
+			d.name = fmt.Sprintf("%s-%d-%d", d.name, base, n)
+			source, err := d.Manifest(base)
+			if err != nil {
+				return
+			}
+			c, closeClient := jayclient.New(address)
+			defer closeClient()
+			c.OperatorKey = OperatorKey
+			ctx, cancel := context.WithTimeout(context.Background(), publishTimeout)
+			defer cancel()
+			if _, err := c.Publish(ctx, source, false); err == nil {
+				won.Add(1)
+			}
+		})
+	}
+	wg.Wait()
+	i.judge.check(promiseManifest, won.Load() <= 1, "%d publishers on base %d were told that they won", won.Load(), base)
+}
--- a/internal/process/jayentry/entry.go
+++ b/internal/process/jayentry/entry.go
@@ -150,6 +150,13 @@
 // Incarnation returns this life of the process.
 func (e *Entry) Incarnation() jayattempt.Incarnation { return e.incarnation }
 
+// ManifestVersion returns the version that this entry has in force.
+func (e *Entry) ManifestVersion() uint64 {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	return e.manifests.Version()
+}
+
 // Run serves until ctx ends, then drains: readiness goes off, nothing new is
 // accepted, and what is in flight gets the drain timeout to end.
 func (e *Entry) Run(ctx context.Context) error {
--- a/internal/process/jayentry/operator.go
+++ b/internal/process/jayentry/operator.go
@@ -14,6 +14,7 @@
 
 	"github.com/jaystile/jaystile/internal/connection/jayframe"
 	"github.com/jaystile/jaystile/internal/connection/jaylink"
+	"github.com/jaystile/jaystile/internal/process/jaypool"
 	"github.com/jaystile/jaystile/internal/process/jaysched"
 	"github.com/jaystile/jaystile/internal/process/jaystate"
 	"github.com/jaystile/jaystile/internal/process/jaytimeline"
@@ -243,13 +244,24 @@
 	if e.scheduler.Pool().Total() == 0 {
 		return changes, nil
 	}
-	plan := jayplan.Build(m.Base()+1, m.Guarantees(), e.scheduler.Pool(), e.scheduler.Plan())
-	if err := plan.Err(e.scheduler.Pool()); err != nil {
+	whole := e.wholePool()
+	if err := jayplan.Build(m.Base()+1, m.Guarantees(), whole, nil).Err(whole); err != nil {
 		return nil, jayrefusal.New(jayrefusal.NeverFits, jayrefusal.NotRun, "%v", err)
 	}
 	return changes, nil
 }
 
+// wholePool returns the pool as it would be if every worker that was seen of
+// late were up and idle: a pool that has shrunk for a while must not keep
+// operators from publishing.
+func (e *Entry) wholePool() *jaypool.Pool {
+	whole := jaypool.New()
+	for _, s := range e.sides {
+		whole.Add(s.name, jaypool.NewPlace(s.hello.DataCentre, s.hello.Rack, s.hello.Cell), s.hello.Accelerators)
+	}
+	return whole
+}
+
 // verdict reports what the log's order has made of a manifest.
 func (e *Entry) verdict(m *jaymanifest.Manifest) (bool, error) {
 	e.mutex.Lock()
--- a/internal/process/jayside/links.go
+++ b/internal/process/jayside/links.go
@@ -245,7 +245,7 @@
 			return
 		case <-s.wake:
 			t.Stop()
-			jaywork.Pause(ctx, 2*time.Millisecond)
+			jaywork.Pause(ctx, reportDelay)
 		case <-t.C:
 		}
 		s.sendReports()
--- a/internal/process/jayside/side.go
+++ b/internal/process/jayside/side.go
@@ -27,8 +27,10 @@
 )
 
 const (
-	tickEvery     = 100 * time.Millisecond
-	reportEvery   = time.Second
+	tickEvery   = 100 * time.Millisecond
+	reportEvery = time.Second
+	// reportDelay lets changes share a report.
+	reportDelay   = 10 * time.Millisecond
 	taskWorkers   = 64
 	maxPeerLinks  = 4096
 	endedGangs    = 20_000
