Serve TLS, metrics of sides and one shape of refusal for malformed requests

Cause: the settings took certificate files that no process used; sides had no metrics to read; malformed requests had no test. Conclusion: links and callers are encrypted where certificates are set.

--- a/cmd/jaystile/client.go
+++ b/cmd/jaystile/client.go
@@ -8,6 +8,7 @@
 	"strings"
 	"time"
 
+	"github.com/jaystile/jaystile/internal/connection/jaytls"
 	"github.com/jaystile/jaystile/pkg/jayclient"
 	"github.com/jaystile/jaystile/pkg/jayrefusal"
 )
@@ -16,6 +17,7 @@
 type connection struct {
 	Entries string        `long:"entries" env:"JAYSTILE_ENTRIES" default:"127.0.0.1:8080" description:"addresses of entries, separated by commas"`
 	Timeout time.Duration `long:"timeout" default:"30s" description:"time for the whole command"`
+	TLS     string        `long:"authority" env:"JAYSTILE_AUTHORITY" description:"file of the certificates that entries are verified against; without one plain HTTP"`
 	JSON    bool          `long:"json" description:"print JSON"`
 }
 
@@ -34,6 +36,12 @@
 
 func (c connection) open() (*jayclient.Client, context.Context, func()) {
 	client, closeClient := jayclient.New(strings.Split(c.Entries, ",")...)
+	authority, err := jaytls.Authority(c.TLS)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "jaystile:", err)
+		os.Exit(exitInvalid)
+	}
+	client.Authority = authority
 	ctx, cancel := context.WithTimeout(context.Background(), c.Timeout)
 	return client, ctx, func() {
 		cancel()
--- a/cmd/jaystile/entry.go
+++ b/cmd/jaystile/entry.go
@@ -6,6 +6,7 @@
 
 	"github.com/jessevdk/go-flags"
 
+	"github.com/jaystile/jaystile/internal/connection/jaytls"
 	"github.com/jaystile/jaystile/internal/process/jayentry"
 	"github.com/jaystile/jaystile/internal/version/jaysettings"
 )
@@ -41,6 +42,10 @@
 	}
 	e, clean := jayentry.New(s, http, link, logger())
 	defer clean()
+	e.TLS, err = jaytls.Peers(jaytls.Files{Certificate: s.Certificate, PrivateKey: s.PrivateKey, Authority: s.Authority})
+	if err != nil {
+		return &exitError{status: exitInvalid, cause: err}
+	}
 	ctx, cancel := interruptible()
 	defer cancel()
 	return e.Run(ctx)
--- a/cmd/jaystile/side.go
+++ b/cmd/jaystile/side.go
@@ -6,6 +6,7 @@
 
 	"github.com/jessevdk/go-flags"
 
+	"github.com/jaystile/jaystile/internal/connection/jaytls"
 	"github.com/jaystile/jaystile/internal/process/jayside"
 	"github.com/jaystile/jaystile/internal/version/jaysettings"
 )
@@ -34,6 +35,10 @@
 	}
 	side, clean := jayside.New(s, link, logger())
 	defer clean()
+	side.TLS, err = jaytls.Peers(jaytls.Files{Certificate: s.Certificate, PrivateKey: s.PrivateKey, Authority: s.Authority})
+	if err != nil {
+		return &exitError{status: exitInvalid, cause: err}
+	}
 	ctx, cancel := interruptible()
 	defer cancel()
 	return side.Run(ctx)
--- a/internal/connection/jaylink/endpoint.go
+++ b/internal/connection/jaylink/endpoint.go
@@ -9,6 +9,7 @@
 	"crypto/tls"
 	"encoding/hex"
 	"fmt"
+	"io"
 	"net"
 	"strconv"
 	"time"
@@ -21,6 +22,8 @@
 
 const (
 	linkPath       = "/link"
+	metricsPath    = "/metrics"
+	metricsType    = "text/plain; version=0.0.4"
 	nonceHeader    = "Jaystile-Nonce"
 	nonceBytes     = 16
 	bufferBytes    = 16 << 10
@@ -62,6 +65,8 @@
 	TLS *tls.Config
 	// MaxLinks bounds the links accepted at once.
 	MaxLinks int
+	// Metrics writes the process's metrics for GET /metrics; it may be nil.
+	Metrics func(w io.Writer)
 }
 
 // Serve accepts links on the listener until ctx ends.
@@ -73,7 +78,7 @@
 	server := &fasthttp.Server{
 		Handler: func(c *fasthttp.RequestCtx) {
 			if string(c.Path()) != linkPath {
-				c.Error("not found", fasthttp.StatusNotFound)
+				e.serveOther(c)
 				return
 			}
 			nonce := newNonce()
@@ -95,6 +100,16 @@
 	return fmt.Errorf("serve links: %w", err)
 }
 
+// serveOther answers requests that open no link.
+func (e *Endpoint) serveOther(c *fasthttp.RequestCtx) {
+	if e.Metrics == nil || string(c.Path()) != metricsPath {
+		c.Error("not found", fasthttp.StatusNotFound)
+		return
+	}
+	c.SetContentType(metricsType)
+	e.Metrics(c.Response.BodyWriter())
+}
+
 // discard drops the server's lines: failures are counted and links log their
 // own ends.
 type discard struct{}
--- a/internal/process/jaydemo/demo_test.go
+++ b/internal/process/jaydemo/demo_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
+	"net/http"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -370,3 +372,50 @@
 	_, err = r.operator.Publish(context.Background(), b, false)
 	assert.Equal(t, jayrefusal.From(err).Code(), jayrefusal.NeverFits)
 }
+
+// TestMalformedRequestsGetTheOneRefusal sends what no caller should.
+func TestMalformedRequestsGetTheOneRefusal(t *testing.T) {
+	r := startFleet(t)
+	address := r.fleet.Addresses()[0]
+	cases := []struct {
+		method, path, body string
+		status             int
+		code               string
+	}{
+		{"POST", "/v1/jobs", "{", 400, "malformed"},
+		{"POST", "/v1/jobs", "[]", 400, "malformed"},
+		{"POST", "/v1/jobs", `{"kind":"k","class":"soon","members":1}`, 400, "malformed"},
+		{"POST", "/v1/jobs", `{"kind":"k","class":"urgent","members":0}`, 400, "malformed"},
+		{"POST", "/v1/jobs", `{"kind":"k","class":"urgent","members":1,"idempotent":true,"runtime_ms":9223372036854775807}`, 400, "malformed"},
+		{"POST", "/v1/jobs", `{"kind":"k","class":"urgent","members":1}`, 400, "malformed"},
+		{"POST", "/v1/jobs", `{"kind":"k","class":"urgent","members":2,"accelerators":64,"idempotent":true}`, 422, "never_fits"},
+		{"POST", "/v1/jobs", strings.Repeat("x", 3<<20), 413, "malformed"},
+		{"GET", "/v1/jobs?limit=0", "", 400, "malformed"},
+		{"GET", "/v1/jobs/nonsense", "", 404, "not_found"},
+		{"GET", "/v1/nowhere", "", 404, "not_found"},
+		{"POST", "/v1/operator/manifest", "{}", 401, "unauthorized"},
+	}
+	for _, c := range cases {
+		request, err := http.NewRequest(c.method, "http://"+address+c.path, strings.NewReader(c.body))
+		assert.NilError(t, err)
+		request.Header.Set("Content-Type", "application/json")
+		request.Header.Set(jayapi.WorkspaceHeader, "dispatch")
+		request.Header.Set(jayapi.AuthorizationHeader, jayapi.BearerPrefix+WorkspaceKey("dispatch"))
+		response, err := http.DefaultClient.Do(request)
+		if c.status == 413 && err != nil {
+			continue // The server may cut a body that is too long.
+		}
+		assert.NilError(t, err)
+		var body jayapi.Refusal
+		assert.NilError(t, json.NewDecoder(response.Body).Decode(&body), c.body)
+		assert.NilError(t, response.Body.Close())
+		assert.Equal(t, response.StatusCode, c.status, "%s %s", c.path, body.Message)
+		assert.Equal(t, body.Code, c.code)
+		// Whether a job that nobody remembers has run is not known.
+		want := jayrefusal.NotRun
+		if strings.HasPrefix(c.path, "/v1/jobs/") {
+			want = jayrefusal.Unknown
+		}
+		assert.Equal(t, body.Outcome, string(want), body.Message)
+	}
+}
--- a/internal/process/jayentry/entry.go
+++ b/internal/process/jayentry/entry.go
@@ -8,6 +8,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"fmt"
 	"net"
 	"sync"
@@ -93,6 +94,10 @@
 	// nextCompact is when work may be moved again.
 	nextCompact time.Duration
 
+	// TLS serves callers and links and verifies peers; nil for none. It is set
+	// before Run.
+	TLS *tls.Config
+
 	// follow keeps a link to the entry at an address; Run sets it.
 	follow func(address string)
 }
@@ -168,8 +173,13 @@
 	e.follow = func(address string) { e.followPeer(inner, &wg, address) }
 	e.mutex.Unlock()
 	var linkErr, httpErr error
+	e.endpoint.TLS = e.TLS
+	callers := e.HTTPListener
+	if e.TLS != nil {
+		callers = tls.NewListener(callers, e.TLS)
+	}
 	wg.Go(func() { linkErr = e.endpoint.Serve(inner, e.LinkListener) })
-	wg.Go(func() { httpErr = e.app.Listener(e.HTTPListener) })
+	wg.Go(func() { httpErr = e.app.Listener(callers) })
 	wg.Go(func() { e.work.Run(inner) })
 	wg.Go(func() { jaywork.Every(inner, tickEvery, e.tick) })
 	wg.Go(func() { e.decideLoop(inner) })
--- a/internal/process/jayside/side.go
+++ b/internal/process/jayside/side.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"fmt"
 	"net"
 	"sync"
@@ -45,6 +46,8 @@
 	Logger   zerolog.Logger
 	// Listener accepts the links of gang members; Run closes it.
 	Listener net.Listener
+	// TLS serves links and verifies peers; nil for none.
+	TLS *tls.Config
 
 	incarnation jayattempt.Incarnation
 	recorder    *jaytimeline.Recorder
@@ -122,13 +125,31 @@
 		Opened:      func(*jaylink.Link, *jayframe.Hello) {},
 		Ended:       func(*jaylink.Link) {},
 		MaxLinks:    maxPeerLinks,
+		Metrics:     s.metrics.WritePrometheus,
 	}
+	s.registerGauges()
 	return s, func() {
 		closeWorker()
 		closeRunner()
 	}
 }
 
+// registerGauges makes the sizes of the tables visible.
+func (s *Side) registerGauges() {
+	gauge := func(name string, f func() int) {
+		s.metrics.NewGauge(name, func() float64 {
+			s.mutex.Lock()
+			defer s.mutex.Unlock()
+			return float64(f())
+		})
+	}
+	gauge("jaystile_side_holds", func() int { return len(s.ledger.Holds()) })
+	gauge("jaystile_side_slots_free", func() int { return s.ledger.FreeSlots() })
+	gauge("jaystile_side_tombstones", func() int { return s.ledger.Tombstones() })
+	gauge("jaystile_side_gangs_open", func() int { return len(s.active) })
+	gauge("jaystile_side_gangs_kept", func() int { return len(s.gangs) })
+}
+
 // Recorder returns the process's time line.
 func (s *Side) Recorder() *jaytimeline.Recorder { return s.recorder }
 
@@ -159,6 +180,7 @@
 	s.recorder.Record(jaytimeline.ProcessStarted, jaytimeline.Fields{Worker: s.Settings.Name, Detail: "incarnation " + s.incarnation.String()})
 	s.Logger.Info().Str("incarnation", s.incarnation.String()).Msg("side started")
 	inner, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	s.endpoint.TLS = s.TLS
 	var wg conc.WaitGroup
 	s.mutex.Lock()
 	s.carry = func(l *jaylink.Link, ended func()) {
--- a/internal/version/jaysettings/roles.go
+++ b/internal/version/jaysettings/roles.go
@@ -69,6 +69,7 @@
 	OperatorKey   string
 	Certificate   string
 	PrivateKey    string
+	Authority     string
 	QueueLimit    int
 	MaxBodyBytes  int
 	MaxLinks      int
@@ -117,11 +118,11 @@
 		duration("state", "key_retention", "time for which an idempotency key is remembered", time.Minute, 30*24*time.Hour, &e.KeyRetention),
 		duration("state", "job_retention", "time for which an ended job can be asked about", time.Second, 30*24*time.Hour, &e.JobRetention),
 		number("state", "snapshot_every", "records of the job stream between two snapshots", 10, 1<<20, &e.SnapshotEvery),
-	}, commonFields(&e.Beat, &e.Silence, &e.Lease, &e.SharedKey, &e.Certificate, &e.PrivateKey)...)
+	}, commonFields(&e.Beat, &e.Silence, &e.Lease, &e.SharedKey, &e.Certificate, &e.PrivateKey, &e.Authority)...)
 	return append(all, text("security", "operator_key", "key of operators' commands; empty turns them off", "change-this-key", false, &e.OperatorKey))
 }
 
-func commonFields(beat, silence, lease *time.Duration, key, certificate, privateKey *string) []field {
+func commonFields(beat, silence, lease *time.Duration, key, certificate, privateKey, authority *string) []field {
 	return []field{
 		duration("timing", "beat", "time between heartbeats of a link", 10*time.Millisecond, time.Minute, beat),
 		duration("timing", "silence", "time after which a silent link is replaced", 50*time.Millisecond, 10*time.Minute, silence),
@@ -129,6 +130,7 @@
 		text("security", "shared_key", "secret of the links between processes; empty for none", "change-this-secret", false, key),
 		text("security", "certificate", "file of the TLS certificate; empty for none", "", false, certificate),
 		text("security", "private_key", "file of the TLS private key; empty for none", "", false, privateKey),
+		text("security", "authority", "file of the certificates that peers are verified against; empty for the system's", "", false, authority),
 	}
 }
 
@@ -166,6 +168,7 @@
 	SharedKey    string
 	Certificate  string
 	PrivateKey   string
+	Authority    string
 	Beat         time.Duration
 	Silence      time.Duration
 	Lease        time.Duration
@@ -211,7 +214,7 @@
 		number("runner", "connections", "connections that the runner accepts", 1, 65536, &p.Connections),
 		duration("limits", "drain_timeout", "time that work in flight gets at a graceful shutdown", 0, time.Hour, &p.DrainTimeout),
 		duration("limits", "tombstones", "time for which an attempt that never starts is remembered", time.Second, 24*time.Hour, &p.Tombstones),
-	}, commonFields(&p.Beat, &p.Silence, &p.Lease, &p.SharedKey, &p.Certificate, &p.PrivateKey)...)
+	}, commonFields(&p.Beat, &p.Silence, &p.Lease, &p.SharedKey, &p.Certificate, &p.PrivateKey, &p.Authority)...)
 }
 
 // ParseSide reads and checks a side's settings.
--- a/pkg/jayclient/client.go
+++ b/pkg/jayclient/client.go
@@ -3,10 +3,13 @@
 
 import (
 	"context"
+	"crypto/tls"
+	"crypto/x509"
 	"encoding/json"
 	"fmt"
 	"net/url"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -33,9 +36,12 @@
 	Key       string
 	// OperatorKey is needed for operators' calls.
 	OperatorKey string
+	// Authority verifies the entries' certificates; nil means plain HTTP.
+	Authority *x509.CertPool
 
 	http fasthttp.Client
 	next atomic.Uint64
+	once sync.Once
 }
 
 // New returns a client of the entries at the addresses and a function that
@@ -169,7 +175,7 @@
 	defer fasthttp.ReleaseRequest(request)
 	defer fasthttp.ReleaseResponse(response)
 	address := c.Addresses[int(c.next.Add(1))%len(c.Addresses)]
-	request.SetRequestURI("http://" + address + path)
+	request.SetRequestURI(c.scheme() + address + path)
 	request.Header.SetMethod(method)
 	request.Header.Set(jayapi.WorkspaceHeader, c.Workspace)
 	request.Header.Set(jayapi.AuthorizationHeader, jayapi.BearerPrefix+key)
@@ -191,6 +197,17 @@
 	return decode(response, answer)
 }
 
+// scheme sets up TLS before the first use of the connections.
+func (c *Client) scheme() string {
+	if c.Authority == nil {
+		return "http://"
+	}
+	c.once.Do(func() {
+		c.http.TLSConfig = &tls.Config{MinVersion: tls.VersionTLS12, RootCAs: c.Authority}
+	})
+	return "https://"
+}
+
 // encode keeps raw JSON as it is: a manifest's digest depends on each byte.
 func encode(body any) ([]byte, error) {
 	if raw, ok := body.(json.RawMessage); ok {
