Free holds that were given up, move urgent idempotent work at once

Cause: an attempt that its entry had given up stayed with its owner until it ended; urgent work whose link broke waited 10 s for its owner to be dead. Change: each report that still shows such a hold is answered with a cancel, unless another entry looks after the job; urgent idempotent work is retried as soon as its link breaks. Conclusion: cancels repeat until the owner has freed all.

--- a/internal/process/jaydemo/demo_test.go
+++ b/internal/process/jaydemo/demo_test.go
@@ -419,3 +419,28 @@
 		assert.Equal(t, body.Outcome, string(want), body.Message)
 	}
 }
+
+// TestOwnersFreeWhatWasGivenUp cuts an urgent job off from its owner: the job
+// moves at once, and the owner's hold is freed when the link is back.
+func TestOwnersFreeWhatWasGivenUp(t *testing.T) {
+	r := startFleet(t)
+	c := r.client(t, 0, "order-desk")
+	done := make(chan *jayapi.Job, 1)
+	go func() {
+		j, err := c.Submit(context.Background(), jayapi.Submission{Kind: "pricecheck", Class: "urgent", Members: 1, Accelerators: 1, Payload: program(3000, "moved"), Idempotent: true, Wait: true})
+		assert.Check(t, err)
+		done <- j
+	}()
+	eventually(t, "the job runs", func() bool { return r.held(1) })
+	r.fleet.Relays()[0].Spoil(jaystandin.RelayFault{DropForward: true, DropBack: true})
+	j := <-done
+	assert.Assert(t, j != nil && j.State == jayapi.JobAnswered)
+	eventually(t, "every hold is freed", func() bool {
+		holds := 0
+		for i := range workers {
+			holds += r.fleet.Side(i).Holds()
+		}
+		return holds == 0
+	})
+	assert.Assert(t, r.runs("moved") >= 1)
+}
--- a/internal/process/jayentry/adopt.go
+++ b/internal/process/jayentry/adopt.go
@@ -83,6 +83,7 @@
 // left to run: the adopter asks its anchor.
 func (e *Entry) letGo(j *job) {
 	j.durable = false
+	j.handedOver = true
 	e.finish(j, nil, jayrefusal.New(jayrefusal.OwnerLost, jayrefusal.Unknown, "another entry has taken the job over; ask again").WithRetryAfter(retryAfterLeast))
 }
 
--- a/internal/process/jayentry/job.go
+++ b/internal/process/jayentry/job.go
@@ -48,9 +48,11 @@
 	ran       time.Duration
 	mayHave   bool
 	canceling bool
-	answers   [][]byte
-	refusal   *jayrefusal.Refusal
-	done      chan struct{}
+	// handedOver says that another entry looks after the job now.
+	handedOver bool
+	answers    [][]byte
+	refusal    *jayrefusal.Refusal
+	done       chan struct{}
 }
 
 func newJob(id string, spec jayjob.Spec, now time.Duration) *job {
--- a/internal/process/jayentry/outcome.go
+++ b/internal/process/jayentry/outcome.go
@@ -10,6 +10,7 @@
 	"github.com/jaystile/jaystile/internal/process/jayroute"
 	"github.com/jaystile/jaystile/internal/process/jaytimeline"
 	"github.com/jaystile/jaystile/internal/request/jayattempt"
+	"github.com/jaystile/jaystile/internal/request/jayjob"
 	"github.com/jaystile/jaystile/pkg/jayrefusal"
 )
 
@@ -211,7 +212,7 @@
 			continue
 		}
 		if s.link == nil {
-			if now-s.lostAt >= e.ownerDeadAfter() {
+			if now-s.lostAt >= e.patience(a.job) {
 				e.lost(a, "the owner is out of contact")
 			}
 			continue
@@ -224,6 +225,16 @@
 	}
 }
 
+// patience is how long an attempt waits for an owner that is out of contact.
+// Urgent idempotent work moves at once; other work waits until what its owner
+// ran has certainly stopped, rather than hold accelerators twice.
+func (e *Entry) patience(j *job) time.Duration {
+	if j.spec.Class() == jayjob.Urgent && j.spec.Idempotent() {
+		return 0
+	}
+	return e.ownerDeadAfter()
+}
+
 // lost ends an attempt whose owner cannot be asked any more. What ran under it
 // has stopped by now.
 func (e *Entry) lost(a *attempt, why string) {
--- a/internal/process/jayentry/pool.go
+++ b/internal/process/jayentry/pool.go
@@ -60,18 +60,32 @@
 		booked[h.Job()] = true
 	}
 	for _, h := range r.Held {
-		if h.Leaving || h.Accelerators == 0 || e.ownButNotBooked(h) {
+		if e.givenUp(h) {
+			e.cancelGivenUp(s, h)
+			continue
+		}
+		if h.Leaving || h.Accelerators == 0 {
 			continue
 		}
 		e.adoptHold(s.name, h, booked[h.Job], now)
 	}
 }
 
-// ownButNotBooked reports a hold of an attempt of this entry that it has given
-// up already: the owner frees it as soon as it hears.
-func (e *Entry) ownButNotBooked(h jayframe.Held) bool {
+// givenUp reports a hold of an attempt that this entry has given up: its job has
+// ended, or another attempt has taken its place.
+func (e *Entry) givenUp(h jayframe.Held) bool {
 	j := e.jobs[h.Job]
-	return j != nil && (j.attempt == nil || j.attempt.id != h.Attempt.ID())
+	return j != nil && !j.handedOver && (j.attempt == nil || j.attempt.id != h.Attempt.ID())
+}
+
+// cancelGivenUp tells an owner to free such a hold, again with each report that
+// still shows it.
+func (e *Entry) cancelGivenUp(s *side, h jayframe.Held) {
+	if h.Leaving || s.link == nil {
+		return
+	}
+	e.counter(`jaystile_entry_given_up_holds_total`).Inc()
+	_ = s.link.Send(&jayframe.Cancel{Attempt: h.Attempt, Owner: uint64(s.incarnation)})
 }
 
 func (e *Entry) adoptHold(worker string, h jayframe.Held, booked bool, now time.Duration) {
