Send nothing that cannot be answered in time; reuse a freed slot at once

Cause: with a tenfold burst of one workspace another's p99 rose from 205 to 591 ms. Limits of all runners had fallen to one: requests were sent with less time left than the work takes, their failures counted against the runners and ejected them. A slot that had just become free was not used before the owner's next report. Ruled out: the delay of refused placements (622 ms with a cap of 10 ms).

--- a/cmd/jaystile/standin.go
+++ b/cmd/jaystile/standin.go
@@ -43,7 +43,7 @@
 		apps[a] = jaystandin.NewWorker(s.Accelerators).App()
 	}
 	for _, a := range s.Runners {
-		apps[a] = jaystandin.NewRunner().App()
+		apps[a] = jaystandin.NewRunner(s.Slots).App()
 	}
 	return serveAll(apps)
 }
--- a/internal/process/jaydemo/fleet.go
+++ b/internal/process/jaydemo/fleet.go
@@ -196,7 +196,7 @@
 
 func (f *Fleet) prepareSide(i int) error {
 	w := jaystandin.NewWorker(accelerators)
-	r := jaystandin.NewRunner()
+	r := jaystandin.NewRunner(runnerSlots)
 	workerAddr, err := f.serve(w.App())
 	if err != nil {
 		return err
--- a/internal/process/jayentry/outcome.go
+++ b/internal/process/jayentry/outcome.go
@@ -176,6 +176,10 @@
 	if a.state.State() == jayattempt.Sent {
 		e.move(a, jayattempt.Unknown)
 	}
+	if j.due > 0 && e.now()+sheddingMargin >= j.due {
+		e.outOfTime(a)
+		return
+	}
 	if a.router {
 		e.router.Done(a.anchor, jayroute.Failed, 0, e.now())
 		j.avoid[a.anchor] = true
@@ -199,6 +203,16 @@
 	e.retryPlacement(j, message)
 }
 
+// outOfTime ends a job whose owner stopped waiting at the caller's deadline. That
+// says nothing about the worker or runner.
+func (e *Entry) outOfTime(a *attempt) {
+	if a.router {
+		e.router.Done(a.anchor, jayroute.Neutral, 0, e.now())
+	}
+	e.endAttempt(a, "the deadline passed")
+	e.finish(a.job, nil, jayrefusal.New(jayrefusal.DeadlinePassed, jayrefusal.Unknown, "the deadline passed while the job ran"))
+}
+
 // settleStale asks the anchors of attempts that have not been heard of for a
 // while, and gives up those whose owner has certainly stopped.
 func (e *Entry) settleStale(now time.Duration) {
--- a/internal/process/jayentry/place.go
+++ b/internal/process/jayentry/place.go
@@ -28,6 +28,7 @@
 	sheddingMargin = 2 * time.Millisecond
 	replaceFirst   = 2 * time.Millisecond
 	replaceMost    = 500 * time.Millisecond
+	rerouteMost    = 10 * time.Millisecond
 	// compactEvery is the least time between two moves of work.
 	compactEvery = 10 * time.Second
 )
@@ -35,9 +36,10 @@
 // dispatch sends waiting requests to runners with room.
 func (e *Entry) dispatch() {
 	now := e.now()
-	for _, i := range e.queue.Expired(now, sheddingMargin) {
+	// What cannot be answered within its deadline any more is not sent.
+	for _, i := range e.queue.Expired(now, max(e.router.MeanLatency(), sheddingMargin)) {
 		if j := e.jobs[i.ID]; j != nil {
-			e.giveUp(j, jayrefusal.DeadlinePassed, "the deadline passed")
+			e.giveUp(j, jayrefusal.DeadlinePassed, "too little time was left")
 		}
 	}
 	for {
@@ -324,8 +326,13 @@
 
 // replaceDelay returns how long a job waits before it is placed again: an owner
 // that refused knows more than this entry's table, which must catch up first.
-func replaceDelay(tries int) time.Duration {
-	d := min(replaceFirst<<min(tries, 8), replaceMost)
+func (j *job) replaceDelay() time.Duration {
+	most := replaceMost
+	if j.request {
+		// The router has lowered its limit for the runner already.
+		most = rerouteMost
+	}
+	d := min(replaceFirst<<min(j.refused, 8), most)
 	return d/2 + rand.N(d)
 }
 
@@ -339,7 +346,7 @@
 	if !j.request {
 		e.scheduler.Suspend(j.id, jaysched.NewReason(jaysched.WaitsForOwner, blocker, 0, e.now()))
 	}
-	time.AfterFunc(replaceDelay(j.refused), func() {
+	time.AfterFunc(j.replaceDelay(), func() {
 		e.mutex.Lock()
 		defer e.mutex.Unlock()
 		e.placeAgain(j)
--- a/internal/process/jayload/load.go
+++ b/internal/process/jayload/load.go
@@ -28,6 +28,8 @@
 // Load is an open-loop load. All fields are set before Run.
 type Load struct {
 	Client *jayclient.Client
+	// Send replaces the client, for baselines; it may be nil.
+	Send func(ctx context.Context) error
 	// Submission is sent again and again; Wait is set.
 	Submission jayapi.Submission
 	// NewKey makes an idempotency key for each request; it may be nil.
@@ -99,6 +101,10 @@
 	limit := time.Duration(s.DeadlineMillis)*time.Millisecond + answerGrace
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
+	if l.Send != nil {
+		m.take(time.Since(due), l.Send(ctx))
+		return
+	}
 	_, err := l.Client.Submit(ctx, s)
 	m.take(time.Since(due), err)
 }
--- a/internal/process/jayroute/router.go
+++ b/internal/process/jayroute/router.go
@@ -69,6 +69,16 @@
 	return float64(r.outstanding) < r.limit && r.reported+r.sinceReport < r.slots
 }
 
+// ended takes one request off the estimated load: it is either newer than the
+// owner's report or counted in it.
+func (r *Runner) ended() {
+	if r.sinceReport > 0 {
+		r.sinceReport--
+		return
+	}
+	r.reported = max(r.reported-1, 0)
+}
+
 // Change says that a runner was ejected or has returned.
 type Change struct {
 	Runner  string
@@ -196,7 +206,7 @@
 		return
 	}
 	n.outstanding = max(n.outstanding-1, 0)
-	n.sinceReport = max(n.sinceReport-1, 0)
+	n.ended()
 	switch result {
 	case Answered:
 		r.answered(n, took, now)
--- a/internal/process/jayroute/router_test.go
+++ b/internal/process/jayroute/router_test.go
@@ -102,3 +102,16 @@
 		assert.Assert(t, r.Pick(0, nil) != "n0", "a leaving runner was chosen")
 	}
 }
+
+// TestOwnAnswerFreesTheSlotAtOnce checks that a slot whose request has ended is
+// used again before the owner's next report.
+func TestOwnAnswerFreesTheSlotAtOnce(t *testing.T) {
+	r := router(1)
+	for range 4 {
+		assert.Equal(t, r.Pick(0, nil), "r0")
+	}
+	r.Report("r0", 8, false)
+	assert.Equal(t, r.Pick(0, nil), "")
+	r.Done("r0", Answered, time.Millisecond, 0)
+	assert.Equal(t, r.Pick(0, nil), "r0")
+}
--- a/internal/process/jaystandin/runner.go
+++ b/internal/process/jaystandin/runner.go
@@ -29,6 +29,11 @@
 // Runner is a runner's stand-in: it answers requests and keeps a record of each
 // that it ran.
 type Runner struct {
+	// Slots is how many requests work at once; more wait for their turn. Zero
+	// bounds nothing.
+	Slots int
+
+	turns  chan struct{}
 	mutex  sync.Mutex
 	faults RunnerFaults
 	runs   []Run
@@ -37,8 +42,15 @@
 	peak   int
 }
 
-// NewRunner returns a runner that has run nothing.
-func NewRunner() *Runner { return &Runner{} }
+// NewRunner returns a runner that has run nothing and works on at most the given
+// number of requests at once, or on any number for zero.
+func NewRunner(slots int) *Runner {
+	r := &Runner{Slots: slots}
+	if slots > 0 {
+		r.turns = make(chan struct{}, slots)
+	}
+	return r
+}
 
 // SetFaults changes how the runner misbehaves from now on.
 func (r *Runner) SetFaults(f RunnerFaults) {
@@ -87,6 +99,10 @@
 		r.active--
 		r.mutex.Unlock()
 	}()
+	if r.turns != nil {
+		r.turns <- struct{}{}
+		defer func() { <-r.turns }()
+	}
 	time.Sleep(f.Delay + time.Duration(p.Millis)*time.Millisecond)
 	if p.Fail {
 		return fiber.ErrInternalServerError
--- a/internal/version/jaysettings/roles.go
+++ b/internal/version/jaysettings/roles.go
@@ -233,10 +233,11 @@
 	Seed         int
 	Workers      []string
 	Runners      []string
+	Slots        int
 	Accelerators int
 }
 
-func defaultStandin() Standin { return Standin{Accelerators: 8, Seed: 1} }
+func defaultStandin() Standin { return Standin{Accelerators: 8, Slots: 8, Seed: 1} }
 
 func (p *Standin) fields() []field {
 	return []field{
@@ -246,6 +247,7 @@
 		addresses("workers", "listen", "addresses of the workers", "127.0.0.1:9101, 127.0.0.1:9102", &p.Workers),
 		number("workers", "accelerators", "accelerators of each worker", 0, 64, &p.Accelerators),
 		addresses("runners", "listen", "addresses of the runners", "127.0.0.1:9201, 127.0.0.1:9202", &p.Runners),
+		number("runners", "slots", "requests that a runner works on at once; 0 bounds nothing", 0, 4096, &p.Slots),
 	}
 }
 
