Name what a side does with its members once

Cause: wrappers that only passed on, an unused field, a comment beside the wrong type. Change: prepareMember, startMember and haltMember serve both callers. Conclusion: behaviour is unchanged.

--- a/internal/process/jaydemo/overload_bench_test.go
+++ b/internal/process/jaydemo/overload_bench_test.go
@@ -63,7 +63,7 @@
 	b.ReportMetric(float64(res.NotRun+res.Unknown+res.Ran), "refused")
 }
 
-// baseline sends straight to runners: at random, or to the one with the fewest
+// direct is a baseline that sends straight to runners: at random, or to the one with the fewest
 // requests outstanding; each try gets a share of the deadline, and three more
 // tries follow blindly.
 type direct struct {
--- a/internal/process/jayside/gangs.go
+++ b/internal/process/jayside/gangs.go
@@ -87,19 +87,19 @@
 	switch a.Order() {
 	case jaygang.Prepare:
 		if l == nil {
-			s.prepareLocal(attempt, a.Member())
+			s.prepareMember(attempt, a.Member())
 			return
 		}
 		_ = l.Send(&jayframe.Prepare{Attempt: wire, Member: a.Member()})
 	case jaygang.Go:
 		if l == nil {
-			s.goLocal(attempt, a.Member())
+			s.startMember(attempt, a.Member())
 			return
 		}
 		_ = l.Send(&jayframe.Go{Attempt: wire, Member: a.Member()})
 	case jaygang.Stop:
 		if l == nil {
-			s.stopLocal(attempt, a.Member(), save)
+			s.haltMember(attempt, a.Member(), save)
 			return
 		}
 		_ = l.Send(&jayframe.Stop{Attempt: wire, Member: a.Member(), Checkpoint: save})
--- a/internal/process/jayside/members.go
+++ b/internal/process/jayside/members.go
@@ -51,16 +51,14 @@
 // remote reports whether the member's anchor is another process.
 func (s *Side) remote(m *member) bool { return s.gangs[m.key.Attempt] == nil }
 
-// prepareLocal loads the task of a member that runs here.
-func (s *Side) prepareLocal(a jayattempt.ID, i int) { s.onPrepareLocked(a, i) }
-
 func (s *Side) onPrepare(a jayattempt.ID, i int) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	s.onPrepareLocked(a, i)
+	s.prepareMember(a, i)
 }
 
-func (s *Side) onPrepareLocked(a jayattempt.ID, i int) {
+// prepareMember loads the task of a member that runs here.
+func (s *Side) prepareMember(a jayattempt.ID, i int) {
 	m := s.members[jayowner.Key{Attempt: a, Member: i}]
 	if m == nil {
 		s.tellAnchor(jayowner.Key{Attempt: a, Member: i}, &jayframe.Prepared{Attempt: jayframe.FromID(a), Member: i, Message: "hold is gone"})
@@ -111,19 +109,16 @@
 	s.metrics.GetOrCreateCounter(`jaystile_side_worker_failures_total`).Inc()
 }
 
-// goLocal starts a member that runs here.
-func (s *Side) goLocal(a jayattempt.ID, i int) { s.goLocked(a, i) }
-
 func (s *Side) onGo(a jayattempt.ID, i int) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	s.goLocked(a, i)
+	s.startMember(a, i)
 }
 
-// goLocked starts a member if its hold is still its own. Time is read before
+// startMember starts a member if its hold is still its own. Time is read before
 // the ledger is asked, so that a process that was paused past the lease starts
 // nothing.
-func (s *Side) goLocked(a jayattempt.ID, i int) {
+func (s *Side) startMember(a jayattempt.ID, i int) {
 	k := jayowner.Key{Attempt: a, Member: i}
 	m := s.members[k]
 	if m == nil || m.running {
@@ -240,16 +235,14 @@
 	s.poke()
 }
 
-// stopLocal stops a member that runs here.
-func (s *Side) stopLocal(a jayattempt.ID, i int, save bool) { s.stopLocked(a, i, save) }
-
 func (s *Side) onStop(a jayattempt.ID, i int, save bool) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	s.stopLocked(a, i, save)
+	s.haltMember(a, i, save)
 }
 
-func (s *Side) stopLocked(a jayattempt.ID, i int, save bool) {
+// haltMember stops a member that runs here because its anchor says so.
+func (s *Side) haltMember(a jayattempt.ID, i int, save bool) {
 	m := s.members[jayowner.Key{Attempt: a, Member: i}]
 	if m == nil {
 		return
--- a/internal/process/jaystandin/log.go
+++ b/internal/process/jaystandin/log.go
@@ -176,11 +176,10 @@
 }
 
 type faultsBody struct {
-	Out          bool    `json:"out"`
-	DelayMillis  int64   `json:"delay_ms"`
-	LoseAnswers  float64 `json:"lose_answers"`
-	StaleReads   float64 `json:"stale_reads"`
-	KeepExisting bool    `json:"-"`
+	Out         bool    `json:"out"`
+	DelayMillis int64   `json:"delay_ms"`
+	LoseAnswers float64 `json:"lose_answers"`
+	StaleReads  float64 `json:"stale_reads"`
 }
 
 func (l *Log) handleFaults(c *fiber.Ctx) error {
--- a/internal/process/jaystandin/runner.go
+++ b/internal/process/jaystandin/runner.go
@@ -29,10 +29,7 @@
 // Runner is a runner's stand-in: it answers requests and keeps a record of each
 // that it ran.
 type Runner struct {
-	// Slots is how many requests work at once; more wait for their turn. Zero
-	// bounds nothing.
-	Slots int
-
+	// turns bounds the requests that work at once; nil bounds nothing.
 	turns  chan struct{}
 	mutex  sync.Mutex
 	faults RunnerFaults
@@ -45,7 +42,7 @@
 // NewRunner returns a runner that has run nothing and works on at most the given
 // number of requests at once, or on any number for zero.
 func NewRunner(slots int) *Runner {
-	r := &Runner{Slots: slots}
+	r := &Runner{}
 	if slots > 0 {
 		r.turns = make(chan struct{}, slots)
 	}
