--- a/cmd/jaystile/policy.go
+++ b/cmd/jaystile/policy.go
@@ -24,6 +24,7 @@
 	First      uint64  `long:"first" default:"1" description:"the first seed"`
 	Load       float64 `long:"load" default:"0.9" description:"work that arrives, as a share of the accelerators"`
 	Jobs       int     `long:"jobs" default:"3000" description:"jobs of each run"`
+	Plot       string  `long:"plot" description:"draw the measures over several loads instead, as SVG files whose names begin with this"`
 }
 
 // connectionless holds the options of commands that reach no entry.
@@ -76,6 +77,9 @@
 	for i := range c.Seeds {
 		study.Seeds = append(study.Seeds, c.First+uint64(i))
 	}
+	if c.Plot != "" {
+		return writePlots(study, c.Plot)
+	}
 	outcomes, bounds, err := study.Run()
 	if err != nil {
 		return fmt.Errorf("policy: %w", err)
