Throttle tasks that use more than they hold; check the manifest at the end

Cause: the worker's reports of use were not acted on; the demo checked the manifest at its start only. Change: a side throttles an overrunning task to its share and stops it when a later report shows no effect; after its faults the demo checks that every process has the newest manifest. Figures: TestOverrunIsThrottledThenStopped: two throttled, one answered, one stopped. Conclusion: what is borrowed beyond a hold is slowed first, then ended.

--- a/internal/process/jaydemo/demo.go
+++ b/internal/process/jaydemo/demo.go
@@ -202,9 +202,18 @@
 	stopWatch()
 	watchers.Wait()
 	injector.heal()
+	r.checkManifest(ctx)
 	return injector.counts
 }
 
+// checkManifest checks that every process ends with the newest manifest that any
+// entry has had in force.
+func (r *run) checkManifest(ctx context.Context) {
+	newest := r.fleet.NewestManifest()
+	err := r.await(ctx, newest)
+	r.judge.check(promiseManifest, err == nil, "version %d is not in force everywhere: %v", newest, err)
+}
+
 // submit behaves as a careful caller: it asks again when it is told to come
 // back, and repeats a keyed request whose outcome it does not know.
 func (r *run) submit(ctx context.Context, a arrival) {
--- a/internal/process/jaydemo/demo_test.go
+++ b/internal/process/jaydemo/demo_test.go
@@ -444,3 +444,31 @@
 	})
 	assert.Assert(t, r.runs("moved") >= 1)
 }
+
+// TestOverrunIsThrottledThenStopped runs tasks that use more accelerators than
+// they hold.
+func TestOverrunIsThrottledThenStopped(t *testing.T) {
+	cases := []struct {
+		payload string
+		state   jayapi.JobState
+	}{
+		{`{"standin_ms":300,"answer":"greedy","uses":4}`, jayapi.JobAnswered},
+		{`{"standin_ms":300,"answer":"stubborn","uses":4,"stubborn":true}`, jayapi.JobRefused},
+	}
+	r := startFleet(t)
+	for _, c := range cases {
+		j, err := r.client(t, 0, "warehouse").Submit(context.Background(), jayapi.Submission{Kind: "overrun", Class: "standard", Members: 1, Accelerators: 2, Payload: []byte(c.payload), Key: jayclient.NewKey(), Wait: true})
+		if c.state == jayapi.JobAnswered {
+			assert.NilError(t, err)
+			assert.Equal(t, j.State, c.state)
+			continue
+		}
+		assert.Equal(t, jayrefusal.From(err).Code(), jayrefusal.Failed)
+		assert.Assert(t, strings.Contains(err.Error(), "uses 4 accelerators and holds 2"), "%v", err)
+	}
+	throttled := uint64(0)
+	for i := range workers {
+		throttled += r.fleet.Side(i).Metrics().GetOrCreateCounter(`jaystile_side_throttled_total`).Get()
+	}
+	assert.Equal(t, throttled, uint64(2))
+}
--- a/internal/process/jaydemo/faults.go
+++ b/internal/process/jaydemo/faults.go
@@ -272,10 +272,7 @@
 // racePublishers has every entry publish another manifest on the same base and
 // checks that at most one of them is told that it won.
 func (i *injector) racePublishers() {
-	base := uint64(0)
-	for n := range i.fleet.Entries {
-		base = max(base, i.fleet.Entry(n).ManifestVersion())
-	}
+	base := i.fleet.NewestManifest()
 	var won atomic.Int32
 	var wg conc.WaitGroup
 	for n, address := range i.fleet.Addresses() {
--- a/internal/process/jaydemo/fleet.go
+++ b/internal/process/jaydemo/fleet.go
@@ -301,6 +301,15 @@
 	return f.entries[i]
 }
 
+// NewestManifest returns the highest version that an entry has in force.
+func (f *Fleet) NewestManifest() uint64 {
+	newest := uint64(0)
+	for n := range f.Entries {
+		newest = max(newest, f.Entry(n).ManifestVersion())
+	}
+	return newest
+}
+
 // Side returns the current life of a side.
 func (f *Fleet) Side(i int) *jayside.Side {
 	f.mutex.Lock()
--- a/internal/process/jayside/members.go
+++ b/internal/process/jayside/members.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"math"
 	"time"
 
@@ -39,7 +40,9 @@
 	prepared bool
 	running  bool
 	stopping bool
-	gone     bool
+	// throttled says that the task used more than it holds and was slowed down.
+	throttled bool
+	gone      bool
 }
 
 // waiter is a call that is answered when the hold is granted.
@@ -334,13 +337,14 @@
 }
 
 func (s *Side) taskChanged(t jayplatform.Status) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	m := s.memberOf(t.Task())
 	status, ended := taskEnds[t.State()]
 	if !ended {
+		s.limitUse(m, t)
 		return
 	}
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	m := s.memberOf(t.Task())
 	if m == nil || (m.stopping && status != jayframe.StatusAnswered) {
 		return
 	}
@@ -353,6 +357,24 @@
 	s.work.Spawn(func() { _ = s.worker.Forget(task) })
 }
 
+// limitUse acts on a task that uses more accelerators than it holds: first it is
+// throttled to what it holds, and stopped when a later report shows that this
+// did not help.
+func (s *Side) limitUse(m *member, t jayplatform.Status) {
+	if m == nil || t.Accelerators() <= m.spec.Shape().Accelerators() {
+		return
+	}
+	if m.throttled {
+		s.stopMember(m, jayframe.StatusFailed, fmt.Sprintf("uses %d accelerators and holds %d", t.Accelerators(), m.spec.Shape().Accelerators()), false)
+		return
+	}
+	m.throttled = true
+	share := float64(m.spec.Shape().Accelerators()) / float64(t.Accelerators())
+	s.metrics.GetOrCreateCounter(`jaystile_side_throttled_total`).Inc()
+	s.recorder.Record(jaytimeline.TaskThrottled, s.fields(m, fmt.Sprintf("to %.2f of its speed", share)))
+	s.work.Spawn(func() { _ = s.worker.Throttle(m.task, share) })
+}
+
 func (s *Side) memberOf(task string) *member {
 	for _, m := range s.members {
 		if m.task == task {
--- a/internal/process/jaystandin/worker.go
+++ b/internal/process/jaystandin/worker.go
@@ -14,6 +14,10 @@
 	Millis int64  `json:"standin_ms"`
 	Answer string `json:"answer"`
 	Fail   bool   `json:"fail"`
+	// Uses is how many accelerators the task really uses; zero means as many as
+	// it holds. Throttling brings it down unless the task is stubborn.
+	Uses     int  `json:"uses"`
+	Stubborn bool `json:"stubborn"`
 }
 
 func programOf(payload []byte) Program {
@@ -61,6 +65,14 @@
 	timer        *time.Timer
 }
 
+// uses is what the worker reports of the task's use.
+func (t *task) uses() int {
+	if t.state != taskRunning || t.program.Uses == 0 || (t.share < 1 && !t.program.Stubborn) {
+		return t.accelerators
+	}
+	return t.program.Uses
+}
+
 // Run is one entry of a worker's or runner's own record of what it ran.
 type Run struct {
 	Job     string
@@ -275,6 +287,7 @@
 		t.started = time.Now()
 	}
 	t.share = b.Share
+	w.touch(t)
 	if t.state == taskRunning {
 		w.schedule(t)
 	}
@@ -335,7 +348,7 @@
 		statuses := []taskStatus{}
 		for _, t := range w.tasks {
 			if t.revision > since {
-				statuses = append(statuses, taskStatus{Task: t.id, Job: t.job, Token: t.token, State: t.state, Accelerators: t.accelerators, Result: []byte(t.result), DoneMillis: t.done.Milliseconds(), Revision: t.revision})
+				statuses = append(statuses, taskStatus{Task: t.id, Job: t.job, Token: t.token, State: t.state, Accelerators: t.uses(), Result: []byte(t.result), DoneMillis: t.done.Milliseconds(), Revision: t.revision})
 			}
 		}
 		revision, changed := w.revision, w.changed
