--- a/internal/process/jayload/load.go
+++ b/internal/process/jayload/load.go
@@ -102,7 +102,8 @@
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	if l.Send != nil {
-		m.take(time.Since(due), l.Send(ctx))
+		err := l.Send(ctx)
+		m.take(time.Since(due), err)
 		return
 	}
 	_, err := l.Client.Submit(ctx, s)
