Judge that a job never fits only when the pool is known

Change: an entry judges after the time in which every living side links to it; jobs queued before are judged then. Conclusion: the refusal is true again.

--- a/internal/process/jayentry/entry.go
+++ b/internal/process/jayentry/entry.go
@@ -88,6 +88,8 @@
 	snapshots snapshotState
 	unmet     int
 	draining  bool
+	// judged says that the jobs queued before the pool was known were judged.
+	judged    bool
 	replanned uint64
 	// nextAdoption is when orphaned jobs are looked for again.
 	nextAdoption time.Duration
@@ -267,6 +269,7 @@
 	e.mutex.Lock()
 	now := e.now()
 	e.expireJobs(now)
+	e.judgeWaiting(now)
 	e.settleStale(now)
 	e.dropLostSides(now)
 	e.adoptOrphans(now)
--- a/internal/process/jayentry/submit.go
+++ b/internal/process/jayentry/submit.go
@@ -84,10 +84,10 @@
 	return err == nil && time.Since(ulid.Time(u.Time())) > retention
 }
 
-// fits refuses a job that can never run. Before any worker is known, and while
-// workers are missing, a job waits instead.
+// fits refuses a job that can never run. A new entry does not know the pool yet:
+// jobs wait until it does, and are judged then.
 func (e *Entry) fits(spec jayjob.Spec) *jayrefusal.Refusal {
-	if spec.Shape().Accelerators() == 0 || e.scheduler.Pool().Total() == 0 {
+	if spec.Shape().Accelerators() == 0 || !e.knowsPool(e.now()) {
 		return nil
 	}
 	if err := e.scheduler.CanEverRun(jaysched.NewJob("", spec, 0)); err != nil {
@@ -96,6 +96,29 @@
 	return nil
 }
 
+// knowsPool reports whether every side that lives has had the time to link to
+// this entry.
+func (e *Entry) knowsPool(now time.Duration) bool {
+	return now-e.started >= e.adoptAfter() && e.scheduler.Pool().Total() > 0
+}
+
+// judgeWaiting refuses, once the pool is known, the jobs that were queued before
+// and can never run.
+func (e *Entry) judgeWaiting(now time.Duration) {
+	if e.judged || !e.knowsPool(now) {
+		return
+	}
+	e.judged = true
+	for _, j := range e.jobs {
+		if j.ended() || j.attempt != nil || j.mayHave {
+			continue
+		}
+		if refusal := e.fits(j.spec); refusal != nil {
+			e.finish(j, nil, refusal)
+		}
+	}
+}
+
 // admitToQueue enforces the bound of the queue and sheds what cannot meet its
 // deadline.
 func (e *Entry) admitToQueue(spec jayjob.Spec, w *jaymanifest.Workspace) *jayrefusal.Refusal {
