Give up addresses of entries that are gone

Cause: an address named by a peer was dialed for ever, so that replaced VMs with new addresses would add loops without end. Change: KeepDialing serves entries and sides and gives up an address that the settings do not name after 600 tries in a row. Conclusion: loops are bounded by what lives.

--- a/internal/process/jayentry/sides.go
+++ b/internal/process/jayentry/sides.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/sha256"
+	"slices"
 	"time"
 
 	"github.com/sourcegraph/conc"
@@ -267,13 +268,10 @@
 		return
 	}
 	wg.Go(func() {
-		b := jaywork.Redial()
-		for ctx.Err() == nil {
-			if e.linkPeer(ctx, address) {
-				b.Reset()
-			}
-			jaywork.Pause(ctx, b.NextBackOff())
-		}
+		jaywork.KeepDialing(ctx, slices.Contains(e.Settings.Entries, address), func() bool { return e.linkPeer(ctx, address) })
+		e.mutex.Lock()
+		delete(e.dialed, address)
+		e.mutex.Unlock()
 	})
 }
 
--- a/internal/process/jayside/links.go
+++ b/internal/process/jayside/links.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/sourcegraph/conc"
@@ -28,13 +29,10 @@
 		return
 	}
 	wg.Go(func() {
-		b := jaywork.Redial()
-		for ctx.Err() == nil {
-			if s.linkEntry(ctx, wg, address) {
-				b.Reset()
-			}
-			jaywork.Pause(ctx, b.NextBackOff())
-		}
+		jaywork.KeepDialing(ctx, slices.Contains(s.Settings.Entries, address), func() bool { return s.linkEntry(ctx, wg, address) })
+		s.mutex.Lock()
+		delete(s.entries, address)
+		s.mutex.Unlock()
 	})
 }
 
--- a/internal/process/jaywork/work.go
+++ b/internal/process/jaywork/work.go
@@ -81,3 +81,23 @@
 	b.Reset()
 	return b
 }
+
+// maxDials is how often in a row an address that only peers have named may fail
+// before it is given up: its process has been replaced.
+const maxDials = 600
+
+// KeepDialing carries one link after the other until ctx ends. The link function
+// returns when its link has ended, and whether it had opened. An address from
+// the settings is never given up.
+func KeepDialing(ctx context.Context, fromSettings bool, link func() bool) {
+	b := Redial()
+	failures := 0
+	for ctx.Err() == nil && (fromSettings || failures < maxDials) {
+		failures++
+		if link() {
+			failures = 0
+			b.Reset()
+		}
+		Pause(ctx, b.NextBackOff())
+	}
+}
