Check each answer under load and show what runners ran

Cause: kills of separate processes were measured without a judge. Change: load gives each request a number and checks its answer; the runner's stand-in lists what it ran.

--- a/cmd/jaystile/load.go
+++ b/cmd/jaystile/load.go
@@ -21,7 +21,8 @@
 	Kind         string        `long:"kind" default:"order" description:"kind of job"`
 	Class        string        `long:"class" default:"urgent" description:"urgent, standard or deferrable"`
 	Accelerators int           `long:"accelerators" default:"0" description:"accelerators of each job; 0 takes a runner's slot"`
-	Payload      string        `long:"payload" default:"{\"standin_ms\":5,\"answer\":\"ok\"}" description:"input of each job"`
+	Payload      string        `long:"payload" default:"{\"standin_ms\":5,\"answer\":\"ok-{n}\"}" description:"input of each job; {n} becomes the request's number"`
+	Expect       string        `long:"expect" default:"ok-{n}" description:"answer that each request must get; empty checks nothing"`
 	Deadline     time.Duration `long:"deadline" default:"2s" description:"deadline of each request"`
 	Once         bool          `long:"non-idempotent" description:"give each request a key and run it at most once"`
 }
@@ -36,7 +37,7 @@
 	defer done()
 	ctx, cancel := interruptible()
 	defer cancel()
-	l := &jayload.Load{Client: client, Rate: c.Rate, Span: time.Duration(c.Seconds) * time.Second, Submission: jayapi.Submission{
+	l := &jayload.Load{Client: client, Rate: c.Rate, Span: time.Duration(c.Seconds) * time.Second, Expect: c.Expect, Submission: jayapi.Submission{
 		Kind:           c.Kind,
 		Class:          c.Class,
 		Members:        1,
@@ -53,7 +54,7 @@
 		return err
 	}
 	return c.show(r, func() {
-		fmt.Printf("sent %d in %.1f s: answered %d (%.0f a second), not run %d, unknown %d, ran %d\n", r.Sent, r.Elapsed.Seconds(), r.Answered, r.Goodput, r.NotRun, r.Unknown, r.Ran)
+		fmt.Printf("sent %d in %.1f s: answered %d (%.0f a second, %d wrong), not run %d, unknown %d, ran %d\n", r.Sent, r.Elapsed.Seconds(), r.Answered, r.Goodput, r.Wrong, r.NotRun, r.Unknown, r.Ran)
 		fmt.Printf("answers p50 %s  p99 %s  p99.9 %s  most %s; refusals p99 %s %v\n", r.P50, r.P99, r.P999, r.Most, r.RefusedIn, r.Refusals)
 	})
 }
--- a/internal/process/jayload/load.go
+++ b/internal/process/jayload/load.go
@@ -6,6 +6,8 @@
 import (
 	"context"
 	"fmt"
+	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -25,6 +27,9 @@
 	answerGrace     = 5 * time.Second
 )
 
+// NumberMark stands for a request's number in payloads and expected answers.
+const NumberMark = "{n}"
+
 // Load is an open-loop load. All fields are set before Run.
 type Load struct {
 	Client *jayclient.Client
@@ -32,6 +37,9 @@
 	Send func(ctx context.Context) error
 	// Submission is sent again and again; Wait is set.
 	Submission jayapi.Submission
+	// Expect is the answer that each request must get; empty checks nothing. In it
+	// and in the payload, NumberMark stands for the request's number.
+	Expect string
 	// NewKey makes an idempotency key for each request; it may be nil.
 	NewKey func() string
 	// Rate is in requests a second.
@@ -41,8 +49,10 @@
 
 // Result is what a load measured.
 type Result struct {
-	Sent      int
-	Answered  int
+	Sent     int
+	Answered int
+	// Wrong counts answers that were not the request's own.
+	Wrong     int
 	NotRun    int
 	Unknown   int
 	Ran       int
@@ -86,15 +96,21 @@
 		due := begin.Add(time.Duration(float64(n) / l.Rate * float64(time.Second)))
 		time.Sleep(time.Until(due))
 		m.result.Sent++
-		wg.Go(func() { l.send(ctx, m, due) })
+		wg.Go(func() { l.send(ctx, m, n, due) })
 	}
 	wg.Wait()
 	return m.finish(time.Since(begin)), nil
 }
 
-func (l *Load) send(ctx context.Context, m *meter, due time.Time) {
+// numbered replaces NumberMark by the request's number.
+func numbered(text string, n int) string {
+	return strings.ReplaceAll(text, NumberMark, strconv.Itoa(n))
+}
+
+func (l *Load) send(ctx context.Context, m *meter, n int, due time.Time) {
 	s := l.Submission
 	s.Wait = true
+	s.Payload = []byte(numbered(string(s.Payload), n))
 	if l.NewKey != nil {
 		s.Key = l.NewKey()
 	}
@@ -106,8 +122,11 @@
 		m.take(time.Since(due), err)
 		return
 	}
-	_, err := l.Client.Submit(ctx, s)
+	j, err := l.Client.Submit(ctx, s)
 	m.take(time.Since(due), err)
+	if err == nil && l.Expect != "" && (len(j.Answers) != 1 || string(j.Answers[0]) != numbered(l.Expect, n)) {
+		m.wrong()
+	}
 }
 
 func (m *meter) take(took time.Duration, err error) {
@@ -131,6 +150,13 @@
 	}
 }
 
+// wrong counts an answer that is not the request's own.
+func (m *meter) wrong() {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	m.result.Wrong++
+}
+
 func (m *meter) finish(elapsed time.Duration) *Result {
 	micros := func(h *hdrhistogram.Histogram, q float64) time.Duration {
 		return time.Duration(h.ValueAtQuantile(q)) * time.Microsecond
--- a/internal/process/jaystandin/runner.go
+++ b/internal/process/jaystandin/runner.go
@@ -117,6 +117,13 @@
 func (r *Runner) App() *fiber.App {
 	app := newApp()
 	app.Post("/v1/run", r.handleRun)
+	app.Get("/v1/runs", func(c *fiber.Ctx) error {
+		answers := []string{}
+		for _, run := range r.Runs() {
+			answers = append(answers, run.Answer)
+		}
+		return c.JSON(answers)
+	})
 	app.Get("/v1/health", func(c *fiber.Ctx) error {
 		r.mutex.Lock()
 		defer r.mutex.Unlock()
