--- a/internal/process/jaystandin/worker.go
+++ b/internal/process/jaystandin/worker.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"strings"
 	"sync"
 	"time"
 
@@ -116,6 +117,17 @@
 	return append([]Run(nil), w.runs...)
 }
 
+// States lists the states of the worker's tasks, separated by blanks.
+func (w *Worker) States() string {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	var states []string
+	for _, t := range w.tasks {
+		states = append(states, string(t.state))
+	}
+	return strings.Join(states, " ")
+}
+
 func (w *Worker) faultsNow() WorkerFaults {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
