Remove what nothing reads

Cause: a last read of the whole change: two byte counters on every frame of a link, four fields of frames, three causes and events, a health check and a method that no code uses. Change: they are gone; nothing else is touched. Conclusion: behaviour is unchanged.

--- a/internal/connection/jayframe/message.go
+++ b/internal/connection/jayframe/message.go
@@ -262,7 +262,6 @@
 	Way        Way
 	Victims    []string
 	Anchor     string
-	AnchorName string
 	Checkpoint []byte
 	// Run starts a gang of one member at once, without a Commit.
 	Run bool
@@ -388,9 +387,6 @@
 	Member  int
 	Side    string
 	Token   uint64
-	Prepped bool
-	Done    bool
-	Result  []byte
 }
 
 // Kind implements Message.
--- a/internal/connection/jaylink/link.go
+++ b/internal/connection/jaylink/link.go
@@ -69,8 +69,6 @@
 	seen     atomic.Uint64
 	lastRead atomic.Int64
 	lastAck  atomic.Int64
-	bytesIn  atomic.Uint64
-	bytesOut atomic.Uint64
 }
 
 func newLink(peer string, conn *websocket.Conn, e *Endpoint) *Link {
@@ -97,12 +95,6 @@
 // Done is closed when the link has ended.
 func (l *Link) Done() <-chan struct{} { return l.done }
 
-// BytesIn returns the payload bytes received.
-func (l *Link) BytesIn() uint64 { return l.bytesIn.Load() }
-
-// BytesOut returns the payload bytes sent.
-func (l *Link) BytesOut() uint64 { return l.bytesOut.Load() }
-
 // SilentFor returns how long nothing has arrived, or how long the peer has
 // acknowledged nothing, whichever is longer.
 func (l *Link) SilentFor() time.Duration {
@@ -208,7 +200,6 @@
 				l.Close("write: " + err.Error())
 				return
 			}
-			l.bytesOut.Add(uint64(len(b)))
 		}
 	}
 }
@@ -245,7 +236,6 @@
 			l.Close("read: " + err.Error())
 			return
 		}
-		l.bytesIn.Add(uint64(len(b)))
 		l.lastRead.Store(int64(jayclock.Elapsed()))
 		f, err := jayframe.Decode(b)
 		var unknown *jayframe.UnknownKindError
--- a/internal/connection/jayplatform/runner.go
+++ b/internal/connection/jayplatform/runner.go
@@ -79,15 +79,3 @@
 	}
 	return append([]byte(nil), response.Body()...), nil
 }
-
-// Healthy reports whether the runner answers its health check.
-func (r *Runner) Healthy(timeout time.Duration) bool {
-	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
-	defer fasthttp.ReleaseRequest(request)
-	defer fasthttp.ReleaseResponse(response)
-	request.SetRequestURI("http://" + r.address + "/v1/health")
-	if r.http.DoTimeout(request, response, timeout) != nil {
-		return false
-	}
-	return response.StatusCode() < 300
-}
--- a/internal/process/jayentry/place.go
+++ b/internal/process/jayentry/place.go
@@ -133,7 +133,6 @@
 		TTLMillis:  holdTTL.Milliseconds(),
 		Way:        way,
 		Victims:    victims,
-		AnchorName: a.anchor,
 		Checkpoint: j.saved,
 		Run:        len(a.seats) == 1,
 	}
--- a/internal/process/jayowner/ledger.go
+++ b/internal/process/jayowner/ledger.go
@@ -111,7 +111,6 @@
 	GuaranteeBlocked RefusalCause = "guarantee_blocked"
 	IsDraining       RefusalCause = "draining"
 	IsBuried         RefusalCause = "buried"
-	IsDuplicate      RefusalCause = "duplicate"
 	HomesUnknown     RefusalCause = "homes_unknown"
 )
 
--- a/internal/process/jaysched/decision.go
+++ b/internal/process/jaysched/decision.go
@@ -23,7 +23,6 @@
 	WaitsReserved   Cause = "reserved_next"
 	WaitsForQuota   Cause = "waits_for_quota"
 	WaitsBehind     Cause = "waits_behind_reservation"
-	WaitsForGuarded Cause = "waits_so_that_guarantees_hold"
 	WaitsForOwner   Cause = "refused_by_owner"
 	WaitsForWorkers Cause = "waits_for_workers_to_return"
 )
--- a/internal/process/jaysched/health.go
+++ b/internal/process/jaysched/health.go
@@ -116,6 +116,3 @@
 	}
 	return released
 }
-
-// Forget drops what is known of a worker that is gone.
-func (h *Health) Forget(worker string) { delete(h.workers, worker) }
--- a/internal/process/jaytimeline/timeline.go
+++ b/internal/process/jaytimeline/timeline.go
@@ -65,7 +65,6 @@
 	WorkerReleased    Name = "worker_released"
 	WorkerDraining    Name = "worker_draining"
 	JobAccepted       Name = "job_accepted"
-	JobRefused        Name = "job_refused"
 	JobPlaced         Name = "job_placed"
 	JobRequeued       Name = "job_requeued"
 	JobEnded          Name = "job_ended"
