--- a/cmd/jaystile/settings.go
+++ b/cmd/jaystile/settings.go
@@ -17,7 +17,7 @@
 type settingsCommand struct{}
 
 type settingsCheckCommand struct {
-	Role string `long:"role" default:"entry" description:"entry, side or standin"`
+	Role string `long:"role" default:"entry" description:"entry, side, standin, cell-entry or cell-side"`
 	Args struct {
 		File string `positional-arg-name:"FILE"`
 	} `positional-args:"yes" required:"yes"`
--- a/internal/connection/jayframe/message.go
+++ b/internal/connection/jayframe/message.go
@@ -15,33 +15,41 @@
 
 // The kinds of messages. A number is never used again for another kind.
 const (
-	KindHello      Kind = 1
-	KindWelcome    Kind = 2
-	KindBeat       Kind = 3
-	KindReport     Kind = 4
-	KindManifest   Kind = 5
-	KindHomes      Kind = 6
-	KindHold       Kind = 7
-	KindHoldReply  Kind = 8
-	KindCommit     Kind = 9
-	KindOutcome    Kind = 10
-	KindRelease    Kind = 11
-	KindSettle     Kind = 12
-	KindCancel     Kind = 13
-	KindJoin       Kind = 14
-	KindPrepare    Kind = 15
-	KindPrepared   Kind = 16
-	KindGo         Kind = 17
-	KindMemberDone Kind = 18
-	KindStop       Kind = 19
-	KindAck        Kind = 20
-	KindJobQuery   Kind = 21
-	KindJobReply   Kind = 22
-	KindDrain      Kind = 23
-	KindTimeline   Kind = 24
-	KindEvents     Kind = 25
-	KindVersions   Kind = 26
-	KindVersionMap Kind = 27
+	KindHello         Kind = 1
+	KindWelcome       Kind = 2
+	KindBeat          Kind = 3
+	KindReport        Kind = 4
+	KindManifest      Kind = 5
+	KindHomes         Kind = 6
+	KindHold          Kind = 7
+	KindHoldReply     Kind = 8
+	KindCommit        Kind = 9
+	KindOutcome       Kind = 10
+	KindRelease       Kind = 11
+	KindSettle        Kind = 12
+	KindCancel        Kind = 13
+	KindJoin          Kind = 14
+	KindPrepare       Kind = 15
+	KindPrepared      Kind = 16
+	KindGo            Kind = 17
+	KindMemberDone    Kind = 18
+	KindStop          Kind = 19
+	KindAck           Kind = 20
+	KindJobQuery      Kind = 21
+	KindJobReply      Kind = 22
+	KindDrain         Kind = 23
+	KindTimeline      Kind = 24
+	KindEvents        Kind = 25
+	KindVersions      Kind = 26
+	KindVersionMap    Kind = 27
+	KindCellReport    Kind = 28
+	KindCellGrant     Kind = 29
+	KindCellOrders    Kind = 30
+	KindCellView      Kind = 31
+	KindCellResign    Kind = 32
+	KindStoredRecords Kind = 33
+	KindStoreRelay    Kind = 34
+	KindStoreReply    Kind = 35
 )
 
 // Message is one message between two processes.
--- /dev/null
+++ b/internal/process/jaycell/cell.go
@@ -0,0 +1,454 @@
+// Package jaycell decides for one service's workers which tasks run where. It
+// has no sockets, no clock and no goroutines: the same calls give the same
+// decisions. The holder of the term feeds it jobs and the sides' reports, stores
+// the records it returns, and sends its orders once their records are stored.
+package jaycell
+
+import (
+	"sort"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/jaystile/jaystile/internal/request/jaytask"
+)
+
+const (
+	// heardWithin is how old a side's last report may be for new work to be
+	// placed there: three report intervals.
+	heardWithin = 1600 * time.Millisecond
+	// clockSlack covers a runner's clock that is 2% slow and the way of a grant.
+	clockSlack = 300 * time.Millisecond
+	// clockDrift is the share by which a lease may last longer than it says.
+	clockDrift = 0.03
+	// dueSlack keeps timed starts behind their due time although clocks differ.
+	dueSlack = 60 * time.Millisecond
+)
+
+// Settings bound the decisions. All durations are those of the deployment.
+type Settings struct {
+	Term uint64
+	// Lease is how long a run outlives the last grant to its side.
+	Lease time.Duration
+	// Retention is how long an ended job can be asked about.
+	Retention time.Duration
+	// Stop is the longest time that a runner takes to stop a run.
+	Stop time.Duration
+	// Reclaim is the time within which a guarantee must be met.
+	Reclaim time.Duration
+	// Gang is how long members of a gang wait for each other.
+	Gang time.Duration
+	// FarFactor is how many times longer work takes away from its data, or as a
+	// gang over several racks.
+	FarFactor float64
+	// Guaranteed returns a workspace's guaranteed accelerators.
+	Guaranteed func(workspace string) int
+	// Runs reports whether a route still sends to the service; nil is always.
+	Runs func(service string) bool
+	// Explain is called with each decision that touches a job.
+	Explain func(Decision)
+}
+
+// Decision is one decision with what decided it.
+type Decision struct {
+	Job     string
+	Task    string
+	Run     int
+	Runner  string
+	Event   string
+	Outcome string
+	Reason  string
+	AgeMS   int64
+}
+
+// Record is a record to be stored. A nil value drops the key.
+type Record struct {
+	Key   string
+	Value []byte
+}
+
+// OrderKind tells what a side is to do.
+type OrderKind uint8
+
+// The kinds of orders.
+const (
+	OrderStart OrderKind = iota + 1
+	OrderStop
+	OrderAcknowledge
+)
+
+// Order is one order to a side.
+type Order struct {
+	Kind   OrderKind
+	Node   string
+	Runner string
+	Task   string
+	Run    int
+	Spec   string
+	Saved  string
+	// Number is the highest end to forget.
+	Number uint64
+}
+
+// Batch is what must be stored, in the order of its fields, and what may be
+// sent once it is.
+type Batch struct {
+	Runs []Record
+	Jobs []Record
+	// Drops are runs of jobs whose end is among Jobs or was stored before.
+	Drops  []Record
+	Orders []Order
+	holds  []*hold
+}
+
+// Empty reports whether the batch has nothing to store and nothing to send.
+func (b *Batch) Empty() bool { return len(b.Runs)+len(b.Jobs)+len(b.Drops)+len(b.Orders) == 0 }
+
+// Cell is the table of one service's jobs and runners. It is not safe for
+// concurrent use.
+type Cell struct {
+	settings Settings
+	now      time.Duration
+	wall     time.Time
+	jobs     map[string]*job
+	runners  map[string]*Runner
+	nodes    map[string]*Runner
+
+	dirtyUnits map[*unit]bool
+	dropped    []string
+	jobRecords []Record
+	starts     []*hold
+	orders     []Order
+	orderNow   []Order
+	places     bool
+}
+
+// New returns an empty cell of one term.
+func New(s Settings, now time.Duration, wall time.Time) *Cell {
+	return &Cell{settings: s, now: now, wall: wall, jobs: map[string]*job{}, runners: map[string]*Runner{}, nodes: map[string]*Runner{}, dirtyUnits: map[*unit]bool{}}
+}
+
+// At sets the time of the calls that follow: the machine's elapsed time, and
+// the wall clock for timed jobs.
+func (c *Cell) At(now time.Duration, wall time.Time) { c.now, c.wall = now, wall }
+
+func (c *Cell) explain(d Decision) {
+	if c.settings.Explain != nil {
+		c.settings.Explain(d)
+	}
+}
+
+// StateKey names the record of a job's state.
+func StateKey(id string) string { return "s/" + id }
+
+// JobKey names the record of an accepted job.
+func JobKey(id string) string { return "j/" + id }
+
+// CancelKey names the record of a job's cancellation.
+func CancelKey(id string) string { return "c/" + id }
+
+type stateRecord struct {
+	_     struct{} `cbor:",toarray"`
+	State uint8
+	At    int64
+}
+
+// EncodeState returns the record of a state that was reached at the time given.
+func EncodeState(s jaytask.State, at time.Time) []byte {
+	b, err := cbor.Marshal(stateRecord{State: uint8(s), At: at.UnixMilli()})
+	if err != nil {
+		panic(err)
+	}
+	return b
+}
+
+// DecodeState reads the record of a state.
+func DecodeState(b []byte) (jaytask.State, time.Time, error) {
+	var r stateRecord
+	if err := cbor.Unmarshal(b, &r); err != nil {
+		return 0, time.Time{}, &jaytask.RecordError{What: "state", Cause: err}
+	}
+	if r.State < uint8(jaytask.Queued) || r.State > uint8(jaytask.Canceled) {
+		return 0, time.Time{}, &jaytask.RecordError{What: "state", Cause: &jaytask.InvalidError{Field: "state", Cause: "out of range"}}
+	}
+	return jaytask.State(r.State), time.UnixMilli(r.At), nil
+}
+
+// Submit takes over an accepted job. A job that is known already stays as it is.
+func (c *Cell) Submit(spec *jaytask.Job) {
+	if c.jobs[spec.ID] != nil {
+		return
+	}
+	c.jobs[spec.ID] = newJob(spec, c.now)
+	c.places = true
+}
+
+// Begun notes, when a term begins, that a job has started under an earlier one.
+func (c *Cell) Begun(id string) {
+	if j := c.jobs[id]; j != nil {
+		j.begun, j.state = true, jaytask.Running
+	}
+}
+
+// Load takes over what an earlier term recorded of a unit. It is called after
+// all jobs have been submitted.
+func (c *Cell) Load(r Record) error {
+	name := r.Key
+	id, occurrence, step, index, ok := parseTask(name)
+	if !ok {
+		id, occurrence, step, index, ok = parseTask(name + ".0")
+	}
+	if !ok {
+		return &jaytask.RecordError{What: "unit " + name, Cause: &jaytask.InvalidError{Field: "key", Cause: "not a unit"}}
+	}
+	j := c.jobs[id]
+	if j == nil {
+		c.dropped = append(c.dropped, name)
+		return nil
+	}
+	var record unitRecord
+	if err := cbor.Unmarshal(r.Value, &record); err != nil {
+		return &jaytask.RecordError{What: "unit " + name, Cause: err}
+	}
+	u := j.unitOf(occurrence, step, index)
+	if u == nil {
+		return &jaytask.RecordError{What: "unit " + name, Cause: &jaytask.InvalidError{Field: "key", Cause: "no such task"}}
+	}
+	u.run, u.attempts, u.saved, u.placedAt = record.Run, record.Attempts, record.Saved, c.now
+	switch phase(record.Phase) {
+	case phaseDone:
+		c.finish(u)
+	case phaseFailed:
+		u.phase = phaseFailed
+		c.endJob(j, jaytask.Failed)
+	case phaseActive:
+		u.phase = phaseActive
+		for _, m := range record.Members {
+			c.adopt(u, m)
+		}
+		c.settle(u)
+	}
+	return nil
+}
+
+// adopt takes over a member that an earlier term placed. Its runner is not
+// heard yet: it may run until a lease from now has passed.
+func (c *Cell) adopt(u *unit, m memberRecord) {
+	r := c.runners[m.Runner]
+	if r == nil {
+		r = &Runner{id: m.Runner, node: m.Node, holds: map[string]*hold{}, leaseEnd: c.leaseEnd()}
+		c.runners[m.Runner] = r
+	}
+	h := &hold{unit: u, run: u.run, index: m.Index, runner: r, room: u.spec().Charge(), committed: true, changedAt: c.now}
+	u.live = append(u.live, h)
+	r.add(h)
+}
+
+func (c *Cell) leaseEnd() time.Duration {
+	return c.now + c.settings.Lease + time.Duration(float64(c.settings.Lease)*clockDrift) + clockSlack
+}
+
+// Cancel stops a job.
+func (c *Cell) Cancel(id string) {
+	j := c.jobs[id]
+	if j == nil || j.state.Ended() {
+		return
+	}
+	j.canceled = true
+	c.explain(Decision{Job: id, Event: "cancel", Outcome: "stopping", Reason: "canceled by the caller", AgeMS: c.ageOf(j)})
+	c.endJob(j, jaytask.Canceled)
+}
+
+// ageOf returns how long the job has been accepted, in milliseconds.
+func (c *Cell) ageOf(j *job) int64 { return c.wall.Sub(j.spec.Accepted).Milliseconds() }
+
+// endJob records a final state and stops what still runs.
+func (c *Cell) endJob(j *job, s jaytask.State) {
+	if j.state.Ended() {
+		return
+	}
+	j.state, j.endedAt = s, c.now
+	c.jobRecords = append(c.jobRecords, Record{Key: StateKey(j.spec.ID), Value: EncodeState(s, c.wall)})
+	c.explain(Decision{Job: j.spec.ID, Event: "state", Outcome: s.String(), AgeMS: c.ageOf(j)})
+	for _, u := range j.units {
+		u.claims = nil
+		c.dirtyUnits[u] = true
+		if u.phase == phaseActive {
+			c.stop(u, "job "+s.String())
+		}
+	}
+	c.places = true
+}
+
+// stop orders the end of a unit's current run.
+func (c *Cell) stop(u *unit, reason string) {
+	if u.stopping {
+		return
+	}
+	u.stopping = true
+	u.reason = reason
+	for _, h := range u.live {
+		c.stopHold(h)
+	}
+}
+
+func (c *Cell) stopHold(h *hold) {
+	if h.stopOrdered {
+		return
+	}
+	h.stopOrdered = true
+	if !h.committed {
+		return
+	}
+	c.orderNow = append(c.orderNow, Order{Kind: OrderStop, Node: h.runner.node, Runner: h.runner.id, Task: h.task(), Run: h.run})
+	c.explain(Decision{Job: h.unit.job.spec.ID, Task: h.task(), Run: h.run, Runner: h.runner.id, Event: "stop", Outcome: "ordered", Reason: h.unit.reason, AgeMS: c.ageOf(h.unit.job)})
+}
+
+// finish notes that a unit is done.
+func (c *Cell) finish(u *unit) {
+	if u.phase == phaseDone {
+		return
+	}
+	u.phase = phaseDone
+	u.claims = nil
+	j := u.job
+	j.undone[u.occurrence][u.step]--
+	j.left--
+	c.dirtyUnits[u] = true
+	c.places = true
+	if j.left == 0 {
+		c.endJob(j, jaytask.Completed)
+	}
+}
+
+// resolve notes that a member of a run has ended for certain.
+func (c *Cell) resolve(h *hold, how How, saved string) {
+	u := h.unit
+	h.runner.drop(h)
+	c.places = true
+	for i, l := range u.live {
+		if l == h {
+			u.live = append(u.live[:i], u.live[i+1:]...)
+			break
+		}
+	}
+	c.explain(Decision{Job: u.job.spec.ID, Task: h.task(), Run: h.run, Runner: h.runner.id, Event: "end", Outcome: how.String(), Reason: u.reason, AgeMS: c.ageOf(u.job)})
+	if u.phase != phaseActive {
+		c.dirtyUnits[u] = true
+		return
+	}
+	if saved == "" {
+		saved = h.saved
+	}
+	if saved != "" {
+		u.saved = saved
+	}
+	switch how {
+	case HowDone:
+		h.runner.succeeded()
+		if !u.spec().Daemon {
+			c.finish(u)
+			return
+		}
+	case HowFailed:
+		u.failedRun = true
+		c.blame(h)
+	case HowAlone, HowRefused:
+		u.notBefore = c.now + retryDelay
+	}
+	if how != HowDone && u.spec().Gang {
+		c.stop(u, "a member ended as "+how.String())
+	}
+	c.settle(u)
+}
+
+// settle decides what follows when no member of a unit's run is left.
+func (c *Cell) settle(u *unit) {
+	if u.phase != phaseActive || len(u.live) > 0 {
+		return
+	}
+	failed := u.failedRun
+	u.phase, u.stopping, u.failedRun = phaseWaiting, false, false
+	c.dirtyUnits[u] = true
+	if failed && !u.spec().Daemon {
+		u.attempts++
+		if u.attempts >= max(u.job.spec.Terms.Attempts, 1) {
+			u.phase = phaseFailed
+			c.endJob(u.job, jaytask.Failed)
+		}
+	}
+}
+
+// Take returns what has been decided since the last call.
+func (c *Cell) Take() *Batch {
+	b := &Batch{Jobs: c.jobRecords, Orders: c.orders, holds: c.starts}
+	for u := range c.dirtyUnits {
+		if !u.job.state.Ended() || len(u.live) > 0 {
+			b.Runs = append(b.Runs, u.record())
+		} else if u.run > 0 {
+			b.Drops = append(b.Drops, Record{Key: u.key()})
+		}
+	}
+	for _, k := range c.dropped {
+		b.Drops = append(b.Drops, Record{Key: k})
+	}
+	for _, records := range [][]Record{b.Runs, b.Drops} {
+		sort.Slice(records, func(i, j int) bool { return records[i].Key < records[j].Key })
+	}
+	c.dirtyUnits, c.dropped, c.jobRecords, c.orders, c.starts = map[*unit]bool{}, nil, nil, nil, nil
+	return b
+}
+
+// TakeStops returns the orders that need no record before they are sent.
+func (c *Cell) TakeStops() []Order {
+	o := c.orderNow
+	c.orderNow = nil
+	return o
+}
+
+// Stored notes that a batch is stored and returns the orders that may now be
+// sent. Starts that have been told to stop meanwhile were never sent and end
+// here.
+func (c *Cell) Stored(b *Batch) []Order {
+	orders := b.Orders
+	for _, h := range b.holds {
+		h.committed = true
+		if h.runner.holds[h.task()] != h {
+			continue
+		}
+		if h.stopOrdered {
+			c.resolve(h, HowRefused, "")
+			continue
+		}
+		orders = append(orders, c.startOrder(h))
+	}
+	return orders
+}
+
+func (c *Cell) startOrder(h *hold) Order {
+	return Order{Kind: OrderStart, Node: h.runner.node, Runner: h.runner.id, Task: h.task(), Run: h.run, Spec: h.unit.job.spec.Spec, Saved: h.unit.saved}
+}
+
+// Resend returns the orders that a side must have when its link is new.
+func (c *Cell) Resend(node string) []Order {
+	r := c.nodes[node]
+	if r == nil {
+		return nil
+	}
+	var orders []Order
+	for _, h := range r.holds {
+		if !h.committed {
+			continue
+		}
+		if h.stopOrdered {
+			orders = append(orders, Order{Kind: OrderStop, Node: node, Runner: r.id, Task: h.task(), Run: h.run})
+		} else if !h.confirmed {
+			orders = append(orders, c.startOrder(h))
+		}
+	}
+	if r.acked > 0 {
+		orders = append(orders, Order{Kind: OrderAcknowledge, Node: node, Runner: r.id, Number: r.acked})
+	}
+	sort.Slice(orders, func(i, j int) bool { return orders[i].Task < orders[j].Task })
+	return orders
+}
--- /dev/null
+++ b/internal/process/jaycell/place.go
@@ -0,0 +1,556 @@
+package jaycell
+
+import (
+	"sort"
+	"time"
+
+	"github.com/jaystile/jaystile/internal/request/jaytask"
+)
+
+const (
+	// acceleratorCores is what an accelerator weighs against a core when work is
+	// compared.
+	acceleratorCores = 8
+	// stopBase is the work that a stop costs besides what is not saved: the
+	// restore and the second start.
+	stopBase = 300 * time.Millisecond
+	// displaceShare bounds the unsaved work that is thrown away for a job with no
+	// guarantee, as a share of the job's own work.
+	displaceShare = 0.5
+	// claimSlack is how long past a runner's longest stop room is kept for the
+	// unit that it was made for.
+	claimSlack = 1500 * time.Millisecond
+	// lateFactor is how many objectives late a job is still worth something.
+	lateFactor = 3
+	// farPatience is the share of the estimated run time for which work waits for
+	// its data's rack before it runs far away.
+	farPatience = 1.0
+)
+
+// view is a runner's room during one round of placing.
+type view struct {
+	runner *Runner
+	free   jaytask.Room
+	rack   string
+}
+
+// round is the working state of one round of placing.
+type round struct {
+	cell  *Cell
+	views []*view
+	racks []string
+	// guaranteed holds the workspaces whose urgent jobs all fit their guarantee.
+	guaranteed map[string]bool
+	// blocked remembers shapes that found no room, so that equal ones are skipped.
+	blocked map[shape]bool
+}
+
+// shape names units that are placed alike.
+type shape struct {
+	service    string
+	room       jaytask.Room
+	count      int
+	sameRack   bool
+	label      string
+	dataRack   string
+	most       int
+	priority   int
+	guaranteed bool
+}
+
+// choice is where the members of a unit go, and which units must stop first.
+type choice struct {
+	runners []*view
+	victims []*unit
+	cost    float64
+}
+
+// place starts what fits, the most urgent first.
+func (c *Cell) place() {
+	waiting := c.waiting()
+	if len(waiting) == 0 {
+		c.places = false
+		return
+	}
+	r := c.newRound()
+	sort.SliceStable(waiting, func(i, j int) bool { return r.before(waiting[i], waiting[j]) })
+	for _, u := range waiting {
+		r.try(u)
+	}
+	c.places = false
+}
+
+// waiting returns the units whose turn has come.
+func (c *Cell) waiting() []*unit {
+	var all []*unit
+	for _, j := range c.jobs {
+		if j.state.Ended() || j.canceled {
+			continue
+		}
+		j.open(c.wall.Add(-dueSlack))
+		for _, u := range j.units {
+			if u.phase == phaseWaiting && c.now >= u.notBefore && c.allowed(j) {
+				all = append(all, u)
+			}
+		}
+	}
+	return all
+}
+
+func (c *Cell) allowed(j *job) bool {
+	return c.settings.Runs == nil || c.settings.Runs(j.spec.Terms.Service)
+}
+
+func (c *Cell) newRound() *round {
+	r := &round{cell: c, guaranteed: c.guaranteedWorkspaces(), blocked: map[shape]bool{}}
+	claimed := c.claimed()
+	racks := map[string]bool{}
+	for _, n := range c.sortedRunners() {
+		if !n.open(c.now) {
+			continue
+		}
+		v := &view{runner: n, free: n.free().Minus(claimed[n.id]), rack: n.rack()}
+		r.views = append(r.views, v)
+		if !racks[v.rack] {
+			racks[v.rack] = true
+			r.racks = append(r.racks, v.rack)
+		}
+	}
+	sort.Strings(r.racks)
+	return r
+}
+
+// claimed sums the room that stops are making for units. Claims that have not
+// led to a start in time are given up.
+func (c *Cell) claimed() map[string]jaytask.Room {
+	sum := map[string]jaytask.Room{}
+	for _, j := range c.jobs {
+		for _, u := range j.units {
+			if u.claims == nil {
+				continue
+			}
+			if u.phase != phaseWaiting || c.now-u.claimedAt > c.settings.Stop+claimSlack {
+				u.claims = nil
+				continue
+			}
+			for id, room := range u.claims {
+				sum[id] = sum[id].Plus(room)
+			}
+		}
+	}
+	return sum
+}
+
+// guaranteedWorkspaces returns the workspaces whose unfinished jobs of priority
+// 0 need no more accelerators than are guaranteed.
+func (c *Cell) guaranteedWorkspaces() map[string]bool {
+	need := map[string]int{}
+	for _, j := range c.jobs {
+		if !j.state.Ended() && j.spec.Terms.Priority == 0 {
+			need[j.spec.Terms.Workspace] += j.spec.Accelerators()
+		}
+	}
+	met := map[string]bool{}
+	for w, n := range need {
+		met[w] = n <= c.settings.Guaranteed(w)
+	}
+	return met
+}
+
+func (r *round) isGuaranteed(j *job) bool {
+	return j.spec.Terms.Priority == 0 && r.guaranteed[j.spec.Terms.Workspace]
+}
+
+// before orders units: guarantees first, then by priority, jobs that are too
+// late to be worth anything last, then by acceptance.
+func (r *round) before(a, b *unit) bool {
+	if x, y := r.isGuaranteed(a.job), r.isGuaranteed(b.job); x != y {
+		return x
+	}
+	if x, y := r.cell.worthless(a.job), r.cell.worthless(b.job); x != y {
+		return y
+	}
+	if x, y := a.job.spec.Terms.Priority, b.job.spec.Terms.Priority; x != y {
+		return x < y
+	}
+	if x, y := a.job.spec.Accepted, b.job.spec.Accepted; !x.Equal(y) {
+		return x.Before(y)
+	}
+	return a.key() < b.key()
+}
+
+// worthless reports whether a job's completion comes too late to count.
+func (c *Cell) worthless(j *job) bool {
+	if j.spec.Times > 0 {
+		return false
+	}
+	objective := time.Duration(j.spec.Terms.Stretch*float64(j.spec.Chain())) + j.spec.Terms.Objective
+	return c.wall.Sub(j.spec.Accepted) > lateFactor*objective
+}
+
+func (r *round) shapeOf(u *unit) shape {
+	s := u.spec()
+	return shape{service: u.job.spec.Terms.Service, room: s.Charge(), count: u.count, sameRack: s.SameRack, label: s.Label, dataRack: s.DataRack, most: s.MaxPerRunner, priority: u.job.spec.Terms.Priority, guaranteed: r.isGuaranteed(u.job)}
+}
+
+// try starts a unit, or makes room for it, or leaves it waiting.
+func (r *round) try(u *unit) {
+	k := r.shapeOf(u)
+	plain := u.claims == nil && len(u.avoid) == 0 && u.spec().MaxPerRunner == 0 && u.spec().DataRack == ""
+	if plain && r.blocked[k] {
+		return
+	}
+	r.release(u)
+	ch, ok := r.choose(u, nil)
+	if !ok && u.claims == nil {
+		ch, ok = r.choose(u, r.preemptible(u))
+		if ok && !r.worthwhile(u, ch) {
+			ok = false
+		}
+	}
+	switch {
+	case !ok:
+		r.reclaim(u)
+		if plain {
+			r.blocked[k] = true
+		}
+	case len(ch.victims) == 0:
+		r.start(u, ch)
+	default:
+		r.makeRoom(u, ch)
+	}
+}
+
+// release gives a unit's own claims back to the views for the time of its try.
+func (r *round) release(u *unit) { r.shift(u, 1) }
+
+// reclaim takes them again when the unit goes on waiting.
+func (r *round) reclaim(u *unit) { r.shift(u, -1) }
+
+func (r *round) shift(u *unit, sign int) {
+	for _, v := range r.views {
+		if room, ok := u.claims[v.runner.id]; ok {
+			if sign > 0 {
+				v.free = v.free.Plus(room)
+			} else {
+				v.free = v.free.Minus(room)
+			}
+		}
+	}
+}
+
+// preemptible returns the units that may be stopped for u with what stopping
+// them costs, in core-seconds of unsaved work.
+func (r *round) preemptible(u *unit) map[*unit]float64 {
+	costs := map[*unit]float64{}
+	guaranteed := r.isGuaranteed(u.job)
+	for _, v := range r.views {
+		for _, h := range v.runner.holds {
+			w := h.unit
+			if w.phase != phaseActive || w.stopping || w.job == u.job || w.spec().Daemon && !guaranteed {
+				continue
+			}
+			if r.isGuaranteed(w.job) || !guaranteed && w.job.spec.Terms.Priority <= u.job.spec.Terms.Priority {
+				continue
+			}
+			if _, known := costs[w]; !known {
+				costs[w] = r.cell.stopCost(w)
+			}
+		}
+	}
+	return costs
+}
+
+// stopCost returns the core-seconds of work that are lost when a unit stops.
+func (c *Cell) stopCost(u *unit) float64 {
+	lost := stopBase
+	for _, h := range u.live {
+		if h.confirmed && !u.spec().Checkpoint {
+			lost = max(lost, c.now-h.confirmedAt)
+		}
+	}
+	return cores(u.spec().Room) * float64(u.count) * lost.Seconds()
+}
+
+func cores(r jaytask.Room) float64 {
+	return float64(r.CPU)/1000 + float64(r.Accelerators*acceleratorCores)
+}
+
+// worthwhile weighs the work that is thrown away against the unit's own.
+func (r *round) worthwhile(u *unit, ch choice) bool {
+	if r.isGuaranteed(u.job) {
+		return true
+	}
+	own := cores(u.spec().Room) * float64(u.count) * u.spec().Estimate.Seconds()
+	return ch.cost <= displaceShare*own
+}
+
+// choose finds runners for all members of a unit. Units with a cost may be
+// stopped for it.
+func (r *round) choose(u *unit, costs map[*unit]float64) (choice, bool) {
+	var best choice
+	found := false
+	for _, views := range r.scopes(u) {
+		ch, ok := r.fill(u, views, costs)
+		if ok && (!found || ch.cost < best.cost) {
+			best, found = ch, true
+		}
+		if found && best.cost == 0 && costs != nil {
+			break
+		}
+	}
+	if found || !r.mayGoFar(u) {
+		return best, found
+	}
+	return r.fill(u, r.usable(u, ""), costs)
+}
+
+// scopes returns the sets of runners that a unit is best placed within.
+func (r *round) scopes(u *unit) [][]*view {
+	s := u.spec()
+	if s.DataRack != "" {
+		return [][]*view{r.usable(u, s.DataRack)}
+	}
+	if !s.SameRack || u.count == 1 {
+		return [][]*view{r.usable(u, "")}
+	}
+	var all [][]*view
+	for _, rack := range r.racks {
+		all = append(all, r.usable(u, rack))
+	}
+	sort.SliceStable(all, func(i, j int) bool { return freeAccelerators(all[i]) < freeAccelerators(all[j]) })
+	return all
+}
+
+func freeAccelerators(views []*view) int {
+	n := 0
+	for _, v := range views {
+		n += v.free.Accelerators
+	}
+	return n
+}
+
+// mayGoFar reports whether a unit may run at the reduced speed of work that is
+// far from its data or spread over racks: when no rack could ever hold it, or
+// when a guarantee demands it, or when it has waited longer than its run time.
+func (r *round) mayGoFar(u *unit) bool {
+	s := u.spec()
+	if s.DataRack == "" && (!s.SameRack || u.count == 1) {
+		return false
+	}
+	if r.isGuaranteed(u.job) || !r.everNear(u) {
+		return true
+	}
+	waited := r.cell.wall.Sub(u.job.spec.Accepted)
+	return s.DataRack != "" && waited > time.Duration(farPatience*float64(s.Estimate))
+}
+
+// everNear reports whether empty runners of one rack could hold the unit.
+func (r *round) everNear(u *unit) bool {
+	for _, views := range r.scopes(u) {
+		n := 0
+		for _, v := range views {
+			n += capacityFor(v.runner.info.Capacity, u)
+		}
+		if n >= u.count {
+			return true
+		}
+	}
+	return false
+}
+
+// capacityFor returns how many members of a unit an empty worker holds.
+func capacityFor(capacity jaytask.Room, u *unit) int {
+	s := u.spec()
+	n := u.count
+	if s.MaxPerRunner > 0 {
+		n = min(n, s.MaxPerRunner)
+	}
+	room := s.Charge()
+	for _, p := range [][2]int{{room.CPU, capacity.CPU}, {room.Memory, capacity.Memory}, {room.Accelerators, capacity.Accelerators}} {
+		if p[0] > 0 {
+			n = min(n, p[1]/p[0])
+		}
+	}
+	return n
+}
+
+// usable returns the runners of a rack, or of all, that may run the unit. Those
+// on which it failed, or which fail everything, are left out while others remain.
+func (r *round) usable(u *unit, rack string) []*view {
+	var good, avoided []*view
+	for _, v := range r.views {
+		n := v.runner
+		if n.info.Service != u.job.spec.Terms.Service || !n.labelled(u.spec().Label) || rack != "" && v.rack != rack {
+			continue
+		}
+		if u.avoid[n.id] || r.cell.now < n.avoidTill {
+			avoided = append(avoided, v)
+			continue
+		}
+		good = append(good, v)
+	}
+	if len(good) == 0 || r.isGuaranteed(u.job) && len(good) < u.count {
+		return append(good, avoided...)
+	}
+	return good
+}
+
+// fill assigns the members one by one, each to the runner where it costs least
+// and leaves the smallest rest.
+func (r *round) fill(u *unit, views []*view, costs map[*unit]float64) (choice, bool) {
+	free := make([]jaytask.Room, len(views))
+	counts := make([]int, len(views))
+	for i, v := range views {
+		free[i] = v.free
+		counts[i] = r.sameStep(u, v.runner)
+	}
+	room, most := u.spec().Charge(), u.spec().MaxPerRunner
+	stopped := map[*unit]bool{}
+	var ch choice
+	for m := 0; m < u.count; m++ {
+		at, victims, cost := -1, []*unit(nil), 0.0
+		rest := 0
+		for i, v := range views {
+			if most > 0 && counts[i] >= most {
+				continue
+			}
+			var w []*unit
+			var price float64
+			if !room.Fits(free[i]) {
+				if costs == nil {
+					continue
+				}
+				var ok bool
+				if w, price, ok = makeFit(room, free[i], v.runner, costs, stopped); !ok {
+					continue
+				}
+			}
+			left := leftover(room, free[i], v.runner)
+			if at < 0 || price < cost || price == cost && left < rest {
+				at, victims, cost, rest = i, w, price, left
+			}
+		}
+		if at < 0 {
+			return choice{}, false
+		}
+		for _, w := range victims {
+			stopped[w] = true
+			ch.victims = append(ch.victims, w)
+			for i, v := range views {
+				for _, h := range w.live {
+					if h.runner == v.runner {
+						free[i] = free[i].Plus(h.room)
+					}
+				}
+			}
+		}
+		ch.cost += cost
+		free[at] = free[at].Minus(room)
+		counts[at]++
+		ch.runners = append(ch.runners, views[at])
+	}
+	return ch, true
+}
+
+// leftover ranks a runner for a member: first those whose accelerators the
+// member leaves least of, so that whole workers stay whole.
+func leftover(room, free jaytask.Room, n *Runner) int {
+	left := (free.Accelerators - room.Accelerators) * 1000
+	if n.info.Capacity.CPU > 0 {
+		left += (free.CPU - room.CPU) * 1000 / n.info.Capacity.CPU
+	}
+	return left
+}
+
+// sameStep counts the unit's step on a runner.
+func (r *round) sameStep(u *unit, n *Runner) int {
+	count := 0
+	for _, h := range n.holds {
+		if h.unit.job == u.job && h.unit.step == u.step && h.unit.occurrence == u.occurrence {
+			count++
+		}
+	}
+	return count
+}
+
+// makeFit returns the cheapest units whose stop makes the room fit.
+func makeFit(room, free jaytask.Room, n *Runner, costs map[*unit]float64, stopped map[*unit]bool) ([]*unit, float64, bool) {
+	type victim struct {
+		unit *unit
+		room jaytask.Room
+	}
+	var all []victim
+	index := map[*unit]int{}
+	for _, h := range sortedHolds(n) {
+		if _, may := costs[h.unit]; !may || stopped[h.unit] {
+			continue
+		}
+		i, known := index[h.unit]
+		if !known {
+			i = len(all)
+			index[h.unit] = i
+			all = append(all, victim{unit: h.unit})
+		}
+		all[i].room = all[i].room.Plus(h.room)
+	}
+	sort.SliceStable(all, func(i, j int) bool { return costs[all[i].unit] < costs[all[j].unit] })
+	var chosen []victim
+	for _, v := range all {
+		if room.Fits(free) {
+			break
+		}
+		chosen = append(chosen, v)
+		free = free.Plus(v.room)
+	}
+	if !room.Fits(free) {
+		return nil, 0, false
+	}
+	var units []*unit
+	var cost float64
+	for i := len(chosen) - 1; i >= 0; i-- {
+		if room.Fits(free.Minus(chosen[i].room)) {
+			free = free.Minus(chosen[i].room)
+			continue
+		}
+		units = append(units, chosen[i].unit)
+		cost += costs[chosen[i].unit]
+	}
+	return units, cost, true
+}
+
+// makeRoom stops the units in the way and keeps their room for u.
+func (r *round) makeRoom(u *unit, ch choice) {
+	for _, w := range ch.victims {
+		r.cell.explain(Decision{Job: w.job.spec.ID, Event: "preempt", Outcome: "stopping", Reason: "room for " + u.key(), AgeMS: r.cell.ageOf(w.job)})
+		r.cell.stop(w, "room for "+u.key())
+	}
+	u.claims, u.claimedAt = map[string]jaytask.Room{}, r.cell.now
+	for _, v := range ch.runners {
+		room := u.spec().Charge()
+		u.claims[v.runner.id] = u.claims[v.runner.id].Plus(room)
+		v.free = v.free.Minus(room)
+	}
+}
+
+// start records a new run of a unit; its orders follow once that is stored.
+func (r *round) start(u *unit, ch choice) {
+	c := r.cell
+	u.claims = nil
+	u.phase, u.stopping, u.failedRun = phaseActive, false, false
+	u.run++
+	u.placedAt, u.reason = c.now, ""
+	for i, v := range ch.runners {
+		h := &hold{unit: u, run: u.run, index: u.first + i, runner: v.runner, room: u.spec().Charge(), changedAt: c.now}
+		u.live = append(u.live, h)
+		v.runner.add(h)
+		v.free = v.free.Minus(h.room)
+		c.starts = append(c.starts, h)
+		c.explain(Decision{Job: u.job.spec.ID, Task: h.task(), Run: u.run, Runner: v.runner.id, Event: "place", Outcome: "start", Reason: "term and room", AgeMS: c.ageOf(u.job)})
+	}
+	c.dirtyUnits[u] = true
+	if !u.job.begun {
+		u.job.begun, u.job.state = true, jaytask.Running
+		c.jobRecords = append(c.jobRecords, Record{Key: StateKey(u.job.spec.ID), Value: EncodeState(jaytask.Running, c.wall)})
+	}
+}
--- /dev/null
+++ b/internal/process/jaycell/unit.go
@@ -0,0 +1,226 @@
+package jaycell
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/jaystile/jaystile/internal/request/jaytask"
+)
+
+// phase is how far a unit is.
+type phase uint8
+
+const (
+	phaseWaiting phase = iota
+	phaseActive
+	phaseDone
+	phaseFailed
+)
+
+// unit is what starts and ends as one: a gang, or a single task.
+type unit struct {
+	job        *job
+	occurrence int
+	step       int
+	first      int
+	count      int
+
+	phase phase
+	// run numbers the starts; it rises over all terms.
+	run int
+	// attempts counts the runs that ended as failed.
+	attempts int
+	saved    string
+	// live holds the members of the current run that may still run.
+	live []*hold
+	// failedRun tells that a member of the current run failed.
+	failedRun bool
+	// stopping tells that the current run has been told to stop.
+	stopping bool
+	// placedAt is when the current run was decided.
+	placedAt time.Duration
+	// notBefore delays the next start after a run that could not begin.
+	notBefore time.Duration
+	// avoid names runners on which the unit's runs failed or stalled.
+	avoid map[string]bool
+	// claims is room that stops are making for the unit, by runner.
+	claims map[string]jaytask.Room
+	// claimedAt is when the stops were ordered.
+	claimedAt time.Duration
+	reason    string
+}
+
+func (u *unit) spec() *jaytask.Step { return &u.job.spec.Steps[u.step] }
+
+// key names the unit's record: the job, the occurrence, the step, and for a
+// single task its index.
+func (u *unit) key() string {
+	k := fmt.Sprintf("%s.%d.%d", u.job.spec.ID, u.occurrence, u.step)
+	if u.spec().Gang {
+		return k
+	}
+	return k + "." + strconv.Itoa(u.first)
+}
+
+// TaskName identifies one task over all processes.
+func TaskName(job string, occurrence, step, index int) string {
+	return fmt.Sprintf("%s.%d.%d.%d", job, occurrence, step, index)
+}
+
+// parseTask splits a task's name.
+func parseTask(name string) (job string, occurrence, step, index int, ok bool) {
+	parts := strings.Split(name, ".")
+	if len(parts) != 4 {
+		return "", 0, 0, 0, false
+	}
+	var n [3]int
+	for i := range n {
+		v, err := strconv.Atoi(parts[i+1])
+		if err != nil || v < 0 {
+			return "", 0, 0, 0, false
+		}
+		n[i] = v
+	}
+	return parts[0], n[0], n[1], n[2], true
+}
+
+type memberRecord struct {
+	_      struct{} `cbor:",toarray"`
+	Index  int
+	Runner string
+	Node   string
+}
+
+type unitRecord struct {
+	_        struct{} `cbor:",toarray"`
+	Phase    uint8
+	Run      int
+	Attempts int
+	Saved    string
+	Members  []memberRecord
+}
+
+// record returns what a successor must know of the unit.
+func (u *unit) record() Record {
+	r := unitRecord{Phase: uint8(u.phase), Run: u.run, Attempts: u.attempts, Saved: u.saved}
+	for _, h := range u.live {
+		r.Members = append(r.Members, memberRecord{Index: h.index, Runner: h.runner.id, Node: h.runner.node})
+	}
+	b, err := cbor.Marshal(r)
+	if err != nil {
+		panic(fmt.Errorf("encode unit %s: %w", u.key(), err))
+	}
+	return Record{Key: u.key(), Value: b}
+}
+
+// hold is one member of a run on one runner.
+type hold struct {
+	unit   *unit
+	run    int
+	index  int
+	runner *Runner
+	room   jaytask.Room
+	// committed tells that the record of the run is stored, so that the order may
+	// be sent.
+	committed bool
+	// confirmed tells that the runner has begun the run.
+	confirmed   bool
+	confirmedAt time.Duration
+	stopOrdered bool
+	// percent is the progress and changedAt when it last moved.
+	percent   int
+	basis     int
+	changedAt time.Duration
+	saved     string
+}
+
+func (h *hold) task() string {
+	return TaskName(h.unit.job.spec.ID, h.unit.occurrence, h.unit.step, h.index)
+}
+
+// job is a job that has not ended, with its units.
+type job struct {
+	spec     *jaytask.Job
+	state    jaytask.State
+	canceled bool
+	// units by occurrence and step, created when their turn comes.
+	units map[string]*unit
+	// undone counts the units of each occurrence and step that are not done.
+	undone  [][]int
+	opened  [][]bool
+	left    int
+	endedAt time.Duration
+	// noticed is when this cell learnt of the job.
+	noticed time.Duration
+	begun   bool
+}
+
+func newJob(spec *jaytask.Job, now time.Duration) *job {
+	j := &job{spec: spec, state: jaytask.Queued, units: map[string]*unit{}, noticed: now}
+	for k := 0; k < spec.Occurrences(); k++ {
+		undone := make([]int, len(spec.Steps))
+		for i, s := range spec.Steps {
+			undone[i] = unitsOf(s)
+			j.left += undone[i]
+		}
+		j.undone = append(j.undone, undone)
+		j.opened = append(j.opened, make([]bool, len(spec.Steps)))
+	}
+	return j
+}
+
+func unitsOf(s jaytask.Step) int {
+	if s.Gang {
+		return 1
+	}
+	return s.Count
+}
+
+// unitOf returns the unit that holds a task, making it when it is new.
+func (j *job) unitOf(occurrence, step, index int) *unit {
+	if occurrence >= j.spec.Occurrences() || step >= len(j.spec.Steps) || index >= j.spec.Steps[step].Count {
+		return nil
+	}
+	s := &j.spec.Steps[step]
+	u := &unit{job: j, occurrence: occurrence, step: step, first: index, count: 1}
+	if s.Gang {
+		u.first, u.count = 0, s.Count
+	}
+	if old := j.units[u.key()]; old != nil {
+		return old
+	}
+	j.units[u.key()] = u
+	return u
+}
+
+// ready reports whether the steps that a step waits for are done.
+func (j *job) ready(occurrence, step int) bool {
+	for _, a := range j.spec.Steps[step].After {
+		if j.undone[occurrence][a] > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// open makes the units whose turn has come.
+func (j *job) open(now time.Time) {
+	for k := range j.undone {
+		if due := j.spec.Due(k); !due.IsZero() && now.Before(due) {
+			break
+		}
+		for i := range j.spec.Steps {
+			if j.opened[k][i] || !j.ready(k, i) {
+				continue
+			}
+			j.opened[k][i] = true
+			for n := 0; n < unitsOf(j.spec.Steps[i]); n++ {
+				j.unitOf(k, i, n)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/process/jayhub/desk.go
@@ -0,0 +1,249 @@
+package jayhub
+
+import (
+	"context"
+	"errors"
+	"regexp"
+	"time"
+
+	"github.com/jaystile/jaystile/internal/connection/jayframe"
+	"github.com/jaystile/jaystile/internal/process/jaycell"
+	"github.com/jaystile/jaystile/internal/process/jayclock"
+	"github.com/jaystile/jaystile/internal/process/jaystore"
+	"github.com/jaystile/jaystile/internal/request/jaytask"
+	"github.com/jaystile/jaystile/internal/version/jayroutes"
+)
+
+// Verdict is what a caller is answered.
+type Verdict uint8
+
+// The verdicts.
+const (
+	// Accepted tells that the job or its cancellation is stored.
+	Accepted Verdict = iota + 1
+	// Found comes with the job's state, Counted with a number.
+	Found
+	Counted
+	// NoJob and NoRoute tell that there is none of that name.
+	NoJob
+	NoRoute
+	// BadKey tells that the key is nobody's, NotYours that it is another's.
+	BadKey
+	NotYours
+	// Malformed tells that the request can never be served as it is.
+	Malformed
+	// NotNow tells that nothing was done and when to come back.
+	NotNow
+	// Unsettled tells that it is not known whether the request took effect.
+	Unsettled
+)
+
+var verdictNames = [...]string{Accepted: "accepted", Found: "found", Counted: "counted", NoJob: "no_job", NoRoute: "no_route", BadKey: "bad_key", NotYours: "not_yours", Malformed: "malformed", NotNow: "not_now", Unsettled: "unsettled"}
+
+// String returns the verdict's name.
+func (v Verdict) String() string { return verdictNames[v] }
+
+// Answer is a verdict with what belongs to it.
+type Answer struct {
+	Verdict    Verdict
+	State      jaytask.State
+	Count      int
+	Reason     string
+	RetryAfter time.Duration
+}
+
+// Caller is who asks, for what, and how long it waits.
+type Caller struct {
+	Host    string
+	Path    string
+	Key     string
+	Timeout time.Duration
+}
+
+const (
+	// freshConfig is how old the configuration may be for a refusal that a newer
+	// one might not make.
+	freshConfig = 500 * time.Millisecond
+	// refreshTimeout bounds a look into the store on behalf of one request.
+	refreshTimeout = 800 * time.Millisecond
+	// putMargin is left of a caller's time for the answer's way back.
+	putMargin = 300 * time.Millisecond
+	// putMost bounds how long a record is tried for a caller that waits longer.
+	putMost = 2200 * time.Millisecond
+	// retryAfter is when a caller that was turned away comes back: an outage of
+	// the store lasts seconds.
+	retryAfter = time.Second
+)
+
+// jobID is what callers name jobs by.
+var jobID = regexp.MustCompile(`^[0-9a-fA-F]{16}$`)
+
+// place is a caller's request after routing.
+type place struct {
+	route     jayroutes.Route
+	workspace string
+	id        string
+}
+
+// locate finds the route of a request and checks its key.
+func (h *Hub) locate(ctx context.Context, c Caller) (place, *Answer) {
+	for fresh := false; ; fresh = true {
+		config := h.config.Load()
+		if config == nil {
+			return place{}, &Answer{Verdict: NotNow, Reason: "no configuration yet", RetryAfter: retryAfter}
+		}
+		p, refusal := locateIn(config, c)
+		if refusal == nil || fresh {
+			return p, refusal
+		}
+		age, _ := h.operTail.Age()
+		if age <= freshConfig {
+			return p, refusal
+		}
+		call, cancel := context.WithTimeout(ctx, refreshTimeout)
+		err := h.operTail.Refresh(call)
+		cancel()
+		if err != nil {
+			return p, &Answer{Verdict: NotNow, Reason: "configuration may be out of date", RetryAfter: retryAfter}
+		}
+	}
+}
+
+func locateIn(config *jayroutes.Config, c Caller) (place, *Answer) {
+	route, ok := config.Match(jayroutes.HostOf(c.Host), c.Path)
+	if !ok {
+		return place{}, &Answer{Verdict: NoRoute, Reason: "no route"}
+	}
+	p := place{route: route, id: c.Path[len(route.Prefix):]}
+	if p.id != "" && !jobID.MatchString(p.id) {
+		return place{}, &Answer{Verdict: NoRoute, Reason: "no job's path"}
+	}
+	if route.Public {
+		return p, nil
+	}
+	p.workspace, ok = config.Workspace(c.Key)
+	if !ok {
+		return place{}, &Answer{Verdict: BadKey, Reason: "unknown key"}
+	}
+	return p, nil
+}
+
+// Submit accepts a job: it is stored before the caller is told so. The job is
+// decoded by the caller of Submit only when a route takes it.
+func (h *Hub) Submit(ctx context.Context, c Caller, decode func() (*jaytask.Job, error)) Answer {
+	p, refusal := h.locate(ctx, c)
+	if refusal != nil {
+		return h.answer("submit", p.id, *refusal)
+	}
+	if p.id == "" {
+		return h.answer("submit", "", Answer{Verdict: Malformed, Reason: "no identity"})
+	}
+	if e, ok := h.jobs.get(p.id); ok {
+		if e.spec.Terms.Workspace != p.workspace {
+			return h.answer("submit", p.id, Answer{Verdict: NotYours, Reason: "identity is in use"})
+		}
+		return h.answer("submit", p.id, Answer{Verdict: Accepted, Reason: "known already"})
+	}
+	spec, err := decode()
+	if err != nil {
+		return h.answer("submit", p.id, Answer{Verdict: Malformed, Reason: err.Error()})
+	}
+	spec.ID, spec.Accepted = p.id, time.Now()
+	spec.Terms = jaytask.Terms{
+		Route: p.route.Name, Service: p.route.Service, Workspace: p.workspace, Priority: p.route.Priority,
+		Attempts: p.route.Attempts, Stretch: p.route.Stretch, Objective: p.route.Objective,
+	}
+	value, err := jaytask.EncodeJob(spec)
+	if err != nil {
+		return h.answer("submit", p.id, Answer{Verdict: Malformed, Reason: err.Error()})
+	}
+	return h.answer("submit", p.id, h.put(jaystore.Record{Key: jaycell.JobKey(p.id), Value: value}, c))
+}
+
+// put stores a record on behalf of a caller and spreads it.
+func (h *Hub) put(r jaystore.Record, c Caller) Answer {
+	wait := putMost
+	if c.Timeout > 0 {
+		wait = min(wait, max(c.Timeout-putMargin, c.Timeout/2))
+	}
+	err := h.jobsPut.Put(r, time.Now().Add(wait))
+	var refused *jaystore.NotStoredError
+	switch {
+	case errors.As(err, &refused):
+		return Answer{Verdict: NotNow, Reason: err.Error(), RetryAfter: retryAfter}
+	case err != nil:
+		return Answer{Verdict: Unsettled, Reason: err.Error()}
+	}
+	h.jobs.apply(r.Key, r.Value)
+	if h.leading() == nil {
+		h.spread(&jayframe.StoredRecords{Records: []jayframe.StoredRecord{{Key: r.Key, Value: r.Value}}})
+	}
+	return Answer{Verdict: Accepted}
+}
+
+// State tells a job's state.
+func (h *Hub) State(ctx context.Context, c Caller) Answer {
+	p, refusal := h.locate(ctx, c)
+	if refusal != nil {
+		return h.answer("state", p.id, *refusal)
+	}
+	if p.id == "" {
+		return Answer{Verdict: Counted, Count: h.jobs.pending(p.route.Name)}
+	}
+	e, refusal := h.find(ctx, p)
+	if refusal != nil {
+		return h.answer("state", p.id, *refusal)
+	}
+	return Answer{Verdict: Found, State: e.shown()}
+}
+
+// find returns the caller's own job. That there is none is said only after a
+// look into the store.
+func (h *Hub) find(ctx context.Context, p place) (jobEntry, *Answer) {
+	e, ok := h.jobs.get(p.id)
+	if !ok {
+		call, cancel := context.WithTimeout(ctx, refreshTimeout)
+		err := h.jobsTail.Refresh(call)
+		cancel()
+		if err != nil {
+			return e, &Answer{Verdict: NotNow, Reason: "store out of reach: " + err.Error(), RetryAfter: retryAfter}
+		}
+		if e, ok = h.jobs.get(p.id); !ok {
+			return e, &Answer{Verdict: NoJob, Reason: "no such job"}
+		}
+	}
+	if e.spec.Terms.Workspace != p.workspace {
+		return e, &Answer{Verdict: NotYours, Reason: "another workspace's job"}
+	}
+	return e, nil
+}
+
+// Cancel cancels a job: that is stored before the caller is told so.
+func (h *Hub) Cancel(ctx context.Context, c Caller) Answer {
+	p, refusal := h.locate(ctx, c)
+	if refusal != nil {
+		return h.answer("cancel", p.id, *refusal)
+	}
+	if p.id == "" {
+		return h.answer("cancel", "", Answer{Verdict: Malformed, Reason: "no identity"})
+	}
+	e, refusal := h.find(ctx, p)
+	if refusal != nil {
+		return h.answer("cancel", p.id, *refusal)
+	}
+	if e.canceled || e.state.Ended() {
+		return h.answer("cancel", p.id, Answer{Verdict: Accepted, Reason: "over already"})
+	}
+	return h.answer("cancel", p.id, h.put(cancelRecord(p.id, time.Now()), c))
+}
+
+// answer logs what a request was answered and why.
+func (h *Hub) answer(what, id string, a Answer) Answer {
+	version := uint64(0)
+	if c := h.config.Load(); c != nil {
+		version = c.Version()
+	}
+	age, _ := h.operTail.Age()
+	h.Logger.Info().Str("event", what).Str("job", id).Str("outcome", a.Verdict.String()).Str("reason", a.Reason).Uint64("config", version).Int64("config_age_ms", age.Milliseconds()).Int64("at_ms", jayclock.Elapsed().Milliseconds()).Msg("answered")
+	return a
+}
--- /dev/null
+++ b/internal/process/jayhub/hub.go
@@ -0,0 +1,270 @@
+package jayhub
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/sourcegraph/conc"
+
+	"github.com/jaystile/jaystile/internal/connection/jayframe"
+	"github.com/jaystile/jaystile/internal/connection/jaylink"
+	"github.com/jaystile/jaystile/internal/process/jayclock"
+	"github.com/jaystile/jaystile/internal/process/jaystore"
+	"github.com/jaystile/jaystile/internal/version/jayroutes"
+)
+
+const (
+	// tailWait is how long a read of the store waits for news: with the time-out
+	// of a call it bounds how long a silent connection hides a new configuration.
+	tailWait = time.Second
+	// jobsPause rests the follower of the jobs' topic: peers spread records sooner.
+	jobsPause = 400 * time.Millisecond
+	// linkBeat and linkSilence notice a dead holder of the term within a second.
+	linkBeat    = 250 * time.Millisecond
+	linkSilence = 800 * time.Millisecond
+	dialTimeout = 500 * time.Millisecond
+	dialPause   = 100 * time.Millisecond
+	// maxLinks bounds the links from sides and entries.
+	maxLinks = 4096
+	// announceEvery repeats an entry's address until it is stored.
+	announceTimeout = 2 * time.Second
+	announcePause   = 5 * time.Second
+)
+
+// Topics names the store's topics and the key of the configuration.
+type Topics struct {
+	Operator  string
+	Cell      string
+	Jobs      string
+	Runs      string
+	ConfigKey string
+}
+
+// Timing holds the durations of the deployment that decisions depend on.
+type Timing struct {
+	Lease     time.Duration
+	Retention time.Duration
+	Stop      time.Duration
+	Reclaim   time.Duration
+	Gang      time.Duration
+	FarFactor float64
+}
+
+// Hub is one entry. Its exported fields are set before Run.
+type Hub struct {
+	Name       string
+	DataCentre string
+	// Address is where other processes open links; Boot tells this life of the
+	// process from others of the same name.
+	Address string
+	Boot    uint64
+	Seeds   []string
+	Timing  Timing
+	Topics  Topics
+	Logger  zerolog.Logger
+	// Direct sends a request straight to the store, MakeClient makes a client over
+	// a way to send requests.
+	Direct     func(ctx context.Context, x jaystore.Exchange) (jaystore.Reply, error)
+	MakeClient func(do func(ctx context.Context, x jaystore.Exchange) (jaystore.Reply, error)) *jaystore.Client
+	// DecodeConfig reads a configuration; entries that cannot be read come back as
+	// errors.
+	DecodeConfig func(b []byte) (*jayroutes.Config, []error)
+
+	listener net.Listener
+	endpoint *jaylink.Endpoint
+	path     *jaystore.Path
+	client   *jaystore.Client
+	jobs     *jobTable
+	jobsPut  *jaystore.Appender
+	cellTail *jaystore.Tail
+	jobsTail *jaystore.Tail
+	operTail *jaystore.Tail
+	config   atomic.Pointer[jayroutes.Config]
+	tasks    conc.WaitGroup
+	ctx      context.Context
+	vacant   chan struct{}
+
+	// mutex guards what follows. It is taken before a lead's mutex, never after.
+	mutex       sync.Mutex
+	term        Term
+	lead        *lead
+	holder      *jaylink.Link
+	entries     map[string]string
+	peers       map[*jaylink.Link]string
+	sides       map[string]*jaylink.Link
+	draining    bool
+	termChanged notice
+	storeSeen   time.Duration
+}
+
+// New returns an entry that takes links on the listener.
+func New(listener net.Listener) *Hub {
+	return &Hub{listener: listener, entries: map[string]string{}, peers: map[*jaylink.Link]string{}, sides: map[string]*jaylink.Link{}, vacant: make(chan struct{}, 1)}
+}
+
+// Prepare connects the parts; it is called once, after the fields are set.
+func (h *Hub) Prepare() {
+	h.path = &jaystore.Path{Direct: h.direct, Relay: h.relay, HasPeer: h.hasPeer, Turned: func(through bool, cause string) {
+		h.Logger.Warn().Str("event", "dependency").Str("dependency", "store").Bool("through_peer", through).Str("cause", cause).Msg("way to the store changed")
+	}}
+	h.client = h.MakeClient(h.path.Do)
+	h.jobs = newJobTable(h.Logger)
+	h.jobs.accepted, h.jobs.canceled = h.accepted, h.canceled
+	h.jobsPut = jaystore.NewAppender(h.client, h.Topics.Jobs)
+	h.cellTail = &jaystore.Tail{Client: h.client, Topic: h.Topics.Cell, Apply: h.applyCell, Wait: tailWait, Failed: h.tailFailed(h.Topics.Cell)}
+	h.jobsTail = &jaystore.Tail{Client: h.client, Topic: h.Topics.Jobs, Wait: tailWait, Pause: jobsPause, Failed: h.tailFailed(h.Topics.Jobs), Reset: h.jobs.reset, Apply: func(s jaystore.Stored) { h.jobs.apply(s.Key, s.Value) }}
+	h.operTail = &jaystore.Tail{Client: h.client, Topic: h.Topics.Operator, Wait: tailWait, Failed: h.tailFailed(h.Topics.Operator), Apply: h.applyOperator}
+	h.endpoint = &jaylink.Endpoint{
+		Name: h.Name, Incarnation: h.Boot, Timing: jaylink.Timing{Beat: linkBeat, Silence: linkSilence}, MaxLinks: maxLinks,
+		Handler: h.handle, MakeBeat: func() jayframe.Beat { return jayframe.Beat{} },
+		Admit: func(*jayframe.Hello) (*jayframe.Welcome, error) {
+			return &jayframe.Welcome{Entries: h.addresses()}, nil
+		},
+		Opened: h.opened, Ended: h.ended,
+	}
+}
+
+// Run serves until ctx ends.
+func (h *Hub) Run(ctx context.Context) error {
+	h.ctx = ctx
+	var failed error
+	var wg conc.WaitGroup
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	wg.Go(func() {
+		if err := h.endpoint.Serve(ctx, h.listener); err != nil {
+			failed = fmt.Errorf("serve links: %w", err)
+			cancel()
+		}
+	})
+	for _, t := range []*jaystore.Tail{h.cellTail, h.jobsTail, h.operTail} {
+		wg.Go(func() { t.Run(ctx) })
+	}
+	wg.Go(func() { h.jobsPut.Run(ctx) })
+	wg.Go(func() { h.elect(ctx) })
+	wg.Go(func() { h.follow(ctx) })
+	wg.Go(func() { h.announce(ctx) })
+	wg.Wait()
+	h.tasks.Wait()
+	return failed
+}
+
+// announce stores this entry's address.
+func (h *Hub) announce(ctx context.Context) {
+	for ctx.Err() == nil {
+		call, cancel := context.WithTimeout(ctx, announceTimeout)
+		_, err := h.client.Append(call, jaystore.Append{Topic: h.Topics.Cell, Records: []jaystore.Record{{Key: entryPrefix + h.Name, Value: []byte(h.Address)}}})
+		cancel()
+		if err == nil {
+			return
+		}
+		h.Logger.Warn().Str("event", "announce").Err(err).Msg("cannot store this entry's address; trying again")
+		select {
+		case <-ctx.Done():
+		case <-time.After(announcePause):
+		}
+	}
+}
+
+// direct sends a request to the store and notes when it answered.
+func (h *Hub) direct(ctx context.Context, x jaystore.Exchange) (jaystore.Reply, error) {
+	r, err := h.Direct(ctx, x)
+	if err == nil {
+		h.mutex.Lock()
+		h.storeSeen = jayclock.Elapsed()
+		h.mutex.Unlock()
+	}
+	return r, err
+}
+
+func (h *Hub) tailFailed(topic string) func(error) {
+	var last time.Duration
+	return func(err error) {
+		// One line a second is enough to see an outage begin and go on.
+		if now := jayclock.Elapsed(); now-last > time.Second {
+			last = now
+			h.Logger.Warn().Str("event", "dependency").Str("dependency", "store").Str("topic", topic).Err(err).Msg("cannot read a topic")
+		}
+	}
+}
+
+func (h *Hub) applyOperator(s jaystore.Stored) {
+	if s.Key != h.Topics.ConfigKey || s.Value == nil {
+		return
+	}
+	c, faults := h.DecodeConfig(s.Value)
+	for _, f := range faults {
+		h.Logger.Error().Str("event", "config").Err(f).Msg("skipping what cannot be read of the configuration")
+	}
+	if c == nil {
+		return
+	}
+	old := h.config.Load()
+	if old != nil && c.Version() <= old.Version() {
+		return
+	}
+	h.config.Store(c)
+	h.Logger.Info().Str("event", "config").Uint64("version", c.Version()).Uint64("offset", s.Offset).Msg("configuration is in force")
+	if l := h.leading(); l != nil {
+		poke(l.kick)
+	}
+}
+
+// leading returns the lead while this entry holds the term.
+func (h *Hub) leading() *lead {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	return h.lead
+}
+
+// Drain stops taking part in elections and hands the term over. It returns when
+// another entry holds the term or after the time given.
+func (h *Hub) Drain(most time.Duration) {
+	h.mutex.Lock()
+	h.draining = true
+	l := h.lead
+	peers := len(h.peers)
+	changed := h.termChanged.wait()
+	h.mutex.Unlock()
+	h.Logger.Info().Str("event", "drain").Bool("holds_term", l != nil).Int("peers", peers).Msg("shutting down")
+	if l == nil || peers == 0 {
+		return
+	}
+	l.resign()
+	h.spread(&jayframe.CellResign{Term: l.term})
+	select {
+	case <-changed:
+	case <-time.After(most):
+	}
+}
+
+// Ready reports whether this entry can serve callers, and why not.
+func (h *Hub) Ready() (bool, string) {
+	h.mutex.Lock()
+	draining := h.draining
+	h.mutex.Unlock()
+	age, loaded := h.jobsTail.Age()
+	switch {
+	case draining:
+		return false, "draining"
+	case h.config.Load() == nil:
+		return false, "no configuration"
+	case !loaded:
+		return false, "jobs not read"
+	case age > readyWithin:
+		return false, "store out of reach"
+	}
+	return true, ""
+}
+
+// readyWithin is how old an entry's knowledge may be for it to take new
+// connections: longer than a slow store's answer, shorter than an outage.
+const readyWithin = 4 * time.Second
+
+// Config returns the configuration in force, or nil before there is one.
+func (h *Hub) Config() *jayroutes.Config { return h.config.Load() }
--- /dev/null
+++ b/internal/process/jayhub/lead.go
@@ -0,0 +1,389 @@
+package jayhub
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/jaystile/jaystile/internal/connection/jayframe"
+	"github.com/jaystile/jaystile/internal/connection/jaylink"
+	"github.com/jaystile/jaystile/internal/process/jaycell"
+	"github.com/jaystile/jaystile/internal/process/jayclock"
+	"github.com/jaystile/jaystile/internal/process/jaystore"
+	"github.com/jaystile/jaystile/internal/request/jaytask"
+)
+
+const (
+	// tickEvery bounds how late what time alone decides is noticed.
+	tickEvery = 100 * time.Millisecond
+	// pausedFor is a gap between two ticks after which this process may have been
+	// frozen, and another entry may hold the term.
+	pausedFor = 700 * time.Millisecond
+	// producer names the holder's writes to the store.
+	producer = "cell"
+)
+
+// lead is this entry's own term: it decides and orders until it ends.
+type lead struct {
+	hub  *Hub
+	term uint64
+	kick chan struct{}
+	done chan struct{}
+	once sync.Once
+
+	mutex sync.Mutex
+	cell  *jaycell.Cell
+	// loaded tells that the earlier terms' records are read.
+	loaded   bool
+	writing  bool
+	resigned bool
+	// doubtful tells that the process may have been frozen and has not yet seen
+	// that its term goes on.
+	doubtful bool
+	lastTick time.Duration
+}
+
+func newLead(h *Hub, term uint64) *lead {
+	l := &lead{hub: h, term: term, kick: make(chan struct{}, 1), done: make(chan struct{}), lastTick: jayclock.Elapsed()}
+	l.cell = jaycell.New(jaycell.Settings{
+		Term: term, Lease: h.Timing.Lease, Retention: h.Timing.Retention, Stop: h.Timing.Stop, Reclaim: h.Timing.Reclaim, Gang: h.Timing.Gang, FarFactor: h.Timing.FarFactor,
+		Guaranteed: func(workspace string) int {
+			if c := h.config.Load(); c != nil {
+				return c.Guaranteed(workspace)
+			}
+			return 0
+		},
+		Explain: l.explain,
+	}, jayclock.Elapsed(), time.Now())
+	return l
+}
+
+// explain logs a decision.
+func (l *lead) explain(d jaycell.Decision) {
+	e := l.hub.Logger.Info().Str("event", d.Event).Uint64("term", l.term)
+	for _, f := range [][2]string{{"job", d.Job}, {"task", d.Task}, {"runner", d.Runner}, {"outcome", d.Outcome}, {"reason", d.Reason}} {
+		if f[1] != "" {
+			e = e.Str(f[0], f[1])
+		}
+	}
+	if d.Run > 0 {
+		e = e.Int("run", d.Run)
+	}
+	e.Int64("age_ms", d.AgeMS).Msg("decided")
+}
+
+// end ends the term for this entry.
+func (l *lead) end(cause string) {
+	l.once.Do(func() {
+		l.hub.Logger.Info().Str("event", "term").Uint64("term", l.term).Str("cause", cause).Msg("giving up the term")
+		close(l.done)
+	})
+}
+
+// resign stops deciding; leases are granted until another entry takes over.
+func (l *lead) resign() {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.resigned = true
+}
+
+func (l *lead) run() {
+	ctx, cancel := context.WithCancel(l.hub.ctx)
+	defer cancel()
+	stop := make(chan struct{})
+	defer close(stop)
+	l.hub.tasks.Go(func() {
+		select {
+		case <-l.done:
+			cancel()
+		case <-stop:
+		}
+	})
+	defer l.hub.leave(l)
+	runs := jaystore.NewTermLog(l.hub.client, l.hub.Topics.Runs, producer, l.term)
+	jobs := jaystore.NewTermLog(l.hub.client, l.hub.Topics.Jobs, producer, l.term)
+	if err := l.load(ctx, runs, jobs); err != nil {
+		l.hub.Logger.Warn().Str("event", "term").Uint64("term", l.term).Err(err).Msg("cannot begin the term")
+		return
+	}
+	ticker := time.NewTicker(tickEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-l.kick:
+		case <-ticker.C:
+		}
+		l.step(ctx, runs, jobs)
+	}
+}
+
+// leave forgets an ended lead.
+func (h *Hub) leave(l *lead) {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	if h.lead == l {
+		h.lead = nil
+	}
+}
+
+// load makes the store refuse earlier terms, then reads what they have left.
+func (l *lead) load(ctx context.Context, runs, jobs *jaystore.TermLog) error {
+	if err := runs.Seal(ctx); err != nil {
+		return err
+	}
+	if err := jobs.Seal(ctx); err != nil {
+		return err
+	}
+	var records []jaystore.Record
+	for tries := 0; ; tries++ {
+		err := l.hub.jobsTail.Refresh(ctx)
+		if err == nil {
+			records, err = jaystore.LoadAll(ctx, l.hub.client, l.hub.Topics.Runs)
+		}
+		if err == nil {
+			break
+		}
+		if ctx.Err() != nil {
+			return err
+		}
+		time.Sleep(tickEvery)
+	}
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.at()
+	canceled := []string{}
+	for _, e := range l.hub.jobs.open() {
+		l.cell.Submit(e.spec)
+		if e.state == jaytask.Running {
+			l.cell.Begun(e.spec.ID)
+		}
+		if e.canceled {
+			canceled = append(canceled, e.spec.ID)
+		}
+	}
+	for _, r := range records {
+		if err := l.cell.Load(jaycell.Record{Key: r.Key, Value: r.Value}); err != nil {
+			l.hub.Logger.Error().Str("event", "record").Err(err).Msg("skipping a run that cannot be read")
+		}
+	}
+	for _, id := range canceled {
+		l.cell.Cancel(id)
+	}
+	l.loaded = true
+	l.hub.Logger.Info().Str("event", "term").Uint64("term", l.term).Int("runs", len(records)).Msg("deciding")
+	return nil
+}
+
+func (l *lead) at() { l.cell.At(jayclock.Elapsed(), time.Now()) }
+
+// step decides and starts to store what was decided.
+func (l *lead) step(ctx context.Context, runs, jobs *jaystore.TermLog) {
+	l.mutex.Lock()
+	l.at()
+	now := jayclock.Elapsed()
+	if now-l.lastTick > pausedFor && !l.doubtful {
+		l.doubtful = true
+		l.hub.Logger.Warn().Str("event", "pause").Int64("gap_ms", (now - l.lastTick).Milliseconds()).Msg("this process may have been frozen; checking its term")
+		l.hub.tasks.Go(func() { l.check(ctx) })
+	}
+	l.lastTick = now
+	var batch *jaycell.Batch
+	if !l.resigned && !l.doubtful {
+		l.cell.Tick()
+		if !l.writing {
+			batch = l.cell.Take()
+		}
+	}
+	stops := l.cell.TakeStops()
+	if batch != nil && !batch.Empty() {
+		l.writing = true
+	} else {
+		batch = nil
+	}
+	l.mutex.Unlock()
+	l.send(stops)
+	if batch != nil {
+		l.hub.tasks.Go(func() { l.store(ctx, runs, jobs, batch) })
+	}
+}
+
+// check reads the term back after a pause.
+func (l *lead) check(ctx context.Context) {
+	for ctx.Err() == nil {
+		call, cancel := context.WithTimeout(ctx, takeTimeout)
+		err := l.hub.cellTail.Refresh(call)
+		cancel()
+		if err == nil {
+			break
+		}
+		time.Sleep(tickEvery)
+	}
+	l.mutex.Lock()
+	l.doubtful = false
+	l.lastTick = jayclock.Elapsed()
+	l.mutex.Unlock()
+	poke(l.kick)
+}
+
+// store writes a batch, then sends the orders that depend on it.
+func (l *lead) store(ctx context.Context, runs, jobs *jaystore.TermLog, b *jaycell.Batch) {
+	err := runs.Write(ctx, toStore(b.Runs))
+	if err == nil {
+		err = jobs.Write(ctx, toStore(b.Jobs))
+	}
+	if err == nil {
+		err = runs.Write(ctx, toStore(b.Drops))
+	}
+	var fenced *jaystore.FencedError
+	if errors.As(err, &fenced) {
+		l.end("the store has seen a higher term")
+		return
+	}
+	if err != nil {
+		return
+	}
+	l.mutex.Lock()
+	l.at()
+	orders := l.cell.Stored(b)
+	l.writing = false
+	doubtful := l.doubtful
+	l.mutex.Unlock()
+	l.publish(b.Jobs)
+	if !doubtful {
+		l.send(orders)
+	}
+	poke(l.kick)
+}
+
+func toStore(records []jaycell.Record) []jaystore.Record {
+	all := make([]jaystore.Record, len(records))
+	for i, r := range records {
+		all[i] = jaystore.Record{Key: r.Key, Value: r.Value}
+	}
+	return all
+}
+
+// publish spreads stored records of jobs.
+func (l *lead) publish(records []jaycell.Record) {
+	if len(records) == 0 {
+		return
+	}
+	m := &jayframe.StoredRecords{}
+	for _, r := range records {
+		if r.Value != nil {
+			l.hub.jobs.apply(r.Key, r.Value)
+			m.Records = append(m.Records, jayframe.StoredRecord{Key: r.Key, Value: r.Value})
+		}
+	}
+	l.hub.spread(m)
+}
+
+// send passes orders to the sides that are linked; others get them with their
+// next link.
+func (l *lead) send(orders []jaycell.Order) {
+	byNode := map[string]*jayframe.CellOrders{}
+	var nodes []string
+	for _, o := range orders {
+		m := byNode[o.Node]
+		if m == nil {
+			m = &jayframe.CellOrders{Term: l.term}
+			byNode[o.Node] = m
+			nodes = append(nodes, o.Node)
+		}
+		m.Orders = append(m.Orders, toFrame(o))
+	}
+	for _, node := range nodes {
+		link := l.hub.side(node)
+		if link == nil {
+			continue
+		}
+		if err := link.Send(byNode[node]); err != nil {
+			l.hub.Logger.Warn().Str("event", "link").Str("peer", node).Err(err).Msg("cannot send orders; they follow with the next link")
+			link.Close("orders were not sent")
+		}
+	}
+}
+
+func toFrame(o jaycell.Order) jayframe.CellOrder {
+	return jayframe.CellOrder{What: uint8(o.Kind), Runner: o.Runner, Task: o.Task, Run: o.Run, Spec: o.Spec, Saved: o.Saved, Number: o.Number}
+}
+
+// hear takes a side's report.
+func (l *lead) hear(link *jaylink.Link, m *jayframe.CellReport, fresh bool) {
+	l.mutex.Lock()
+	if l.doubtful || !l.loaded {
+		l.mutex.Unlock()
+		return
+	}
+	l.at()
+	granted := l.cell.Hear(fromFrame(m))
+	var again []jaycell.Order
+	if fresh && granted {
+		again = l.cell.Resend(m.Node)
+	}
+	l.mutex.Unlock()
+	grant := &jayframe.CellGrant{Term: l.term}
+	if granted {
+		grant.Sequence = m.Sequence
+	}
+	if err := link.Send(grant); err != nil {
+		l.hub.Logger.Debug().Str("event", "link").Str("peer", link.Peer()).Err(err).Msg("cannot grant")
+	}
+	l.send(again)
+	poke(l.kick)
+}
+
+func fromFrame(m *jayframe.CellReport) jaycell.Report {
+	r := jaycell.Report{
+		Node: m.Node, Sequence: m.Sequence, Term: m.Term, Current: m.Current, Left: m.Left,
+		Runner: jaycell.RunnerInfo{
+			ID: m.Runner, Service: m.Service, Zone: m.DataCentre, Labels: m.Labels, Draining: m.Draining, DrainLeft: time.Duration(m.DrainLeft) * time.Millisecond,
+			Capacity: jaytask.Room{CPU: m.CPU, Memory: m.Memory, Accelerators: m.Accelerators},
+		},
+	}
+	for _, x := range m.Running {
+		r.Running = append(r.Running, jaycell.Run{Task: x.Task, Run: x.Run, Saved: x.Saved, Percent: x.Percent, Load: x.Load})
+	}
+	for _, x := range m.Finished {
+		r.Finished = append(r.Finished, jaycell.End{Number: x.Number, Task: x.Task, Run: x.Run, How: jaycell.How(x.How), Saved: x.Saved})
+	}
+	for _, x := range m.Results {
+		r.Results = append(r.Results, jaycell.Result{Task: x.Task, Run: x.Run, Refused: x.Refused, Reason: x.Reason})
+	}
+	for _, x := range m.Known {
+		r.Known = append(r.Known, jaycell.Order{Task: x.Task, Run: x.Run})
+	}
+	return r
+}
+
+func (l *lead) submit(j *jaytask.Job) {
+	l.mutex.Lock()
+	l.at()
+	l.cell.Submit(j)
+	l.mutex.Unlock()
+	poke(l.kick)
+}
+
+func (l *lead) cancel(id string) {
+	l.mutex.Lock()
+	l.at()
+	l.cell.Cancel(id)
+	l.mutex.Unlock()
+	poke(l.kick)
+}
+
+// accepted and canceled pass news of the jobs' table to the lead.
+func (h *Hub) accepted(j *jaytask.Job) {
+	if l := h.leading(); l != nil {
+		l.submit(j)
+	}
+}
+
+func (h *Hub) canceled(id string) {
+	if l := h.leading(); l != nil {
+		l.cancel(id)
+	}
+}
--- /dev/null
+++ b/internal/process/jayhub/term.go
@@ -0,0 +1,209 @@
+package jayhub
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"strings"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/jaystile/jaystile/internal/process/jaystore"
+	"github.com/jaystile/jaystile/internal/request/jaytask"
+)
+
+const (
+	// TermKey names the record of the newest term.
+	TermKey = "term"
+	// entryPrefix begins the keys of entries' addresses.
+	entryPrefix = "entry/"
+
+	// electEvery is how often an entry looks whether the term has a holder.
+	electEvery = 100 * time.Millisecond
+	// missesBeforeTake is how many looks in a row the holder must be missing: the
+	// link to it has been silent for its bound, and dialing failed for half a
+	// second more. Looks that a frozen process missed do not count.
+	missesBeforeTake = 5
+	// missesSpread keeps entries from taking the term at once.
+	missesSpread = 3
+	// takeTimeout bounds one try to take the term.
+	takeTimeout = 1200 * time.Millisecond
+)
+
+// Term is a term of office: its number and who holds it.
+type Term struct {
+	number  uint64
+	name    string
+	address string
+	boot    uint64
+}
+
+type termRecord struct {
+	_       struct{} `cbor:",toarray"`
+	Number  uint64
+	Name    string
+	Address string
+	Boot    uint64
+}
+
+func (t Term) encode() []byte {
+	b, err := cbor.Marshal(termRecord{Number: t.number, Name: t.name, Address: t.address, Boot: t.boot})
+	if err != nil {
+		panic(err)
+	}
+	return b
+}
+
+// DecodeTerm reads the record of a term.
+func DecodeTerm(b []byte) (Term, error) {
+	var r termRecord
+	if err := cbor.Unmarshal(b, &r); err != nil {
+		return Term{}, &jaytask.RecordError{What: "term", Cause: err}
+	}
+	return Term{number: r.Number, name: r.Name, address: r.Address, boot: r.Boot}, nil
+}
+
+// NewTerm returns a term as an entry has told of it.
+func NewTerm(number uint64, name, address string) Term {
+	return Term{number: number, name: name, address: address}
+}
+
+// Number returns the term's number.
+func (t Term) Number() uint64 { return t.number }
+
+// Address returns where the holder takes links.
+func (t Term) Address() string { return t.address }
+
+// elect takes the term when nobody holds it.
+func (h *Hub) elect(ctx context.Context) {
+	ticker := time.NewTicker(electEvery)
+	defer ticker.Stop()
+	patience := missesBeforeTake + rand.IntN(missesSpread+1)
+	misses := 0
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-h.vacant:
+			misses = patience
+		case <-ticker.C:
+		}
+		if !h.mayTake() {
+			misses = 0
+			continue
+		}
+		misses++
+		if t := h.Term(); t.name == h.Name || t.number == 0 {
+			// The holder was this entry's earlier life, or there never was one.
+			misses += missesBeforeTake / 2
+		}
+		if misses < patience {
+			continue
+		}
+		h.take(ctx)
+		misses = max(patience-2, 0)
+	}
+}
+
+// mayTake reports whether this entry misses the holder of the term.
+func (h *Hub) mayTake() bool {
+	// The tail's mutex comes before the hub's.
+	_, loaded := h.cellTail.Age()
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	return loaded && !h.draining && h.lead == nil && h.holder == nil
+}
+
+// take tries to write the next term where this entry has read to. Of several
+// tries one succeeds, and a late one only if nobody else has written.
+func (h *Hub) take(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, takeTimeout)
+	defer cancel()
+	if err := h.cellTail.Refresh(ctx); err != nil {
+		h.Logger.Warn().Str("event", "term").Err(err).Msg("cannot read the term")
+		return
+	}
+	if !h.mayTake() {
+		return
+	}
+	old := h.Term()
+	next := Term{number: old.number + 1, name: h.Name, address: h.Address, boot: h.Boot}
+	at := h.cellTail.NextOffset()
+	_, err := h.client.Append(ctx, jaystore.Append{Topic: h.Topics.Cell, Records: []jaystore.Record{{Key: TermKey, Value: next.encode()}}, At: &at})
+	var moved *jaystore.MovedError
+	switch {
+	case err == nil:
+		h.setTerm(next)
+	case errors.As(err, &moved):
+		h.Logger.Info().Str("event", "term").Uint64("term", next.number).Msg("another entry has written first")
+	default:
+		h.Logger.Warn().Str("event", "term").Uint64("term", next.number).Err(err).Msg("unknown whether the term was taken; reading it back")
+	}
+	if err := h.cellTail.Refresh(ctx); err != nil {
+		h.Logger.Warn().Str("event", "term").Err(err).Msg("cannot read the term back")
+	}
+}
+
+// Term returns the newest term that this entry knows.
+func (h *Hub) Term() Term {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	return h.term
+}
+
+// setTerm notes a term. A higher one ends this entry's own; one that names this
+// life of this entry begins it.
+func (h *Hub) setTerm(t Term) {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	if t.number <= h.term.number {
+		return
+	}
+	h.Logger.Info().Str("event", "term").Uint64("term", t.number).Uint64("was", h.term.number).Str("holder", t.name).Msg("a term has begun")
+	h.term = t
+	if h.lead != nil && h.lead.term < t.number {
+		h.lead.end("a higher term has begun")
+	}
+	if h.holder != nil {
+		h.holder.Close("the term is over")
+		h.holder = nil
+	}
+	if t.name == h.Name && t.boot == h.Boot && !h.draining {
+		h.lead = newLead(h, t.number)
+		h.tasks.Go(h.lead.run)
+	}
+	h.termChanged.broadcast()
+}
+
+// applyCell takes a record of the cell's topic.
+func (h *Hub) applyCell(s jaystore.Stored) {
+	switch {
+	case s.Key == TermKey && s.Value != nil:
+		t, err := DecodeTerm(s.Value)
+		if err != nil {
+			h.Logger.Error().Str("event", "record").Err(err).Msg("skipping a term that cannot be read")
+			return
+		}
+		h.setTerm(t)
+	default:
+		name, address, ok := EntryRecord(s)
+		if !ok {
+			return
+		}
+		h.mutex.Lock()
+		defer h.mutex.Unlock()
+		if address == "" {
+			delete(h.entries, name)
+			return
+		}
+		h.entries[name] = address
+	}
+}
+
+// EntryRecord reads a record that tells an entry's address. The address is empty
+// when the entry is gone.
+func EntryRecord(s jaystore.Stored) (name, address string, ok bool) {
+	name, ok = strings.CutPrefix(s.Key, entryPrefix)
+	return name, string(s.Value), ok && name != ""
+}
--- /dev/null
+++ b/internal/process/jaykeep/orders.go
@@ -0,0 +1,213 @@
+package jaykeep
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/jaystile/jaystile/internal/process/jaycell"
+	"github.com/jaystile/jaystile/internal/process/jayclock"
+)
+
+// Take carries out the orders of a term. Orders of an earlier term are ignored.
+func (k *Keeper) Take(term uint64, orders []jaycell.Order) {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	if term < k.term || k.ctx == nil {
+		return
+	}
+	k.setTerm(term)
+	for _, o := range orders {
+		if o.Runner != k.runner.ID {
+			if o.Kind == jaycell.OrderStart {
+				k.settled(o, true, ReasonReplaced)
+			}
+			continue
+		}
+		switch o.Kind {
+		case jaycell.OrderAcknowledge:
+			if o.Number > k.acked {
+				k.acked = o.Number
+				signal(k.urgent)
+			}
+		case jaycell.OrderStart:
+			k.begin(o, false)
+		case jaycell.OrderStop:
+			k.begin(o, true)
+		}
+	}
+}
+
+// begin starts carrying out an order, unless the same one is under way.
+func (k *Keeper) begin(o jaycell.Order, stop bool) {
+	old := k.orders[o.Task]
+	if old != nil {
+		if old.Run > o.Run || old.Run == o.Run && (old.stop || !stop) {
+			return
+		}
+		old.cancel()
+	}
+	ctx, cancel := context.WithCancel(k.ctx)
+	n := &order{Order: o, term: k.term, stop: stop, cancel: cancel}
+	k.orders[o.Task] = n
+	k.tasks.Go(func() {
+		defer cancel()
+		if stop {
+			k.stop(ctx, n)
+			return
+		}
+		k.start(ctx, n)
+	})
+}
+
+// settled notes an order that left no run behind.
+func (k *Keeper) settled(o jaycell.Order, refused bool, reason string) {
+	k.results = append(k.results, result{Result: jaycell.Result{Task: o.Task, Run: o.Run, Refused: refused, Reason: reason}, at: jayclock.Elapsed()})
+	signal(k.changed)
+}
+
+// finish ends an order; it reports whether the order was still the current one.
+func (k *Keeper) finish(o *order) bool {
+	if k.orders[o.Task] != o {
+		return false
+	}
+	delete(k.orders, o.Task)
+	return true
+}
+
+// start asks the runner to begin a run until it answers. The same start may be
+// asked for again: it takes effect once.
+func (k *Keeper) start(ctx context.Context, o *order) {
+	for ctx.Err() == nil {
+		k.mutex.Lock()
+		s := Start{Incarnation: o.Runner, Task: o.Task, Run: o.Run, Spec: o.Spec, Saved: o.Saved, Deadline: k.deadline(), Fence: o.term}
+		draining := k.runner.Draining || k.left
+		leased := k.permit-jayclock.Elapsed() > leastLease && s.Deadline > 0
+		k.mutex.Unlock()
+		if draining && !o.open {
+			k.refuse(o, ReasonDraining)
+			return
+		}
+		if !leased {
+			rest(ctx, retryPause)
+			continue
+		}
+		err := k.tryStart(ctx, s)
+		var refused *RefusedError
+		var replaced *ReplacedError
+		switch {
+		case err == nil:
+			// The listing confirms the run; until then the order stays known.
+			k.mutex.Lock()
+			o.accepted = true
+			k.mutex.Unlock()
+			k.confirm(ctx, o)
+			return
+		case errors.As(err, &replaced):
+			k.mutex.Lock()
+			k.finish(o)
+			k.mutex.Unlock()
+			return
+		case errors.As(err, &refused) && refused.Reason == ReasonLate:
+		case errors.As(err, &refused):
+			if o.open {
+				// An earlier try may still be carried out: a stop makes the runner
+				// refuse it.
+				k.stop(ctx, o)
+				return
+			}
+			k.refuse(o, refused.Reason)
+			return
+		default:
+			k.mutex.Lock()
+			o.open = true
+			k.mutex.Unlock()
+			k.Logger.Warn().Str("event", "start").Str("task", o.Task).Int("run", o.Run).Err(err).Msg("start was not answered; asking again")
+		}
+		rest(ctx, retryPause)
+	}
+}
+
+func (k *Keeper) tryStart(ctx context.Context, s Start) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	return k.Calls.Start(ctx, s)
+}
+
+func (k *Keeper) refuse(o *order, reason string) {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	if k.finish(o) {
+		k.Logger.Info().Str("event", "start").Str("task", o.Task).Int("run", o.Run).Str("outcome", "refused").Str("reason", reason).Msg("runner refused a start")
+		k.settled(o.Order, true, reason)
+	}
+}
+
+// confirm waits for a listing that shows an accepted run. A listing that was
+// asked for later and shows neither the run nor its end means that it is gone.
+func (k *Keeper) confirm(ctx context.Context, o *order) {
+	after := jayclock.Elapsed()
+	signal(k.urgent)
+	for rest(ctx, retryPause) {
+		k.mutex.Lock()
+		listed := k.listedAt > after
+		if listed && k.finish(o) {
+			k.settled(o.Order, false, "vanished")
+		}
+		k.mutex.Unlock()
+		if listed {
+			return
+		}
+	}
+}
+
+// stop asks the runner to end a run until it answers, then waits for a listing
+// that shows the end, or neither run nor end.
+func (k *Keeper) stop(ctx context.Context, o *order) {
+	for ctx.Err() == nil {
+		call, cancel := context.WithTimeout(ctx, callTimeout)
+		err := k.Calls.Stop(call, Stop{Incarnation: o.Runner, Task: o.Task, Run: o.Run, Fence: o.term})
+		cancel()
+		var refused *RefusedError
+		var replaced *ReplacedError
+		if errors.As(err, &replaced) || errors.As(err, &refused) && refused.Reason == ReasonFence {
+			k.mutex.Lock()
+			k.finish(o)
+			k.mutex.Unlock()
+			return
+		}
+		if err == nil {
+			k.awaitEnd(ctx, o, jayclock.Elapsed())
+			return
+		}
+		k.Logger.Warn().Str("event", "stop").Str("task", o.Task).Int("run", o.Run).Err(err).Msg("stop was not taken; asking again")
+		rest(ctx, retryPause)
+	}
+}
+
+// awaitEnd waits until a listing that was asked for after the stop no longer
+// shows the run.
+func (k *Keeper) awaitEnd(ctx context.Context, o *order, after time.Duration) {
+	signal(k.urgent)
+	for rest(ctx, retryPause) {
+		k.mutex.Lock()
+		gone := k.listedAt > after && !k.runs(o.Task, o.Run)
+		if gone && k.finish(o) {
+			k.settled(o.Order, false, "stopped before it began")
+		}
+		k.mutex.Unlock()
+		if gone {
+			return
+		}
+		signal(k.urgent)
+	}
+}
+
+func (k *Keeper) runs(task string, run int) bool {
+	for _, r := range k.listing.Running {
+		if r.Task == task && r.Run == run {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/process/jaykeep/side.go
@@ -0,0 +1,255 @@
+package jaykeep
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/sourcegraph/conc"
+
+	"github.com/jaystile/jaystile/internal/connection/jayframe"
+	"github.com/jaystile/jaystile/internal/connection/jaylink"
+	"github.com/jaystile/jaystile/internal/process/jaycell"
+	"github.com/jaystile/jaystile/internal/process/jayhub"
+	"github.com/jaystile/jaystile/internal/process/jaystore"
+)
+
+const (
+	// tailWait is how long a read for a new term waits; a side that has a link
+	// hears of it there as well.
+	tailWait = 5 * time.Second
+	// linkBeat and linkSilence are those of entries.
+	linkBeat    = 250 * time.Millisecond
+	linkSilence = 800 * time.Millisecond
+	dialTimeout = 500 * time.Millisecond
+	dialPause   = 120 * time.Millisecond
+)
+
+// Side is the process beside a runner. Its exported fields are set before Run.
+type Side struct {
+	Keeper     *Keeper
+	Name       string
+	DataCentre string
+	Boot       uint64
+	// Seeds are link addresses of entries that may be there.
+	Seeds  []string
+	Logger zerolog.Logger
+	// Store reads the cell's topic.
+	Store     *jaystore.Client
+	CellTopic string
+
+	endpoint *jaylink.Endpoint
+	mutex    sync.Mutex
+	term     jayhub.Term
+	entries  map[string]bool
+	link     *jaylink.Link
+	changed  chan struct{}
+	next     int
+}
+
+// NewSide returns a side for a keeper.
+func NewSide(k *Keeper) *Side {
+	return &Side{Keeper: k, entries: map[string]bool{}, changed: make(chan struct{}, 1)}
+}
+
+// Run serves until ctx ends.
+func (s *Side) Run(ctx context.Context) {
+	s.endpoint = &jaylink.Endpoint{
+		Name: s.Name, Incarnation: s.Boot, Timing: jaylink.Timing{Beat: linkBeat, Silence: linkSilence}, Handler: s.handle,
+		MakeBeat: func() jayframe.Beat { return jayframe.Beat{} },
+	}
+	s.Keeper.Send = s.send
+	tail := &jaystore.Tail{Client: s.Store, Topic: s.CellTopic, Wait: tailWait, Apply: s.apply, Failed: func(err error) {
+		s.Logger.Debug().Str("event", "dependency").Str("dependency", "store").Err(err).Msg("cannot read the term")
+	}}
+	var wg conc.WaitGroup
+	wg.Go(func() { s.Keeper.Run(ctx) })
+	wg.Go(func() { tail.Run(ctx) })
+	wg.Go(func() { s.follow(ctx) })
+	wg.Wait()
+}
+
+// apply takes a record of the cell's topic.
+func (s *Side) apply(r jaystore.Stored) {
+	name, address, isEntry := jayhub.EntryRecord(r)
+	switch {
+	case r.Key == jayhub.TermKey && r.Value != nil:
+		t, err := jayhub.DecodeTerm(r.Value)
+		if err != nil {
+			s.Logger.Error().Str("event", "record").Err(err).Msg("skipping a term that cannot be read")
+			return
+		}
+		s.learn(t)
+	case isEntry && address != "":
+		s.mutex.Lock()
+		s.entries[address] = true
+		s.mutex.Unlock()
+		s.Logger.Debug().Str("event", "entry").Str("peer", name).Str("address", address).Msg("learnt of an entry")
+	}
+}
+
+// learn follows a newer term.
+func (s *Side) learn(t jayhub.Term) {
+	s.mutex.Lock()
+	if t.Number() <= s.term.Number() {
+		s.mutex.Unlock()
+		return
+	}
+	s.term = t
+	old := s.link
+	s.link = nil
+	s.mutex.Unlock()
+	s.Keeper.SetTerm(t.Number())
+	if old != nil {
+		old.Close("the term is over")
+	}
+	signal(s.changed)
+}
+
+// target returns the next address to try: the holder's, and after a failure
+// there, in turn, those of other entries, which know of a newer term.
+func (s *Side) target(failures int) string {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if address := s.term.Address(); address != "" && failures%2 == 0 {
+		return address
+	}
+	all := append([]string(nil), s.Seeds...)
+	for a := range s.entries {
+		if a != s.term.Address() {
+			all = append(all, a)
+		}
+	}
+	if len(all) == 0 {
+		return s.term.Address()
+	}
+	s.next++
+	return all[s.next%len(all)]
+}
+
+// follow keeps a link to the holder of the term.
+func (s *Side) follow(ctx context.Context) {
+	for failures := 0; ctx.Err() == nil; {
+		address := s.target(failures)
+		if address != "" && s.carry(ctx, address) {
+			failures = 0
+		} else {
+			failures++
+		}
+		select {
+		case <-ctx.Done():
+		case <-s.changed:
+			failures = 0
+		case <-time.After(dialPause):
+		}
+	}
+}
+
+func (s *Side) carry(ctx context.Context, address string) bool {
+	dial, cancel := context.WithTimeout(ctx, dialTimeout)
+	l, _, err := s.endpoint.Dial(dial, address, &jayframe.Hello{Role: jayframe.RoleSide, DataCentre: s.DataCentre})
+	cancel()
+	if err != nil {
+		s.Logger.Debug().Str("event", "link").Str("address", address).Err(err).Msg("cannot reach an entry")
+		return false
+	}
+	s.mutex.Lock()
+	s.link = l
+	s.mutex.Unlock()
+	s.Logger.Info().Str("event", "link").Str("peer", l.Peer()).Str("address", address).Msg("linked to an entry")
+	s.Keeper.Changed()
+	l.Carry(ctx)
+	s.mutex.Lock()
+	if s.link == l {
+		s.link = nil
+	}
+	s.mutex.Unlock()
+	s.Logger.Info().Str("event", "link").Str("peer", l.Peer()).Err(l.Err()).Msg("link ended")
+	return false
+}
+
+// handle takes a message of the link.
+func (s *Side) handle(l *jaylink.Link, _ uint64, m jayframe.Message) {
+	switch m := m.(type) {
+	case *jayframe.CellGrant:
+		if m.Sequence > 0 {
+			s.Keeper.Grant(m.Term, m.Sequence)
+		}
+	case *jayframe.CellOrders:
+		orders := make([]jaycell.Order, len(m.Orders))
+		for i, o := range m.Orders {
+			orders[i] = jaycell.Order{Kind: jaycell.OrderKind(o.What), Runner: o.Runner, Task: o.Task, Run: o.Run, Spec: o.Spec, Saved: o.Saved, Number: o.Number}
+		}
+		s.Keeper.Take(m.Term, orders)
+	case *jayframe.CellView:
+		s.seen(l, m)
+	}
+}
+
+// seen takes an entry's word on who holds the term. An entry that does not hold
+// it is left for the one that does.
+func (s *Side) seen(l *jaylink.Link, m *jayframe.CellView) {
+	s.mutex.Lock()
+	for _, a := range m.Entries {
+		s.entries[a] = true
+	}
+	s.mutex.Unlock()
+	s.learn(jayhub.NewTerm(m.Term, m.Holder, m.Address))
+	if m.Holder != l.Peer() && m.Address != "" {
+		l.Close("this entry does not hold the term")
+	}
+}
+
+// send passes a report to the linked entry.
+func (s *Side) send(r jaycell.Report) {
+	s.mutex.Lock()
+	l := s.link
+	s.mutex.Unlock()
+	if l == nil {
+		return
+	}
+	if err := l.Send(toFrame(r)); err != nil {
+		s.Logger.Debug().Str("event", "link").Str("peer", l.Peer()).Err(err).Msg("cannot report")
+	}
+}
+
+func toFrame(r jaycell.Report) *jayframe.CellReport {
+	m := &jayframe.CellReport{
+		Node: r.Node, Sequence: r.Sequence, Term: r.Term, Runner: r.Runner.ID, Service: r.Runner.Service, DataCentre: r.Runner.Zone, Labels: r.Runner.Labels,
+		CPU: r.Runner.Capacity.CPU, Memory: r.Runner.Capacity.Memory, Accelerators: r.Runner.Capacity.Accelerators,
+		Draining: r.Runner.Draining, DrainLeft: r.Runner.DrainLeft.Milliseconds(), Current: r.Current, Left: r.Left,
+	}
+	for _, x := range r.Running {
+		m.Running = append(m.Running, jayframe.CellRun{Task: x.Task, Run: x.Run, Saved: x.Saved, Percent: x.Percent, Load: x.Load})
+	}
+	for _, x := range r.Finished {
+		m.Finished = append(m.Finished, jayframe.CellEnd{Number: x.Number, Task: x.Task, Run: x.Run, How: uint8(x.How), Saved: x.Saved})
+	}
+	for _, x := range r.Results {
+		m.Results = append(m.Results, jayframe.CellResult{Task: x.Task, Run: x.Run, Refused: x.Refused, Reason: x.Reason})
+	}
+	for _, x := range r.Known {
+		m.Known = append(m.Known, jayframe.CellOrder{Task: x.Task, Run: x.Run})
+	}
+	return m
+}
+
+// Control takes the runner's own reports over HTTP; the platform's names are
+// the handler's.
+type Control struct {
+	Listener net.Listener
+	Serve    func(net.Listener) error
+}
+
+// Run serves until ctx ends.
+func (c Control) Run(ctx context.Context) error {
+	stop := context.AfterFunc(ctx, func() { _ = c.Listener.Close() })
+	defer stop()
+	if err := c.Serve(c.Listener); err != nil && ctx.Err() == nil {
+		return fmt.Errorf("serve the runner: %w", err)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/process/jaystore/hedge.go
@@ -0,0 +1,96 @@
+package jaystore
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"time"
+
+	"github.com/sourcegraph/conc"
+)
+
+const (
+	// callTimeout bounds one call; the store may take a hundred times its usual
+	// 4 ms.
+	callTimeout = 1500 * time.Millisecond
+	// firstHedge and nextHedge are when an append that has not been answered is
+	// repeated beside the first: fifty usual answers, then more slowly.
+	firstHedge = 200 * time.Millisecond
+	nextHedge  = 500 * time.Millisecond
+	// retryFirst and retryMost bound the pause after a refusal.
+	retryFirst = 40 * time.Millisecond
+	retryMost  = 400 * time.Millisecond
+)
+
+// hedged makes an append that may be repeated without harm: it is sent again
+// beside a first try that gets no answer, and the first answer counts.
+func hedged(ctx context.Context, call func(context.Context) (uint64, error)) (uint64, error) {
+	type result struct {
+		end uint64
+		err error
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	results := make(chan result, 8)
+	var wg conc.WaitGroup
+	defer func() { go wg.Wait() }()
+	open := 0
+	launch := func() {
+		open++
+		wg.Go(func() {
+			end, err := call(ctx)
+			results <- result{end, err}
+		})
+	}
+	launch()
+	timer := time.NewTimer(firstHedge)
+	defer timer.Stop()
+	unanswered := error(nil)
+	for tries := 1; ; {
+		select {
+		case r := <-results:
+			open--
+			var silent *NoAnswerError
+			if !errors.As(r.err, &silent) {
+				if r.err != nil && unanswered != nil && isRefusal(r.err) {
+					return 0, unanswered
+				}
+				return r.end, r.err
+			}
+			unanswered = r.err
+			if open == 0 {
+				return 0, unanswered
+			}
+		case <-timer.C:
+			if tries < 3 {
+				tries++
+				launch()
+				timer.Reset(nextHedge)
+			}
+		case <-ctx.Done():
+			return 0, &NoAnswerError{Operation: "append", Cause: ctx.Err().Error()}
+		}
+	}
+}
+
+// isRefusal reports a plain refusal, after which an earlier try that was not
+// answered is still open.
+func isRefusal(err error) bool {
+	var refused *RefusedError
+	return errors.As(err, &refused)
+}
+
+// pause waits between tries, longer with each, with jitter; it returns false
+// when ctx has ended.
+func pause(ctx context.Context, tries int) bool {
+	d := min(retryFirst<<min(tries, 6), retryMost)
+	d = d/2 + time.Duration(rand.Int64N(int64(d/2)+1))
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
--- /dev/null
+++ b/internal/process/jaystore/path.go
@@ -0,0 +1,112 @@
+package jaystore
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/jaystile/jaystile/internal/process/jayclock"
+)
+
+// Exchange is one request to the store as it stands on the wire. Peers pass it
+// on without reading it.
+type Exchange struct {
+	Method string
+	Target string
+	Body   []byte
+	// Wait is how long the store may hold the request back.
+	Wait time.Duration
+}
+
+// Reply is the store's answer to an Exchange.
+type Reply struct {
+	Status int
+	Body   []byte
+}
+
+const (
+	// directRest is how long a process goes through a peer after the store has not
+	// served it, before it tries the straight way again.
+	directRest = 1200 * time.Millisecond
+	// directTry bounds the straight way when a peer stands ready.
+	directTry = 600 * time.Millisecond
+
+	statusBusy        = 429
+	statusUnavailable = 503
+)
+
+// Path chooses the way to the store: straight, or through a peer while the
+// store does not serve this process. Its fields are set before use.
+type Path struct {
+	// Direct sends one request straight to the store.
+	Direct func(ctx context.Context, x Exchange) (Reply, error)
+	// Relay sends it through a peer; it returns a NoAnswerError when none is there.
+	Relay func(ctx context.Context, x Exchange) (Reply, error)
+	// HasPeer reports whether a peer stands ready.
+	HasPeer func() bool
+	// Turned is called when the way changes.
+	Turned func(throughPeer bool, cause string)
+
+	restUntil atomic.Int64
+	relayed   atomic.Bool
+}
+
+// Do sends a request. A request that may be open on one way is sent on the other
+// too: everything that this product sends may be repeated. A refusal on one way
+// is not returned while a try on the other is open.
+func (p *Path) Do(ctx context.Context, x Exchange) (Reply, error) {
+	if !p.HasPeer() {
+		return p.Direct(ctx, x)
+	}
+	if jayclock.Elapsed() < time.Duration(p.restUntil.Load()) {
+		return p.both(ctx, x, p.Relay, p.tryDirect)
+	}
+	return p.both(ctx, x, p.tryDirect, p.Relay)
+}
+
+type way func(ctx context.Context, x Exchange) (Reply, error)
+
+func (p *Path) both(ctx context.Context, x Exchange, first, second way) (Reply, error) {
+	r, err := first(ctx, x)
+	if err == nil && !unserved(r.Status) || ctx.Err() != nil {
+		return r, err
+	}
+	other, otherErr := second(ctx, x)
+	switch {
+	case otherErr == nil && !unserved(other.Status):
+		return other, nil
+	case err != nil:
+		return r, err
+	}
+	return other, otherErr
+}
+
+// tryDirect goes straight and notes whether that way serves.
+func (p *Path) tryDirect(ctx context.Context, x Exchange) (Reply, error) {
+	ctx, cancel := context.WithTimeout(ctx, directTry+x.Wait)
+	defer cancel()
+	r, err := p.Direct(ctx, x)
+	switch {
+	case err != nil:
+		p.rest(err.Error())
+	case unserved(r.Status):
+		p.rest("refused")
+	default:
+		p.restUntil.Store(0)
+		p.turn(false, "")
+	}
+	return r, err
+}
+
+func (p *Path) rest(cause string) {
+	p.restUntil.Store(int64(jayclock.Elapsed() + directRest))
+	p.turn(true, cause)
+}
+
+func (p *Path) turn(throughPeer bool, cause string) {
+	if p.relayed.Swap(throughPeer) != throughPeer && p.Turned != nil {
+		p.Turned(throughPeer, cause)
+	}
+}
+
+func unserved(status int) bool { return status == statusBusy || status == statusUnavailable }
--- /dev/null
+++ b/internal/request/jaytask/record.go
@@ -0,0 +1,120 @@
+package jaytask
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+)
+
+// RecordError reports a record of the store that cannot be read.
+type RecordError struct {
+	What  string
+	Cause error
+}
+
+// Error implements error.
+func (e *RecordError) Error() string { return "unreadable " + e.What + " record: " + e.Cause.Error() }
+
+// Unwrap returns the codec's error.
+func (e *RecordError) Unwrap() error { return e.Cause }
+
+type stepRecord struct {
+	_            struct{} `cbor:",toarray"`
+	Count        int
+	CPU          int
+	Memory       int
+	Accelerators int
+	Estimate     int64
+	After        []int
+	Flags        uint8
+	Label        string
+	DataRack     string
+	MaxPerRunner int
+	Image        string
+	Target       int64
+	MayMiss      int
+}
+
+// Flags of a step's record.
+const (
+	flagCheckpoint = 1 << iota
+	flagGang
+	flagSameRack
+	flagSpeculative
+	flagDaemon
+	flagFills
+)
+
+type jobRecord struct {
+	_         struct{} `cbor:",toarray"`
+	Spec      string
+	Steps     []stepRecord
+	Route     string
+	Service   string
+	Workspace string
+	Priority  int
+	Attempts  int
+	Stretch   float64
+	Objective int64
+	Accepted  int64
+	Times     int
+	Start     int64
+	Period    int64
+}
+
+// EncodeJob returns the record of a job; the identity is the record's key.
+func EncodeJob(j *Job) ([]byte, error) {
+	r := jobRecord{
+		Spec: j.Spec, Route: j.Terms.Route, Service: j.Terms.Service, Workspace: j.Terms.Workspace, Priority: j.Terms.Priority,
+		Attempts: j.Terms.Attempts, Stretch: j.Terms.Stretch, Objective: int64(j.Terms.Objective), Accepted: j.Accepted.UnixMilli(),
+		Times: j.Times, Start: j.Start.UnixMilli(), Period: int64(j.Period), Steps: make([]stepRecord, len(j.Steps)),
+	}
+	for i, s := range j.Steps {
+		r.Steps[i] = stepRecord{
+			Count: s.Count, CPU: s.Room.CPU, Memory: s.Room.Memory, Accelerators: s.Room.Accelerators, Estimate: int64(s.Estimate),
+			After: s.After, Flags: s.flags(), Label: s.Label, DataRack: s.DataRack, MaxPerRunner: s.MaxPerRunner,
+			Image: s.Image, Target: int64(s.Target), MayMiss: s.MayMiss,
+		}
+	}
+	b, err := cbor.Marshal(r)
+	if err != nil {
+		return nil, fmt.Errorf("encode job %s: %w", j.ID, err)
+	}
+	return b, nil
+}
+
+func (s Step) flags() uint8 {
+	var f uint8
+	for i, set := range []bool{s.Checkpoint, s.Gang, s.SameRack, s.Speculative, s.Daemon, s.Fills} {
+		if set {
+			f |= 1 << i
+		}
+	}
+	return f
+}
+
+// DecodeJob reads the record of a job and checks it.
+func DecodeJob(id string, b []byte) (*Job, error) {
+	var r jobRecord
+	if err := cbor.Unmarshal(b, &r); err != nil {
+		return nil, &RecordError{What: "job", Cause: err}
+	}
+	j := &Job{
+		ID: id, Spec: r.Spec, Accepted: time.UnixMilli(r.Accepted), Times: r.Times, Start: time.UnixMilli(r.Start), Period: time.Duration(r.Period),
+		Terms: Terms{Route: r.Route, Service: r.Service, Workspace: r.Workspace, Priority: r.Priority, Attempts: r.Attempts, Stretch: r.Stretch, Objective: time.Duration(r.Objective)},
+		Steps: make([]Step, len(r.Steps)),
+	}
+	for i, s := range r.Steps {
+		j.Steps[i] = Step{
+			Count: s.Count, Room: Room{CPU: s.CPU, Memory: s.Memory, Accelerators: s.Accelerators}, Estimate: time.Duration(s.Estimate), After: s.After,
+			Checkpoint: s.Flags&flagCheckpoint != 0, Gang: s.Flags&flagGang != 0, SameRack: s.Flags&flagSameRack != 0,
+			Speculative: s.Flags&flagSpeculative != 0, Daemon: s.Flags&flagDaemon != 0, Fills: s.Flags&flagFills != 0,
+			Label: s.Label, DataRack: s.DataRack, MaxPerRunner: s.MaxPerRunner, Image: s.Image, Target: time.Duration(s.Target), MayMiss: s.MayMiss,
+		}
+	}
+	if err := j.Check(); err != nil {
+		return nil, &RecordError{What: "job", Cause: err}
+	}
+	return j, nil
+}
--- /dev/null
+++ b/internal/version/jayroutes/config.go
@@ -0,0 +1,120 @@
+// Package jayroutes holds one version of the operators' configuration: routes,
+// services, workspaces with their keys and the limits of a request.
+package jayroutes
+
+import (
+	"crypto/sha256"
+	"strings"
+	"time"
+)
+
+// Route is a queue of jobs.
+type Route struct {
+	Name      string
+	Host      string
+	Prefix    string
+	Service   string
+	Public    bool
+	Priority  int
+	Attempts  int
+	Stretch   float64
+	Objective time.Duration
+	// Timeout bounds one request.
+	Timeout time.Duration
+}
+
+// Service is a pool of runners.
+type Service struct {
+	Name string
+	// Guards tells that its runners refuse what does not fit into them.
+	Guards bool
+}
+
+// Workspace holds guaranteed accelerators.
+type Workspace struct {
+	Name       string
+	Keys       []string
+	Guaranteed int
+}
+
+// Limits bound one request. A zero is no bound.
+type Limits struct {
+	HeaderBytes   int
+	BodyBytes     int
+	HeaderTimeout time.Duration
+	IdleTimeout   time.Duration
+}
+
+// Config is one version.
+type Config struct {
+	version    uint64
+	hosts      map[string]map[string]Route
+	services   map[string]Service
+	workspaces map[string]Workspace
+	keys       map[[sha256.Size]byte]string
+	limits     Limits
+}
+
+// NewConfig indexes one version.
+func NewConfig(version uint64, routes []Route, services []Service, workspaces []Workspace, limits Limits) *Config {
+	c := &Config{version: version, hosts: map[string]map[string]Route{}, services: map[string]Service{}, workspaces: map[string]Workspace{}, keys: map[[sha256.Size]byte]string{}, limits: limits}
+	for _, r := range routes {
+		if c.hosts[r.Host] == nil {
+			c.hosts[r.Host] = map[string]Route{}
+		}
+		c.hosts[r.Host][r.Prefix] = r
+	}
+	for _, s := range services {
+		c.services[s.Name] = s
+	}
+	for _, w := range workspaces {
+		c.workspaces[w.Name] = w
+		for _, k := range w.Keys {
+			c.keys[sha256.Sum256([]byte(k))] = w.Name
+		}
+	}
+	return c
+}
+
+// Version returns the number that grows with each configuration.
+func (c *Config) Version() uint64 { return c.version }
+
+// Limits returns the limits of a request.
+func (c *Config) Limits() Limits { return c.limits }
+
+// Match returns the route with the longest prefix of the path.
+func (c *Config) Match(host, path string) (Route, bool) {
+	prefixes := c.hosts[host]
+	if prefixes == nil {
+		return Route{}, false
+	}
+	for end := len(path); end > 0; end-- {
+		if r, ok := prefixes[path[:end]]; ok {
+			return r, true
+		}
+	}
+	r, ok := prefixes[""]
+	return r, ok
+}
+
+// Workspace returns the workspace that holds the key. Keys are looked up by
+// their hash, so that the time taken tells nothing about a key.
+func (c *Config) Workspace(key string) (string, bool) {
+	name, ok := c.keys[sha256.Sum256([]byte(key))]
+	return name, ok
+}
+
+// Guaranteed returns how many accelerators a workspace can always get back.
+func (c *Config) Guaranteed(workspace string) int { return c.workspaces[workspace].Guaranteed }
+
+// Service returns a service by its name.
+func (c *Config) Service(name string) (Service, bool) {
+	s, ok := c.services[name]
+	return s, ok
+}
+
+// HostOf returns a Host header without its port.
+func HostOf(header string) string {
+	host, _, _ := strings.Cut(header, ":")
+	return strings.ToLower(host)
+}
--- /dev/null
+++ b/internal/version/jaysettings/fleet.go
@@ -0,0 +1,124 @@
+package jaysettings
+
+import (
+	"strconv"
+	"time"
+)
+
+// Roles of the users' platform; its template fills in their settings.
+const (
+	RoleCellEntry Role = "cell-entry"
+	RoleCellSide  Role = "cell-side"
+)
+
+// Cell holds the settings of both roles on the users' platform.
+type Cell struct {
+	Name       string
+	DataCentre string
+	Service    string
+	// Callers, Readiness and Control are where the role is reached from outside;
+	// a role has only some of them.
+	Callers   string
+	Readiness string
+	Control   string
+	Link      string
+	Metrics   string
+	Seeds     string
+	Store     string
+	Runner    string
+	HoldMost  time.Duration
+	Stop      time.Duration
+	Reclaim   time.Duration
+	Gang      time.Duration
+	Retention time.Duration
+	Grace     time.Duration
+	Far       float64
+}
+
+func defaultCell() Cell {
+	return Cell{
+		HoldMost: 10 * time.Second, Stop: 900 * time.Millisecond, Reclaim: 3400 * time.Millisecond, Gang: 3 * time.Second,
+		Retention: 120 * time.Second, Grace: 6 * time.Second, Far: 3,
+	}
+}
+
+func (c *Cell) common() []field {
+	return []field{
+		text("process", "name", "name of this process, unique in the deployment", "edge-fryserum-a-1", true, &c.Name),
+		text("process", "data_centre", "data centre that this process runs in", "fryserum-a", true, &c.DataCentre),
+		address("listen", "metrics", "address of this process's metrics", "127.0.0.1:7001", true, &c.Metrics),
+		text("peers", "seeds", "control addresses of entries, which may be gone, separated by commas", "127.0.0.1:8526", false, &c.Seeds),
+		address("store", "address", "address of the platform's log", "127.0.0.1:8524", true, &c.Store),
+		amount("bounds", "hold_most_ms", "longest lease of a run, in milliseconds", time.Millisecond, &c.HoldMost),
+		amount("bounds", "stop_ms", "longest time that a runner takes to stop a run, in milliseconds", time.Millisecond, &c.Stop),
+		amount("bounds", "reclaim_ms", "time within which a guarantee is met, in milliseconds", time.Millisecond, &c.Reclaim),
+		amount("bounds", "gang_ms", "time for which members of a gang wait for each other, in milliseconds", time.Millisecond, &c.Gang),
+		amount("bounds", "retention_s", "time for which an ended job can be asked about, in seconds", time.Second, &c.Retention),
+		amount("bounds", "grace_s", "time between SIGTERM and SIGKILL, in seconds", time.Second, &c.Grace),
+		factor("bounds", "far_factor", "how many times longer work takes far from its data", &c.Far),
+	}
+}
+
+func (c *Cell) entryFields() []field {
+	return append(c.common(),
+		address("listen", "callers", "address for callers", "127.0.0.1:8521", true, &c.Callers),
+		address("listen", "readiness", "address of the readiness check", "127.0.0.1:8523", true, &c.Readiness),
+		address("listen", "control", "address that other processes know as a seed", "127.0.0.1:8526", true, &c.Control),
+		address("listen", "link", "address for links of sides and entries", "127.0.0.1:7000", true, &c.Link),
+	)
+}
+
+func (c *Cell) sideFields() []field {
+	return append(c.common(),
+		address("listen", "control", "address for the runner's own reports", "127.0.0.1:8526", true, &c.Control),
+		address("listen", "link", "address whose port entries take links on", "127.0.0.1:7000", true, &c.Link),
+		address("runner", "address", "address of the runner beside this process", "127.0.0.1:8529", true, &c.Runner),
+		text("runner", "service", "service that the runner belongs to", "ordrevagt", true, &c.Service),
+	)
+}
+
+// ParseCellEntry reads and checks the settings of an entry on the users'
+// platform.
+func ParseCellEntry(s Source) (Cell, error) {
+	c := defaultCell()
+	return c, s.decode(c.entryFields())
+}
+
+// ParseCellSide reads and checks the settings of a side on the users' platform.
+func ParseCellSide(s Source) (Cell, error) {
+	c := defaultCell()
+	return c, s.decode(c.sideFields())
+}
+
+// Lease returns how long a run outlives the last grant to its side: at most six
+// seconds, so that lost work starts again within the users' patience, and less
+// than the runner's own bound, for which the runner's clock may be 2% slow.
+func (c Cell) Lease() time.Duration {
+	const most = 6 * time.Second
+	return min(most, c.HoldMost*9/10)
+}
+
+// amount is a time given as a number of units, which may have a fraction. An
+// empty value keeps the default: not every deployment has every bound.
+func amount(section, key, doc string, unit time.Duration, target *time.Duration) field {
+	return field{section: section, key: key, doc: doc, allowed: "number from 0 to 1000000, or empty", example: strconv.FormatFloat(float64(*target)/float64(unit), 'f', -1, 64), set: func(s string) bool {
+		if s == "" {
+			return true
+		}
+		n, err := strconv.ParseFloat(s, 64)
+		*target = time.Duration(n * float64(unit))
+		return err == nil && n >= 0 && n <= 1_000_000
+	}}
+}
+
+// factor is a number of 1 or more. An empty value keeps the default.
+func factor(section, key, doc string, target *float64) field {
+	return field{section: section, key: key, doc: doc, allowed: "number from 1 to 1000, or empty", example: strconv.FormatFloat(*target, 'f', -1, 64), set: func(s string) bool {
+		if s == "" {
+			return true
+		}
+		n, err := strconv.ParseFloat(s, 64)
+		*target = n
+		return err == nil && n >= 1 && n <= 1000
+	}}
+}
--- a/internal/version/jaysettings/roles.go
+++ b/internal/version/jaysettings/roles.go
@@ -20,7 +20,7 @@
 
 // Error implements error.
 func (e *UnknownRoleError) Error() string {
-	return fmt.Sprintf("role: given %q, allowed: entry, side or standin", e.Given)
+	return fmt.Sprintf("role: given %q, allowed: entry, side or standin, and on the users' platform cell-entry or cell-side", e.Given)
 }
 
 // Example returns settings of the role that pass the check.
@@ -35,6 +35,12 @@
 	case RoleStandin:
 		s := defaultStandin()
 		return example(s.fields()), nil
+	case RoleCellEntry:
+		c := defaultCell()
+		return example(c.entryFields()), nil
+	case RoleCellSide:
+		c := defaultCell()
+		return example(c.sideFields()), nil
 	}
 	return "", &UnknownRoleError{Given: string(role)}
 }
@@ -50,6 +56,10 @@
 		_, err = ParseSide(s)
 	case RoleStandin:
 		_, err = ParseStandin(s)
+	case RoleCellEntry:
+		_, err = ParseCellEntry(s)
+	case RoleCellSide:
+		_, err = ParseCellSide(s)
 	default:
 		return &UnknownRoleError{Given: string(role)}
 	}
