Take no ended job for a new one, and no term from a new holder

At a hand-over each entry took the term from the one that had just got it, since its misses were not counted anew (terms 3 to 9 in 0.4 s). Change: the newest records replace the table at once and only jobs without an end are news; misses count per term; a resignation counts for its own term.

--- a/internal/process/jayhub/hub.go
+++ b/internal/process/jayhub/hub.go
@@ -88,6 +88,8 @@
 	tasks    conc.WaitGroup
 	ctx      context.Context
 	vacant   chan struct{}
+	// resignedTerm is the newest term whose holder has given it up.
+	resignedTerm atomic.Uint64
 
 	// mutex guards what follows. It is taken before a lead's mutex, never after.
 	mutex       sync.Mutex
@@ -117,7 +119,7 @@
 	h.jobs.accepted, h.jobs.canceled = h.accepted, h.canceled
 	h.jobsPut = jaystore.NewAppender(h.client, h.Topics.Jobs)
 	h.cellTail = &jaystore.Tail{Client: h.client, Topic: h.Topics.Cell, Apply: h.applyCell, Wait: tailWait, Failed: h.tailFailed(h.Topics.Cell)}
-	h.jobsTail = &jaystore.Tail{Client: h.client, Topic: h.Topics.Jobs, Wait: tailWait, Pause: jobsPause, Failed: h.tailFailed(h.Topics.Jobs), Reset: h.jobs.reset, Apply: func(s jaystore.Stored) { h.jobs.apply(s.Key, s.Value) }}
+	h.jobsTail = &jaystore.Tail{Client: h.client, Topic: h.Topics.Jobs, Wait: tailWait, Pause: jobsPause, Failed: h.tailFailed(h.Topics.Jobs), Replace: h.jobs.replace, Apply: func(s jaystore.Stored) { h.jobs.apply(s.Key, s.Value) }}
 	h.operTail = &jaystore.Tail{Client: h.client, Topic: h.Topics.Operator, Wait: tailWait, Failed: h.tailFailed(h.Topics.Operator), Apply: h.applyOperator}
 	h.endpoint = &jaylink.Endpoint{
 		Name: h.Name, Incarnation: h.Boot, Timing: jaylink.Timing{Beat: linkBeat, Silence: linkSilence}, MaxLinks: maxLinks,
--- a/internal/process/jayhub/jobtable.go
+++ b/internal/process/jayhub/jobtable.go
@@ -44,19 +44,50 @@
 
 	mutex sync.Mutex
 	jobs  map[string]*jobEntry
-	// reloading holds the keys that still stand while the newest records are read
-	// anew; nil otherwise.
 }
 
 func newJobTable(logger zerolog.Logger) *jobTable {
 	return &jobTable{logger: logger, jobs: map[string]*jobEntry{}}
 }
 
-// reset forgets everything before the newest records are applied anew.
-func (t *jobTable) reset() {
+// replace takes the newest records of all keys. A job is news only with all that
+// is stored of it: one that has ended must not be taken for a new one. A final
+// state that a peer has told of already is kept.
+func (t *jobTable) replace(all []jaystore.Stored) {
+	fresh := newJobTable(t.logger)
+	for _, s := range all {
+		fresh.apply(s.Key, s.Value)
+	}
+	var accepted []*jaytask.Job
+	var canceled []string
 	t.mutex.Lock()
-	defer t.mutex.Unlock()
-	t.jobs = map[string]*jobEntry{}
+	for id, e := range fresh.jobs {
+		old := t.jobs[id]
+		if old != nil && old.state.Ended() {
+			e.state = old.state
+		}
+		if e.spec == nil || e.state.Ended() {
+			continue
+		}
+		if old == nil || old.spec == nil {
+			accepted = append(accepted, e.spec)
+		}
+		if e.canceled && (old == nil || !old.canceled) {
+			canceled = append(canceled, id)
+		}
+	}
+	t.jobs = fresh.jobs
+	t.mutex.Unlock()
+	for _, j := range accepted {
+		if t.accepted != nil {
+			t.accepted(j)
+		}
+	}
+	for _, id := range canceled {
+		if t.canceled != nil {
+			t.canceled(id)
+		}
+	}
 }
 
 // apply takes a record of the store. Records may come twice and a little out of
--- /dev/null
+++ b/internal/process/jayhub/jobtable_test.go
@@ -0,0 +1,86 @@
+package jayhub
+
+import (
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"gotest.tools/v3/assert"
+
+	"github.com/jaystile/jaystile/internal/process/jaycell"
+	"github.com/jaystile/jaystile/internal/process/jaystore"
+	"github.com/jaystile/jaystile/internal/request/jaytask"
+)
+
+const id = "5c0e7a21d94b36f8"
+
+func jobRecord(t *testing.T, id string) jaystore.Stored {
+	t.Helper()
+	b, err := jaytask.EncodeJob(&jaytask.Job{ID: id, Spec: "x", Steps: []jaytask.Step{{Count: 1}}})
+	assert.NilError(t, err)
+	return jaystore.Stored{Record: jaystore.Record{Key: jaycell.JobKey(id), Value: b}}
+}
+
+func stateRecord(id string, s jaytask.State) jaystore.Stored {
+	return jaystore.Stored{Record: jaystore.Record{Key: jaycell.StateKey(id), Value: jaycell.EncodeState(s, time.UnixMilli(1))}}
+}
+
+// A store that is read anew lists a job before its end. Taken one by one, a
+// completed job began again under the next holder of the term.
+func TestReplaceIsNoNewsOfEndedJobs(t *testing.T) {
+	table := newJobTable(zerolog.Nop())
+	var news []string
+	table.accepted = func(j *jaytask.Job) { news = append(news, j.ID) }
+	table.replace([]jaystore.Stored{jobRecord(t, id), jobRecord(t, "aaaaaaaaaaaaaaaa"), stateRecord(id, jaytask.Completed)})
+	assert.DeepEqual(t, news, []string{"aaaaaaaaaaaaaaaa"})
+}
+
+func TestReplaceKeepsAnEndThatAPeerHasTold(t *testing.T) {
+	table := newJobTable(zerolog.Nop())
+	job, end := jobRecord(t, id), stateRecord(id, jaytask.Completed)
+	table.apply(job.Key, job.Value)
+	table.apply(end.Key, end.Value)
+	table.replace([]jaystore.Stored{job, stateRecord(id, jaytask.Running)})
+	e, ok := table.get(id)
+	assert.Assert(t, ok)
+	assert.Equal(t, e.shown(), jaytask.Completed)
+}
+
+func TestShownState(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		records []jaystore.Stored
+		want    jaytask.State
+	}{
+		{"accepted", nil, jaytask.Queued},
+		{"begun", []jaystore.Stored{stateRecord(id, jaytask.Running)}, jaytask.Running},
+		{"canceled", []jaystore.Stored{{Record: cancelRecord(id, time.UnixMilli(1))}}, jaytask.Canceled},
+		{"canceled while running", []jaystore.Stored{stateRecord(id, jaytask.Running), {Record: cancelRecord(id, time.UnixMilli(1))}}, jaytask.Canceled},
+		{"ends once", []jaystore.Stored{stateRecord(id, jaytask.Completed), stateRecord(id, jaytask.Running)}, jaytask.Completed},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			table := newJobTable(zerolog.Nop())
+			job := jobRecord(t, id)
+			table.apply(job.Key, job.Value)
+			for _, r := range c.records {
+				table.apply(r.Key, r.Value)
+			}
+			e, ok := table.get(id)
+			assert.Assert(t, ok)
+			assert.Equal(t, e.shown(), c.want)
+		})
+	}
+}
+
+func TestUnreadableRecordsAreSkipped(t *testing.T) {
+	table := newJobTable(zerolog.Nop())
+	table.apply("no key of ours", []byte("x"))
+	table.apply(jaycell.JobKey(id), []byte("\xff\x00"))
+	table.apply(jaycell.StateKey("bbbbbbbbbbbbbbbb"), []byte("\xff"))
+	_, ok := table.get(id)
+	assert.Assert(t, !ok)
+	job := jobRecord(t, id)
+	table.apply(job.Key, job.Value)
+	_, ok = table.get(id)
+	assert.Assert(t, ok)
+}
--- a/internal/process/jayhub/lead.go
+++ b/internal/process/jayhub/lead.go
@@ -172,7 +172,7 @@
 	for _, id := range canceled {
 		l.cell.Cancel(id)
 	}
-	l.loaded = true
+	l.loaded, l.lastTick = true, jayclock.Elapsed()
 	l.hub.Logger.Info().Str("event", "term").Uint64("term", l.term).Int("runs", len(records)).Msg("deciding")
 	return nil
 }
@@ -362,7 +362,10 @@
 func (l *lead) submit(j *jaytask.Job) {
 	l.mutex.Lock()
 	l.at()
-	l.cell.Submit(j)
+	// Until the earlier terms' records are read, the table of jobs speaks for all.
+	if l.loaded {
+		l.cell.Submit(j)
+	}
 	l.mutex.Unlock()
 	poke(l.kick)
 }
--- a/internal/process/jayhub/links.go
+++ b/internal/process/jayhub/links.go
@@ -129,6 +129,7 @@
 	}
 	h.mutex.Unlock()
 	if current {
+		h.resignedTerm.Store(term)
 		poke(h.vacant)
 	}
 }
--- a/internal/process/jayhub/term.go
+++ b/internal/process/jayhub/term.go
@@ -27,8 +27,9 @@
 	missesBeforeTake = 5
 	// missesSpread keeps entries from taking the term at once.
 	missesSpread = 3
-	// takeTimeout bounds one try to take the term.
-	takeTimeout = 1200 * time.Millisecond
+	// takeTimeout bounds one try to take the term: four answers of a store that
+	// takes a hundred times as long as usual.
+	takeTimeout = 2500 * time.Millisecond
 )
 
 // Term is a term of office: its number and who holds it.
@@ -79,31 +80,50 @@
 func (h *Hub) elect(ctx context.Context) {
 	ticker := time.NewTicker(electEvery)
 	defer ticker.Stop()
-	patience := missesBeforeTake + rand.IntN(missesSpread+1)
-	misses := 0
+	v := newVigil(missesBeforeTake + rand.IntN(missesSpread+1))
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-h.vacant:
-			misses = patience
 		case <-ticker.C:
 		}
-		if !h.mayTake() {
-			misses = 0
-			continue
+		t := h.Term()
+		resigned := t.number > 0 && t.number == h.resignedTerm.Load()
+		if v.look(t, h.mayTake(), resigned, t.name == h.Name || t.number == 0) {
+			h.take(ctx)
 		}
-		misses++
-		if t := h.Term(); t.name == h.Name || t.number == 0 {
-			// The holder was this entry's earlier life, or there never was one.
-			misses += missesBeforeTake / 2
-		}
-		if misses < patience {
-			continue
+	}
+}
+
+// vigil counts how long the holder of the term has been missing.
+type vigil struct {
+	patience int
+	misses   int
+	term     uint64
+}
+
+func newVigil(patience int) *vigil { return &vigil{patience: patience} }
+
+// look notes one look and tells whether to take the term now. A new term's
+// holder gets the same patience as any other, however the last one ended. A
+// holder that was this entry's earlier life is not waited for as long.
+func (v *vigil) look(t Term, missing, resigned, own bool) bool {
+	if !missing || t.number != v.term {
+		v.misses, v.term = 0, t.number
+		if !resigned || !missing {
+			return false
 		}
-		h.take(ctx)
-		misses = max(patience-2, 0)
 	}
+	v.misses++
+	if own {
+		v.misses += missesBeforeTake / 2
+	}
+	if !resigned && v.misses < v.patience {
+		return false
+	}
+	v.misses = 0
+	return true
 }
 
 // mayTake reports whether this entry misses the holder of the term.
--- a/internal/process/jaystore/tail.go
+++ b/internal/process/jaystore/tail.go
@@ -15,9 +15,9 @@
 	Topic  string
 	// Apply takes a record; a nil value is a dropped key. It must not block.
 	Apply func(s Stored)
-	// Reset is called before the newest records are applied anew; Apply is then
-	// called for each key that still stands.
-	Reset func()
+	// Replace takes the newest records of all keys at once; keys that are not
+	// among them are gone. Without it, Apply takes them one by one.
+	Replace func(all []Stored)
 	// Wait is how long one read waits for records, Pause how long the tail rests
 	// after records came.
 	Wait  time.Duration
@@ -140,11 +140,12 @@
 	if t.loaded {
 		return 0, nil
 	}
-	if t.Reset != nil {
-		t.Reset()
-	}
-	for _, s := range all {
-		t.Apply(s)
+	if t.Replace != nil {
+		t.Replace(all)
+	} else {
+		for _, s := range all {
+			t.Apply(s)
+		}
 	}
 	t.next, t.loaded, t.fresh = end, true, asked
 	return len(all), nil
