Learn run times per route; serve what can be on time first

Cause: estimates are off by up to nine tenths, a queue in order of acceptance makes all of a burst late, and urgent work waited for work with much slack. Change: mean run times per route and step; late jobs fall 1.5 priorities behind; urgent work that would be late may stop twice its own work; a guarantee covers a workspace's earliest urgent jobs.

--- a/internal/process/jaycell/cell.go
+++ b/internal/process/jaycell/cell.go
@@ -114,6 +114,7 @@
 	runners  map[string]*Runner
 	nodes    map[string]*Runner
 
+	learned    map[string]*learned
 	dirtyUnits map[*unit]bool
 	dropped    []string
 	jobRecords []Record
@@ -125,7 +126,7 @@
 
 // New returns an empty cell of one term.
 func New(s Settings, now time.Duration, wall time.Time) *Cell {
-	return &Cell{settings: s, now: now, wall: wall, jobs: map[string]*job{}, runners: map[string]*Runner{}, nodes: map[string]*Runner{}, dirtyUnits: map[*unit]bool{}}
+	return &Cell{settings: s, now: now, wall: wall, jobs: map[string]*job{}, runners: map[string]*Runner{}, nodes: map[string]*Runner{}, learned: map[string]*learned{}, dirtyUnits: map[*unit]bool{}}
 }
 
 // At sets the time of the calls that follow: the machine's elapsed time, and
@@ -347,6 +348,7 @@
 	switch how {
 	case HowDone:
 		h.runner.succeeded()
+		c.learn(h)
 		if !u.spec().Daemon {
 			c.finish(u)
 			return
--- /dev/null
+++ b/internal/process/jaycell/estimate.go
@@ -0,0 +1,90 @@
+package jaycell
+
+import (
+	"strconv"
+	"time"
+)
+
+const (
+	// learnAfter is how many runs of a route's step must have ended before their
+	// mean goes before the callers' own estimates, which are off by up to nine
+	// tenths.
+	learnAfter = 3
+	// learnShare is the weight of the newest run in the mean.
+	learnShare = 0.15
+)
+
+// learned is the mean run time of one step of a route.
+type learned struct {
+	runs int
+	mean time.Duration
+}
+
+func learnKey(route string, step int) string { return route + "/" + strconv.Itoa(step) }
+
+// learn notes how long a run took that ended as done.
+func (c *Cell) learn(h *hold) {
+	if !h.confirmed {
+		return
+	}
+	took := c.now - h.confirmedAt
+	k := learnKey(h.unit.job.spec.Terms.Route, h.unit.step)
+	l := c.learned[k]
+	if l == nil {
+		c.learned[k] = &learned{runs: 1, mean: took}
+		return
+	}
+	l.runs++
+	share := max(learnShare, 1/float64(l.runs))
+	l.mean += time.Duration(share * float64(took-l.mean))
+}
+
+// estimate returns how long a task of a step is expected to run.
+func (c *Cell) estimate(j *job, step int) time.Duration {
+	if l := c.learned[learnKey(j.spec.Terms.Route, step)]; l != nil && l.runs >= learnAfter {
+		return l.mean
+	}
+	return j.spec.Steps[step].Estimate
+}
+
+// chain returns the expected run time of a job's longest chain of steps.
+func (c *Cell) chain(j *job) time.Duration {
+	ends := make([]time.Duration, len(j.spec.Steps))
+	var longest time.Duration
+	for i, s := range j.spec.Steps {
+		var begin time.Duration
+		for _, a := range s.After {
+			begin = max(begin, ends[a])
+		}
+		ends[i] = begin + c.estimate(j, i)
+		longest = max(longest, ends[i])
+	}
+	return longest
+}
+
+// objective returns how long a job may take to be on time.
+func (c *Cell) objective(j *job) time.Duration {
+	return time.Duration(j.spec.Terms.Stretch*float64(c.chain(j))) + j.spec.Terms.Objective
+}
+
+// slack returns how long a unit may still wait for its job to be on time, if all
+// that is left of the job takes as long as expected.
+func (c *Cell) slack(u *unit) time.Duration {
+	since := c.wall.Sub(u.job.spec.Accepted)
+	if due := u.job.spec.Due(u.occurrence); !due.IsZero() {
+		since = c.wall.Sub(due)
+	}
+	return c.objective(u.job) - since - c.left(u)
+}
+
+// left returns the expected run time of the steps from a unit's on.
+func (c *Cell) left(u *unit) time.Duration {
+	longest := make([]time.Duration, len(u.job.spec.Steps))
+	for i := len(longest) - 1; i >= u.step; i-- {
+		longest[i] += c.estimate(u.job, i)
+		for _, a := range u.job.spec.Steps[i].After {
+			longest[a] = max(longest[a], longest[i])
+		}
+	}
+	return longest[u.step]
+}
--- a/internal/process/jaycell/place.go
+++ b/internal/process/jaycell/place.go
@@ -14,9 +14,20 @@
 	// stopBase is the work that a stop costs besides what is not saved: the
 	// restore and the second start.
 	stopBase = 300 * time.Millisecond
-	// displaceShare bounds the unsaved work that is thrown away for a job with no
-	// guarantee, as a share of the job's own work.
-	displaceShare = 0.5
+	// displaceUrgent, displaceOther and displaceEarly bound the unsaved work that
+	// is thrown away for a job with no guarantee, as a share of the job's own work:
+	// for an urgent job that would be late otherwise, for another such job, and for
+	// a job that can still wait or is late already.
+	displaceUrgent = 2.0
+	displaceOther  = 0.5
+	displaceEarly  = 0.1
+	// waitBeforeStops is how much more than the time of a stop must be left before
+	// a job stops others: room may become free by itself.
+	waitBeforeStops = 600 * time.Millisecond
+	// worthlessTier puts a job behind all others.
+	worthlessTier = 1000
+	// lateTier is how many priorities a job falls behind when it is late.
+	lateTier = 1.5
 	// claimSlack is how long past a runner's longest stop room is kept for the
 	// unit that it was made for.
 	claimSlack = 1500 * time.Millisecond
@@ -39,8 +50,8 @@
 	cell  *Cell
 	views []*view
 	racks []string
-	// guaranteed holds the workspaces whose urgent jobs all fit their guarantee.
-	guaranteed map[string]bool
+	// guaranteed holds the jobs that their workspace's guarantee covers.
+	guaranteed map[*job]bool
 	// blocked remembers shapes that found no room, so that equal ones are skipped.
 	blocked map[shape]bool
 }
@@ -102,7 +113,7 @@
 }
 
 func (c *Cell) newRound() *round {
-	r := &round{cell: c, guaranteed: c.guaranteedWorkspaces(), blocked: map[shape]bool{}}
+	r := &round{cell: c, guaranteed: c.guaranteedJobs(), blocked: map[shape]bool{}}
 	claimed := c.claimed()
 	racks := map[string]bool{}
 	for _, n := range c.sortedRunners() {
@@ -141,51 +152,72 @@
 	return sum
 }
 
-// guaranteedWorkspaces returns the workspaces whose unfinished jobs of priority
-// 0 need no more accelerators than are guaranteed.
-func (c *Cell) guaranteedWorkspaces() map[string]bool {
-	need := map[string]int{}
+// guaranteedJobs returns the jobs that a workspace's guaranteed accelerators hold:
+// its unfinished jobs of priority 0, the earliest first.
+func (c *Cell) guaranteedJobs() map[*job]bool {
+	var urgent []*job
 	for _, j := range c.jobs {
 		if !j.state.Ended() && j.spec.Terms.Priority == 0 {
-			need[j.spec.Terms.Workspace] += j.spec.Accelerators()
+			urgent = append(urgent, j)
 		}
 	}
-	met := map[string]bool{}
-	for w, n := range need {
-		met[w] = n <= c.settings.Guaranteed(w)
+	sort.Slice(urgent, func(a, b int) bool { return earlier(urgent[a], urgent[b]) })
+	need := map[string]int{}
+	held := map[*job]bool{}
+	for _, j := range urgent {
+		w := j.spec.Terms.Workspace
+		if n := need[w] + j.spec.Accelerators(); n <= c.settings.Guaranteed(w) {
+			need[w] = n
+			held[j] = true
+		}
 	}
-	return met
+	return held
 }
 
-func (r *round) isGuaranteed(j *job) bool {
-	return j.spec.Terms.Priority == 0 && r.guaranteed[j.spec.Terms.Workspace]
+func earlier(a, b *job) bool {
+	if !a.spec.Accepted.Equal(b.spec.Accepted) {
+		return a.spec.Accepted.Before(b.spec.Accepted)
+	}
+	return a.spec.ID < b.spec.ID
 }
 
-// before orders units: guarantees first, then by priority, jobs that are too
-// late to be worth anything last, then by acceptance.
+func (r *round) isGuaranteed(j *job) bool { return r.guaranteed[j] }
+
+// before orders units: guarantees first, then by tier, then by acceptance.
 func (r *round) before(a, b *unit) bool {
 	if x, y := r.isGuaranteed(a.job), r.isGuaranteed(b.job); x != y {
 		return x
 	}
-	if x, y := r.cell.worthless(a.job), r.cell.worthless(b.job); x != y {
-		return y
-	}
-	if x, y := a.job.spec.Terms.Priority, b.job.spec.Terms.Priority; x != y {
+	if x, y := r.cell.tier(a), r.cell.tier(b); x != y {
 		return x < y
 	}
-	if x, y := a.job.spec.Accepted, b.job.spec.Accepted; !x.Equal(y) {
-		return x.Before(y)
+	if a.job != b.job {
+		return earlier(a.job, b.job)
 	}
 	return a.key() < b.key()
 }
 
+// tier returns how urgent a unit is, the least first: its priority, more when it
+// is late, and last when it is too late to count. When more comes than can be
+// served, what can still be on time goes before what cannot; otherwise a queue
+// makes all of a burst late.
+func (c *Cell) tier(u *unit) float64 {
+	t := float64(u.job.spec.Terms.Priority)
+	switch {
+	case c.worthless(u.job):
+		return t + worthlessTier
+	case c.slack(u) < 0:
+		return t + lateTier
+	}
+	return t
+}
+
 // worthless reports whether a job's completion comes too late to count.
 func (c *Cell) worthless(j *job) bool {
 	if j.spec.Times > 0 {
 		return false
 	}
-	objective := time.Duration(j.spec.Terms.Stretch*float64(j.spec.Chain())) + j.spec.Terms.Objective
-	return c.wall.Sub(j.spec.Accepted) > lateFactor*objective
+	return c.wall.Sub(j.spec.Accepted) > lateFactor*c.objective(j)
 }
 
 func (r *round) shapeOf(u *unit) shape {
@@ -281,8 +313,16 @@
 	if r.isGuaranteed(u.job) {
 		return true
 	}
-	own := cores(u.spec().Room) * float64(u.count) * u.spec().Estimate.Seconds()
-	return ch.cost <= displaceShare*own
+	share := displaceOther
+	slack := r.cell.slack(u) - r.cell.settings.Stop
+	switch {
+	case slack < 0 || slack > waitBeforeStops:
+		share = displaceEarly
+	case u.job.spec.Terms.Priority == 0:
+		share = displaceUrgent
+	}
+	own := cores(u.spec().Room) * float64(u.count) * r.cell.estimate(u.job, u.step).Seconds()
+	return ch.cost <= share*own
 }
 
 // choose finds runners for all members of a unit. Units with a cost may be
@@ -342,7 +382,7 @@
 		return true
 	}
 	waited := r.cell.wall.Sub(u.job.spec.Accepted)
-	return s.DataRack != "" && waited > time.Duration(farPatience*float64(s.Estimate))
+	return s.DataRack != "" && waited > time.Duration(farPatience*float64(r.cell.estimate(u.job, u.step)))
 }
 
 // everNear reports whether empty runners of one rack could hold the unit.
--- a/internal/process/jaycell/report.go
+++ b/internal/process/jaycell/report.go
@@ -304,7 +304,7 @@
 
 // remaining estimates how long a run still takes.
 func (c *Cell) remaining(h *hold) time.Duration {
-	estimate := h.unit.spec().Estimate
+	estimate := c.estimate(h.unit.job, h.unit.step)
 	if !h.confirmed {
 		return estimate
 	}
