Start an urgent job's tasks together and weigh lateness in stops

Cause: in bursts urgent jobs of several tasks ran in part and were late as a whole; a guarantee's stops took just-begun urgent work since it had lost least. Change: tasks of an urgent step that can be on time are placed all at once or wait; begun jobs come first within a tier; a stop costs the unit's own work when it makes it late.

--- a/internal/process/jaycell/place.go
+++ b/internal/process/jaycell/place.go
@@ -85,12 +85,57 @@
 	}
 	r := c.newRound()
 	sort.SliceStable(waiting, func(i, j int) bool { return r.before(waiting[i], waiting[j]) })
-	for _, u := range waiting {
-		r.try(u)
+	tried := map[*unit]bool{}
+	for i, u := range waiting {
+		if tried[u] {
+			continue
+		}
+		together := []*unit{u}
+		if r.together(u) {
+			together = alike(waiting[i:], u)
+		}
+		if len(together) > 1 && r.everTogether(u, len(together)) {
+			for _, t := range together {
+				tried[t] = true
+			}
+			r.try(together)
+			continue
+		}
+		r.try([]*unit{u})
 	}
 	c.places = false
 }
 
+// together reports whether the tasks of a unit's step start all at once or not at
+// all although they are no gang: urgent work that can be on time gains nothing
+// from a part of its tasks, and a burst would be served in parts only.
+func (r *round) together(u *unit) bool {
+	if u.spec().Gang || u.spec().Daemon || u.job.spec.Terms.Priority != 0 {
+		return false
+	}
+	return r.isGuaranteed(u.job) || r.cell.slack(u) >= 0
+}
+
+// alike returns the units of the same step that wait.
+func alike(waiting []*unit, u *unit) []*unit {
+	var all []*unit
+	for _, w := range waiting {
+		if w.job == u.job && w.step == u.step && w.occurrence == u.occurrence {
+			all = append(all, w)
+		}
+	}
+	return all
+}
+
+// everTogether reports whether the empty pool could hold so many units at once.
+func (r *round) everTogether(u *unit, n int) bool {
+	held := 0
+	for _, v := range r.usable(u, "") {
+		held += capacityFor(v.runner.info.Capacity, u, n)
+	}
+	return held >= n
+}
+
 // waiting returns the units whose turn has come.
 func (c *Cell) waiting() []*unit {
 	var all []*unit
@@ -183,7 +228,8 @@
 
 func (r *round) isGuaranteed(j *job) bool { return r.guaranteed[j] }
 
-// before orders units: guarantees first, then by tier, then by acceptance.
+// before orders units: guarantees first, then by tier, then jobs that have begun,
+// since a job counts only when all of it is done, then by acceptance.
 func (r *round) before(a, b *unit) bool {
 	if x, y := r.isGuaranteed(a.job), r.isGuaranteed(b.job); x != y {
 		return x
@@ -191,6 +237,9 @@
 	if x, y := r.cell.tier(a), r.cell.tier(b); x != y {
 		return x < y
 	}
+	if x, y := a.job.begun, b.job.begun; x != y {
+		return x
+	}
 	if a.job != b.job {
 		return earlier(a.job, b.job)
 	}
@@ -225,18 +274,21 @@
 	return shape{service: u.job.spec.Terms.Service, room: s.Charge(), count: u.count, sameRack: s.SameRack, label: s.Label, dataRack: s.DataRack, most: s.MaxPerRunner, priority: u.job.spec.Terms.Priority, guaranteed: r.isGuaranteed(u.job)}
 }
 
-// try starts a unit, or makes room for it, or leaves it waiting.
-func (r *round) try(u *unit) {
+// try starts like units together, or makes room for them, or leaves them waiting.
+func (r *round) try(units []*unit) {
+	u := units[0]
+	n := len(units) * u.count
 	k := r.shapeOf(u)
+	k.count = n
 	plain := u.claims == nil && len(u.avoid) == 0 && u.spec().MaxPerRunner == 0 && u.spec().DataRack == ""
 	if plain && r.blocked[k] {
 		return
 	}
 	r.release(u)
-	ch, ok := r.choose(u, nil)
+	ch, ok := r.choose(u, n, nil)
 	if !ok && u.claims == nil {
-		ch, ok = r.choose(u, r.preemptible(u))
-		if ok && !r.worthwhile(u, ch) {
+		ch, ok = r.choose(u, n, r.preemptible(u))
+		if ok && !r.worthwhile(u, n, ch) {
 			ok = false
 		}
 	}
@@ -247,7 +299,10 @@
 			r.blocked[k] = true
 		}
 	case len(ch.victims) == 0:
-		r.start(u, ch)
+		u.claims = nil
+		for i, t := range units {
+			r.start(t, ch.runners[i*t.count:(i+1)*t.count])
+		}
 	default:
 		r.makeRoom(u, ch)
 	}
@@ -293,13 +348,20 @@
 	return costs
 }
 
-// stopCost returns the core-seconds of work that are lost when a unit stops.
+// stopCost returns the core-seconds of work that are lost when a unit stops, and
+// as much again as the unit's own work when it would no longer be on time.
 func (c *Cell) stopCost(u *unit) float64 {
 	lost := stopBase
+	onTime := true
+	since := c.wall.Sub(u.job.spec.Accepted)
 	for _, h := range u.live {
 		if h.confirmed && !u.spec().Checkpoint {
 			lost = max(lost, c.now-h.confirmedAt)
 		}
+		onTime = onTime && since+c.remaining(h) <= c.objective(u.job)
+	}
+	if onTime && c.slack(u) < c.settings.Stop {
+		lost += c.estimate(u.job, u.step)
 	}
 	return cores(u.spec().Room) * float64(u.count) * lost.Seconds()
 }
@@ -309,7 +371,7 @@
 }
 
 // worthwhile weighs the work that is thrown away against the unit's own.
-func (r *round) worthwhile(u *unit, ch choice) bool {
+func (r *round) worthwhile(u *unit, n int, ch choice) bool {
 	if r.isGuaranteed(u.job) {
 		return true
 	}
@@ -321,17 +383,17 @@
 	case u.job.spec.Terms.Priority == 0:
 		share = displaceUrgent
 	}
-	own := cores(u.spec().Room) * float64(u.count) * r.cell.estimate(u.job, u.step).Seconds()
+	own := cores(u.spec().Room) * float64(n) * r.cell.estimate(u.job, u.step).Seconds()
 	return ch.cost <= share*own
 }
 
-// choose finds runners for all members of a unit. Units with a cost may be
-// stopped for it.
-func (r *round) choose(u *unit, costs map[*unit]float64) (choice, bool) {
+// choose finds runners for n members like those of a unit. Units with a cost may
+// be stopped for it.
+func (r *round) choose(u *unit, n int, costs map[*unit]float64) (choice, bool) {
 	var best choice
 	found := false
 	for _, views := range r.scopes(u) {
-		ch, ok := r.fill(u, views, costs)
+		ch, ok := r.fill(u, n, views, costs)
 		if ok && (!found || ch.cost < best.cost) {
 			best, found = ch, true
 		}
@@ -342,7 +404,7 @@
 	if found || !r.mayGoFar(u) {
 		return best, found
 	}
-	return r.fill(u, r.usable(u, ""), costs)
+	return r.fill(u, n, r.usable(u, ""), costs)
 }
 
 // scopes returns the sets of runners that a unit is best placed within.
@@ -390,7 +452,7 @@
 	for _, views := range r.scopes(u) {
 		n := 0
 		for _, v := range views {
-			n += capacityFor(v.runner.info.Capacity, u)
+			n += capacityFor(v.runner.info.Capacity, u, u.count)
 		}
 		if n >= u.count {
 			return true
@@ -399,10 +461,9 @@
 	return false
 }
 
-// capacityFor returns how many members of a unit an empty worker holds.
-func capacityFor(capacity jaytask.Room, u *unit) int {
+// capacityFor returns how many of n members of a unit an empty worker holds.
+func capacityFor(capacity jaytask.Room, u *unit, n int) int {
 	s := u.spec()
-	n := u.count
 	if s.MaxPerRunner > 0 {
 		n = min(n, s.MaxPerRunner)
 	}
@@ -431,7 +492,7 @@
 			continue
 		}
 		good = append(good, v)
-		room += capacityFor(n.info.Capacity, u)
+		room += capacityFor(n.info.Capacity, u, u.count)
 	}
 	if room < u.count {
 		return append(good, avoided...)
@@ -441,7 +502,7 @@
 
 // fill assigns the members one by one, each to the runner where it costs least
 // and leaves the smallest rest.
-func (r *round) fill(u *unit, views []*view, costs map[*unit]float64) (choice, bool) {
+func (r *round) fill(u *unit, n int, views []*view, costs map[*unit]float64) (choice, bool) {
 	free := make([]jaytask.Room, len(views))
 	counts := make([]int, len(views))
 	for i, v := range views {
@@ -451,7 +512,7 @@
 	room, most := u.spec().Charge(), u.spec().MaxPerRunner
 	stopped := map[*unit]bool{}
 	var ch choice
-	for m := 0; m < u.count; m++ {
+	for m := 0; m < n; m++ {
 		at, victims, cost := -1, []*unit(nil), 0.0
 		rest := 0
 		for i, v := range views {
@@ -577,13 +638,13 @@
 }
 
 // start records a new run of a unit; its orders follow once that is stored.
-func (r *round) start(u *unit, ch choice) {
+func (r *round) start(u *unit, runners []*view) {
 	c := r.cell
 	u.claims = nil
 	u.phase, u.stopping = phaseActive, false
 	u.run++
 	u.placedAt, u.reason = c.now, ""
-	for i, v := range ch.runners {
+	for i, v := range runners {
 		h := &hold{unit: u, run: u.run, index: u.first + i, runner: v.runner, room: u.spec().Charge(), changedAt: c.now}
 		u.live = append(u.live, h)
 		v.runner.add(h)
--- a/internal/process/jayhub/desk.go
+++ b/internal/process/jayhub/desk.go
@@ -160,6 +160,10 @@
 	if err != nil {
 		return h.answer("submit", p.id, Answer{Verdict: Malformed, Reason: err.Error()})
 	}
+	h.Logger.Info().Str("event", "job").Str("job", p.id).Str("route", p.route.Name).Str("workspace", p.workspace).Int("priority", p.route.Priority).
+		Int("steps", len(spec.Steps)).Int("tasks", spec.Steps[0].Count).Int("accelerators", spec.Steps[0].Room.Accelerators).Int("cpu", spec.Steps[0].Room.CPU).
+		Bool("gang", spec.Steps[0].Gang).Bool("same_rack", spec.Steps[0].SameRack).Bool("checkpoint", spec.Steps[0].Checkpoint).Str("data_rack", spec.Steps[0].DataRack).
+		Int64("estimate_ms", spec.Steps[0].Estimate.Milliseconds()).Int64("objective_ms", p.route.Objective.Milliseconds()).Float64("stretch", p.route.Stretch).Int("times", spec.Times).Msg("storing")
 	return h.answer("submit", p.id, h.put(jaystore.Record{Key: jaycell.JobKey(p.id), Value: value}, c))
 }
 
