End what earlier terms knew when a new runner answers at its node

Change: any other runner known at a node is over once a new one answers there; the node's name holds the runner's address.

--- a/cmd/jaystile/cellside.go
+++ b/cmd/jaystile/cellside.go
@@ -40,7 +40,7 @@
 		return err
 	}
 	k := jaykeep.New()
-	k.Node, k.Calls, k.Lease, k.Logger = s.Name, jayadapter.Runner(s.Runner), s.Lease(), logger
+	k.Node, k.Calls, k.Lease, k.Logger = s.Name+"@"+s.Runner, jayadapter.Runner(s.Runner), s.Lease(), logger
 	side := jaykeep.NewSide(k)
 	side.Name, side.DataCentre, side.Boot, side.Logger = s.Name, s.DataCentre, uint64(time.Now().UnixNano()), logger
 	side.Seeds, side.CellTopic = linkSeeds(s.Seeds, s.Link), jayadapter.TopicCell
--- a/internal/process/jaycell/cell.go
+++ b/internal/process/jaycell/cell.go
@@ -126,7 +126,7 @@
 
 // New returns an empty cell of one term.
 func New(s Settings, now time.Duration, wall time.Time) *Cell {
-	return &Cell{settings: s, now: now, wall: wall, jobs: map[string]*job{}, runners: map[string]*Runner{}, nodes: map[string]*Runner{}, learned: map[string]*learned{}, dirtyUnits: map[*unit]bool{}}
+	return &Cell{settings: s, now: now, wall: wall, jobs: map[string]*job{}, runners: map[string]*Runner{}, learned: map[string]*learned{}, dirtyUnits: map[*unit]bool{}}
 }
 
 // At sets the time of the calls that follow: the machine's elapsed time, and
--- a/internal/process/jaycell/report.go
+++ b/internal/process/jaycell/report.go
@@ -91,11 +91,14 @@
 		r.gone, r.known = false, false
 	}
 	r.node, r.sequence = p.Node, p.Sequence
-	if old := c.nodes[p.Node]; old != nil && old != r {
-		c.lose(old, "a new runner took its place")
-		old.replaced = true
+	// One runner answers at a node's address: every other life there is over, also
+	// one that only an earlier term has known.
+	for _, old := range c.sortedRunners() {
+		if old.node == p.Node && old != r && !old.replaced {
+			c.lose(old, "a new runner took its place")
+			old.replaced = true
+		}
 	}
-	c.nodes[p.Node] = r
 	r.leaseEnd = c.leaseEnd()
 	if p.Term != c.settings.Term {
 		return true
@@ -140,9 +143,6 @@
 		h.unit.reason = why
 		c.resolve(h, HowLost, "")
 	}
-	if c.nodes[r.node] == r {
-		delete(c.nodes, r.node)
-	}
 	c.places = true
 }
 
--- a/internal/process/jaycell/runner.go
+++ b/internal/process/jaycell/runner.go
@@ -76,6 +76,7 @@
 
 // Report is a side's whole knowledge of its runner.
 type Report struct {
+	// Node names the side's machine and the address of its runner.
 	Node string
 	// Fresh tells that the report is the first on a new connection, so that orders
 	// sent before may be lost.
