Wait for a slow store and repeat appends at its pace

Change: the other way is tried beside a slow one instead of after it; repeats wait 2.5 times the slowest answer of late.

--- a/internal/process/jayhub/links.go
+++ b/internal/process/jayhub/links.go
@@ -225,7 +225,7 @@
 }
 
 const (
-	relayTimeout      = 900 * time.Millisecond
+	relayTimeout      = 2 * time.Second
 	statusBusy        = 429
 	statusUnavailable = 503
 	// relayHops lets the holder pass a request on to an entry that the store serves.
--- a/internal/process/jaystore/appender.go
+++ b/internal/process/jaystore/appender.go
@@ -29,6 +29,7 @@
 type Appender struct {
 	client *Client
 	topic  string
+	pace   pace
 	mutex  sync.Mutex
 	queue  []*item
 	wake   chan struct{}
@@ -173,7 +174,7 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
-	_, err := hedged(ctx, func(ctx context.Context) (uint64, error) {
+	_, err := a.pace.hedged(ctx, func(ctx context.Context) (uint64, error) {
 		return a.client.Append(ctx, Append{Topic: a.topic, Records: records})
 	})
 	if isSilence(err) {
--- a/internal/process/jaystore/hedge.go
+++ b/internal/process/jaystore/hedge.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
 	"github.com/sourcegraph/conc"
@@ -12,19 +13,37 @@
 const (
 	// callTimeout bounds one call; the store may take a hundred times its usual
 	// 4 ms.
-	callTimeout = 1500 * time.Millisecond
-	// firstHedge and nextHedge are when an append that has not been answered is
-	// repeated beside the first: fifty usual answers, then more slowly.
-	firstHedge = 200 * time.Millisecond
-	nextHedge  = 500 * time.Millisecond
+	callTimeout = 2 * time.Second
+	// leastHedge and mostHedge bound when an append that has not been answered is
+	// repeated beside the first: hedgeFactor times what answers took lately. A slow
+	// store is not helped by more appends, which it carries out one by one.
+	leastHedge  = 200 * time.Millisecond
+	mostHedge   = 1200 * time.Millisecond
+	hedgeFactor = 2.5
+	// hedgeFade is how much of the slowest answer's weight is left after each
+	// faster one.
+	hedgeFade = 0.8
 	// retryFirst and retryMost bound the pause after a refusal.
 	retryFirst = 40 * time.Millisecond
 	retryMost  = 400 * time.Millisecond
 )
 
+// pace remembers how long answers took lately.
+type pace struct{ slowest atomic.Int64 }
+
+// note takes the time of an answer.
+func (p *pace) note(took time.Duration) {
+	p.slowest.Store(int64(max(took, time.Duration(hedgeFade*float64(p.slowest.Load())))))
+}
+
+// hedge returns how long to wait for an answer before asking again.
+func (p *pace) hedge() time.Duration {
+	return min(max(time.Duration(hedgeFactor*float64(p.slowest.Load())), leastHedge), mostHedge)
+}
+
 // hedged makes an append that may be repeated without harm: it is sent again
 // beside a first try that gets no answer, and the first answer counts.
-func hedged(ctx context.Context, call func(context.Context) (uint64, error)) (uint64, error) {
+func (p *pace) hedged(ctx context.Context, call func(context.Context) (uint64, error)) (uint64, error) {
 	type result struct {
 		end uint64
 		err error
@@ -38,12 +57,16 @@
 	launch := func() {
 		open++
 		wg.Go(func() {
+			begun := time.Now()
 			end, err := call(ctx)
+			if err == nil {
+				p.note(time.Since(begun))
+			}
 			results <- result{end, err}
 		})
 	}
 	launch()
-	timer := time.NewTimer(firstHedge)
+	timer := time.NewTimer(p.hedge())
 	defer timer.Stop()
 	unanswered := error(nil)
 	for tries := 1; ; {
@@ -65,7 +88,7 @@
 			if tries < 3 {
 				tries++
 				launch()
-				timer.Reset(nextHedge)
+				timer.Reset(2 * p.hedge())
 			}
 		case <-ctx.Done():
 			return 0, &NoAnswerError{Operation: "append", Cause: ctx.Err().Error()}
--- a/internal/process/jaystore/path.go
+++ b/internal/process/jaystore/path.go
@@ -29,8 +29,8 @@
 	// directRest is how long a process goes through a peer after the store has not
 	// served it, before it tries the straight way again.
 	directRest = 1200 * time.Millisecond
-	// directTry bounds the straight way when a peer stands ready.
-	directTry = 600 * time.Millisecond
+	// otherAfter is when the other way is tried beside one that has not answered.
+	otherAfter = 500 * time.Millisecond
 
 	statusBusy        = 429
 	statusUnavailable = 503
@@ -99,27 +99,67 @@
 
 type way func(ctx context.Context, x Exchange) (Reply, error)
 
+// both sends on the first way, and on the second too when the first has refused,
+// failed or not answered in time. The first answer of a store that serves counts;
+// the other way's try goes on to its end, since a slow answer is still one.
 func (p *Path) both(ctx context.Context, x Exchange, first, second way) (Reply, error) {
-	r, err := first(ctx, x)
-	if err == nil && !unserved(r.Status) || ctx.Err() != nil {
-		return r, err
+	type result struct {
+		reply Reply
+		err   error
 	}
-	other, otherErr := second(ctx, x)
-	switch {
-	case otherErr == nil && !unserved(other.Status):
-		return other, nil
-	case err != nil:
-		return r, err
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	results := make(chan result, 2)
+	send := func(w way) {
+		go func() {
+			r, err := w(ctx, x)
+			results <- result{r, err}
+		}()
+	}
+	send(first)
+	open, next := 1, second
+	timer := time.NewTimer(otherAfter + x.Wait)
+	defer timer.Stop()
+	var refusal result
+	var silent error
+	for {
+		select {
+		case r := <-results:
+			open--
+			switch {
+			case r.err == nil && !unserved(r.reply.Status):
+				return r.reply, nil
+			case r.err != nil:
+				silent = r.err
+			default:
+				refusal = r
+			}
+			if next != nil && ctx.Err() == nil {
+				send(next)
+				open, next = open+1, nil
+			}
+			if open == 0 && silent != nil {
+				return Reply{}, silent
+			}
+			if open == 0 {
+				return refusal.reply, nil
+			}
+		case <-timer.C:
+			if next != nil {
+				send(next)
+				open, next = open+1, nil
+			}
+		}
 	}
-	return other, otherErr
 }
 
 // tryDirect goes straight and notes whether that way serves.
 func (p *Path) tryDirect(ctx context.Context, x Exchange) (Reply, error) {
-	ctx, cancel := context.WithTimeout(ctx, directTry+x.Wait)
-	defer cancel()
 	r, err := p.Direct(ctx, x)
 	switch {
+	case err != nil && ctx.Err() != nil:
+		// Nobody waits any more; the other way was faster.
+		p.rest("slower than a peer")
 	case err != nil:
 		p.rest(err.Error())
 	case unserved(r.Status):
--- a/internal/process/jaystore/termlog.go
+++ b/internal/process/jaystore/termlog.go
@@ -10,6 +10,7 @@
 type TermLog struct {
 	client   *Client
 	topic    string
+	pace     pace
 	producer string
 	term     uint64
 	sequence uint64
@@ -45,7 +46,7 @@
 func (l *TermLog) append(ctx context.Context, records []Record) error {
 	for tries := 0; ; tries++ {
 		fence := Fence{Producer: l.producer, Term: l.term, Sequence: l.sequence}
-		_, err := hedged(ctx, func(ctx context.Context) (uint64, error) {
+		_, err := l.pace.hedged(ctx, func(ctx context.Context) (uint64, error) {
 			return l.client.Append(ctx, Append{Topic: l.topic, Records: records, Fence: &fence})
 		})
 		var order *SequenceError
