Let urgent jobs stop others without waiting first

Cause: the objective of an urgent job counts from its own run time, which may be a fraction of the mean; 0.6 s of waiting made short ones late. Change: urgent jobs stop others at once while they can be on time.

--- a/internal/process/jaycell/place.go
+++ b/internal/process/jaycell/place.go
@@ -378,10 +378,12 @@
 	share := displaceOther
 	slack := r.cell.slack(u) - r.cell.settings.Stop
 	switch {
-	case slack < 0 || slack > waitBeforeStops:
+	case slack < 0:
 		share = displaceEarly
 	case u.job.spec.Terms.Priority == 0:
 		share = displaceUrgent
+	case slack > waitBeforeStops:
+		share = displaceEarly
 	}
 	own := cores(u.spec().Room) * float64(n) * r.cell.estimate(u.job, u.step).Seconds()
 	return ch.cost <= share*own
