Keep accelerators free for urgent bursts

Change: other work that loses its progress leaves the accelerators free that urgent work has wanted in the last 10 s, at most a quarter of the pool, while it has slack.

--- a/internal/process/jaycell/cell.go
+++ b/internal/process/jaycell/cell.go
@@ -115,6 +115,7 @@
 	nodes    map[string]*Runner
 
 	learned    map[string]*learned
+	demand     demand
 	dirtyUnits map[*unit]bool
 	dropped    []string
 	jobRecords []Record
--- a/internal/process/jaycell/place.go
+++ b/internal/process/jaycell/place.go
@@ -52,6 +52,8 @@
 	racks []string
 	// guaranteed holds the jobs that their workspace's guarantee covers.
 	guaranteed map[*job]bool
+	// spare is how many free accelerators are not kept for urgent work.
+	spare int
 	// blocked remembers shapes that found no room, so that equal ones are skipped.
 	blocked map[shape]bool
 }
@@ -173,6 +175,14 @@
 		}
 	}
 	sort.Strings(r.racks)
+	held, wanted := c.urgentLoad()
+	c.demand.note(c.now, wanted)
+	pool, free := 0, 0
+	for _, v := range r.views {
+		pool += v.runner.info.Capacity.Accelerators
+		free += max(v.free.Accelerators, 0)
+	}
+	r.spare = free - c.demand.reserve(held, pool)
 	return r
 }
 
@@ -280,6 +290,9 @@
 	n := len(units) * u.count
 	k := r.shapeOf(u)
 	k.count = n
+	if !r.mayUse(u) {
+		return
+	}
 	plain := u.claims == nil && len(u.avoid) == 0 && u.spec().MaxPerRunner == 0 && u.spec().DataRack == ""
 	if plain && r.blocked[k] {
 		return
@@ -651,6 +664,7 @@
 		u.live = append(u.live, h)
 		v.runner.add(h)
 		v.free = v.free.Minus(h.room)
+		r.spare -= h.room.Accelerators
 		c.starts = append(c.starts, h)
 		c.explain(Decision{Job: u.job.spec.ID, Task: h.task(), Run: u.run, Runner: v.runner.id, Event: "place", Outcome: "start", Reason: "term and room", AgeMS: c.ageOf(u.job)})
 	}
--- /dev/null
+++ b/internal/process/jaycell/reserve.go
@@ -0,0 +1,67 @@
+package jaycell
+
+import "time"
+
+const (
+	// demandFade is how long an urgent demand is remembered.
+	demandFade = 10 * time.Second
+	// reserveShare bounds the accelerators kept free for urgent work, as a share of
+	// the pool.
+	reserveShare = 0.25
+	// reserveSlack is how much slack other work must have left to wait for the
+	// reserve.
+	reserveSlack = 2 * time.Second
+)
+
+// demand is the most that urgent work has wanted lately. It answers bursts of
+// urgent jobs: what stands free for them starts at once, and nothing that cannot
+// save its progress is started just to be stopped.
+type demand struct {
+	most int
+	at   time.Duration
+}
+
+// note takes what urgent work wants now.
+func (d *demand) note(now time.Duration, wanted int) {
+	if wanted >= d.most || now-d.at > demandFade {
+		d.most, d.at = wanted, now
+	}
+}
+
+// reserve returns how many accelerators to keep free beside what urgent work has.
+func (d *demand) reserve(held, pool int) int {
+	return min(max(d.most-held, 0), int(reserveShare*float64(pool)))
+}
+
+// urgentLoad returns the accelerators that urgent work holds and those it wants,
+// held ones included.
+func (c *Cell) urgentLoad() (held, wanted int) {
+	for _, j := range c.jobs {
+		if j.state.Ended() || j.spec.Terms.Priority != 0 {
+			continue
+		}
+		for _, u := range j.units {
+			n := u.count * u.spec().Room.Accelerators
+			switch u.phase {
+			case phaseActive:
+				held += n
+				wanted += n
+			case phaseWaiting:
+				wanted += n
+			}
+		}
+	}
+	return held, wanted
+}
+
+// mayUse reports whether a unit may take accelerators that are kept for urgent
+// work: urgent units may, those that save their progress, and those that have no
+// time left to wait.
+func (r *round) mayUse(u *unit) bool {
+	s := u.spec()
+	need := u.count * s.Room.Accelerators
+	if u.job.spec.Terms.Priority == 0 || s.Checkpoint || need == 0 || r.spare >= need {
+		return true
+	}
+	return r.cell.slack(u) < reserveSlack && !r.cell.worthless(u.job)
+}
