--- a/internal/process/jaycell/place.go
+++ b/internal/process/jaycell/place.go
@@ -27,7 +27,7 @@
 	// worthlessTier puts a job behind all others.
 	worthlessTier = 1000
 	// lateTier is how many priorities a job falls behind when it is late.
-	lateTier = 1.5
+	lateTier = 0.5
 	// claimSlack is how long past a runner's longest stop room is kept for the
 	// unit that it was made for.
 	claimSlack = 1500 * time.Millisecond
--- a/internal/process/jaycell/report.go
+++ b/internal/process/jaycell/report.go
@@ -185,13 +185,17 @@
 	if u == nil || u.phase == phaseDone || u.run < e.Run || u.spec().Daemon {
 		return
 	}
+	counted := e.How == HowFailed && !slices.Contains(u.failedRuns, e.Run)
+	done := e.How == HowDone && u.phase == phaseWaiting && u.run == e.Run
+	if !counted && !done {
+		return
+	}
 	c.explain(Decision{Job: id, Task: e.Task, Run: e.Run, Event: "end", Outcome: e.How.String(), Reason: "listed late", AgeMS: c.ageOf(j)})
-	switch {
-	case e.How == HowFailed:
-		c.countFailure(u, e.Run)
-	case e.How == HowDone && u.phase == phaseWaiting && u.run == e.Run:
+	if done {
 		c.finish(u)
+		return
 	}
+	c.countFailure(u, e.Run)
 }
 
 // countFailure counts a run that ended as failed, once. A unit that waits fails
--- a/internal/process/jaycell/reserve_test.go
+++ b/internal/process/jaycell/reserve_test.go
@@ -36,7 +36,7 @@
 			b.submit("other", 1, "w", c.step)
 			assert.Equal(t, len(starts(b.pass(0))), c.want)
 			b.submit("burst", 0, "w", step(1, 8))
-			assert.Equal(t, len(starts(b.pass(10*time.Millisecond)))+c.want >= 1, true)
+			assert.Equal(t, len(starts(b.pass(10*time.Millisecond))), 1-c.want)
 		})
 	}
 }
