--- /dev/null
+++ b/internal/process/jaystore/store_test.go
@@ -0,0 +1,261 @@
+package jaystore
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// fakeLog is a topic in memory that can lose answers and refuse.
+type fakeLog struct {
+	mutex    sync.Mutex
+	records  []Record
+	first    uint64
+	term     uint64
+	sequence uint64
+	answers  map[uint64]uint64
+	// lose and refuse are how many of the next appends go unanswered, carried out
+	// or not, or are refused.
+	lose       int
+	refuse     int
+	appends    int
+	neverDoing bool
+}
+
+func (f *fakeLog) client() *Client {
+	return &Client{Append: f.append, Read: f.read, Newest: f.newest}
+}
+
+func (f *fakeLog) append(_ context.Context, a Append) (uint64, error) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.appends++
+	if f.refuse > 0 {
+		f.refuse--
+		return 0, &RefusedError{Operation: "append", Status: 503}
+	}
+	lost := f.lose > 0
+	if lost {
+		f.lose--
+	}
+	if lost && f.neverDoing {
+		return 0, &NoAnswerError{Operation: "append", Cause: "lost"}
+	}
+	end, err := f.carryOut(a)
+	if lost {
+		return 0, &NoAnswerError{Operation: "append", Cause: "lost"}
+	}
+	return end, err
+}
+
+func (f *fakeLog) carryOut(a Append) (uint64, error) {
+	if a.At != nil && *a.At != uint64(len(f.records)) {
+		return 0, &MovedError{End: uint64(len(f.records))}
+	}
+	if a.Fence != nil {
+		switch {
+		case a.Fence.Term < f.term:
+			return 0, &FencedError{Term: a.Fence.Term}
+		case a.Fence.Term > f.term:
+			f.term, f.answers = a.Fence.Term, map[uint64]uint64{}
+		case f.answers[a.Fence.Sequence] > 0:
+			return f.answers[a.Fence.Sequence], nil
+		case a.Fence.Sequence != f.sequence+1:
+			return 0, &SequenceError{Expected: f.sequence + 1}
+		}
+		f.sequence = a.Fence.Sequence
+	}
+	f.records = append(f.records, a.Records...)
+	if a.Fence != nil {
+		f.answers[a.Fence.Sequence] = uint64(len(f.records))
+	}
+	return uint64(len(f.records)), nil
+}
+
+func (f *fakeLog) read(_ context.Context, _ string, from uint64, _ time.Duration) (Chunk, error) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	if from < f.first {
+		return Chunk{}, &ExpiredError{First: f.first}
+	}
+	c := Chunk{Next: from, End: uint64(len(f.records))}
+	for ; c.Next < c.End; c.Next++ {
+		c.Records = append(c.Records, Stored{Record: f.records[c.Next], Offset: c.Next})
+	}
+	return c, nil
+}
+
+func (f *fakeLog) newest(_ context.Context, _, after string) (Page, error) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	newest := map[string]Stored{}
+	least := ""
+	for i, r := range f.records {
+		newest[r.Key] = Stored{Record: r, Offset: uint64(i)}
+	}
+	for k, s := range newest {
+		if s.Value != nil && k > after && (least == "" || k < least) {
+			least = k
+		}
+	}
+	p := Page{End: uint64(len(f.records))}
+	if least != "" {
+		p.Records, p.More = []Stored{newest[least]}, true
+	}
+	return p, nil
+}
+
+func runAppender(t *testing.T, f *fakeLog) *Appender {
+	a := NewAppender(f.client(), "topic")
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { a.Run(ctx); close(done) }()
+	t.Cleanup(func() { cancel(); <-done })
+	return a
+}
+
+func TestPutTellsTheTruth(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		log     *fakeLog
+		wait    time.Duration
+		stored  bool
+		refused bool
+		unknown bool
+	}{
+		{"stored", &fakeLog{}, time.Second, true, false, false},
+		{"an answer is lost, the repeat is answered", &fakeLog{lose: 1}, time.Second, true, false, false},
+		{"a short refusal passes", &fakeLog{refuse: 2}, 5 * time.Second, true, false, false},
+		{"a long refusal is not stored", &fakeLog{refuse: 1000}, 5 * time.Second, false, true, false},
+		{"no answer at all is unknown", &fakeLog{lose: 1000, neverDoing: true}, 300 * time.Millisecond, false, false, true},
+		{"a lost answer and refusals are unknown", &fakeLog{lose: 1, refuse: 0, neverDoing: true}, 0, false, false, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			if c.wait == 0 {
+				// The first try is lost, all others are refused.
+				c.wait = 400 * time.Millisecond
+				go func() {
+					for {
+						c.log.mutex.Lock()
+						if c.log.appends > 0 {
+							c.log.refuse = 1000
+							c.log.mutex.Unlock()
+							return
+						}
+						c.log.mutex.Unlock()
+						time.Sleep(time.Millisecond)
+					}
+				}()
+			}
+			err := runAppender(t, c.log).Put(Record{Key: "k", Value: []byte("v")}, time.Now().Add(c.wait))
+			var refused *NotStoredError
+			var unknown *UnknownError
+			assert.Equal(t, err == nil, c.stored, "%v", err)
+			assert.Equal(t, errors.As(err, &refused), c.refused, "%v", err)
+			assert.Equal(t, errors.As(err, &unknown), c.unknown, "%v", err)
+			c.log.mutex.Lock()
+			defer c.log.mutex.Unlock()
+			if c.refused {
+				assert.Equal(t, len(c.log.records), 0)
+			}
+			if c.stored {
+				assert.Assert(t, len(c.log.records) > 0)
+			}
+		})
+	}
+}
+
+func TestTermLogWritesOnce(t *testing.T) {
+	f := &fakeLog{}
+	l := NewTermLog(f.client(), "topic", "p", 1)
+	assert.NilError(t, l.Seal(context.Background()))
+	f.lose = 1
+	assert.NilError(t, l.Write(context.Background(), []Record{{Key: "a", Value: []byte("1")}}))
+	assert.NilError(t, l.Write(context.Background(), []Record{{Key: "b", Value: []byte("2")}}))
+	assert.Equal(t, len(f.records), 2)
+}
+
+func TestTermLogEndsWithAHigherTerm(t *testing.T) {
+	f := &fakeLog{}
+	old := NewTermLog(f.client(), "topic", "p", 1)
+	assert.NilError(t, old.Seal(context.Background()))
+	assert.NilError(t, NewTermLog(f.client(), "topic", "p", 2).Seal(context.Background()))
+	var fenced *FencedError
+	assert.Assert(t, errors.As(old.Write(context.Background(), []Record{{Key: "a"}}), &fenced))
+	assert.Equal(t, len(f.records), 0)
+}
+
+func TestTailCatchesUpAfterHistoryIsDropped(t *testing.T) {
+	f := &fakeLog{}
+	put := func(key, value string) { f.records = append(f.records, Record{Key: key, Value: []byte(value)}) }
+	seen := map[string]string{}
+	tail := &Tail{Client: f.client(), Topic: "topic", Apply: func(s Stored) { seen[s.Key] = string(s.Value) }, Replace: func(all []Stored) {
+		clear(seen)
+		for _, s := range all {
+			seen[s.Key] = string(s.Value)
+		}
+	}}
+	put("a", "1")
+	put("b", "1")
+	assert.NilError(t, tail.Refresh(context.Background()))
+	assert.DeepEqual(t, seen, map[string]string{"a": "1", "b": "1"})
+	put("a", "2")
+	f.records = append(f.records, Record{Key: "b"})
+	put("c", "1")
+	f.first = 5
+	assert.NilError(t, tail.Refresh(context.Background()))
+	assert.DeepEqual(t, seen, map[string]string{"a": "2", "c": "1"})
+	put("c", "2")
+	assert.NilError(t, tail.Refresh(context.Background()))
+	assert.Equal(t, seen["c"], "2")
+}
+
+func TestPathGoesThroughAPeer(t *testing.T) {
+	ok := func(context.Context, Exchange) (Reply, error) { return Reply{Status: 200}, nil }
+	busy := func(context.Context, Exchange) (Reply, error) { return Reply{Status: 503}, nil }
+	silent := func(context.Context, Exchange) (Reply, error) { return Reply{}, &NoAnswerError{} }
+	for _, c := range []struct {
+		name   string
+		direct way
+		relay  way
+		status int
+		open   bool
+	}{
+		{"straight", ok, silent, 200, false},
+		{"refused straight", busy, ok, 200, false},
+		{"silent straight", silent, ok, 200, false},
+		{"refused both ways", busy, busy, 503, false},
+		{"silent straight and refused by the peer stays open", silent, busy, 0, true},
+		{"refused straight and silent by the peer stays open", busy, silent, 0, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			p := &Path{Direct: c.direct, Relay: c.relay, HasPeer: func() bool { return true }}
+			for range 2 {
+				// The second time the peer goes first, if the straight way failed.
+				r, err := p.Do(context.Background(), Exchange{})
+				assert.Equal(t, r.Status, c.status)
+				assert.Equal(t, err != nil, c.open)
+			}
+		})
+	}
+}
+
+func TestPathIsDownUntilServed(t *testing.T) {
+	status := 503
+	p := &Path{Direct: func(context.Context, Exchange) (Reply, error) { return Reply{Status: status}, nil }, HasPeer: func() bool { return false }}
+	_, down := p.Down()
+	assert.Assert(t, !down)
+	_, err := p.Do(context.Background(), Exchange{})
+	assert.NilError(t, err)
+	_, down = p.Down()
+	assert.Assert(t, down)
+	status = 200
+	_, err = p.Do(context.Background(), Exchange{})
+	assert.NilError(t, err)
+	_, down = p.Down()
+	assert.Assert(t, !down)
+}
