Take no finished member of a gang for a stalled one

Change: only runs below 100% can stall; the reason names percent, time and runner. Test: TestOnlyUnfinishedWorkCanStall.

--- a/internal/process/jaycell/cell_test.go
+++ b/internal/process/jaycell/cell_test.go
@@ -248,3 +248,34 @@
 	b.hear("n1", "r1", end)
 	assert.DeepEqual(t, b.cell.jobs["a"].units["a.0.0.0"].failedRuns, []int{1})
 }
+
+// A member that has done its work stands at 100% until the slowest member of its
+// gang is done; it was taken for one that stands still.
+func TestOnlyUnfinishedWorkCanStall(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		percent int
+		want    int
+	}{{"half done", 50, 1}, {"done, waiting for the gang", 100, 0}} {
+		t.Run(c.name, func(t *testing.T) {
+			b := newBench(t, nil)
+			s := step(2, 8)
+			s.Gang = true
+			b.hear("n1", "r1", nil)
+			b.hear("n2", "r2", nil)
+			b.submit("a", 1, "w", s)
+			assert.Equal(t, len(starts(b.pass(0))), 2)
+			stops := 0
+			for range 20 {
+				b.now += 500 * time.Millisecond
+				b.cell.At(b.now, b.wall)
+				b.hear("n1", "r1", func(p *Report) { p.Running = []Run{{Task: "a.0.0.0", Run: 1, Percent: c.percent}} })
+				b.hear("n2", "r2", func(p *Report) {
+					p.Running = []Run{{Task: "a.0.0.1", Run: 1, Percent: int(b.now/time.Second) % 100}}
+				})
+				stops += min(kinds(b.pass(0))[OrderStop], 1)
+			}
+			assert.Equal(t, min(stops, 1), c.want)
+		})
+	}
+}
--- a/internal/process/jaycell/report.go
+++ b/internal/process/jaycell/report.go
@@ -1,6 +1,7 @@
 package jaycell
 
 import (
+	"fmt"
 	"slices"
 	"sort"
 	"time"
@@ -290,7 +291,8 @@
 		h.saved = run.Saved
 	}
 	u := h.unit
-	if u.spec().Daemon || u.stopping || u.phase != phaseActive || c.now-h.changedAt < stallAfter || c.now-h.confirmedAt < stallAfter+c.settings.Gang {
+	// A member of a gang that has done its own work waits for the others.
+	if run.Percent >= 100 || u.spec().Daemon || u.stopping || u.phase != phaseActive || c.now-h.changedAt < stallAfter || c.now-h.confirmedAt < stallAfter+c.settings.Gang {
 		return
 	}
 	c.stalled(h)
@@ -303,7 +305,7 @@
 	}
 	h.runner.failures++
 	c.suspend(h.runner)
-	c.stop(u, "no progress")
+	c.stop(u, fmt.Sprintf("no progress beyond %d%% for %s on %s", h.percent, (c.now-h.changedAt).Round(time.Millisecond), h.runner.id))
 }
 
 // remaining estimates how long a run still takes.
