Count and time requests, decisions, store calls and starts; drop what nothing reads

Change: counters and histograms; unused settings and fields are gone; the model test plays 1,000 sequences with a fixed seed.

--- a/internal/process/jaycell/cell.go
+++ b/internal/process/jaycell/cell.go
@@ -34,17 +34,10 @@
 	Retention time.Duration
 	// Stop is the longest time that a runner takes to stop a run.
 	Stop time.Duration
-	// Reclaim is the time within which a guarantee must be met.
-	Reclaim time.Duration
 	// Gang is how long members of a gang wait for each other.
 	Gang time.Duration
-	// FarFactor is how many times longer work takes away from its data, or as a
-	// gang over several racks.
-	FarFactor float64
 	// Guaranteed returns a workspace's guaranteed accelerators.
 	Guaranteed func(workspace string) int
-	// Runs reports whether a route still sends to the service; nil is always.
-	Runs func(service string) bool
 	// Explain is called with each decision that touches a job.
 	Explain func(Decision)
 }
@@ -112,7 +105,6 @@
 	wall     time.Time
 	jobs     map[string]*job
 	runners  map[string]*Runner
-	nodes    map[string]*Runner
 
 	learned    map[string]*learned
 	demand     demand
--- a/internal/process/jaycell/cell_test.go
+++ b/internal/process/jaycell/cell_test.go
@@ -27,7 +27,7 @@
 }
 
 func benchSettings(term uint64, guaranteed map[string]int) Settings {
-	return Settings{Term: term, Lease: 6 * time.Second, Retention: time.Minute, Stop: 400 * time.Millisecond, Gang: 3 * time.Second, FarFactor: 3, Guaranteed: func(w string) int { return guaranteed[w] }}
+	return Settings{Term: term, Lease: 6 * time.Second, Retention: time.Minute, Stop: 400 * time.Millisecond, Gang: 3 * time.Second, Guaranteed: func(w string) int { return guaranteed[w] }}
 }
 
 // pass moves time on and returns the orders that result.
--- a/internal/process/jaycell/model_test.go
+++ b/internal/process/jaycell/model_test.go
@@ -15,9 +15,11 @@
 
 func TestMain(m *testing.M) {
 	flag.Parse()
-	if f := flag.Lookup("rapid.seed"); f != nil && f.Value.String() == "0" {
-		if err := f.Value.Set("20261203"); err != nil {
-			panic(err)
+	for _, d := range [][3]string{{"rapid.seed", "0", "20261203"}, {"rapid.checks", "100", "1000"}} {
+		if f := flag.Lookup(d[0]); f != nil && f.Value.String() == d[1] {
+			if err := f.Value.Set(d[2]); err != nil {
+				panic(err)
+			}
 		}
 	}
 	os.Exit(m.Run())
@@ -131,7 +133,7 @@
 func (m *model) newTerm() {
 	m.term++
 	m.batch = nil
-	m.cell = New(Settings{Term: m.term, Lease: modelLease, Retention: time.Hour, Stop: modelStop, Gang: time.Second, FarFactor: 3, Guaranteed: func(w string) int {
+	m.cell = New(Settings{Term: m.term, Lease: modelLease, Retention: time.Hour, Stop: modelStop, Gang: time.Second, Guaranteed: func(w string) int {
 		if w == "first" {
 			return 8
 		}
--- a/internal/process/jaycell/place.go
+++ b/internal/process/jaycell/place.go
@@ -147,7 +147,7 @@
 		}
 		j.open(c.wall.Add(-dueSlack))
 		for _, u := range j.units {
-			if u.phase == phaseWaiting && c.now >= u.notBefore && c.allowed(j) {
+			if u.phase == phaseWaiting && c.now >= u.notBefore {
 				all = append(all, u)
 			}
 		}
@@ -155,10 +155,6 @@
 	return all
 }
 
-func (c *Cell) allowed(j *job) bool {
-	return c.settings.Runs == nil || c.settings.Runs(j.spec.Terms.Service)
-}
-
 func (c *Cell) newRound() *round {
 	r := &round{cell: c, guaranteed: c.guaranteedJobs(), blocked: map[shape]bool{}}
 	claimed := c.claimed()
--- a/internal/process/jayhub/desk.go
+++ b/internal/process/jayhub/desk.go
@@ -3,9 +3,12 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"regexp"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+
 	"github.com/jaystile/jaystile/internal/connection/jayframe"
 	"github.com/jaystile/jaystile/internal/process/jaycell"
 	"github.com/jaystile/jaystile/internal/process/jayclock"
@@ -78,6 +81,9 @@
 	retryAfter = time.Second
 )
 
+// storeSeconds is how long records of callers take to be stored or given up.
+var storeSeconds = metrics.NewHistogram("jaystile_record_seconds")
+
 // jobID is what callers name jobs by.
 var jobID = regexp.MustCompile(`^[0-9a-fA-F]{16}$`)
 
@@ -176,7 +182,9 @@
 	if c.Timeout > 0 {
 		wait = min(wait, max(c.Timeout-putMargin, c.Timeout/2))
 	}
-	err := h.jobsPut.Put(r, time.Now().Add(wait))
+	begun := time.Now()
+	err := h.jobsPut.Put(r, begun.Add(wait))
+	storeSeconds.UpdateDuration(begun)
 	var refused *jaystore.NotStoredError
 	switch {
 	case errors.As(err, &refused):
@@ -198,13 +206,13 @@
 		return h.answer("state", p.id, *refusal)
 	}
 	if p.id == "" {
-		return Answer{Verdict: Counted, Count: h.jobs.pending(p.route.Name)}
+		return h.answer("pending", "", Answer{Verdict: Counted, Count: h.jobs.pending(p.route.Name)})
 	}
 	e, refusal := h.find(ctx, p)
 	if refusal != nil {
 		return h.answer("state", p.id, *refusal)
 	}
-	return Answer{Verdict: Found, State: e.shown()}
+	return h.answer("state", p.id, Answer{Verdict: Found, State: e.shown(), Reason: e.shown().String()})
 }
 
 // find returns the caller's own job. That there is none is said only after a
@@ -247,8 +255,9 @@
 	return h.answer("cancel", p.id, h.put(cancelRecord(p.id, time.Now()), c))
 }
 
-// answer logs what a request was answered and why.
+// answer counts and logs what a request was answered and why.
 func (h *Hub) answer(what, id string, a Answer) Answer {
+	metrics.GetOrCreateCounter(fmt.Sprintf(`jaystile_requests_total{kind=%q,outcome=%q}`, what, a.Verdict)).Inc()
 	version := uint64(0)
 	if c := h.config.Load(); c != nil {
 		version = c.Version()
--- a/internal/process/jayhub/hub.go
+++ b/internal/process/jayhub/hub.go
@@ -50,9 +50,7 @@
 	Lease     time.Duration
 	Retention time.Duration
 	Stop      time.Duration
-	Reclaim   time.Duration
 	Gang      time.Duration
-	FarFactor float64
 }
 
 // Hub is one entry. Its exported fields are set before Run.
@@ -63,7 +61,6 @@
 	// process from others of the same name.
 	Address string
 	Boot    uint64
-	Seeds   []string
 	Timing  Timing
 	Topics  Topics
 	Logger  zerolog.Logger
--- a/internal/process/jayhub/lead.go
+++ b/internal/process/jayhub/lead.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"sync"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/sourcegraph/conc"
 
 	"github.com/jaystile/jaystile/internal/connection/jayframe"
@@ -49,7 +51,7 @@
 func newLead(h *Hub, term uint64) *lead {
 	l := &lead{hub: h, term: term, kick: make(chan struct{}, 1), done: make(chan struct{}), lastTick: jayclock.Elapsed()}
 	l.cell = jaycell.New(jaycell.Settings{
-		Term: term, Lease: h.Timing.Lease, Retention: h.Timing.Retention, Stop: h.Timing.Stop, Reclaim: h.Timing.Reclaim, Gang: h.Timing.Gang, FarFactor: h.Timing.FarFactor,
+		Term: term, Lease: h.Timing.Lease, Retention: h.Timing.Retention, Stop: h.Timing.Stop, Gang: h.Timing.Gang,
 		Guaranteed: func(workspace string) int {
 			if c := h.config.Load(); c != nil {
 				return c.Guaranteed(workspace)
@@ -61,8 +63,15 @@
 	return l
 }
 
-// explain logs a decision.
+// startSeconds is how long jobs wait for each of their starts.
+var startSeconds = metrics.NewHistogram("jaystile_start_wait_seconds")
+
+// explain counts and logs a decision.
 func (l *lead) explain(d jaycell.Decision) {
+	metrics.GetOrCreateCounter(fmt.Sprintf(`jaystile_decisions_total{event=%q,outcome=%q}`, d.Event, d.Outcome)).Inc()
+	if d.Event == "place" {
+		startSeconds.Update(float64(d.AgeMS) / 1000)
+	}
 	e := l.hub.Logger.Info().Str("event", d.Event).Uint64("term", l.term)
 	for _, f := range [][2]string{{"job", d.Job}, {"task", d.Task}, {"runner", d.Runner}, {"outcome", d.Outcome}, {"reason", d.Reason}} {
 		if f[1] != "" {
--- a/internal/process/jayhub/term.go
+++ b/internal/process/jayhub/term.go
@@ -5,8 +5,10 @@
 	"errors"
 	"math/rand/v2"
 	"strings"
+	"sync/atomic"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/fxamacker/cbor/v2"
 
 	"github.com/jaystile/jaystile/internal/process/jaystore"
@@ -40,6 +42,11 @@
 	boot    uint64
 }
 
+// termNumber is the newest term that this process knows, for its metrics.
+var termNumber atomic.Int64
+
+var _ = metrics.NewGauge("jaystile_term", func() float64 { return float64(termNumber.Load()) })
+
 type termRecord struct {
 	_       struct{} `cbor:",toarray"`
 	Number  uint64
@@ -182,6 +189,7 @@
 	}
 	h.Logger.Info().Str("event", "term").Uint64("term", t.number).Uint64("was", h.term.number).Str("holder", t.name).Msg("a term has begun")
 	h.term = t
+	termNumber.Store(int64(t.number))
 	if h.lead != nil && h.lead.term < t.number {
 		h.lead.end("a higher term has begun")
 	}
--- a/internal/process/jaykeep/keeper.go
+++ b/internal/process/jaykeep/keeper.go
@@ -55,8 +55,7 @@
 type Keeper struct {
 	Node  string
 	Calls Calls
-	// Lease is how long a run outlives the last grant; MaxLease is the runner's
-	// own bound.
+	// Lease is how long a run outlives the last grant.
 	Lease  time.Duration
 	Logger zerolog.Logger
 	// Send passes a report to the holder of the term.
--- a/internal/process/jaykeep/orders.go
+++ b/internal/process/jaykeep/orders.go
@@ -5,10 +5,18 @@
 	"errors"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+
 	"github.com/jaystile/jaystile/internal/process/jaycell"
 	"github.com/jaystile/jaystile/internal/process/jayclock"
 )
 
+// Metrics of the starts asked of the runner, each try counted.
+var (
+	startSeconds = metrics.NewHistogram("jaystile_runner_start_seconds")
+	startsFailed = metrics.NewCounter("jaystile_runner_starts_failed_total")
+)
+
 // Take carries out the orders of a term. Orders of an earlier term are ignored.
 func (k *Keeper) Take(term uint64, orders []jaycell.Order) {
 	k.mutex.Lock()
@@ -131,7 +139,13 @@
 func (k *Keeper) tryStart(ctx context.Context, s Start) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	return k.Calls.Start(ctx, s)
+	begun := time.Now()
+	err := k.Calls.Start(ctx, s)
+	startSeconds.UpdateDuration(begun)
+	if err != nil {
+		startsFailed.Inc()
+	}
+	return err
 }
 
 func (k *Keeper) refuse(o *order, reason string) {
--- a/internal/process/jaykeep/side.go
+++ b/internal/process/jaykeep/side.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"fmt"
-	"net"
 	"sync"
 	"time"
 
@@ -236,20 +234,3 @@
 	}
 	return m
 }
-
-// Control takes the runner's own reports over HTTP; the platform's names are
-// the handler's.
-type Control struct {
-	Listener net.Listener
-	Serve    func(net.Listener) error
-}
-
-// Run serves until ctx ends.
-func (c Control) Run(ctx context.Context) error {
-	stop := context.AfterFunc(ctx, func() { _ = c.Listener.Close() })
-	defer stop()
-	if err := c.Serve(c.Listener); err != nil && ctx.Err() == nil {
-		return fmt.Errorf("serve the runner: %w", err)
-	}
-	return nil
-}
--- a/internal/process/jaystore/appender.go
+++ b/internal/process/jaystore/appender.go
@@ -54,13 +54,6 @@
 	return <-i.done
 }
 
-// Waiting returns how many records are not stored yet.
-func (a *Appender) Waiting() int {
-	a.mutex.Lock()
-	defer a.mutex.Unlock()
-	return len(a.queue)
-}
-
 // Run stores records until ctx ends.
 func (a *Appender) Run(ctx context.Context) {
 	tries := 0
--- a/internal/process/jaystore/path.go
+++ b/internal/process/jaystore/path.go
@@ -6,6 +6,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+
 	"github.com/jaystile/jaystile/internal/process/jayclock"
 )
 
@@ -56,6 +58,13 @@
 	failed atomic.Int64
 }
 
+// Metrics of the calls to the store; reads that wait for news are not timed.
+var (
+	callSeconds = metrics.NewHistogram("jaystile_store_call_seconds")
+	callsServed = metrics.NewCounter(`jaystile_store_calls_total{outcome="served"}`)
+	callsFailed = metrics.NewCounter(`jaystile_store_calls_total{outcome="failed"}`)
+)
+
 // Down reports whether the store has served nothing since a request failed, and
 // for how long.
 func (p *Path) Down() (time.Duration, bool) {
@@ -70,16 +79,22 @@
 	now := int64(jayclock.Elapsed())
 	if err == nil && !unserved(r.Status) {
 		p.served.Store(now)
+		callsServed.Inc()
 		return
 	}
 	p.failed.Store(now)
+	callsFailed.Inc()
 }
 
 // Do sends a request. A request that may be open on one way is sent on the other
 // too: everything that this product sends may be repeated. A refusal on one way
 // is not returned while a try on the other is open.
 func (p *Path) Do(ctx context.Context, x Exchange) (Reply, error) {
+	begun := time.Now()
 	r, err := p.choose(ctx, x)
+	if x.Wait == 0 {
+		callSeconds.UpdateDuration(begun)
+	}
 	// A caller that has stopped waiting says nothing of the store.
 	if err == nil || !errors.Is(ctx.Err(), context.Canceled) {
 		p.note(r, err)
--- a/internal/process/jaystore/tail.go
+++ b/internal/process/jaystore/tail.go
@@ -30,7 +30,6 @@
 	end    uint64
 	loaded bool
 	fresh  time.Duration
-	failed bool
 }
 
 // Age returns how old the tail's knowledge may be, and false before it has any.
--- a/internal/version/jaysettings/fleet.go
+++ b/internal/version/jaysettings/cell.go
@@ -28,17 +28,15 @@
 	Runner    string
 	HoldMost  time.Duration
 	Stop      time.Duration
-	Reclaim   time.Duration
 	Gang      time.Duration
 	Retention time.Duration
 	Grace     time.Duration
-	Far       float64
 }
 
 func defaultCell() Cell {
 	return Cell{
-		HoldMost: 10 * time.Second, Stop: 900 * time.Millisecond, Reclaim: 3400 * time.Millisecond, Gang: 3 * time.Second,
-		Retention: 120 * time.Second, Grace: 6 * time.Second, Far: 3,
+		HoldMost: 10 * time.Second, Stop: 900 * time.Millisecond, Gang: 3 * time.Second,
+		Retention: 120 * time.Second, Grace: 6 * time.Second,
 	}
 }
 
@@ -51,11 +49,9 @@
 		address("store", "address", "address of the platform's log", "127.0.0.1:8524", true, &c.Store),
 		amount("bounds", "hold_most_ms", "longest lease of a run, in milliseconds", time.Millisecond, &c.HoldMost),
 		amount("bounds", "stop_ms", "longest time that a runner takes to stop a run, in milliseconds", time.Millisecond, &c.Stop),
-		amount("bounds", "reclaim_ms", "time within which a guarantee is met, in milliseconds", time.Millisecond, &c.Reclaim),
 		amount("bounds", "gang_ms", "time for which members of a gang wait for each other, in milliseconds", time.Millisecond, &c.Gang),
 		amount("bounds", "retention_s", "time for which an ended job can be asked about, in seconds", time.Second, &c.Retention),
 		amount("bounds", "grace_s", "time between SIGTERM and SIGKILL, in seconds", time.Second, &c.Grace),
-		factor("bounds", "far_factor", "how many times longer work takes far from its data", &c.Far),
 	}
 }
 
@@ -110,15 +106,3 @@
 		return err == nil && n >= 0 && n <= 1_000_000
 	}}
 }
-
-// factor is a number of 1 or more. An empty value keeps the default.
-func factor(section, key, doc string, target *float64) field {
-	return field{section: section, key: key, doc: doc, allowed: "number from 1 to 1000, or empty", example: strconv.FormatFloat(*target, 'f', -1, 64), set: func(s string) bool {
-		if s == "" {
-			return true
-		}
-		n, err := strconv.ParseFloat(s, 64)
-		*target = n
-		return err == nil && n >= 1 && n <= 1000
-	}}
-}
