--- a/internal/process/jaycell/cell.go
+++ b/internal/process/jaycell/cell.go
@@ -34,12 +34,17 @@
 	Retention time.Duration
 	// Stop is the longest time that a runner takes to stop a run.
 	Stop time.Duration
+	// Reclaim is the time within which a guaranteed job must have begun.
+	Reclaim time.Duration
 	// Gang is how long members of a gang wait for each other.
 	Gang time.Duration
 	// Guaranteed returns a workspace's guaranteed accelerators.
 	Guaranteed func(workspace string) int
 	// Explain is called with each decision that touches a job.
 	Explain func(Decision)
+	// Broken is called with each invariant that does not hold; the cell goes on
+	// without the step that would break it.
+	Broken func(what string, d Decision)
 }
 
 // Decision is one decision with what decided it.
--- a/internal/process/jaycell/cell_test.go
+++ b/internal/process/jaycell/cell_test.go
@@ -22,7 +22,9 @@
 
 func newBench(t *testing.T, guaranteed map[string]int) *bench {
 	b := &bench{t: t, now: time.Hour, wall: time.UnixMilli(1_700_000_000_000), runs: map[string][]byte{}, state: map[string]jaytask.State{}}
-	b.cell = New(benchSettings(1, guaranteed), b.now, b.wall)
+	settings := benchSettings(1, guaranteed)
+	settings.Broken = func(what string, d Decision) { t.Errorf("broken: %s (%s)", what, d.Task) }
+	b.cell = New(settings, b.now, b.wall)
 	return b
 }
 
--- a/internal/process/jaycell/model_test.go
+++ b/internal/process/jaycell/model_test.go
@@ -138,7 +138,7 @@
 			return 8
 		}
 		return 0
-	}}, m.now, m.wall)
+	}, Broken: func(what string, d Decision) { m.t.Fatalf("broken: %s (%s run %d)", what, d.Task, d.Run) }}, m.now, m.wall)
 	for _, id := range sortedKeys(m.jobs) {
 		if !m.states[id].Ended() {
 			m.cell.Submit(m.jobs[id])
--- a/internal/process/jaycell/place.go
+++ b/internal/process/jaycell/place.go
@@ -651,6 +651,9 @@
 // start records a new run of a unit; its orders follow once that is stored.
 func (r *round) start(u *unit, runners []*view) {
 	c := r.cell
+	if !r.mayStart(u, runners) {
+		return
+	}
 	u.claims = nil
 	u.phase, u.stopping = phaseActive, false
 	u.run++
--- a/internal/process/jaycell/report.go
+++ b/internal/process/jaycell/report.go
@@ -336,6 +336,7 @@
 	}
 	c.forget()
 	c.place()
+	c.watchGuarantees()
 }
 
 // evacuate stops the runs that cannot end before their runner leaves: those
--- a/internal/process/jaycell/unit.go
+++ b/internal/process/jaycell/unit.go
@@ -171,6 +171,8 @@
 	// noticed is when this cell learnt of the job.
 	noticed time.Duration
 	begun   bool
+	// lateGuarantee tells that a missed guarantee has been reported.
+	lateGuarantee bool
 }
 
 func newJob(spec *jaytask.Job, now time.Duration) *job {
--- a/internal/process/jayhub/hub.go
+++ b/internal/process/jayhub/hub.go
@@ -51,6 +51,7 @@
 	Retention time.Duration
 	Stop      time.Duration
 	Gang      time.Duration
+	Reclaim   time.Duration
 }
 
 // Hub is one entry. Its exported fields are set before Run.
--- a/internal/process/jayhub/lead.go
+++ b/internal/process/jayhub/lead.go
@@ -58,7 +58,9 @@
 			}
 			return 0
 		},
+		Reclaim: h.Timing.Reclaim,
 		Explain: l.explain,
+		Broken:  l.broken,
 	}, jayclock.Elapsed(), time.Now())
 	return l
 }
@@ -84,6 +86,12 @@
 	e.Int64("age_ms", d.AgeMS).Msg("decided")
 }
 
+// broken counts and logs an invariant that does not hold.
+func (l *lead) broken(what string, d jaycell.Decision) {
+	metrics.GetOrCreateCounter(fmt.Sprintf(`jaystile_broken_invariants_total{what=%q}`, what)).Inc()
+	l.hub.Logger.Error().Str("event", "invariant").Uint64("term", l.term).Str("job", d.Job).Str("task", d.Task).Int("run", d.Run).Str("what", what).Msg("an invariant does not hold; the step is left out")
+}
+
 // end ends the term for this entry.
 func (l *lead) end(cause string) {
 	l.once.Do(func() {
--- a/internal/version/jaysettings/cell.go
+++ b/internal/version/jaysettings/cell.go
@@ -29,13 +29,14 @@
 	HoldMost  time.Duration
 	Stop      time.Duration
 	Gang      time.Duration
+	Reclaim   time.Duration
 	Retention time.Duration
 	Grace     time.Duration
 }
 
 func defaultCell() Cell {
 	return Cell{
-		HoldMost: 10 * time.Second, Stop: 900 * time.Millisecond, Gang: 3 * time.Second,
+		HoldMost: 10 * time.Second, Stop: 900 * time.Millisecond, Gang: 3 * time.Second, Reclaim: 3400 * time.Millisecond,
 		Retention: 120 * time.Second, Grace: 6 * time.Second,
 	}
 }
@@ -50,6 +51,7 @@
 		amount("bounds", "hold_most_ms", "longest lease of a run, in milliseconds", time.Millisecond, &c.HoldMost),
 		amount("bounds", "stop_ms", "longest time that a runner takes to stop a run, in milliseconds", time.Millisecond, &c.Stop),
 		amount("bounds", "gang_ms", "time for which members of a gang wait for each other, in milliseconds", time.Millisecond, &c.Gang),
+		amount("bounds", "reclaim_ms", "time within which a guaranteed job begins, in milliseconds", time.Millisecond, &c.Reclaim),
 		amount("bounds", "retention_s", "time for which an ended job can be asked about, in seconds", time.Second, &c.Retention),
 		amount("bounds", "grace_s", "time between SIGTERM and SIGKILL, in seconds", time.Second, &c.Grace),
 	}
