Miss the holder of the term 0.2 s sooner

Cause: a holder that lost power was replaced after about 2 s; the target is 1.5 s. Change: three to five looks instead of five to eight.

--- a/internal/process/jayhub/term.go
+++ b/internal/process/jayhub/term.go
@@ -24,11 +24,11 @@
 	// electEvery is how often an entry looks whether the term has a holder.
 	electEvery = 100 * time.Millisecond
 	// missesBeforeTake is how many looks in a row the holder must be missing: the
-	// link to it has been silent for its bound, and dialing failed for half a
+	// link to it has been silent for its bound, and dialing failed for a third of a
 	// second more. Looks that a frozen process missed do not count.
-	missesBeforeTake = 5
+	missesBeforeTake = 3
 	// missesSpread keeps entries from taking the term at once.
-	missesSpread = 3
+	missesSpread = 2
 	// takeTimeout bounds one try to take the term: four answers of a store that
 	// takes a hundred times as long as usual.
 	takeTimeout = 2500 * time.Millisecond
