--- /dev/null
+++ b/internal/process/jaycell/order.go
@@ -0,0 +1,86 @@
+package jaycell
+
+import (
+	"sort"
+)
+
+const (
+	// worthlessTier puts a job behind all others.
+	worthlessTier = 1000
+	// lateTier is how many priorities a job falls behind when it is late.
+	lateTier = 0.5
+	// lateFactor is how many objectives late a job is still worth something.
+	lateFactor = 3
+)
+
+// guaranteedJobs returns the jobs that a workspace's guaranteed accelerators hold:
+// its unfinished jobs of priority 0, the earliest first.
+func (c *Cell) guaranteedJobs() map[*job]bool {
+	var urgent []*job
+	for _, j := range c.jobs {
+		if !j.state.Ended() && j.spec.Terms.Priority == 0 {
+			urgent = append(urgent, j)
+		}
+	}
+	sort.Slice(urgent, func(a, b int) bool { return earlier(urgent[a], urgent[b]) })
+	need := map[string]int{}
+	held := map[*job]bool{}
+	for _, j := range urgent {
+		w := j.spec.Terms.Workspace
+		if n := need[w] + j.spec.Accelerators(); n <= c.settings.Guaranteed(w) {
+			need[w] = n
+			held[j] = true
+		}
+	}
+	return held
+}
+
+func earlier(a, b *job) bool {
+	if !a.spec.Accepted.Equal(b.spec.Accepted) {
+		return a.spec.Accepted.Before(b.spec.Accepted)
+	}
+	return a.spec.ID < b.spec.ID
+}
+
+func (r *round) isGuaranteed(j *job) bool { return r.guaranteed[j] }
+
+// before orders units: guarantees first, then by tier, then jobs that have begun,
+// since a job counts only when all of it is done, then by acceptance.
+func (r *round) before(a, b *unit) bool {
+	if x, y := r.isGuaranteed(a.job), r.isGuaranteed(b.job); x != y {
+		return x
+	}
+	if x, y := r.cell.tier(a), r.cell.tier(b); x != y {
+		return x < y
+	}
+	if x, y := a.job.begun, b.job.begun; x != y {
+		return x
+	}
+	if a.job != b.job {
+		return earlier(a.job, b.job)
+	}
+	return a.key() < b.key()
+}
+
+// tier returns how urgent a unit is, the least first: its priority, more when it
+// is late, and last when it is too late to count. When more comes than can be
+// served, what can still be on time goes before what cannot; otherwise a queue
+// makes all of a burst late.
+func (c *Cell) tier(u *unit) float64 {
+	t := float64(u.job.spec.Terms.Priority)
+	switch {
+	case c.worthless(u.job):
+		return t + worthlessTier
+	case c.slack(u) < 0:
+		return t + lateTier
+	}
+	return t
+}
+
+// worthless reports whether a job's completion comes too late to count.
+func (c *Cell) worthless(j *job) bool {
+	if j.spec.Times > 0 {
+		return false
+	}
+	return c.wall.Sub(j.spec.Accepted) > lateFactor*c.objective(j)
+}
--- a/internal/process/jayhub/lead.go
+++ b/internal/process/jayhub/lead.go
@@ -107,6 +107,7 @@
 	l.resigned = true
 }
 
+// run reads what earlier terms have left, then decides until the term ends.
 func (l *lead) run() {
 	ctx, cancel := context.WithCancel(l.hub.ctx)
 	defer cancel()
@@ -209,6 +210,7 @@
 	}
 }
 
+// at sets the cell's time; the mutex is held.
 func (l *lead) at() { l.cell.At(jayclock.Elapsed(), time.Now()) }
 
 // step decides and starts to store what was decided.
@@ -388,6 +390,7 @@
 	return r
 }
 
+// submit takes a job over.
 func (l *lead) submit(j *jaytask.Job) {
 	l.mutex.Lock()
 	l.at()
@@ -399,6 +402,7 @@
 	poke(l.kick)
 }
 
+// cancel stops a job.
 func (l *lead) cancel(id string) {
 	l.mutex.Lock()
 	l.at()
@@ -407,13 +411,14 @@
 	poke(l.kick)
 }
 
-// accepted and canceled pass news of the jobs' table to the lead.
+// accepted passes a new job of the table to the lead.
 func (h *Hub) accepted(j *jaytask.Job) {
 	if l := h.leading(); l != nil {
 		l.submit(j)
 	}
 }
 
+// canceled passes a new cancellation of the table to the lead.
 func (h *Hub) canceled(id string) {
 	if l := h.leading(); l != nil {
 		l.cancel(id)
--- a/internal/process/jaykeep/keeper.go
+++ b/internal/process/jaykeep/keeper.go
@@ -211,7 +211,7 @@
 		if !ok {
 			wait = retryPause
 		}
-		if !rest(ctx, wait) {
+		if !jayclock.Sleep(ctx, wait) {
 			return
 		}
 	}
@@ -229,20 +229,6 @@
 	}
 }
 
-func rest(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
-
 // poll asks the runner what runs and extends its lease.
 func (k *Keeper) poll(ctx context.Context, wait time.Duration) bool {
 	k.mutex.Lock()
--- a/internal/process/jaykeep/orders.go
+++ b/internal/process/jaykeep/orders.go
@@ -97,7 +97,7 @@
 			return
 		}
 		if !leased {
-			rest(ctx, retryPause)
+			jayclock.Sleep(ctx, retryPause)
 			continue
 		}
 		err := k.tryStart(ctx, s)
@@ -132,7 +132,7 @@
 			k.mutex.Unlock()
 			k.Logger.Warn().Str("event", "start").Str("task", o.Task).Int("run", o.Run).Err(err).Msg("start was not answered; asking again")
 		}
-		rest(ctx, retryPause)
+		jayclock.Sleep(ctx, retryPause)
 	}
 }
 
@@ -162,7 +162,7 @@
 func (k *Keeper) confirm(ctx context.Context, o *order) {
 	after := jayclock.Elapsed()
 	signal(k.urgent)
-	for rest(ctx, retryPause) {
+	for jayclock.Sleep(ctx, retryPause) {
 		k.mutex.Lock()
 		listed := k.listedAt > after
 		if listed && k.finish(o) {
@@ -195,7 +195,7 @@
 			return
 		}
 		k.Logger.Warn().Str("event", "stop").Str("task", o.Task).Int("run", o.Run).Err(err).Msg("stop was not taken; asking again")
-		rest(ctx, retryPause)
+		jayclock.Sleep(ctx, retryPause)
 	}
 }
 
@@ -203,7 +203,7 @@
 // shows the run.
 func (k *Keeper) awaitEnd(ctx context.Context, o *order, after time.Duration) {
 	signal(k.urgent)
-	for rest(ctx, retryPause) {
+	for jayclock.Sleep(ctx, retryPause) {
 		k.mutex.Lock()
 		gone := k.listedAt > after && !k.runs(o.Task, o.Run)
 		if gone && k.finish(o) {
--- a/internal/process/jaystore/hedge.go
+++ b/internal/process/jaystore/hedge.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/sourcegraph/conc"
+
+	"github.com/jaystile/jaystile/internal/process/jayclock"
 )
 
 const (
@@ -108,12 +110,5 @@
 func pause(ctx context.Context, tries int) bool {
 	d := min(retryFirst<<min(tries, 6), retryMost)
 	d = d/2 + time.Duration(rand.Int64N(int64(d/2)+1))
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
+	return jayclock.Sleep(ctx, d)
 }
--- a/internal/process/jaystore/tail.go
+++ b/internal/process/jaystore/tail.go
@@ -60,7 +60,7 @@
 		}
 		tries = 0
 		if n > 0 && t.Pause > 0 {
-			sleep(ctx, t.Pause)
+			jayclock.Sleep(ctx, t.Pause)
 		}
 	}
 }
@@ -189,12 +189,3 @@
 	}
 	return all, nil
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
