Match a route in as many look-ups as prefixes have lengths

Cause: a path was looked up once a byte, each time hashed: a path of 30 kB cost half a gigabyte of hashing. Change: prefixes are looked up by their lengths, the longest first; a field that nothing read is gone.

--- a/internal/process/jayhub/hub.go
+++ b/internal/process/jayhub/hub.go
@@ -99,7 +99,6 @@
 	sides       map[string]*jaylink.Link
 	draining    bool
 	termChanged notice
-	storeSeen   time.Duration
 }
 
 // New returns an entry that takes links on the listener.
@@ -109,7 +108,7 @@
 
 // Prepare connects the parts; it is called once, after the fields are set.
 func (h *Hub) Prepare() {
-	h.path = &jaystore.Path{Direct: h.direct, Relay: h.relay, HasPeer: h.hasPeer, Turned: func(through bool, cause string) {
+	h.path = &jaystore.Path{Direct: h.Direct, Relay: h.relay, HasPeer: h.hasPeer, Turned: func(through bool, cause string) {
 		h.Logger.Warn().Str("event", "dependency").Str("dependency", "store").Bool("through_peer", through).Str("cause", cause).Msg("way to the store changed")
 	}}
 	h.client = h.MakeClient(h.path.Do)
@@ -171,17 +170,7 @@
 	}
 }
 
-// direct sends a request to the store and notes when it answered.
-func (h *Hub) direct(ctx context.Context, x jaystore.Exchange) (jaystore.Reply, error) {
-	r, err := h.Direct(ctx, x)
-	if err == nil {
-		h.mutex.Lock()
-		h.storeSeen = jayclock.Elapsed()
-		h.mutex.Unlock()
-	}
-	return r, err
-}
-
+// tailFailed returns a function that logs the failures of a topic's reads.
 func (h *Hub) tailFailed(topic string) func(error) {
 	var last time.Duration
 	return func(err error) {
--- a/internal/process/jayhub/links.go
+++ b/internal/process/jayhub/links.go
@@ -237,7 +237,7 @@
 	x := jaystore.Exchange{Method: m.Method, Target: m.Target, Body: m.Body, Wait: time.Duration(m.WaitMillis) * time.Millisecond}
 	ctx, cancel := context.WithTimeout(h.ctx, x.Wait+relayTimeout)
 	defer cancel()
-	r, err := h.direct(ctx, x)
+	r, err := h.Direct(ctx, x)
 	if m.Hops < relayHops && (err != nil || r.Status == statusUnavailable || r.Status == statusBusy) {
 		if other, otherErr := h.relayThrough(ctx, x, m.Hops+1, l); otherErr == nil {
 			r, err = other, nil
--- a/internal/version/jayroutes/config.go
+++ b/internal/version/jayroutes/config.go
@@ -4,6 +4,7 @@
 
 import (
 	"crypto/sha256"
+	"slices"
 	"strings"
 	"time"
 )
@@ -45,10 +46,28 @@
 	IdleTimeout   time.Duration
 }
 
+// hostRoutes are the routes of one host. A path is looked up once for each length
+// that a prefix has, so that neither many routes nor a long path cost more.
+type hostRoutes struct {
+	byPrefix map[string]Route
+	// lengths are the lengths of the prefixes, the longest first.
+	lengths []int
+}
+
+func (h *hostRoutes) measure() {
+	for p := range h.byPrefix {
+		if !slices.Contains(h.lengths, len(p)) {
+			h.lengths = append(h.lengths, len(p))
+		}
+	}
+	slices.Sort(h.lengths)
+	slices.Reverse(h.lengths)
+}
+
 // Config is one version.
 type Config struct {
 	version    uint64
-	hosts      map[string]map[string]Route
+	hosts      map[string]*hostRoutes
 	services   map[string]Service
 	workspaces map[string]Workspace
 	keys       map[[sha256.Size]byte]string
@@ -57,12 +76,15 @@
 
 // NewConfig indexes one version.
 func NewConfig(version uint64, routes []Route, services []Service, workspaces []Workspace, limits Limits) *Config {
-	c := &Config{version: version, hosts: map[string]map[string]Route{}, services: map[string]Service{}, workspaces: map[string]Workspace{}, keys: map[[sha256.Size]byte]string{}, limits: limits}
+	c := &Config{version: version, hosts: map[string]*hostRoutes{}, services: map[string]Service{}, workspaces: map[string]Workspace{}, keys: map[[sha256.Size]byte]string{}, limits: limits}
 	for _, r := range routes {
 		if c.hosts[r.Host] == nil {
-			c.hosts[r.Host] = map[string]Route{}
+			c.hosts[r.Host] = &hostRoutes{byPrefix: map[string]Route{}}
 		}
-		c.hosts[r.Host][r.Prefix] = r
+		c.hosts[r.Host].byPrefix[r.Prefix] = r
+	}
+	for _, h := range c.hosts {
+		h.measure()
 	}
 	for _, s := range services {
 		c.services[s.Name] = s
@@ -84,17 +106,19 @@
 
 // Match returns the route with the longest prefix of the path.
 func (c *Config) Match(host, path string) (Route, bool) {
-	prefixes := c.hosts[host]
-	if prefixes == nil {
+	h := c.hosts[host]
+	if h == nil {
 		return Route{}, false
 	}
-	for end := len(path); end > 0; end-- {
-		if r, ok := prefixes[path[:end]]; ok {
+	for _, n := range h.lengths {
+		if n > len(path) {
+			continue
+		}
+		if r, ok := h.byPrefix[path[:n]]; ok {
 			return r, true
 		}
 	}
-	r, ok := prefixes[""]
-	return r, ok
+	return Route{}, false
 }
 
 // Workspace returns the workspace that holds the key. Keys are looked up by
