Survive a way of ending that this version does not know

Cause: a report with an unknown number of a way of ending made the holder panic when it logged the end (the new test panicked before the change). Change: such an end counts as one without success and is logged as unknown.

--- a/internal/process/jaycell/cell_test.go
+++ b/internal/process/jaycell/cell_test.go
@@ -281,3 +281,16 @@
 		})
 	}
 }
+
+// A report of another version may name a way of ending that this one does not know.
+func TestUnknownWayOfEndingIsNoSuccess(t *testing.T) {
+	b := newBench(t, nil)
+	b.hear("n1", "r1", nil)
+	b.submit("a", 1, "w", step(1, 1))
+	assert.Equal(t, len(starts(b.pass(0))), 1)
+	b.now += time.Second
+	b.cell.At(b.now, b.wall)
+	b.hear("n1", "r1", func(p *Report) { p.Finished = []End{{Number: 1, Task: "a.0.0.0", Run: 1, How: How(200)}} })
+	assert.Equal(t, len(starts(b.pass(0))), 1)
+	assert.Equal(t, How(200).String(), "unknown")
+}
--- a/internal/process/jaycell/runner.go
+++ b/internal/process/jaycell/runner.go
@@ -53,7 +53,12 @@
 var howNames = [...]string{HowDone: "done", HowFailed: "failed", HowStopped: "stopped", HowLapsed: "lapsed", HowBroken: "broken", HowAlone: "alone", HowLost: "lost", HowRefused: "refused", HowUnknown: "unknown"}
 
 // String returns the name of the way.
-func (h How) String() string { return howNames[h] }
+func (h How) String() string {
+	if int(h) >= len(howNames) || howNames[h] == "" {
+		return howNames[HowUnknown]
+	}
+	return howNames[h]
+}
 
 // End is an end that a runner lists until it is acknowledged.
 type End struct {
