--- a/internal/process/jaycell/cell.go
+++ b/internal/process/jaycell/cell.go
@@ -119,7 +119,6 @@
 	starts     []*hold
 	orders     []Order
 	orderNow   []Order
-	places     bool
 }
 
 // New returns an empty cell of one term.
@@ -178,8 +177,7 @@
 	if c.jobs[spec.ID] != nil {
 		return
 	}
-	c.jobs[spec.ID] = newJob(spec, c.now)
-	c.places = true
+	c.jobs[spec.ID] = newJob(spec)
 }
 
 // Begun notes, when a term begins, that a job has started under an earlier one.
@@ -213,7 +211,7 @@
 	if u == nil {
 		return &jaytask.RecordError{What: "unit " + name, Cause: &jaytask.InvalidError{Field: "key", Cause: "no such task"}}
 	}
-	u.run, u.failedRuns, u.saved, u.placedAt = record.Run, record.Failed, record.Saved, c.now
+	u.run, u.failedRuns, u.saved = record.Run, record.Failed, record.Saved
 	switch phase(record.Phase) {
 	case phaseDone:
 		c.finish(u)
@@ -276,7 +274,6 @@
 			c.stop(u, "job "+s.String())
 		}
 	}
-	c.places = true
 }
 
 // stop orders the end of a unit's current run.
@@ -315,7 +312,6 @@
 	j.undone[u.occurrence][u.step]--
 	j.left--
 	c.dirtyUnits[u] = true
-	c.places = true
 	if j.left == 0 {
 		c.endJob(j, jaytask.Completed)
 	}
@@ -325,7 +321,6 @@
 func (c *Cell) resolve(h *hold, how How, saved string) {
 	u := h.unit
 	h.runner.drop(h)
-	c.places = true
 	for i, l := range u.live {
 		if l == h {
 			u.live = append(u.live[:i], u.live[i+1:]...)
--- a/internal/process/jaycell/invariant_test.go
+++ b/internal/process/jaycell/invariant_test.go
@@ -30,7 +30,7 @@
 			settings.Broken = func(what string, _ Decision) { got = what }
 			cell := New(settings, time.Hour, time.UnixMilli(1))
 			gang := jaytask.Step{Count: 2, Gang: true, After: []int{0}, Room: jaytask.Room{Accelerators: 4}}
-			j := newJob(&jaytask.Job{ID: "a", Steps: []jaytask.Step{step(1, 1), gang}, Terms: jaytask.Terms{Attempts: 2}}, 0)
+			j := newJob(&jaytask.Job{ID: "a", Steps: []jaytask.Step{step(1, 1), gang}, Terms: jaytask.Terms{Attempts: 2}})
 			j.undone[0][0] = 0
 			u := j.unitOf(0, 1, 0)
 			n := &Runner{id: "r", holds: map[string]*hold{}, info: RunnerInfo{Capacity: jaytask.Room{Accelerators: 8}}}
--- a/internal/process/jaycell/place.go
+++ b/internal/process/jaycell/place.go
@@ -50,7 +50,6 @@
 func (c *Cell) place() {
 	waiting := c.waiting()
 	if len(waiting) == 0 {
-		c.places = false
 		return
 	}
 	r := c.newRound()
@@ -73,7 +72,6 @@
 		}
 		r.try([]*unit{u})
 	}
-	c.places = false
 }
 
 // together reports whether the tasks of a unit's step start all at once or not at
@@ -240,7 +238,7 @@
 	u.claims = nil
 	u.phase, u.stopping = phaseActive, false
 	u.run++
-	u.placedAt, u.reason = c.now, ""
+	u.reason = ""
 	for i, v := range runners {
 		h := &hold{unit: u, run: u.run, index: u.first + i, runner: v.runner, room: u.spec().Charge(), changedAt: c.now}
 		u.live = append(u.live, h)
--- a/internal/process/jaycell/report.go
+++ b/internal/process/jaycell/report.go
@@ -110,9 +110,6 @@
 	if p.Runner.Draining && !r.info.Draining {
 		r.drainEnd = c.now + p.Runner.DrainLeft
 	}
-	if c.now-r.heard > heardWithin {
-		c.places = true
-	}
 	first := !r.known
 	r.known, r.heard, r.info = true, c.now, p.Runner
 	for _, h := range r.holds {
@@ -120,9 +117,6 @@
 	}
 	c.takeEnds(r, p)
 	c.takeRuns(r, p, first)
-	if first {
-		c.places = true
-	}
 	return true
 }
 
@@ -144,7 +138,6 @@
 		h.unit.reason = why
 		c.resolve(h, HowLost, "")
 	}
-	c.places = true
 }
 
 func sortedHolds(r *Runner) []*hold {
--- a/internal/process/jaycell/unit.go
+++ b/internal/process/jaycell/unit.go
@@ -39,8 +39,6 @@
 	failedRuns []int
 	// stopping tells that the current run has been told to stop.
 	stopping bool
-	// placedAt is when the current run was decided.
-	placedAt time.Duration
 	// notBefore delays the next start after a run that could not begin.
 	notBefore time.Duration
 	// avoid names runners on which the unit's runs failed or stalled, and until
@@ -168,15 +166,13 @@
 	opened  [][]bool
 	left    int
 	endedAt time.Duration
-	// noticed is when this cell learnt of the job.
-	noticed time.Duration
 	begun   bool
 	// lateGuarantee tells that a missed guarantee has been reported.
 	lateGuarantee bool
 }
 
-func newJob(spec *jaytask.Job, now time.Duration) *job {
-	j := &job{spec: spec, state: jaytask.Queued, units: map[string]*unit{}, noticed: now}
+func newJob(spec *jaytask.Job) *job {
+	j := &job{spec: spec, state: jaytask.Queued, units: map[string]*unit{}}
 	for k := 0; k < spec.Occurrences(); k++ {
 		undone := make([]int, len(spec.Steps))
 		for i, s := range spec.Steps {
--- a/internal/process/jaykeep/keeper.go
+++ b/internal/process/jaykeep/keeper.go
@@ -41,9 +41,8 @@
 	term uint64
 	stop bool
 	// open tells that a start was sent and not answered.
-	open     bool
-	accepted bool
-	cancel   context.CancelFunc
+	open   bool
+	cancel context.CancelFunc
 }
 
 type result struct {
--- a/internal/process/jaykeep/orders.go
+++ b/internal/process/jaykeep/orders.go
@@ -106,9 +106,6 @@
 		switch {
 		case err == nil:
 			// The listing confirms the run; until then the order stays known.
-			k.mutex.Lock()
-			o.accepted = true
-			k.mutex.Unlock()
 			k.confirm(ctx, o)
 			return
 		case errors.As(err, &replaced):
