--- a/internal/connection/jayhttp/client.go
+++ b/internal/connection/jayhttp/client.go
@@ -1,4 +1,5 @@
-// Package jayhttp sends JSON requests to the platform's services.
+// Package jayhttp sends JSON requests to the platform's services and bounds the
+// time of connections that are served.
 package jayhttp
 
 import (
