--- a/internal/process/jaykeep/calls.go
+++ b/internal/process/jaykeep/calls.go
@@ -100,4 +100,6 @@
 	Sequence uint64
 	Address  string
 	Runner   jaycell.RunnerInfo
+	// Listing is what runs, of a runner that takes its orders with its heartbeats.
+	Listing Listing
 }
--- a/internal/process/jaykeep/keeper.go
+++ b/internal/process/jaykeep/keeper.go
@@ -29,6 +29,8 @@
 	retryPause = 120 * time.Millisecond
 	// currentFor is how long a runner counts as present after its last answer.
 	currentFor = 1200 * time.Millisecond
+	// currentBeats is the same in heartbeats, of a runner that takes no calls.
+	currentBeats = 2
 	// leastLease is what must be left of a lease for a start.
 	leastLease = 500 * time.Millisecond
 	// resultsFor is how long the outcome of an order is repeated in reports.
@@ -41,7 +43,9 @@
 	term uint64
 	stop bool
 	// open tells that a start was sent and not answered.
-	open   bool
+	open bool
+	// given counts the answers to heartbeats that have carried the order.
+	given  int
 	cancel context.CancelFunc
 }
 
@@ -55,8 +59,13 @@
 	Node  string
 	Calls Calls
 	// Lease is how long a run outlives the last grant.
-	Lease  time.Duration
-	Logger zerolog.Logger
+	Lease time.Duration
+	// ByHeartbeat tells that the runner takes no calls: its heartbeats carry its
+	// listing, and their answers its orders.
+	ByHeartbeat bool
+	// HeartbeatEvery is the time between two heartbeats of the runner.
+	HeartbeatEvery time.Duration
+	Logger         zerolog.Logger
 	// Send passes a report to the holder of the term.
 	Send func(r jaycell.Report)
 
@@ -81,6 +90,10 @@
 	listedAt  time.Duration
 	changed   chan struct{}
 	urgent    chan struct{}
+	// past names earlier lives of the runner, told is the fence in the last answer
+	// to a heartbeat of this one.
+	past []string
+	told uint64
 }
 
 // New returns a keeper without a runner.
@@ -101,8 +114,10 @@
 	k.ctx = ctx
 	k.mutex.Unlock()
 	var wg conc.WaitGroup
-	wg.Go(func() { k.watch(ctx) })
-	wg.Go(func() { k.glance(ctx) })
+	if !k.ByHeartbeat {
+		wg.Go(func() { k.watch(ctx) })
+		wg.Go(func() { k.glance(ctx) })
+	}
 	wg.Go(func() { k.report(ctx) })
 	wg.Wait()
 	k.tasks.Wait()
@@ -154,12 +169,7 @@
 	k.mutex.Lock()
 	if k.runner.ID == h.Runner.ID {
 		if h.Sequence > k.sequence {
-			k.sequence = h.Sequence
-			if k.runner.Draining != h.Runner.Draining {
-				k.Logger.Info().Str("event", "runner").Str("runner", h.Runner.ID).Bool("draining", h.Runner.Draining).Dur("drain_left", h.Runner.DrainLeft).Msg("runner changed its state")
-				signal(k.changed)
-			}
-			k.runner = h.Runner
+			k.refresh(h)
 		}
 		k.mutex.Unlock()
 		return
@@ -178,15 +188,34 @@
 	if k.runner.ID == h.Runner.ID {
 		return
 	}
+	k.replace(h)
+	k.take(listing, jayclock.Elapsed(), jayclock.Elapsed(), fence)
+	signal(k.urgent)
+}
+
+// refresh takes a newer report of the same life.
+func (k *Keeper) refresh(h Heartbeat) {
+	k.sequence = h.Sequence
+	if k.runner.Draining != h.Runner.Draining {
+		k.Logger.Info().Str("event", "runner").Str("runner", h.Runner.ID).Bool("draining", h.Runner.Draining).Dur("drain_left", h.Runner.DrainLeft).Msg("runner changed its state")
+		signal(k.changed)
+	}
+	k.runner = h.Runner
+}
+
+// replace begins with another life of the runner.
+func (k *Keeper) replace(h Heartbeat) {
 	k.Logger.Info().Str("event", "runner").Str("runner", h.Runner.ID).Str("was", k.runner.ID).Msg("runner began a new life")
 	for task, o := range k.orders {
 		o.cancel()
 		delete(k.orders, task)
 	}
-	k.runner, k.sequence, k.left, k.acked, k.results, k.clockSet, k.fenced = h.Runner, h.Sequence, false, 0, nil, false, 0
-	k.take(listing, jayclock.Elapsed(), jayclock.Elapsed(), fence)
+	if k.runner.ID != "" {
+		k.past = append(k.past[max(0, len(k.past)-pastLives+1):], k.runner.ID)
+	}
+	k.runner, k.sequence, k.left, k.acked, k.results, k.clockSet, k.fenced, k.told = h.Runner, h.Sequence, false, 0, nil, false, 0, 0
+	k.listing = Listing{}
 	signal(k.changed)
-	signal(k.urgent)
 }
 
 // Leave notes that a runner has said that it is gone.
@@ -321,7 +350,7 @@
 	now := jayclock.Elapsed()
 	r := jaycell.Report{
 		Node: k.Node, Sequence: int64(now), Term: min(k.fenced, k.term), Runner: k.runner, Left: k.left,
-		Current: !k.left && k.lastHeard > 0 && now-k.lastHeard < currentFor,
+		Current: !k.left && k.lastHeard > 0 && now-k.lastHeard < max(currentFor, k.HeartbeatEvery*currentBeats),
 		Running: append([]jaycell.Run(nil), k.listing.Running...), Finished: append([]jaycell.End(nil), k.listing.Finished...),
 	}
 	if k.fenced < k.term {
--- a/internal/process/jaykeep/orders.go
+++ b/internal/process/jaykeep/orders.go
@@ -58,6 +58,9 @@
 	ctx, cancel := context.WithCancel(k.ctx)
 	n := &order{Order: o, term: k.term, stop: stop, cancel: cancel}
 	k.orders[o.Task] = n
+	if k.ByHeartbeat {
+		return
+	}
 	k.tasks.Go(func() {
 		defer cancel()
 		if stop {
--- a/internal/version/jaysettings/cell.go
+++ b/internal/version/jaysettings/cell.go
@@ -1,7 +1,9 @@
 package jaysettings
 
 import (
+	"slices"
 	"strconv"
+	"strings"
 	"time"
 )
 
@@ -26,6 +28,10 @@
 	Seeds     string
 	Store     string
 	Runner    string
+	// Orders is how the runner takes its orders: OrdersByCall or
+	// OrdersByHeartbeat.
+	Orders    string
+	Heartbeat time.Duration
 	HoldMost  time.Duration
 	Stop      time.Duration
 	Gang      time.Duration
@@ -34,8 +40,15 @@
 	Grace     time.Duration
 }
 
+// The ways in which a runner takes its orders.
+const (
+	OrdersByCall      = "call"
+	OrdersByHeartbeat = "heartbeat"
+)
+
 func defaultCell() Cell {
 	return Cell{
+		Orders: OrdersByCall, Heartbeat: 1500 * time.Millisecond,
 		HoldMost: 10 * time.Second, Stop: 900 * time.Millisecond, Gang: 3 * time.Second, Reclaim: 3400 * time.Millisecond,
 		Retention: 120 * time.Second, Grace: 6 * time.Second,
 	}
@@ -71,6 +84,8 @@
 		address("listen", "control", "address for the runner's own reports", "127.0.0.1:8526", true, &c.Control),
 		address("listen", "link", "address whose port entries take links on", "127.0.0.1:7000", true, &c.Link),
 		address("runner", "address", "address of the runner beside this process", "127.0.0.1:8529", true, &c.Runner),
+		choice("runner", "orders", "how the runner takes its orders; empty is by call", OrdersByCall, &c.Orders, OrdersByCall, OrdersByHeartbeat),
+		amount("runner", "heartbeat_ms", "time between two heartbeats of the runner, in milliseconds", time.Millisecond, &c.Heartbeat),
 		text("runner", "service", "service that the runner belongs to", "ordrevagt", true, &c.Service),
 	)
 }
@@ -96,6 +111,17 @@
 	return min(most, c.HoldMost*9/10)
 }
 
+// choice is one of some words. An empty value keeps the default.
+func choice(section, key, doc, example string, target *string, words ...string) field {
+	return field{section: section, key: key, doc: doc, allowed: strings.Join(words, " or ") + ", or empty", example: example, set: func(s string) bool {
+		if s == "" {
+			return true
+		}
+		*target = s
+		return slices.Contains(words, s)
+	}}
+}
+
 // amount is a time given as a number of units, which may have a fraction. An
 // empty value keeps the default: not every deployment has every bound.
 func amount(section, key, doc string, unit time.Duration, target *time.Duration) field {
