Keep lasting tasks, ask for advice, pace what fills beside tasks that serve

Cause: three kinds of steps that deployments may have were accepted and not served: lasting tasks fell behind all other work once their objective had passed, their runners were put on probation for ends that are theirs by nature, and a guarantee could stop more of a step than may be away; routes that need tickets had all their starts refused; nothing slowed what fills beside a task over its target. Change: daemon.go (tasks away at once, one after the other from a draining runner), advice.go (asked once a step and runner, the most urgent first, renewed only for a start), pace.go (down at once, up in steps, ceilings learnt by image pair, repeated). The sides pass tickets and paces on; the entry asks the advice service one question at a time with a pause and jitter after a refusal.

--- a/cmd/jaystile/cellentry.go
+++ b/cmd/jaystile/cellentry.go
@@ -65,6 +65,9 @@
 	h.Topics = jayhub.Topics{Operator: jayadapter.TopicOperator, Cell: jayadapter.TopicCell, Jobs: jayadapter.TopicJobs, Runs: jayadapter.TopicRuns, ConfigKey: jayadapter.ConfigKey}
 	h.Logger = logger
 	h.Direct, h.MakeClient, h.DecodeConfig = jayadapter.Direct(s.Store), jayadapter.Store, jayadapter.DecodeConfig
+	if s.Advice != "" {
+		h.Advise = jayadapter.Advice(s.Advice)
+	}
 	h.Prepare()
 	logger.Info().Str("event", "start").Str("callers", s.Callers).Str("store", s.Store).Dur("lease", s.Lease()).Msg("entry starts")
 	return serveEntry(s, h, listeners[1:], logger, c.Settings)
--- a/internal/connection/jayframe/cell.go
+++ b/internal/connection/jayframe/cell.go
@@ -74,7 +74,10 @@
 	Run    int
 	Spec   string
 	Saved  string
+	Ticket string
 	Number uint64
+	// Percent is the share of its speed at which a run may work.
+	Percent int
 }
 
 // CellOrders are orders of a term.
--- a/internal/process/jaycell/cell.go
+++ b/internal/process/jaycell/cell.go
@@ -40,6 +40,8 @@
 	Gang time.Duration
 	// Guaranteed returns a workspace's guaranteed accelerators.
 	Guaranteed func(workspace string) int
+	// Advice tells whether the starts of a route need tickets; nil is never.
+	Advice func(route string) (Advice, bool)
 	// Explain is called with each decision that touches a job.
 	Explain func(Decision)
 	// Broken is called with each invariant that does not hold; the cell goes on
@@ -73,6 +75,7 @@
 	OrderStart OrderKind = iota + 1
 	OrderStop
 	OrderAcknowledge
+	OrderPace
 )
 
 // Order is one order to a side.
@@ -84,8 +87,12 @@
 	Run    int
 	Spec   string
 	Saved  string
+	// Ticket allows a start where the route needs one.
+	Ticket string
 	// Number is the highest end to forget.
 	Number uint64
+	// Percent is the share of its speed at which a run may work.
+	Percent int
 }
 
 // Batch is what must be stored, in the order of its fields, and what may be
@@ -112,18 +119,21 @@
 	runners  map[string]*Runner
 
 	learned    map[string]*learned
+	ceilings   map[imagePair]int
 	demand     demand
 	dirtyUnits map[*unit]bool
 	dropped    []string
 	jobRecords []Record
 	starts     []*hold
-	orders     []Order
-	orderNow   []Order
+	// questions wait to be asked, the most urgent first.
+	questions []Question
+	orders    []Order
+	orderNow  []Order
 }
 
 // New returns an empty cell of one term.
 func New(s Settings, now time.Duration, wall time.Time) *Cell {
-	return &Cell{settings: s, now: now, wall: wall, jobs: map[string]*job{}, runners: map[string]*Runner{}, learned: map[string]*learned{}, dirtyUnits: map[*unit]bool{}}
+	return &Cell{settings: s, now: now, wall: wall, jobs: map[string]*job{}, runners: map[string]*Runner{}, learned: map[string]*learned{}, ceilings: map[imagePair]int{}, dirtyUnits: map[*unit]bool{}}
 }
 
 // At sets the time of the calls that follow: the machine's elapsed time, and
@@ -236,7 +246,7 @@
 		r = &Runner{id: m.Runner, node: m.Node, holds: map[string]*hold{}, leaseEnd: c.leaseEnd()}
 		c.runners[m.Runner] = r
 	}
-	h := &hold{unit: u, run: u.run, index: m.Index, runner: r, room: u.spec().Charge(), committed: true, changedAt: c.now}
+	h := &hold{unit: u, run: u.run, index: m.Index, runner: r, room: u.spec().Charge(), committed: true, changedAt: c.now, share: 100}
 	u.live = append(u.live, h)
 	r.add(h)
 }
@@ -341,8 +351,8 @@
 	switch how {
 	case HowDone:
 		h.runner.succeeded()
-		c.learn(h)
 		if !u.spec().Daemon {
+			c.learn(h)
 			c.finish(u)
 			return
 		}
@@ -350,7 +360,9 @@
 		if !u.spec().Daemon {
 			c.countFailure(u, h.run)
 		}
-		c.blame(h)
+		if !u.spec().Daemon || !h.confirmed || c.now-h.confirmedAt < daemonBlame {
+			c.blame(h)
+		}
 	case HowAlone, HowRefused:
 		u.notBefore = c.now + retryDelay
 	}
@@ -424,5 +436,5 @@
 }
 
 func (c *Cell) startOrder(h *hold) Order {
-	return Order{Kind: OrderStart, Node: h.runner.node, Runner: h.runner.id, Task: h.task(), Run: h.run, Spec: h.unit.job.spec.Spec, Saved: h.unit.saved}
+	return Order{Kind: OrderStart, Node: h.runner.node, Runner: h.runner.id, Task: h.task(), Run: h.run, Spec: h.unit.job.spec.Spec, Saved: h.unit.saved, Ticket: c.ticketOf(h)}
 }
--- a/internal/process/jaycell/choose.go
+++ b/internal/process/jaycell/choose.go
@@ -115,9 +115,10 @@
 func (r *round) usable(u *unit, rack string) []*view {
 	var good, avoided []*view
 	room := 0
+	advice := r.cell.advice(u)
 	for _, v := range r.views {
 		n := v.runner
-		if n.info.Service != u.job.spec.Terms.Service || !n.labelled(u.spec().Label) || rack != "" && v.rack != rack {
+		if n.info.Service != u.job.spec.Terms.Service || !n.labelled(u.spec().Label) || rack != "" && v.rack != rack || !advice.allows(n.id) {
 			continue
 		}
 		if r.cell.now < u.avoid[n.id] || r.cell.now < n.avoidTill {
--- a/internal/process/jaycell/invariant.go
+++ b/internal/process/jaycell/invariant.go
@@ -21,6 +21,9 @@
 		!c.holds(!u.job.canceled && !u.job.state.Ended(), "the job is not over", u) {
 		return false
 	}
+	if !c.holds(r.ticketed(u, runners), "tickets hold", u) {
+		return false
+	}
 	free := map[*Runner]bool{}
 	need := map[*Runner]int{}
 	for _, v := range runners {
--- a/internal/process/jaycell/order.go
+++ b/internal/process/jaycell/order.go
@@ -69,6 +69,8 @@
 func (c *Cell) tier(u *unit) float64 {
 	t := float64(u.job.spec.Terms.Priority)
 	switch {
+	case u.spec().Daemon:
+		return t
 	case c.worthless(u.job):
 		return t + worthlessTier
 	case c.slack(u) < 0:
@@ -79,7 +81,7 @@
 
 // worthless reports whether a job's completion comes too late to count.
 func (c *Cell) worthless(j *job) bool {
-	if j.spec.Times > 0 {
+	if j.spec.Times > 0 || j.spec.Lasts() {
 		return false
 	}
 	return c.wall.Sub(j.spec.Accepted) > lateFactor*c.objective(j)
--- a/internal/process/jaycell/place.go
+++ b/internal/process/jaycell/place.go
@@ -48,6 +48,7 @@
 
 // place starts what fits, the most urgent first.
 func (c *Cell) place() {
+	c.questions = nil
 	waiting := c.waiting()
 	if len(waiting) == 0 {
 		return
@@ -183,7 +184,7 @@
 	if !r.mayUse(u) {
 		return
 	}
-	plain := u.claims == nil && len(u.avoid) == 0 && u.spec().MaxPerRunner == 0 && u.spec().DataRack == ""
+	plain := u.claims == nil && len(u.avoid) == 0 && u.spec().MaxPerRunner == 0 && u.spec().DataRack == "" && r.cell.advice(u) == nil
 	if plain && r.blocked[k] {
 		return
 	}
@@ -197,10 +198,13 @@
 	}
 	switch {
 	case !ok:
+		r.inquire(u)
 		r.reclaim(u)
 		if plain {
 			r.blocked[k] = true
 		}
+	case len(ch.victims) == 0 && !r.ticketed(u, ch.runners):
+		r.reclaim(u)
 	case len(ch.victims) == 0:
 		u.claims = nil
 		for i, t := range units {
@@ -240,7 +244,7 @@
 	u.run++
 	u.reason = ""
 	for i, v := range runners {
-		h := &hold{unit: u, run: u.run, index: u.first + i, runner: v.runner, room: u.spec().Charge(), changedAt: c.now}
+		h := &hold{unit: u, run: u.run, index: u.first + i, runner: v.runner, room: u.spec().Charge(), changedAt: c.now, share: 100}
 		u.live = append(u.live, h)
 		v.runner.add(h)
 		v.free = v.free.Minus(h.room)
--- a/internal/process/jaycell/preempt.go
+++ b/internal/process/jaycell/preempt.go
@@ -31,6 +31,7 @@
 func (r *round) preemptible(u *unit) map[*unit]float64 {
 	costs := map[*unit]float64{}
 	guaranteed := r.isGuaranteed(u.job)
+	spared := map[*unit]int{}
 	for _, v := range r.views {
 		for _, h := range v.runner.holds {
 			w := h.unit
@@ -40,9 +41,10 @@
 			if r.isGuaranteed(w.job) || !guaranteed && w.job.spec.Terms.Priority <= u.job.spec.Terms.Priority {
 				continue
 			}
-			if _, known := costs[w]; !known {
-				costs[w] = r.cell.stopCost(w)
+			if _, known := costs[w]; known || !r.cell.maySpare(w, spared) {
+				continue
 			}
+			costs[w] = r.cell.stopCost(w)
 		}
 	}
 	return costs
@@ -52,6 +54,10 @@
 // as much again as the unit's own work when it would no longer be on time.
 func (c *Cell) stopCost(u *unit) float64 {
 	lost := stopBase
+	if u.spec().Daemon {
+		lost += daemonBreak
+		return cores(u.spec().Room) * float64(u.count) * lost.Seconds()
+	}
 	onTime := true
 	since := c.wall.Sub(u.job.spec.Accepted)
 	for _, h := range u.live {
--- a/internal/process/jaycell/report.go
+++ b/internal/process/jaycell/report.go
@@ -117,6 +117,7 @@
 	}
 	c.takeEnds(r, p)
 	c.takeRuns(r, p, first)
+	c.pace(r)
 	return true
 }
 
@@ -260,6 +261,11 @@
 // refused notes a start that the runner would not take.
 func (c *Cell) refused(h *hold, reason string) {
 	h.unit.reason = "start refused: " + reason
+	if a := c.advice(h.unit); a != nil && reason == ReasonTicket {
+		// The runner may run the step; the ticket has ended.
+		a.tickets[h.runner.id] = ticket{}
+		return
+	}
 	h.unit.avoidRunner(h.runner.id, c.now+avoidRefused)
 	if reason == ReasonUnhealthy {
 		h.runner.failures++
@@ -267,6 +273,9 @@
 	}
 }
 
+// ReasonTicket is the reason of a start whose ticket is missing or has ended.
+const ReasonTicket = "ticket"
+
 // ReasonUnhealthy is the reason of a start that a runner turned away because it
 // is not well.
 const ReasonUnhealthy = "unhealthy"
@@ -283,9 +292,11 @@
 	if run.Saved != "" {
 		h.saved = run.Saved
 	}
+	h.load = run.Load
 	u := h.unit
-	// A member of a gang that has done its own work waits for the others.
-	if run.Percent >= 100 || u.spec().Daemon || u.stopping || u.phase != phaseActive || c.now-h.changedAt < stallAfter || c.now-h.confirmedAt < stallAfter+c.settings.Gang {
+	// A member of a gang that has done its own work waits for the others; a lasting
+	// task is at work.
+	if run.Percent >= 100 || u.stopping || u.phase != phaseActive || c.now-h.changedAt < stallAfter || c.now-h.confirmedAt < stallAfter+c.settings.Gang {
 		return
 	}
 	c.stalled(h)
@@ -340,6 +351,10 @@
 		if u.phase != phaseActive || u.stopping {
 			continue
 		}
+		if u.spec().Daemon {
+			c.vacate(h)
+			continue
+		}
 		left := c.remaining(h)
 		if left > r.drainEnd-c.now && (u.spec().Checkpoint || left > r.drainEnd-c.now+drainExtra) {
 			c.stop(u, "runner is draining")
--- a/internal/process/jaycell/unit.go
+++ b/internal/process/jaycell/unit.go
@@ -148,6 +148,14 @@
 	basis     int
 	changedAt time.Duration
 	saved     string
+	// load is what the runner reports: the tail latency of a task that serves, in
+	// milliseconds.
+	load int
+	// share is the pace that was ordered last, in percent, pacedAt when it changed
+	// and paceAt when it was last sent, zero before the first.
+	share   int
+	pacedAt time.Duration
+	paceAt  time.Duration
 }
 
 func (h *hold) task() string {
@@ -167,6 +175,8 @@
 	left    int
 	endedAt time.Duration
 	begun   bool
+	// advised is what is known of the runners of steps that need tickets.
+	advised map[string]*advised
 	// lateGuarantee tells that a missed guarantee has been reported.
 	lateGuarantee bool
 }
--- a/internal/process/jayhub/hub.go
+++ b/internal/process/jayhub/hub.go
@@ -69,6 +69,9 @@
 	// a way to send requests.
 	Direct     func(ctx context.Context, x jaystore.Exchange) (jaystore.Reply, error)
 	MakeClient func(do func(ctx context.Context, x jaystore.Exchange) (jaystore.Reply, error)) *jaystore.Client
+	// Advise asks which of some runners may run a step: it returns their tickets and
+	// how long these hold. It is nil where there is no advice service.
+	Advise func(ctx context.Context, step string, runners []string) (tickets map[string]string, valid time.Duration, err error)
 	// DecodeConfig reads a configuration; entries that cannot be read come back as
 	// errors.
 	DecodeConfig func(b []byte) (*jayroutes.Config, []error)
@@ -108,6 +111,9 @@
 
 // Prepare connects the parts; it is called once, after the fields are set.
 func (h *Hub) Prepare() {
+	if h.Advise == nil {
+		h.Advise = noAdvice
+	}
 	h.path = &jaystore.Path{Direct: h.Direct, Relay: h.relay, HasPeer: h.hasPeer, Turned: func(through bool, cause string) {
 		h.Logger.Warn().Str("event", "dependency").Str("dependency", "store").Bool("through_peer", through).Str("cause", cause).Msg("way to the store changed")
 	}}
--- a/internal/process/jayhub/lead.go
+++ b/internal/process/jayhub/lead.go
@@ -34,7 +34,9 @@
 	term uint64
 	kick chan struct{}
 	done chan struct{}
-	once sync.Once
+	// asking is poked when there may be a question for the advice service.
+	asking chan struct{}
+	once   sync.Once
 
 	mutex sync.Mutex
 	cell  *jaycell.Cell
@@ -49,7 +51,7 @@
 }
 
 func newLead(h *Hub, term uint64) *lead {
-	l := &lead{hub: h, term: term, kick: make(chan struct{}, 1), done: make(chan struct{}), lastTick: jayclock.Elapsed()}
+	l := &lead{hub: h, term: term, kick: make(chan struct{}, 1), asking: make(chan struct{}, 1), done: make(chan struct{}), lastTick: jayclock.Elapsed()}
 	l.cell = jaycell.New(jaycell.Settings{
 		Term: term, Lease: h.Timing.Lease, Retention: h.Timing.Retention, Stop: h.Timing.Stop, Gang: h.Timing.Gang,
 		Guaranteed: func(workspace string) int {
@@ -58,6 +60,13 @@
 			}
 			return 0
 		},
+		Advice: func(route string) (jaycell.Advice, bool) {
+			if c := h.config.Load(); c != nil {
+				a, ok := c.Advice(route)
+				return jaycell.Advice{Decide: a.Decide, Each: a.Each, Valid: a.Valid}, ok
+			}
+			return jaycell.Advice{}, false
+		},
 		Reclaim: h.Timing.Reclaim,
 		Explain: l.explain,
 		Broken:  l.broken,
@@ -127,6 +136,7 @@
 		l.hub.Logger.Warn().Str("event", "term").Uint64("term", l.term).Err(err).Msg("cannot begin the term")
 		return
 	}
+	l.hub.tasks.Go(func() { l.advise(ctx) })
 	ticker := time.NewTicker(tickEvery)
 	defer ticker.Stop()
 	for {
@@ -239,6 +249,7 @@
 	}
 	l.mutex.Unlock()
 	l.send(stops)
+	poke(l.asking)
 	if batch != nil {
 		l.hub.tasks.Go(func() { l.store(ctx, runs, jobs, batch) })
 	}
@@ -342,7 +353,7 @@
 }
 
 func toFrame(o jaycell.Order) jayframe.CellOrder {
-	return jayframe.CellOrder{What: uint8(o.Kind), Runner: o.Runner, Task: o.Task, Run: o.Run, Spec: o.Spec, Saved: o.Saved, Number: o.Number}
+	return jayframe.CellOrder{What: uint8(o.Kind), Runner: o.Runner, Task: o.Task, Run: o.Run, Spec: o.Spec, Saved: o.Saved, Ticket: o.Ticket, Number: o.Number, Percent: o.Percent}
 }
 
 // hear takes a side's report.
--- a/internal/process/jaykeep/beats.go
+++ b/internal/process/jaykeep/beats.go
@@ -93,7 +93,7 @@
 		if o.stop {
 			a.Stops = append(a.Stops, Stop{Task: task, Run: o.Run})
 		} else {
-			a.Starts = append(a.Starts, Start{Task: task, Run: o.Run, Spec: o.Spec, Saved: o.Saved})
+			a.Starts = append(a.Starts, Start{Task: task, Run: o.Run, Spec: o.Spec, Saved: o.Saved, Ticket: o.Ticket})
 		}
 	}
 }
--- a/internal/process/jaykeep/calls.go
+++ b/internal/process/jaykeep/calls.go
@@ -17,6 +17,8 @@
 	Run         int
 	Spec        string
 	Saved       string
+	// Ticket allows the start where its route needs one.
+	Ticket string
 	// Deadline is on the runner's clock.
 	Deadline time.Duration
 	Fence    uint64
@@ -30,6 +32,15 @@
 	Fence       uint64
 }
 
+// Pace lets a run work at a share of its speed.
+type Pace struct {
+	Incarnation string
+	Task        string
+	Run         int
+	Percent     int
+	Fence       uint64
+}
+
 // Hold extends a runner's lease and asks what runs.
 type Hold struct {
 	Incarnation string
@@ -56,6 +67,7 @@
 	Start func(ctx context.Context, s Start) error
 	Stop  func(ctx context.Context, s Stop) error
 	Hold  func(ctx context.Context, h Hold) (Listing, error)
+	Pace  func(ctx context.Context, p Pace) error
 }
 
 // Reasons of a runner's refusal that the keeper acts on.
--- a/internal/process/jaykeep/orders.go
+++ b/internal/process/jaykeep/orders.go
@@ -42,6 +42,8 @@
 			k.begin(o, false)
 		case jaycell.OrderStop:
 			k.begin(o, true)
+		case jaycell.OrderPace:
+			k.pace(o, term)
 		}
 	}
 }
@@ -71,6 +73,22 @@
 	})
 }
 
+// pace passes a new share on, once: the holder of the term repeats it. A runner
+// that takes no calls has no pace.
+func (k *Keeper) pace(o jaycell.Order, term uint64) {
+	if k.ByHeartbeat {
+		return
+	}
+	p := Pace{Incarnation: o.Runner, Task: o.Task, Run: o.Run, Percent: o.Percent, Fence: term}
+	k.tasks.Go(func() {
+		ctx, cancel := context.WithTimeout(k.ctx, callTimeout)
+		defer cancel()
+		if err := k.Calls.Pace(ctx, p); err != nil {
+			k.Logger.Warn().Str("event", "pace").Str("task", o.Task).Int("run", o.Run).Int("percent", o.Percent).Err(err).Msg("pace was not taken")
+		}
+	})
+}
+
 // settled notes an order that left no run behind.
 func (k *Keeper) settled(o jaycell.Order, refused bool, reason string) {
 	k.results = append(k.results, result{Result: jaycell.Result{Task: o.Task, Run: o.Run, Refused: refused, Reason: reason}, at: jayclock.Elapsed()})
@@ -91,7 +109,7 @@
 func (k *Keeper) start(ctx context.Context, o *order) {
 	for ctx.Err() == nil {
 		k.mutex.Lock()
-		s := Start{Incarnation: o.Runner, Task: o.Task, Run: o.Run, Spec: o.Spec, Saved: o.Saved, Deadline: k.deadline(), Fence: o.term}
+		s := Start{Incarnation: o.Runner, Task: o.Task, Run: o.Run, Spec: o.Spec, Saved: o.Saved, Ticket: o.Ticket, Deadline: k.deadline(), Fence: o.term}
 		draining := k.runner.Draining || k.left
 		leased := k.permit-jayclock.Elapsed() > leastLease && s.Deadline > 0
 		k.mutex.Unlock()
--- a/internal/process/jaykeep/side.go
+++ b/internal/process/jaykeep/side.go
@@ -179,7 +179,7 @@
 	case *jayframe.CellOrders:
 		orders := make([]jaycell.Order, len(m.Orders))
 		for i, o := range m.Orders {
-			orders[i] = jaycell.Order{Kind: jaycell.OrderKind(o.What), Runner: o.Runner, Task: o.Task, Run: o.Run, Spec: o.Spec, Saved: o.Saved, Number: o.Number}
+			orders[i] = jaycell.Order{Kind: jaycell.OrderKind(o.What), Runner: o.Runner, Task: o.Task, Run: o.Run, Spec: o.Spec, Saved: o.Saved, Ticket: o.Ticket, Number: o.Number, Percent: o.Percent}
 		}
 		s.Keeper.Take(m.Term, orders)
 	case *jayframe.CellView:
--- a/internal/request/jaytask/job.go
+++ b/internal/request/jaytask/job.go
@@ -133,6 +133,16 @@
 	return j.Start.Add(time.Duration(k) * j.Period)
 }
 
+// Lasts reports whether the job runs until it is canceled.
+func (j *Job) Lasts() bool {
+	for _, s := range j.Steps {
+		if s.Daemon {
+			return true
+		}
+	}
+	return false
+}
+
 // Accelerators returns how many accelerators the first step needs.
 func (j *Job) Accelerators() int {
 	if len(j.Steps) == 0 {
--- a/internal/version/jayroutes/config.go
+++ b/internal/version/jayroutes/config.go
@@ -22,6 +22,16 @@
 	Objective time.Duration
 	// Timeout bounds one request.
 	Timeout time.Duration
+	// Advice is set where only some runners may run the route's steps.
+	Advice *Advice
+}
+
+// Advice tells how the service that knows those runners answers: a question takes
+// Decide and Each for every runner that it names, and its answer holds for Valid.
+type Advice struct {
+	Decide time.Duration
+	Each   time.Duration
+	Valid  time.Duration
 }
 
 // Service is a pool of runners.
@@ -71,17 +81,21 @@
 	services   map[string]Service
 	workspaces map[string]Workspace
 	keys       map[[sha256.Size]byte]string
+	advice     map[string]Advice
 	limits     Limits
 }
 
 // NewConfig indexes one version.
 func NewConfig(version uint64, routes []Route, services []Service, workspaces []Workspace, limits Limits) *Config {
-	c := &Config{version: version, hosts: map[string]*hostRoutes{}, services: map[string]Service{}, workspaces: map[string]Workspace{}, keys: map[[sha256.Size]byte]string{}, limits: limits}
+	c := &Config{version: version, hosts: map[string]*hostRoutes{}, services: map[string]Service{}, workspaces: map[string]Workspace{}, keys: map[[sha256.Size]byte]string{}, advice: map[string]Advice{}, limits: limits}
 	for _, r := range routes {
 		if c.hosts[r.Host] == nil {
 			c.hosts[r.Host] = &hostRoutes{byPrefix: map[string]Route{}}
 		}
 		c.hosts[r.Host].byPrefix[r.Prefix] = r
+		if r.Advice != nil {
+			c.advice[r.Name] = *r.Advice
+		}
 	}
 	for _, h := range c.hosts {
 		h.measure()
@@ -131,6 +145,13 @@
 // Guaranteed returns how many accelerators a workspace can always get back.
 func (c *Config) Guaranteed(workspace string) int { return c.workspaces[workspace].Guaranteed }
 
+// Advice returns how questions about a route are answered, and whether its steps
+// need tickets.
+func (c *Config) Advice(route string) (Advice, bool) {
+	a, ok := c.advice[route]
+	return a, ok
+}
+
 // Service returns a service by its name.
 func (c *Config) Service(name string) (Service, bool) {
 	s, ok := c.services[name]
--- a/internal/version/jaysettings/cell.go
+++ b/internal/version/jaysettings/cell.go
@@ -27,7 +27,9 @@
 	Metrics   string
 	Seeds     string
 	Store     string
-	Runner    string
+	// Advice is empty where there is no advice service.
+	Advice string
+	Runner string
 	// Orders is how the runner takes its orders: OrdersByCall or
 	// OrdersByHeartbeat.
 	Orders    string
@@ -76,6 +78,7 @@
 		address("listen", "readiness", "address of the readiness check", "127.0.0.1:8523", true, &c.Readiness),
 		address("listen", "control", "address that other processes know as a seed", "127.0.0.1:8526", true, &c.Control),
 		address("listen", "link", "address for links of sides and entries", "127.0.0.1:7000", true, &c.Link),
+		address("advice", "address", "address of the service that knows which runners may run a step; empty is none", "127.0.0.1:8525", false, &c.Advice),
 	)
 }
 
