Play heavy loads against the cell's decisions on a virtual clock

Change: jayplay draws the two heavy loads (bursts of urgent gangs, accelerators in mixed shapes, cancels, hopeless jobs, slow and lost workers), plays them through the very cell, through first-come first-fit and through EASY backfill, and bounds what any order could give: a fractional knapsack in each span of time, without gangs that no rack or no pool holds. 'jaystile play' prints the shares of worth.

--- /dev/null
+++ b/cmd/jaystile/play.go
@@ -0,0 +1,127 @@
+package main
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"runtime"
+	"slices"
+
+	"github.com/jessevdk/go-flags"
+	"github.com/sourcegraph/conc/pool"
+
+	"github.com/jaystile/jaystile/internal/process/jayplay"
+)
+
+const usagePlay = `Plays days of a heavy load against the decisions that a cell takes on the users'
+platform, on a virtual clock, beside first-come first-fit, best-fit with EASY
+backfill, and a bound that no order of work could exceed. Shares are of the worth
+owed to callers; each figure is the mean over the seeds.`
+
+type playCommand struct {
+	connectionless
+	Load  string  `long:"load" default:"salish" description:"kjaergaard or salish"`
+	Seeds int     `long:"seeds" default:"20" description:"number of days"`
+	First uint64  `long:"first" default:"1" description:"the first seed"`
+	Slow  float64 `long:"slow" description:"share of workers that run four times slower for a third of the day"`
+	Lost  float64 `long:"lost" description:"share of workers that are lost after a third of the day"`
+}
+
+func addPlay(p *flags.Parser) {
+	add(p, "play", "play a load against the decisions", usagePlay, &playCommand{})
+}
+
+// slower is how many times slower the slow workers are.
+const slower = 4
+
+type playJSON struct {
+	Load  string        `json:"load"`
+	First uint64        `json:"first_seed"`
+	Seeds int           `json:"seeds"`
+	Rows  []playRowJSON `json:"rows"`
+}
+
+type playRowJSON struct {
+	Planner        string             `json:"planner"`
+	Share          float64            `json:"share"`
+	Bound          float64            `json:"bound"`
+	WorstWindows   float64            `json:"worst_windows"`
+	WorstWorkspace float64            `json:"worst_workspace"`
+	Large          float64            `json:"large_jobs"`
+	Wasted         float64            `json:"wasted_share"`
+	Utilisation    float64            `json:"utilisation"`
+	Classes        map[string]float64 `json:"share_by_class"`
+}
+
+// add sums a day's figures, each weighed by the share given.
+func (r *playRowJSON) add(x jayplay.Result, share float64) {
+	r.Share += share * x.Share
+	r.Bound += share * x.Bound
+	r.WorstWindows += share * x.WorstWindows
+	r.WorstWorkspace += share * x.WorstWorkspace
+	r.Large += share * x.Large
+	r.Wasted += share * x.WastedShare
+	r.Utilisation += share * x.Utilisation
+	for name, c := range x.Classes {
+		r.Classes[name] += share * c.Share
+	}
+}
+
+// Execute implements flags.Commander.
+func (c *playCommand) Execute([]string) error {
+	load, err := jayplay.FindLoad(c.Load)
+	if err != nil {
+		return &exitError{status: exitUsage, cause: err}
+	}
+	if c.Seeds < 1 || c.Slow < 0 || c.Slow > 1 || c.Lost < 0 || c.Lost > 1 {
+		return &exitError{status: exitUsage, cause: fmt.Errorf("seeds must be 1 or more, slow and lost shares from 0 to 1")}
+	}
+	load.Slow, load.Slower, load.Lost = c.Slow, slower, c.Lost
+	out := playJSON{Load: c.Load, First: c.First, Seeds: c.Seeds}
+	for _, p := range []struct {
+		name string
+		play func(seed uint64) (jayplay.Result, error)
+	}{
+		{"cell", load.Play},
+		{"easy", func(seed uint64) (jayplay.Result, error) { return load.PlayBaseline(seed, true), nil }},
+		{"first_fit", func(seed uint64) (jayplay.Result, error) { return load.PlayBaseline(seed, false), nil }},
+	} {
+		row := playRowJSON{Planner: p.name, Classes: map[string]float64{}}
+		results, errs := make([]jayplay.Result, c.Seeds), make([]error, c.Seeds)
+		days := pool.New().WithMaxGoroutines(runtime.NumCPU())
+		for i := range c.Seeds {
+			days.Go(func() { results[i], errs[i] = p.play(c.First + uint64(i)) })
+		}
+		days.Wait()
+		if err := errors.Join(errs...); err != nil {
+			return err
+		}
+		for _, r := range results {
+			row.add(r, 1/float64(c.Seeds))
+		}
+		out.Rows = append(out.Rows, row)
+	}
+	if c.JSON {
+		return json.NewEncoder(os.Stdout).Encode(out)
+	}
+	out.print()
+	return nil
+}
+
+func (p *playJSON) print() {
+	fmt.Printf("%s, seeds %d to %d\n", p.Load, p.First, p.First+uint64(p.Seeds)-1)
+	fmt.Printf("%-10s %6s %6s %8s %9s %6s %7s %5s  by class\n", "planner", "share", "bound", "windows", "workspace", "large", "wasted", "busy")
+	for _, r := range p.Rows {
+		fmt.Printf("%-10s %6.3f %6.3f %8.3f %9.3f %6.3f %7.3f %5.2f ", r.Planner, r.Share, r.Bound, r.WorstWindows, r.WorstWorkspace, r.Large, r.Wasted, r.Utilisation)
+		var names []string
+		for name := range r.Classes {
+			names = append(names, name)
+		}
+		slices.Sort(names)
+		for _, name := range names {
+			fmt.Printf(" %s %.3f", name, r.Classes[name])
+		}
+		fmt.Println()
+	}
+}
--- /dev/null
+++ b/internal/process/jayplay/play_test.go
@@ -0,0 +1,118 @@
+package jayplay
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// rounding is how far sums of the same worth in another order may differ.
+const rounding = 1e-9
+
+var names = []string{"kjaergaard", "salish"}
+
+func find(t *testing.T, name string) Load {
+	t.Helper()
+	l, err := FindLoad(name)
+	assert.NilError(t, err)
+	return l
+}
+
+func TestUnknownLoad(t *testing.T) {
+	_, err := FindLoad("other")
+	assert.ErrorContains(t, err, `unknown load "other"`)
+}
+
+// The same seed gives the same figures, another seed other ones.
+func TestPlayRepeats(t *testing.T) {
+	t.Parallel()
+	l := find(t, "kjaergaard")
+	first, err := l.Play(3)
+	assert.NilError(t, err)
+	again, err := l.Play(3)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, first, again)
+	other, err := l.Play(4)
+	assert.NilError(t, err)
+	assert.Assert(t, first.Share != other.Share)
+}
+
+// Under the heaviest loads callers get more than under the baselines, over the whole
+// day, in its worst windows and in the worst workspace, and never more than the
+// bound.
+func TestCallersGetMoreThanUnderBaselines(t *testing.T) {
+	for _, name := range names {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			l := find(t, name)
+			var cell, easy, fit Result
+			for seed := range uint64(4) {
+				c, err := l.Play(seed)
+				assert.NilError(t, err)
+				assert.Assert(t, c.Share <= c.Bound+rounding, "seed %d: share %.3f over bound %.3f", seed, c.Share, c.Bound)
+				for _, x := range []struct {
+					sum *Result
+					day Result
+				}{{&cell, c}, {&easy, l.PlayBaseline(seed, true)}, {&fit, l.PlayBaseline(seed, false)}} {
+					x.sum.Share += x.day.Share
+					x.sum.WorstWindows += x.day.WorstWindows
+					x.sum.WorstWorkspace += x.day.WorstWorkspace
+				}
+			}
+			for _, other := range []Result{easy, fit} {
+				assert.Assert(t, cell.Share > other.Share, "%.3f, baseline %.3f", cell.Share, other.Share)
+				assert.Assert(t, cell.WorstWindows > other.WorstWindows)
+				assert.Assert(t, cell.WorstWorkspace > other.WorstWorkspace)
+			}
+		})
+	}
+}
+
+// Urgent jobs that fit into one worker are on time, also in a burst: nine of ten,
+// as the target of the score is.
+func TestSmallUrgentJobsAreOnTimeInBursts(t *testing.T) {
+	for _, name := range names {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			l := find(t, name)
+			jobs, onTime := 0, 0
+			for seed := range uint64(4) {
+				requests := l.draw(seed, epoch)
+				w, err := l.play(requests)
+				assert.NilError(t, err)
+				for _, q := range requests {
+					if q.class.Priority != 0 || q.spec.Accelerators() > accelerators || q.cancelAt > 0 {
+						continue
+					}
+					jobs++
+					if at, done := w.doneAt[q.spec.ID]; done && at-q.at <= q.objective() {
+						onTime++
+					}
+				}
+			}
+			assert.Assert(t, float64(onTime) >= 0.9*float64(jobs), "%d of %d on time", onTime, jobs)
+		})
+	}
+}
+
+// With slow and lost workers no invariant breaks, and every job that the workers
+// left can hold is done in the end.
+func TestPlayWithSlowAndLostWorkers(t *testing.T) {
+	for _, name := range names {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			l := find(t, name)
+			l.Slow, l.Slower, l.Lost = 0.2, 4, 0.1
+			requests := l.draw(1, epoch)
+			w, err := l.play(requests)
+			assert.NilError(t, err)
+			left := l
+			left.Runners--
+			for _, q := range requests {
+				if q.cancelAt == 0 && !q.hopeless && left.holds(q) {
+					assert.Equal(t, w.left[q.spec.ID], 0, "%s %s", q.class.Name, q.spec.ID)
+				}
+			}
+		})
+	}
+}
