Count wide steps in waves and gangs wider than a rack with the far factor

Cause: the callers' objective counts a step that is wider than a quarter of the pool in several waves, and a gang that wants one rack and is wider than every rack runs three times longer; the cell knew neither, so that it took large gangs for late that were not, and let some stop others for work that could not be on time. Tests: TestWideStepsCountInWaves, TestGangWiderThanItsRackGivesWay.

--- a/internal/process/jaycell/cell.go
+++ b/internal/process/jaycell/cell.go
@@ -38,6 +38,8 @@
 	Reclaim time.Duration
 	// Gang is how long members of a gang wait for each other.
 	Gang time.Duration
+	// Far is how many times longer work takes that is far from its rack.
+	Far float64
 	// Guaranteed returns a workspace's guaranteed accelerators.
 	Guaranteed func(workspace string) int
 	// Advice tells whether the starts of a route need tickets; nil is never.
--- a/internal/process/jaycell/cell_test.go
+++ b/internal/process/jaycell/cell_test.go
@@ -1,6 +1,7 @@
 package jaycell
 
 import (
+	"strings"
 	"testing"
 	"time"
 
@@ -15,6 +16,7 @@
 	cell  *Cell
 	now   time.Duration
 	wall  time.Time
+	rack  map[string]string
 	runs  map[string][]byte
 	state map[string]jaytask.State
 	sent  []Order
@@ -65,6 +67,9 @@
 // hear reports a runner of the usual size.
 func (b *bench) hear(node, runner string, more func(p *Report)) {
 	p := Report{Node: node, Sequence: int64(b.now), Term: b.cell.settings.Term, Current: true, Runner: RunnerInfo{ID: runner, Service: "s", Labels: []string{"a", "r1-1"}, Capacity: jaytask.Room{CPU: 64000, Memory: 131072, Accelerators: 8}}}
+	if rack := b.rack[runner]; rack != "" {
+		p.Runner.Labels[1] = rack
+	}
 	if more != nil {
 		more(&p)
 	}
@@ -294,3 +299,41 @@
 	assert.Equal(t, len(starts(b.pass(0))), 1)
 	assert.Equal(t, How(200).String(), "unknown")
 }
+
+// A gang that is wider than every rack takes longer than its objective: it stops no
+// other work and goes after what can be on time.
+func TestGangWiderThanItsRackGivesWay(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		sameRack bool
+		first    string
+	}{{"wants one rack", true, "b-narrow"}, {"runs over several", false, "a-wide"}} {
+		t.Run(c.name, func(t *testing.T) {
+			runners := []string{"r1", "r2", "r3", "r4", "r5", "r6", "r7", "r8"}
+			w := newWorld(t, nil, runners...)
+			w.cell.settings.Far = 4
+			w.rack = map[string]string{}
+			for _, r := range runners {
+				w.rack[r] = "rack-" + r
+			}
+			wide := step(2, 8)
+			wide.Gang, wide.SameRack = true, c.sameRack
+			w.submit("a-wide", 0, "w", wide)
+			w.submit("b-narrow", 0, "w", step(1, 8))
+			orders := w.turn(0)
+			assert.Equal(t, strings.Split(starts(orders)[0], ".")[0], c.first)
+		})
+	}
+}
+
+// A step that is wider than a quarter of the pool counts as several waves in the
+// objective.
+func TestWideStepsCountInWaves(t *testing.T) {
+	for _, c := range []struct{ count, accelerators, waves int }{{1, 8, 1}, {2, 8, 1}, {3, 8, 2}, {8, 8, 4}, {16, 1, 1}, {17, 1, 2}, {9, 2, 2}} {
+		w := newWorld(t, nil, "r1", "r2", "r3", "r4", "r5", "r6", "r7", "r8")
+		w.turn(0)
+		w.submit("job", 1, "w", step(c.count, c.accelerators))
+		want := time.Second + 3*2*time.Second*time.Duration(c.waves)
+		assert.Equal(t, w.cell.objective(w.cell.jobs["job"]), want, "%d of %d", c.count, c.accelerators)
+	}
+}
--- a/internal/process/jaycell/choose.go
+++ b/internal/process/jaycell/choose.go
@@ -100,7 +100,11 @@
 	if s.MaxPerRunner > 0 {
 		n = min(n, s.MaxPerRunner)
 	}
-	room := s.Charge()
+	return roomFor(capacity, s.Charge(), n)
+}
+
+// roomFor returns how many of n tasks fit into an empty worker.
+func roomFor(capacity, room jaytask.Room, n int) int {
 	for _, p := range [][2]int{{room.CPU, capacity.CPU}, {room.Memory, capacity.Memory}, {room.Accelerators, capacity.Accelerators}} {
 		if p[0] > 0 {
 			n = min(n, p[1]/p[0])
--- a/internal/process/jaycell/estimate.go
+++ b/internal/process/jaycell/estimate.go
@@ -3,6 +3,8 @@
 import (
 	"strconv"
 	"time"
+
+	"github.com/jaystile/jaystile/internal/request/jaytask"
 )
 
 const (
@@ -56,15 +58,37 @@
 		for _, a := range s.After {
 			begin = max(begin, ends[a])
 		}
-		ends[i] = begin + c.estimate(j, i)
+		ends[i] = begin + c.estimate(j, i)*time.Duration(c.waves(j, i))
 		longest = max(longest, ends[i])
 	}
 	return longest
 }
 
+// waveShare is the share of the pool that a step may take at once: a wider step
+// counts as several waves, one after the other, in what callers expect.
+const waveShare = 4
+
+// waves returns in how many waves a step counts.
+func (c *Cell) waves(j *job, step int) int {
+	s := j.spec.Steps[step]
+	fit := 0
+	for _, r := range c.runners {
+		if !r.gone && r.known && r.info.Service == j.spec.Terms.Service {
+			fit += roomFor(r.info.Capacity, s.Charge(), jaytask.MaxTasks)
+		}
+	}
+	if fit == 0 {
+		return 1
+	}
+	return max(1, (waveShare*s.Count+fit-1)/fit)
+}
+
 // objective returns how long a job may take to be on time.
 func (c *Cell) objective(j *job) time.Duration {
-	return time.Duration(j.spec.Terms.Stretch*float64(c.chain(j))) + j.spec.Terms.Objective
+	if j.objectiveAt != c.now || j.objective == 0 {
+		j.objective, j.objectiveAt = time.Duration(j.spec.Terms.Stretch*float64(c.chain(j)))+j.spec.Terms.Objective, c.now
+	}
+	return j.objective
 }
 
 // slack returns how long a unit may still wait for its job to be on time, if all
@@ -77,6 +101,34 @@
 	return c.objective(u.job) - since - c.left(u)
 }
 
+// farCheckEvery is how often it is looked at whether a gang fits into a rack:
+// runners come and go.
+const farCheckEvery = time.Second
+
+// spreads reports whether a gang that wants one rack is wider than every rack, so
+// that its work takes longer by the far factor.
+func (c *Cell) spreads(u *unit) bool {
+	s := u.spec()
+	if !s.Gang || !s.SameRack || c.settings.Far <= 1 {
+		return false
+	}
+	if u.spreadAt > 0 && c.now-u.spreadAt < farCheckEvery {
+		return u.spread
+	}
+	held := map[string]int{}
+	u.spread, u.spreadAt = true, c.now
+	for _, r := range c.runners {
+		if r.gone || !r.known || r.info.Service != u.job.spec.Terms.Service || !r.labelled(s.Label) {
+			continue
+		}
+		rack := r.rack()
+		if held[rack] += capacityFor(r.info.Capacity, u, u.count); held[rack] >= u.count {
+			u.spread = false
+		}
+	}
+	return u.spread
+}
+
 // left returns the expected run time of the steps from a unit's on.
 func (c *Cell) left(u *unit) time.Duration {
 	longest := make([]time.Duration, len(u.job.spec.Steps))
@@ -86,5 +138,8 @@
 			longest[a] = max(longest[a], longest[i])
 		}
 	}
+	if c.spreads(u) {
+		return longest[u.step] + time.Duration((c.settings.Far-1)*float64(c.estimate(u.job, u.step)))
+	}
 	return longest[u.step]
 }
--- a/internal/process/jaycell/unit.go
+++ b/internal/process/jaycell/unit.go
@@ -49,6 +49,9 @@
 	// claimedAt is when the stops were ordered.
 	claimedAt time.Duration
 	reason    string
+	// spread is whether the gang was wider than every rack at spreadAt.
+	spread   bool
+	spreadAt time.Duration
 }
 
 func (u *unit) spec() *jaytask.Step { return &u.job.spec.Steps[u.step] }
@@ -177,6 +180,9 @@
 	begun   bool
 	// advised is what is known of the runners of steps that need tickets.
 	advised map[string]*advised
+	// objective is how long the job may take to be on time, as of objectiveAt.
+	objective   time.Duration
+	objectiveAt time.Duration
 	// lateGuarantee tells that a missed guarantee has been reported.
 	lateGuarantee bool
 }
--- a/internal/process/jayhub/hub.go
+++ b/internal/process/jayhub/hub.go
@@ -52,6 +52,8 @@
 	Stop      time.Duration
 	Gang      time.Duration
 	Reclaim   time.Duration
+	// Far is how many times longer work takes that is far from its rack.
+	Far float64
 }
 
 // Hub is one entry. Its exported fields are set before Run.
--- a/internal/process/jayhub/lead.go
+++ b/internal/process/jayhub/lead.go
@@ -53,7 +53,7 @@
 func newLead(h *Hub, term uint64) *lead {
 	l := &lead{hub: h, term: term, kick: make(chan struct{}, 1), asking: make(chan struct{}, 1), done: make(chan struct{}), lastTick: jayclock.Elapsed()}
 	l.cell = jaycell.New(jaycell.Settings{
-		Term: term, Lease: h.Timing.Lease, Retention: h.Timing.Retention, Stop: h.Timing.Stop, Gang: h.Timing.Gang,
+		Term: term, Lease: h.Timing.Lease, Retention: h.Timing.Retention, Stop: h.Timing.Stop, Gang: h.Timing.Gang, Far: h.Timing.Far,
 		Guaranteed: func(workspace string) int {
 			if c := h.config.Load(); c != nil {
 				return c.Guaranteed(workspace)
--- a/internal/process/jayplay/bound.go
+++ b/internal/process/jayplay/bound.go
@@ -11,16 +11,13 @@
 // holds reports whether the empty pool could run the job as it is asked for.
 func (l *Load) holds(q *request) bool {
 	s := q.spec.Steps[0]
-	n := accelerators / s.Room.Accelerators
-	n = min(n, cores/s.Room.CPU, memory/s.Room.Memory)
-	return !s.Gang || n*l.Runners >= s.Count
+	return !s.Gang || perWorker(s.Room)*l.Runners >= s.Count
 }
 
 // near reports whether a gang that wants one rack could have it.
 func (l *Load) near(q *request) bool {
 	s := q.spec.Steps[0]
-	n := min(accelerators/s.Room.Accelerators, cores/s.Room.CPU, memory/s.Room.Memory)
-	return !s.Gang || !s.SameRack || n*perRack >= s.Count
+	return !s.Gang || !s.SameRack || perWorker(s.Room)*perRack >= s.Count
 }
 
 // bound returns worth that no order of work could exceed: in every span of time
--- a/internal/process/jayplay/load.go
+++ b/internal/process/jayplay/load.go
@@ -138,6 +138,9 @@
 	// seconds is the work of each task on a worker near its data.
 	seconds  []float64
 	hopeless bool
+	// waves is in how many waves the step counts: one that is wider than a quarter
+	// of the pool counts more than once.
+	waves int
 	// cancelAt is when the caller cancels it, zero for never.
 	cancelAt time.Duration
 }
@@ -163,7 +166,7 @@
 
 // objective returns how long the job may take to be on time.
 func (q *request) objective() time.Duration {
-	return time.Duration(q.class.Stretch*float64(q.chain())) + q.class.Objective
+	return time.Duration(q.class.Stretch*float64(q.waves)*float64(q.chain())) + q.class.Objective
 }
 
 // draw returns the jobs of a day in the order of their arrival.
@@ -194,6 +197,8 @@
 	count := max(1, int(c.width.draw(r)+0.5))
 	mean := c.seconds.draw(r)
 	q := &request{class: c, at: at, hopeless: r.Float64() < c.hopeless}
+	fit := l.Runners * perWorker(room)
+	q.waves = max(1, (waveShare*count+fit-1)/fit)
 	for range count {
 		q.seconds = append(q.seconds, mean*(1+c.uneven*(2*r.Float64()-1)))
 	}
@@ -223,4 +228,12 @@
 	memory       = 131072
 )
 
+// waveShare is the share of the pool that a step may take in one wave.
+const waveShare = 4
+
+// perWorker returns how many tasks of a kind a worker holds.
+func perWorker(room jaytask.Room) int {
+	return min(accelerators/room.Accelerators, cores/room.CPU, memory/room.Memory)
+}
+
 func rackName(n int) string { return fmt.Sprintf("rack-%d", n) }
--- a/internal/process/jayplay/play.go
+++ b/internal/process/jayplay/play.go
@@ -38,7 +38,7 @@
 	d := &driver{world: w, reported: map[string]time.Duration{}}
 	var broken error
 	d.cell = jaycell.New(jaycell.Settings{
-		Term: 1, Lease: lease, Retention: time.Hour, Stop: l.Stop, Gang: gangWait,
+		Term: 1, Lease: lease, Retention: time.Hour, Stop: l.Stop, Gang: gangWait, Far: l.Far,
 		Guaranteed: func(string) int {
 			return int(l.Guaranteed * float64(l.Runners*accelerators) / float64(l.Workspaces))
 		},
--- a/internal/version/jaysettings/cell.go
+++ b/internal/version/jaysettings/cell.go
@@ -39,7 +39,9 @@
 	Gang      time.Duration
 	Reclaim   time.Duration
 	Retention time.Duration
-	Grace     time.Duration
+	// Far is how many times longer work takes that is far from its rack.
+	Far   float64
+	Grace time.Duration
 }
 
 // The ways in which a runner takes its orders.
@@ -52,7 +54,7 @@
 	return Cell{
 		Orders: OrdersByCall, Heartbeat: 1500 * time.Millisecond,
 		HoldMost: 10 * time.Second, Stop: 900 * time.Millisecond, Gang: 3 * time.Second, Reclaim: 3400 * time.Millisecond,
-		Retention: 120 * time.Second, Grace: 6 * time.Second,
+		Retention: 120 * time.Second, Far: 3, Grace: 6 * time.Second,
 	}
 }
 
@@ -68,6 +70,7 @@
 		amount("bounds", "gang_ms", "time for which members of a gang wait for each other, in milliseconds", time.Millisecond, &c.Gang),
 		amount("bounds", "reclaim_ms", "time within which a guaranteed job begins, in milliseconds", time.Millisecond, &c.Reclaim),
 		amount("bounds", "retention_s", "time for which an ended job can be asked about, in seconds", time.Second, &c.Retention),
+		factor("bounds", "far_factor", "how many times longer work takes that is far from its rack or data", &c.Far),
 		amount("bounds", "grace_s", "time between SIGTERM and SIGKILL, in seconds", time.Second, &c.Grace),
 	}
 }
@@ -125,6 +128,18 @@
 	}}
 }
 
+// factor is a number of 1 or more. An empty value keeps the default.
+func factor(section, key, doc string, target *float64) field {
+	return field{section: section, key: key, doc: doc, allowed: "number from 1 to 1000, or empty", example: strconv.FormatFloat(*target, 'f', -1, 64), set: func(s string) bool {
+		if s == "" {
+			return true
+		}
+		n, err := strconv.ParseFloat(s, 64)
+		*target = n
+		return err == nil && n >= 1 && n <= 1000
+	}}
+}
+
 // amount is a time given as a number of units, which may have a fraction. An
 // empty value keeps the default: not every deployment has every bound.
 func amount(section, key, doc string, unit time.Duration, target *time.Duration) field {
