Let status reads wait for ends that are under way

Cause: callers ask for a job as soon as its last task has ended; the end takes 20 to 40 ms through the side's report, two records and the peers, so that they were told 'running' and asked again 0.26 s later: as much as an urgent job's whole allowance. Change: a read of a running job waits up to 100 ms (at most a quarter of the caller's time) for its end to be recorded. Test: TestAwaitTellsOfAnEndUnderWay.

--- a/cmd/jaystile/play.go
+++ b/cmd/jaystile/play.go
@@ -44,6 +44,7 @@
 
 type playRowJSON struct {
 	Planner        string             `json:"planner"`
+	Worth          float64            `json:"worth"`
 	Share          float64            `json:"share"`
 	Bound          float64            `json:"bound"`
 	WorstWindows   float64            `json:"worst_windows"`
@@ -56,6 +57,7 @@
 
 // add sums a day's figures, each weighed by the share given.
 func (r *playRowJSON) add(x jayplay.Result, share float64) {
+	r.Worth += share * x.Worth
 	r.Share += share * x.Share
 	r.Bound += share * x.Bound
 	r.WorstWindows += share * x.WorstWindows
@@ -111,9 +113,9 @@
 
 func (p *playJSON) print() {
 	fmt.Printf("%s, seeds %d to %d\n", p.Load, p.First, p.First+uint64(p.Seeds)-1)
-	fmt.Printf("%-10s %6s %6s %8s %9s %6s %7s %5s  by class\n", "planner", "share", "bound", "windows", "workspace", "large", "wasted", "busy")
+	fmt.Printf("%-10s %6s %6s %6s %8s %9s %6s %7s %5s  by class\n", "planner", "worth", "share", "bound", "windows", "workspace", "large", "wasted", "busy")
 	for _, r := range p.Rows {
-		fmt.Printf("%-10s %6.3f %6.3f %8.3f %9.3f %6.3f %7.3f %5.2f ", r.Planner, r.Share, r.Bound, r.WorstWindows, r.WorstWorkspace, r.Large, r.Wasted, r.Utilisation)
+		fmt.Printf("%-10s %6.3f %6.3f %6.3f %8.3f %9.3f %6.3f %7.3f %5.2f ", r.Planner, r.Worth, r.Share, r.Bound, r.WorstWindows, r.WorstWorkspace, r.Large, r.Wasted, r.Utilisation)
 		var names []string
 		for name := range r.Classes {
 			names = append(names, name)
--- a/internal/process/jayhub/desk.go
+++ b/internal/process/jayhub/desk.go
@@ -76,6 +76,11 @@
 	// downAfter is how long the store must have served nothing for callers to be
 	// turned away at once: more than the answers of a slow store take.
 	downAfter = 900 * time.Millisecond
+	// endsUnderWay is how long a task's end takes from its runner to every entry: the
+	// side's report, two records of the store, the way to the peers. Who asks for a
+	// running job meanwhile is told of that end, not of the past; callers ask as
+	// soon as their work has ended.
+	endsUnderWay = 100 * time.Millisecond
 	// retryAfter is when a caller that was turned away comes back: an outage of
 	// the store lasts seconds.
 	retryAfter = time.Second
@@ -212,6 +217,17 @@
 	if refusal != nil {
 		return h.answer("state", p.id, *refusal)
 	}
+	if e.shown() == jaytask.Running {
+		wait := endsUnderWay
+		if c.Timeout > 0 {
+			wait = min(wait, c.Timeout/4)
+		}
+		call, cancel := context.WithTimeout(ctx, wait)
+		if now, ok := h.jobs.await(call, p.id); ok {
+			e = now
+		}
+		cancel()
+	}
 	return h.answer("state", p.id, Answer{Verdict: Found, State: e.shown(), Reason: e.shown().String()})
 }
 
--- a/internal/process/jayhub/jobtable.go
+++ b/internal/process/jayhub/jobtable.go
@@ -3,6 +3,7 @@
 package jayhub
 
 import (
+	"context"
 	"strings"
 	"sync"
 	"time"
@@ -42,6 +43,9 @@
 	accepted func(j *jaytask.Job)
 	canceled func(id string)
 
+	// ended tells of each final state.
+	ended notice
+
 	mutex sync.Mutex
 	jobs  map[string]*jobEntry
 }
@@ -103,7 +107,7 @@
 		return
 	}
 	var fresh *jaytask.Job
-	var canceled bool
+	var canceled, ended bool
 	t.mutex.Lock()
 	e := t.jobs[id]
 	if e == nil {
@@ -130,10 +134,13 @@
 			break
 		}
 		if !e.state.Ended() {
-			e.state = state
+			e.state, ended = state, state.Ended()
 		}
 	}
 	t.mutex.Unlock()
+	if ended {
+		t.ended.broadcast()
+	}
 	if fresh != nil && t.accepted != nil {
 		t.accepted(fresh)
 	}
@@ -161,6 +168,22 @@
 	return *e, true
 }
 
+// await returns what is known of a job once it has ended or ctx is done.
+func (t *jobTable) await(ctx context.Context, id string) (jobEntry, bool) {
+	for {
+		changed := t.ended.wait()
+		e, ok := t.get(id)
+		if !ok || e.shown().Ended() {
+			return e, ok
+		}
+		select {
+		case <-ctx.Done():
+			return e, ok
+		case <-changed:
+		}
+	}
+}
+
 // pending counts a route's jobs that have not begun and are not over.
 func (t *jobTable) pending(route string) int {
 	t.mutex.Lock()
--- a/internal/process/jayhub/jobtable_test.go
+++ b/internal/process/jayhub/jobtable_test.go
@@ -1,6 +1,7 @@
 package jayhub
 
 import (
+	"context"
 	"testing"
 	"time"
 
@@ -84,3 +85,31 @@
 	_, ok = table.get(id)
 	assert.Assert(t, ok)
 }
+
+// Who asks for a running job while its end is recorded is told of the end; who asks
+// earlier is told that it runs after the time given.
+func TestAwaitTellsOfAnEndUnderWay(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		ends  bool
+		state jaytask.State
+	}{{"an end under way", true, jaytask.Completed}, {"none", false, jaytask.Running}} {
+		t.Run(c.name, func(t *testing.T) {
+			table := newJobTable(zerolog.Nop())
+			value, err := jaytask.EncodeJob(&jaytask.Job{ID: "x", Steps: []jaytask.Step{{Count: 1}}})
+			assert.NilError(t, err)
+			table.apply("j/x", value)
+			table.apply("s/x", jaycell.EncodeState(jaytask.Running, time.Now()))
+			wait := 20 * time.Millisecond
+			if c.ends {
+				wait = time.Minute
+				time.AfterFunc(10*time.Millisecond, func() { table.apply("s/x", jaycell.EncodeState(jaytask.Completed, time.Now())) })
+			}
+			ctx, cancel := context.WithTimeout(t.Context(), wait)
+			defer cancel()
+			e, ok := table.await(ctx, "x")
+			assert.Assert(t, ok)
+			assert.Equal(t, e.shown(), c.state)
+		})
+	}
+}
--- a/internal/process/jayplay/load.go
+++ b/internal/process/jayplay/load.go
@@ -86,6 +86,16 @@
 	Slow   float64
 	Slower float64
 	Lost   float64
+	// Goal is what counts for the deployment's users.
+	Goal Goal
+}
+
+// Goal weighs the parts of a day: the whole, the two worst windows, the worst
+// class and the worst workspace. Waste is the price of a core-second of work that
+// is thrown away, in worth.
+type Goal struct {
+	Whole, Windows, Class, Workspace float64
+	Waste                            float64
 }
 
 // UnknownLoadError reports a load that is not known.
@@ -97,7 +107,7 @@
 }
 
 // heavy is the load that both deployments are short of room under.
-func heavy(name string, large, urgent, small Class, stop time.Duration) Load {
+func heavy(name string, large, urgent, small Class, stop time.Duration, goal Goal) Load {
 	large.room, urgent.room, small.room = jaytask.Room{CPU: 26000, Memory: 38000}, jaytask.Room{CPU: 7500, Memory: 15000}, jaytask.Room{CPU: 5600, Memory: 15000}
 	mixed := []int{1, 2, 4, 8, 8}
 	large.accelerators, urgent.accelerators, small.accelerators = mixed, mixed, []int{1}
@@ -106,7 +116,7 @@
 	large.near, small.near, large.canceled, small.canceled = 0.3, 0.12, 0.05, 0.15
 	large.saves, small.saves = 0.45, 0.45
 	return Load{
-		Name: name, Classes: []Class{urgent, large, small}, Span: 34 * time.Second, Runners: 11, Stop: stop, Far: 3, Workspaces: 4, Guaranteed: 0.62,
+		Name: name, Goal: goal, Classes: []Class{urgent, large, small}, Span: 34 * time.Second, Runners: 11, Stop: stop, Far: 3, Workspaces: 4, Guaranteed: 0.62,
 		Bursts: []Burst{{Class: urgent.Name, At: 4 * time.Second, For: 6 * time.Second, Times: 2.2}, {Class: small.Name, At: 18 * time.Second, For: 4 * time.Second, Times: 2}},
 	}
 }
@@ -119,13 +129,13 @@
 			Class{Name: "replan", Priority: 1, PerSecond: 0.36, Value: 3, Late: 1.5, Stretch: 3, Objective: time.Second, Attempts: 4, seconds: spread{11, 0.3, 11}, uneven: 0.3, wrong: 0.9, hopeless: 0.03},
 			Class{Name: "pricecheck", Priority: 0, PerSecond: 0.33, Value: 4, Late: 0.8, Stretch: 1.5, Objective: 250 * time.Millisecond, Attempts: 4, seconds: spread{2.5, 0.5, 8}, uneven: 0.3, wrong: 0.9},
 			Class{Name: "shelflife", Priority: 2, PerSecond: 0.21, Value: 1, Late: 0.5, Stretch: 3, Objective: 3 * time.Second, Attempts: 4, seconds: spread{7.6, 0.3, 11}, uneven: 0.15, wrong: 0.2},
-			900*time.Millisecond), nil
+			900*time.Millisecond, Goal{Whole: 0.75, Windows: 0.15, Class: 0.1, Workspace: 0.2, Waste: 0.0021}), nil
 	case "salish":
 		return heavy(name,
 			Class{Name: "tariff-recalc", Priority: 1, PerSecond: 0.4, Value: 3, Late: 0.3, Stretch: 3, Objective: time.Second, Attempts: 3, seconds: spread{11, 0.3, 11}, uneven: 0.15, wrong: 0.5, hopeless: 0.01},
 			Class{Name: "slip-quote", Priority: 0, PerSecond: 0.65, Value: 4, Late: 0.8, Stretch: 1.5, Objective: 250 * time.Millisecond, Attempts: 4, seconds: spread{2.5, 0.5, 8}, uneven: 0.15, wrong: 0.5},
 			Class{Name: "arrears-sweep", Priority: 2, PerSecond: 0.19, Value: 1, Late: 0.1, Stretch: 3, Objective: 3 * time.Second, Attempts: 3, seconds: spread{9.5, 0.3, 11}, uneven: 0.15, wrong: 0.5, hopeless: 0.01},
-			400*time.Millisecond), nil
+			400*time.Millisecond, Goal{Whole: 0.35, Windows: 0.5, Class: 0.15, Workspace: 0.2, Waste: 0.0028}), nil
 	}
 	return Load{}, &UnknownLoadError{Given: name}
 }
--- a/internal/process/jayplay/result.go
+++ b/internal/process/jayplay/result.go
@@ -9,7 +9,7 @@
 	// lateFactor is how many objectives late a job is still worth something.
 	lateFactor = 3
 	// window is the span of which the two worst are judged.
-	window = 4 * time.Second
+	window = 2 * time.Second
 	// largest is how much a large job may be worth against one of mean size.
 	largest = 4
 	// baseShare of a job's worth does not depend on its size.
@@ -40,6 +40,9 @@
 	Stops       int
 	// Utilisation is of the accelerators while jobs came.
 	Utilisation float64
+	// Worth weighs the parts as the deployment's users do, less the price of work
+	// that is thrown away.
+	Worth float64
 	// Bound is the share that no order of work could exceed.
 	Bound float64
 }
@@ -103,6 +106,8 @@
 	result.Large = largeShare(sized, got, requests, values)
 	result.WastedShare, result.Stops = w.wasted/max(asked, 1), w.stops
 	result.Utilisation = w.busy / (w.load.Span.Seconds() * float64(len(w.workers)*accelerators))
+	g := w.load.Goal
+	result.Worth = (g.Whole*result.Share+g.Windows*result.WorstWindows+g.Class*lowest(classes, 1)+g.Workspace*result.WorstWorkspace)/(g.Whole+g.Windows+g.Class+g.Workspace) - g.Waste*w.wasted/max(whole.owed, 1)
 	result.Bound = w.load.bound(requests, values) / max(whole.owed, 1e-9)
 	return result
 }
