Learn a job's run times from its own progress

Cause: run times were learnt by route, whose jobs differ by a factor of four; a job of 8 s tasks counted with 2.5 s, so that its objective, its time left and what a stop costs were wrong. Change: a run that has made a tenth tells how long its step's tasks take, unless it is far from its rack. The player draws shapes as they were seen to come: tasks on whole workers are no gang, gangs fit into a rack. Test: TestProgressTellsRunTimes.

--- a/internal/process/jaycell/cell_test.go
+++ b/internal/process/jaycell/cell_test.go
@@ -337,3 +337,17 @@
 		assert.Equal(t, w.cell.objective(w.cell.jobs["job"]), want, "%d of %d", c.count, c.accelerators)
 	}
 }
+
+// A job's own progress tells how long its tasks take, before any has ended and
+// whatever the caller said.
+func TestProgressTellsRunTimes(t *testing.T) {
+	w := newWorld(t, nil, "r1")
+	w.submit("job", 1, "w", step(4, 8))
+	w.turn(0)
+	assert.Equal(t, w.cell.estimate(w.cell.jobs["job"], 0), 2*time.Second)
+	w.percents = map[string]int{"job.0.0.0": 0}
+	w.turn(100 * time.Millisecond)
+	w.percents["job.0.0.0"] = 20
+	w.turn(2 * time.Second)
+	assert.Equal(t, w.cell.estimate(w.cell.jobs["job"], 0), 10*time.Second)
+}
--- a/internal/process/jaycell/daemon_test.go
+++ b/internal/process/jaycell/daemon_test.go
@@ -24,6 +24,8 @@
 	// not come to work yet.
 	running map[string]map[string]int
 	warming string
+	// percents is the progress of single tasks, 100 of all others.
+	percents map[string]int
 	ends    map[string][]End
 }
 
@@ -48,7 +50,11 @@
 				percent = 50
 			}
 			for _, task := range sortedKeys(w.running[id]) {
-				p.Running = append(p.Running, Run{Task: task, Run: w.running[id][task], Percent: percent})
+				shown := percent
+				if n, ok := w.percents[task]; ok {
+					shown = n
+				}
+				p.Running = append(p.Running, Run{Task: task, Run: w.running[id][task], Percent: shown})
 			}
 			p.Finished = append(p.Finished, w.ends[id]...)
 			for _, x := range draining {
--- a/internal/process/jaycell/estimate.go
+++ b/internal/process/jaycell/estimate.go
@@ -41,8 +41,28 @@
 	l.mean += time.Duration(share * float64(took-l.mean))
 }
 
+// measureAfter is the progress, in percent, from which a run tells how long its
+// step's tasks take: a report is up to half a second old.
+const measureAfter = 10
+
+// measure notes how long the tasks of a job's step take, as one of them shows. Runs
+// that are far from their rack tell nothing.
+func (c *Cell) measure(h *hold, took time.Duration) {
+	u := h.unit
+	if near := u.spec().DataRack; near != "" && near != h.runner.rack() || c.spreads(u) || took <= 0 {
+		return
+	}
+	if u.job.measured == nil {
+		u.job.measured = map[int]time.Duration{}
+	}
+	u.job.measured[u.step] = took
+}
+
 // estimate returns how long a task of a step is expected to run.
 func (c *Cell) estimate(j *job, step int) time.Duration {
+	if m := j.measured[step]; m > 0 {
+		return m
+	}
 	if l := c.learned[learnKey(j.spec.Terms.Route, step)]; l != nil && l.runs >= learnAfter {
 		return l.mean
 	}
--- a/internal/process/jaycell/report.go
+++ b/internal/process/jaycell/report.go
@@ -288,6 +288,9 @@
 	}
 	if run.Percent != h.percent {
 		h.percent, h.changedAt = run.Percent, c.now
+		if made := run.Percent - h.basis; made >= measureAfter && run.Percent < 100 && !h.unit.spec().Daemon {
+			c.measure(h, time.Duration(float64(c.now-h.confirmedAt)*100/float64(made)))
+		}
 	}
 	if run.Saved != "" {
 		h.saved = run.Saved
--- a/internal/process/jaycell/unit.go
+++ b/internal/process/jaycell/unit.go
@@ -183,6 +183,8 @@
 	// objective is how long the job may take to be on time, as of objectiveAt.
 	objective   time.Duration
 	objectiveAt time.Duration
+	// measured is how long the tasks of a step take, as the job's own runs show.
+	measured map[int]time.Duration
 	// lateGuarantee tells that a missed guarantee has been reported.
 	lateGuarantee bool
 }
--- a/internal/process/jayplay/load.go
+++ b/internal/process/jayplay/load.go
@@ -205,6 +205,11 @@
 	room := c.room
 	room.Accelerators = c.accelerators[r.IntN(len(c.accelerators))]
 	count := max(1, int(c.width.draw(r)+0.5))
+	// Tasks that take whole workers need not run together; gangs fit into a rack.
+	gang := room.Accelerators < accelerators && r.Float64() < c.gang
+	if gang {
+		count = min(count, perRack*perWorker(room))
+	}
 	mean := c.seconds.draw(r)
 	q := &request{class: c, at: at, hopeless: r.Float64() < c.hopeless}
 	fit := l.Runners * perWorker(room)
@@ -213,7 +218,7 @@
 		q.seconds = append(q.seconds, mean*(1+c.uneven*(2*r.Float64()-1)))
 	}
 	s := jaytask.Step{Count: count, Room: room, Estimate: time.Duration(mean * (1 + c.wrong*(2*r.Float64()-1)) * float64(time.Second))}
-	s.Gang = count > 1 && r.Float64() < c.gang
+	s.Gang = gang && count > 1
 	s.SameRack = s.Gang && r.Float64() < c.tight
 	s.Checkpoint = r.Float64() < c.saves
 	if r.Float64() < c.near {
