Let wide steps leave room while they have time to spare

Change: a step that is no gang and not guaranteed takes a quarter of the pool, or as much more as it needs to be on time.

--- a/internal/process/jaycell/estimate.go
+++ b/internal/process/jaycell/estimate.go
@@ -3,8 +3,6 @@
 import (
 	"strconv"
 	"time"
-
-	"github.com/jaystile/jaystile/internal/request/jaytask"
 )
 
 const (
@@ -90,17 +88,11 @@
 
 // waves returns in how many waves a step counts.
 func (c *Cell) waves(j *job, step int) int {
-	s := j.spec.Steps[step]
-	fit := 0
-	for _, r := range c.runners {
-		if !r.gone && r.known && r.info.Service == j.spec.Terms.Service {
-			fit += roomFor(r.info.Capacity, s.Charge(), jaytask.MaxTasks)
-		}
-	}
+	fit := c.slots(j, step)
 	if fit == 0 {
 		return 1
 	}
-	return max(1, (waveShare*s.Count+fit-1)/fit)
+	return max(1, (waveShare*j.spec.Steps[step].Count+fit-1)/fit)
 }
 
 // objective returns how long a job may take to be on time.
--- a/internal/process/jaycell/place.go
+++ b/internal/process/jaycell/place.go
@@ -60,9 +60,17 @@
 		if tried[u] {
 			continue
 		}
+		step := alike(waiting[i:], u)
+		most := r.atOnce(u, len(step))
+		for _, t := range step[most:] {
+			tried[t] = true
+		}
+		if most == 0 {
+			continue
+		}
 		together := []*unit{u}
 		if r.together(u) {
-			together = alike(waiting[i:], u)
+			together = step[:most]
 		}
 		if len(together) > 1 && r.everTogether(u, len(together)) {
 			for _, t := range together {
--- /dev/null
+++ b/internal/process/jaycell/width.go
@@ -0,0 +1,50 @@
+package jaycell
+
+import (
+	"time"
+
+	"github.com/jaystile/jaystile/internal/request/jaytask"
+)
+
+// widthMargin is kept of a step's time when the rounds are counted that it still
+// has: two reports.
+const widthMargin = time.Second
+
+// slots returns how many tasks like those of a job's step the empty pool holds.
+func (c *Cell) slots(j *job, step int) int {
+	room := j.spec.Steps[step].Charge()
+	n := 0
+	for _, r := range c.runners {
+		if !r.gone && r.known && r.info.Service == j.spec.Terms.Service {
+			n += roomFor(r.info.Capacity, room, jaytask.MaxTasks)
+		}
+	}
+	return n
+}
+
+// atOnce returns how many of the n waiting tasks of a unit's step may start now. It
+// answers wide jobs of long tasks, which would hold the whole pool while short
+// urgent jobs wait: a step with time to spare takes a quarter of the pool, as its
+// objective counts it, or as much more as it needs to be on time. A guarantee covers
+// all tasks at once.
+func (r *round) atOnce(u *unit, n int) int {
+	c, s := r.cell, u.spec()
+	if s.Gang || s.Daemon || s.Count == 1 || r.isGuaranteed(u.job) {
+		return n
+	}
+	running := 0
+	for i := range s.Count {
+		if u.job.unitOf(u.occurrence, u.step, i).phase == phaseActive {
+			running++
+		}
+	}
+	most := (c.slots(u.job, u.step) + waveShare - 1) / waveShare
+	if each := c.estimate(u.job, u.step); each > 0 {
+		rounds := int((c.slack(u) + each - widthMargin) / each)
+		if rounds < 1 {
+			return n
+		}
+		most = max(most, (running+n+rounds-1)/rounds)
+	}
+	return min(n, max(0, most-running))
+}
