Let urgent jobs with time to spare throw away less work

Cause: an urgent job stopped others of twice its own work at once, also when its objective, counted in waves, left it seconds in which room would have become free. Change: with more than 1.5 s to spare it may throw away half of its own work only. Test: TestPatientUrgentJobSparesOthers.

--- a/internal/process/jaycell/preempt.go
+++ b/internal/process/jaycell/preempt.go
@@ -14,13 +14,18 @@
 	// stopBase is the work that a stop costs besides what is not saved: the
 	// restore and the second start.
 	stopBase = 300 * time.Millisecond
-	// displaceUrgent, displaceOther and displaceEarly bound the unsaved work that
-	// is thrown away for a job with no guarantee, as a share of the job's own work:
-	// for an urgent job that would be late otherwise, for another such job, and for
-	// a job that can still wait or is late already.
-	displaceUrgent = 2.0
-	displaceOther  = 0.5
-	displaceEarly  = 0.1
+	// displaceUrgent, displacePatient, displaceOther and displaceEarly bound the
+	// unsaved work that is thrown away for a job with no guarantee, as a share of the
+	// job's own work: for an urgent job that would be late otherwise, for one that has
+	// more time than urgentPatience, for another job that would be late, and for one
+	// that can still wait or is late already.
+	displaceUrgent  = 2.0
+	displacePatient = 0.5
+	displaceOther   = 0.5
+	displaceEarly   = 0.1
+	// urgentPatience is the time to spare in which room for an urgent job may be
+	// expected to become free by itself: half of a short urgent task.
+	urgentPatience = 1500 * time.Millisecond
 	// waitBeforeStops is how much more than the time of a stop must be left before
 	// a job stops others: room may become free by itself.
 	waitBeforeStops = 600 * time.Millisecond
@@ -86,6 +91,8 @@
 	switch {
 	case slack < 0:
 		share = displaceEarly
+	case u.job.spec.Terms.Priority == 0 && slack > urgentPatience:
+		share = displacePatient
 	case u.job.spec.Terms.Priority == 0:
 		share = displaceUrgent
 	case slack > waitBeforeStops:
--- a/internal/process/jaycell/width_test.go
+++ b/internal/process/jaycell/width_test.go
@@ -34,6 +34,27 @@
 	}
 }
 
+// An urgent job with time to spare throws away less of what others have done than
+// one that would be late.
+func TestPatientUrgentJobSparesOthers(t *testing.T) {
+	for _, c := range []struct {
+		waited time.Duration
+		stops  int
+	}{{0, 0}, {4 * time.Second, 1}} {
+		w := newWorld(t, nil, "r1", "r2", "r3", "r4")
+		for i := range 4 {
+			w.submit(fmt.Sprintf("other%d", i), 1, "w", step(1, 8))
+		}
+		w.turn(0)
+		w.turn(500 * time.Millisecond)
+		w.turn(2 * time.Second)
+		w.wall = w.wall.Add(-c.waited)
+		w.submit("urgent", 0, "w", step(1, 8))
+		w.wall = w.wall.Add(c.waited)
+		assert.Equal(t, w.stops(w.turn(100*time.Millisecond)), c.stops, "after %s", c.waited)
+	}
+}
+
 // An urgent job beside a wide one of its own priority does not wait for it.
 func TestUrgentJobStartsBesideAWideOne(t *testing.T) {
 	w := newWorld(t, nil, "r1", "r2", "r3", "r4", "r5", "r6", "r7", "r8")
