Store a batch in one append: states of jobs go with the runs

Cause: the holder wrote each batch as up to three appends one after the other, to two topics; the states stood in the topic to which the entries write for callers. Also found on the way: records of jobs that ended under earlier terms were never dropped, and a job read after its run could have been taken for new in the moment of a take-over. Change: states are written with the runs, one append a batch; jobs are read after the runs when a term begins; a job whose end is known is no news; ended jobs are forgotten from the table of all jobs, the state last. Entries follow the holder's topic, at rest, beside what the holder tells them.

--- a/internal/process/jaycell/cell.go
+++ b/internal/process/jaycell/cell.go
@@ -6,6 +6,7 @@
 
 import (
 	"sort"
+	"strings"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -101,6 +102,7 @@
 // sent once it is.
 type Batch struct {
 	Runs []Record
+	// Jobs are states of jobs.
 	Jobs []Record
 	// Drops are runs of jobs whose end is among Jobs or was stored before.
 	Drops  []Record
@@ -151,6 +153,9 @@
 // StateKey names the record of a job's state.
 func StateKey(id string) string { return "s/" + id }
 
+// IsState reports whether a key names the record of a job's state.
+func IsState(key string) bool { return strings.HasPrefix(key, "s/") }
+
 // JobKey names the record of an accepted job.
 func JobKey(id string) string { return "j/" + id }
 
--- a/internal/process/jaycell/report.go
+++ b/internal/process/jaycell/report.go
@@ -369,7 +369,8 @@
 // expected to run.
 const drainExtra = time.Second
 
-// forget drops jobs that ended longer ago than they can be asked about.
+// forget drops jobs that ended longer ago than they can be asked about. Their
+// records are dropped by whoever keeps the callers' records.
 func (c *Cell) forget() {
 	for id, j := range c.jobs {
 		if !j.state.Ended() || c.now-j.endedAt < c.settings.Retention {
@@ -383,7 +384,6 @@
 			continue
 		}
 		delete(c.jobs, id)
-		c.jobRecords = append(c.jobRecords, Record{Key: JobKey(id)}, Record{Key: CancelKey(id)}, Record{Key: StateKey(id)})
 	}
 }
 
--- a/internal/process/jayhub/desk.go
+++ b/internal/process/jayhub/desk.go
@@ -247,6 +247,9 @@
 // find returns the caller's own job. That there is none is said only after a
 // look into the store.
 func (h *Hub) find(ctx context.Context, p place) (jobEntry, *Answer) {
+	if _, read := h.runsTail.Age(); !read {
+		return jobEntry{}, &Answer{Verdict: NotNow, Reason: "states of jobs are not read yet", RetryAfter: h.comeBack()}
+	}
 	e, ok := h.jobs.get(p.id)
 	if !ok {
 		call, cancel := context.WithTimeout(ctx, refreshTimeout)
--- a/internal/process/jayhub/hub.go
+++ b/internal/process/jayhub/hub.go
@@ -13,6 +13,7 @@
 
 	"github.com/jaystile/jaystile/internal/connection/jayframe"
 	"github.com/jaystile/jaystile/internal/connection/jaylink"
+	"github.com/jaystile/jaystile/internal/process/jaycell"
 	"github.com/jaystile/jaystile/internal/process/jayclock"
 	"github.com/jaystile/jaystile/internal/process/jaystore"
 	"github.com/jaystile/jaystile/internal/version/jayroutes"
@@ -24,6 +25,9 @@
 	tailWait = time.Second
 	// jobsPause rests the follower of the jobs' topic: peers spread records sooner.
 	jobsPause = 400 * time.Millisecond
+	// runsPause rests the follower of the holder's topic, of which every entry hears
+	// the states from the holder itself.
+	runsPause = time.Second
 	// linkBeat and linkSilence notice a dead holder of the term within a second.
 	linkBeat    = 250 * time.Millisecond
 	linkSilence = 800 * time.Millisecond
@@ -38,9 +42,11 @@
 
 // Topics names the store's topics and the key of the configuration.
 type Topics struct {
-	Operator  string
-	Cell      string
-	Jobs      string
+	Operator string
+	Cell     string
+	// Jobs holds what entries store for callers: accepted jobs and cancellations.
+	Jobs string
+	// Runs holds what the holder of the term stores: units and states of jobs.
 	Runs      string
 	ConfigKey string
 }
@@ -86,6 +92,7 @@
 	jobsPut  *jaystore.Appender
 	cellTail *jaystore.Tail
 	jobsTail *jaystore.Tail
+	runsTail *jaystore.Tail
 	operTail *jaystore.Tail
 	config   atomic.Pointer[jayroutes.Config]
 	tasks    conc.WaitGroup
@@ -125,6 +132,11 @@
 	h.jobsPut = jaystore.NewAppender(h.client, h.Topics.Jobs)
 	h.cellTail = &jaystore.Tail{Client: h.client, Topic: h.Topics.Cell, Apply: h.applyCell, Wait: tailWait, Failed: h.tailFailed(h.Topics.Cell)}
 	h.jobsTail = &jaystore.Tail{Client: h.client, Topic: h.Topics.Jobs, Wait: tailWait, Pause: jobsPause, Failed: h.tailFailed(h.Topics.Jobs), Replace: h.jobs.replace, Apply: func(s jaystore.Stored) { h.jobs.apply(s.Key, s.Value) }}
+	h.runsTail = &jaystore.Tail{Client: h.client, Topic: h.Topics.Runs, Wait: tailWait, Pause: runsPause, Failed: h.tailFailed(h.Topics.Runs), Apply: func(s jaystore.Stored) {
+		if jaycell.IsState(s.Key) {
+			h.jobs.apply(s.Key, s.Value)
+		}
+	}}
 	h.operTail = &jaystore.Tail{Client: h.client, Topic: h.Topics.Operator, Wait: tailWait, Failed: h.tailFailed(h.Topics.Operator), Apply: h.applyOperator}
 	h.endpoint = &jaylink.Endpoint{
 		Name: h.Name, Incarnation: h.Boot, Timing: jaylink.Timing{Beat: linkBeat, Silence: linkSilence}, MaxLinks: maxLinks,
@@ -149,7 +161,7 @@
 			cancel()
 		}
 	})
-	for _, t := range []*jaystore.Tail{h.cellTail, h.jobsTail, h.operTail} {
+	for _, t := range []*jaystore.Tail{h.cellTail, h.jobsTail, h.runsTail, h.operTail} {
 		wg.Go(func() { t.Run(ctx) })
 	}
 	wg.Go(func() { h.jobsPut.Run(ctx) })
@@ -246,12 +258,13 @@
 	draining := h.draining
 	h.mutex.Unlock()
 	age, loaded := h.jobsTail.Age()
+	_, stated := h.runsTail.Age()
 	switch {
 	case draining:
 		return false, "draining"
 	case h.config.Load() == nil:
 		return false, "no configuration"
-	case !loaded:
+	case !loaded, !stated:
 		return false, "jobs not read"
 	case age > readyWithin:
 		return false, "store out of reach"
--- a/internal/process/jayhub/jobtable.go
+++ b/internal/process/jayhub/jobtable.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -20,6 +21,8 @@
 	spec     *jaytask.Job
 	canceled bool
 	state    jaytask.State
+	// stateAt is when the state was reached.
+	stateAt time.Time
 }
 
 // shown returns the state that callers are told.
@@ -54,9 +57,8 @@
 	return &jobTable{logger: logger, jobs: map[string]*jobEntry{}}
 }
 
-// replace takes the newest records of all keys. A job is news only with all that
-// is stored of it: one that has ended must not be taken for a new one. A final
-// state that a peer has told of already is kept.
+// replace takes the newest records of all jobs and cancellations; their states,
+// which are stored elsewhere, stay. A job that has ended is no news.
 func (t *jobTable) replace(all []jaystore.Stored) {
 	fresh := newJobTable(t.logger)
 	for _, s := range all {
@@ -67,8 +69,8 @@
 	t.mutex.Lock()
 	for id, e := range fresh.jobs {
 		old := t.jobs[id]
-		if old != nil && old.state.Ended() {
-			e.state = old.state
+		if old != nil {
+			e.state, e.stateAt = old.state, old.stateAt
 		}
 		if e.spec == nil || e.state.Ended() {
 			continue
@@ -122,19 +124,22 @@
 				t.logger.Error().Str("event", "record").Str("job", id).Err(err).Msg("skipping a job that cannot be read")
 				break
 			}
-			e.spec, fresh = spec, spec
+			e.spec = spec
+			if !e.state.Ended() {
+				fresh = spec
+			}
 		}
 	case "c":
 		canceled = !e.canceled
 		e.canceled = true
 	case "s":
-		state, _, err := jaycell.DecodeState(value)
+		state, at, err := jaycell.DecodeState(value)
 		if err != nil {
 			t.logger.Error().Str("event", "record").Str("job", id).Err(err).Msg("skipping a state that cannot be read")
 			break
 		}
 		if !e.state.Ended() {
-			e.state, ended = state, state.Ended()
+			e.state, e.stateAt, ended = state, at, state.Ended()
 		}
 	}
 	t.mutex.Unlock()
@@ -197,6 +202,20 @@
 	return n
 }
 
+// expired returns at most so many jobs that ended before a time, the earliest first.
+func (t *jobTable) expired(before time.Time, most int) []string {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	var ids []string
+	for id, e := range t.jobs {
+		if e.spec != nil && e.state.Ended() && e.stateAt.Before(before) {
+			ids = append(ids, id)
+		}
+	}
+	slices.SortFunc(ids, func(a, b string) int { return t.jobs[a].stateAt.Compare(t.jobs[b].stateAt) })
+	return ids[:min(len(ids), most)]
+}
+
 // open returns the jobs that are not over, and those that were canceled and
 // whose end is not recorded.
 func (t *jobTable) open() []jobEntry {
--- a/internal/process/jayhub/jobtable_test.go
+++ b/internal/process/jayhub/jobtable_test.go
@@ -113,3 +113,26 @@
 		})
 	}
 }
+
+// Jobs that are read anew keep their states, which are stored elsewhere, and are
+// forgotten once they have ended long enough ago.
+func TestEndedJobsStayEndedUntilTheyAreForgotten(t *testing.T) {
+	news := 0
+	table := newJobTable(zerolog.Nop())
+	table.accepted = func(*jaytask.Job) { news++ }
+	now := time.UnixMilli(1_700_000_000_000)
+	record := jobRecord(t, id)
+	table.apply("s/"+id, jaycell.EncodeState(jaytask.Completed, now))
+	table.replace([]jaystore.Stored{record})
+	assert.Equal(t, news, 0)
+	assert.Equal(t, len(table.open()), 0)
+	late := newJobTable(zerolog.Nop())
+	late.accepted = table.accepted
+	late.apply("s/"+id, jaycell.EncodeState(jaytask.Completed, now))
+	late.apply(record.Key, record.Value)
+	assert.Equal(t, news, 0, "a job's end may be known before the job")
+	assert.Equal(t, len(table.expired(now, 10)), 0)
+	assert.DeepEqual(t, table.expired(now.Add(time.Second), 10), []string{id})
+	table.apply("j/"+id, nil)
+	assert.Equal(t, len(table.expired(now.Add(time.Second), 10)), 0)
+}
--- a/internal/process/jayhub/lead.go
+++ b/internal/process/jayhub/lead.go
@@ -4,11 +4,11 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
-	"github.com/sourcegraph/conc"
 
 	"github.com/jaystile/jaystile/internal/connection/jayframe"
 	"github.com/jaystile/jaystile/internal/connection/jaylink"
@@ -24,6 +24,10 @@
 	// pausedFor is a gap between two ticks after which this process may have been
 	// frozen, and another entry may hold the term.
 	pausedFor = 700 * time.Millisecond
+	// forgetEvery is how often ended jobs are looked through, forgetMost how many are
+	// forgotten at a time: far more than come.
+	forgetEvery = 5 * time.Second
+	forgetMost  = 200
 	// producer names the holder's writes to the store.
 	producer = "cell"
 )
@@ -48,6 +52,9 @@
 	// that its term goes on.
 	doubtful bool
 	lastTick time.Duration
+	// gone are the states to drop, of jobs whose other records are dropped.
+	gone       []jaycell.Record
+	lastForget time.Duration
 }
 
 func newLead(h *Hub, term uint64) *lead {
@@ -131,8 +138,7 @@
 	})
 	defer l.hub.leave(l)
 	runs := jaystore.NewTermLog(l.hub.client, l.hub.Topics.Runs, producer, l.term)
-	jobs := jaystore.NewTermLog(l.hub.client, l.hub.Topics.Jobs, producer, l.term)
-	if err := l.load(ctx, runs, jobs); err != nil {
+	if err := l.load(ctx, runs); err != nil {
 		l.hub.Logger.Warn().Str("event", "term").Uint64("term", l.term).Err(err).Msg("cannot begin the term")
 		return
 	}
@@ -146,7 +152,7 @@
 		case <-l.kick:
 		case <-ticker.C:
 		}
-		l.step(ctx, runs, jobs)
+		l.step(ctx, runs)
 	}
 }
 
@@ -162,27 +168,31 @@
 // load makes the store refuse earlier terms, then reads what they have left. Jobs
 // and runs are read side by side: a slow store makes each call a part of the time
 // in which nothing is decided.
-func (l *lead) load(ctx context.Context, runs, jobs *jaystore.TermLog) error {
+func (l *lead) load(ctx context.Context, runs *jaystore.TermLog) error {
+	if err := runs.Seal(ctx); err != nil {
+		return err
+	}
 	var records []jaystore.Record
-	var runsErr, jobsErr error
-	var wg conc.WaitGroup
-	wg.Go(func() {
-		if runsErr = runs.Seal(ctx); runsErr == nil {
-			runsErr = again(ctx, func() (err error) {
-				records, err = jaystore.LoadAll(ctx, l.hub.client, l.hub.Topics.Runs)
-				return err
-			})
-		}
-	})
-	wg.Go(func() {
-		if jobsErr = jobs.Seal(ctx); jobsErr == nil {
-			jobsErr = again(ctx, func() error { return l.hub.jobsTail.Refresh(ctx) })
-		}
+	err := again(ctx, func() (err error) {
+		records, err = jaystore.LoadAll(ctx, l.hub.client, l.hub.Topics.Runs)
+		return err
 	})
-	wg.Wait()
-	if err := errors.Join(runsErr, jobsErr); err != nil {
+	if err != nil {
+		return err
+	}
+	// The jobs are read after the runs, so that every job of which there is a run is
+	// known.
+	if err := again(ctx, func() error { return l.hub.jobsTail.Refresh(ctx) }); err != nil {
 		return err
 	}
+	var units []jaystore.Record
+	for _, r := range records {
+		if jaycell.IsState(r.Key) {
+			l.hub.jobs.apply(r.Key, r.Value)
+		} else {
+			units = append(units, r)
+		}
+	}
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	l.at()
@@ -196,7 +206,7 @@
 			canceled = append(canceled, e.spec.ID)
 		}
 	}
-	for _, r := range records {
+	for _, r := range units {
 		if err := l.cell.Load(jaycell.Record{Key: r.Key, Value: r.Value}); err != nil {
 			l.hub.Logger.Error().Str("event", "record").Err(err).Msg("skipping a run that cannot be read")
 		}
@@ -205,7 +215,7 @@
 		l.cell.Cancel(id)
 	}
 	l.loaded, l.lastTick = true, jayclock.Elapsed()
-	l.hub.Logger.Info().Str("event", "term").Uint64("term", l.term).Int("runs", len(records)).Msg("deciding")
+	l.hub.Logger.Info().Str("event", "term").Uint64("term", l.term).Int("runs", len(units)).Msg("deciding")
 	return nil
 }
 
@@ -224,7 +234,7 @@
 func (l *lead) at() { l.cell.At(jayclock.Elapsed(), time.Now()) }
 
 // step decides and starts to store what was decided.
-func (l *lead) step(ctx context.Context, runs, jobs *jaystore.TermLog) {
+func (l *lead) step(ctx context.Context, runs *jaystore.TermLog) {
 	l.mutex.Lock()
 	l.at()
 	now := jayclock.Elapsed()
@@ -242,16 +252,20 @@
 		}
 	}
 	stops := l.cell.TakeStops()
-	if batch != nil && !batch.Empty() {
+	if batch != nil && (!batch.Empty() || len(l.gone) > 0) {
 		l.writing = true
 	} else {
 		batch = nil
 	}
+	if now-l.lastForget > forgetEvery && !l.resigned {
+		l.lastForget = now
+		l.hub.tasks.Go(l.forget)
+	}
 	l.mutex.Unlock()
 	l.send(stops)
 	poke(l.asking)
 	if batch != nil {
-		l.hub.tasks.Go(func() { l.store(ctx, runs, jobs, batch) })
+		l.hub.tasks.Go(func() { l.store(ctx, runs, batch) })
 	}
 }
 
@@ -273,15 +287,18 @@
 	poke(l.kick)
 }
 
-// store writes a batch, then sends the orders that depend on it.
-func (l *lead) store(ctx context.Context, runs, jobs *jaystore.TermLog, b *jaycell.Batch) {
-	err := runs.Write(ctx, toStore(b.Runs))
-	if err == nil {
-		err = jobs.Write(ctx, toStore(b.Jobs))
-	}
-	if err == nil {
-		err = runs.Write(ctx, toStore(b.Drops))
+// store writes a batch, in one append where it fits, then sends the orders that
+// depend on it.
+func (l *lead) store(ctx context.Context, runs *jaystore.TermLog, b *jaycell.Batch) {
+	l.mutex.Lock()
+	gone := l.gone
+	l.gone = nil
+	l.mutex.Unlock()
+	var records []jaystore.Record
+	for _, r := range slices.Concat(b.Runs, b.Jobs, b.Drops, gone) {
+		records = append(records, jaystore.Record{Key: r.Key, Value: r.Value})
 	}
+	err := runs.Write(ctx, records)
 	var fenced *jaystore.FencedError
 	if errors.As(err, &fenced) {
 		l.end("the store has seen a higher term")
@@ -303,12 +320,24 @@
 	poke(l.kick)
 }
 
-func toStore(records []jaycell.Record) []jaystore.Record {
-	all := make([]jaystore.Record, len(records))
-	for i, r := range records {
-		all[i] = jaystore.Record{Key: r.Key, Value: r.Value}
+// forget drops the records of jobs that ended longer ago than callers may ask, also
+// of those that ended under earlier terms. The state goes last: a job without one
+// would count as new.
+func (l *lead) forget() {
+	for _, id := range l.hub.jobs.expired(time.Now().Add(-l.hub.Timing.Retention), forgetMost) {
+		deadline := time.Now().Add(putMost)
+		err := l.hub.jobsPut.Put(jaystore.Record{Key: jaycell.CancelKey(id)}, deadline)
+		if err == nil {
+			err = l.hub.jobsPut.Put(jaystore.Record{Key: jaycell.JobKey(id)}, deadline)
+		}
+		if err != nil {
+			l.hub.Logger.Warn().Str("event", "forget").Str("job", id).Err(err).Msg("the record of a job stays for now")
+			return
+		}
+		l.mutex.Lock()
+		l.gone = append(l.gone, jaycell.Record{Key: jaycell.StateKey(id)})
+		l.mutex.Unlock()
 	}
-	return all
 }
 
 // publish spreads stored records of jobs.
