Send each try of an append one way, and a slow store fewer of them

Change: tries of an append go different ways, one each; while answers take over 100 ms there are two instead of three, after two and a half times the slowest answer.

--- a/internal/process/jaystore/appender.go
+++ b/internal/process/jaystore/appender.go
@@ -167,8 +167,8 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
-	_, err := a.pace.hedged(ctx, func(ctx context.Context) (uint64, error) {
-		return a.client.Append(ctx, Append{Topic: a.topic, Records: records})
+	_, err := a.pace.hedged(ctx, func(ctx context.Context, try int) (uint64, error) {
+		return a.client.Append(ctx, Append{Topic: a.topic, Records: records, Try: try})
 	})
 	if isSilence(err) {
 		for _, i := range group {
--- a/internal/process/jaystore/hedge.go
+++ b/internal/process/jaystore/hedge.go
@@ -20,8 +20,13 @@
 	// repeated beside the first: hedgeFactor times what answers took lately. A slow
 	// store is not helped by more appends, which it carries out one by one.
 	leastHedge  = 200 * time.Millisecond
-	mostHedge   = 1200 * time.Millisecond
+	mostHedge   = callTimeout
 	hedgeFactor = 2.5
+	// calmAnswer is the longest time that an answer of a store takes that is not slow;
+	// calmTries and slowTries are how often an append is sent at most.
+	calmAnswer = 100 * time.Millisecond
+	calmTries  = 3
+	slowTries  = 2
 	// hedgeFade is how much of the slowest answer's weight is left after each
 	// faster one.
 	hedgeFade = 0.8
@@ -43,9 +48,17 @@
 	return min(max(time.Duration(hedgeFactor*float64(p.slowest.Load())), leastHedge), mostHedge)
 }
 
+// tries returns how often an append is sent at most.
+func (p *pace) tries() int {
+	if time.Duration(p.slowest.Load()) > calmAnswer {
+		return slowTries
+	}
+	return calmTries
+}
+
 // hedged makes an append that may be repeated without harm: it is sent again
 // beside a first try that gets no answer, and the first answer counts.
-func (p *pace) hedged(ctx context.Context, call func(context.Context) (uint64, error)) (uint64, error) {
+func (p *pace) hedged(ctx context.Context, call func(ctx context.Context, try int) (uint64, error)) (uint64, error) {
 	type result struct {
 		end uint64
 		err error
@@ -55,12 +68,14 @@
 	results := make(chan result, 8)
 	var wg conc.WaitGroup
 	defer func() { go wg.Wait() }()
-	open := 0
+	open, tries := 0, 0
 	launch := func() {
 		open++
+		tries++
+		try := tries
 		wg.Go(func() {
 			begun := time.Now()
-			end, err := call(ctx)
+			end, err := call(ctx, try)
 			if err == nil {
 				p.note(time.Since(begun))
 			}
@@ -71,7 +86,7 @@
 	timer := time.NewTimer(p.hedge())
 	defer timer.Stop()
 	unanswered := error(nil)
-	for tries := 1; ; {
+	for {
 		select {
 		case r := <-results:
 			open--
@@ -87,8 +102,7 @@
 				return 0, unanswered
 			}
 		case <-timer.C:
-			if tries < 3 {
-				tries++
+			if tries < p.tries() {
 				launch()
 				timer.Reset(2 * p.hedge())
 			}
--- a/internal/process/jaystore/path.go
+++ b/internal/process/jaystore/path.go
@@ -19,6 +19,8 @@
 	Body   []byte
 	// Wait is how long the store may hold the request back.
 	Wait time.Duration
+	// Try is that of an Append: each goes one way only.
+	Try int
 }
 
 // Reply is the store's answer to an Exchange.
@@ -31,7 +33,8 @@
 	// directRest is how long a process goes through a peer after the store has not
 	// served it, before it tries the straight way again.
 	directRest = 1200 * time.Millisecond
-	// otherAfter is when the other way is tried beside one that has not answered.
+	// otherAfter is when the other way is tried at the earliest beside one that has
+	// not answered; a slow store is given hedgeFactor times what it took lately.
 	otherAfter = 500 * time.Millisecond
 
 	statusBusy        = 429
@@ -50,6 +53,7 @@
 	// Turned is called when the way changes.
 	Turned func(throughPeer bool, cause string)
 
+	pace      pace
 	restUntil atomic.Int64
 	relayed   atomic.Bool
 	// served and failed are when the store last served a request and last did not,
@@ -94,6 +98,9 @@
 	r, err := p.choose(ctx, x)
 	if x.Wait == 0 {
 		callSeconds.UpdateDuration(begun)
+		if err == nil && !unserved(r.Status) {
+			p.pace.note(time.Since(begun))
+		}
 	}
 	// A caller that has stopped waiting says nothing of the store.
 	if err == nil || !errors.Is(ctx.Err(), context.Canceled) {
@@ -106,10 +113,17 @@
 	if !p.HasPeer() {
 		return p.Direct(ctx, x)
 	}
+	first, second := way(p.tryDirect), way(p.Relay)
 	if jayclock.Elapsed() < time.Duration(p.restUntil.Load()) {
-		return p.both(ctx, x, p.Relay, p.tryDirect)
+		first, second = second, first
+	}
+	switch {
+	case x.Try == 0:
+		return p.both(ctx, x, first, second)
+	case x.Try%2 == 1:
+		return first(ctx, x)
 	}
-	return p.both(ctx, x, p.tryDirect, p.Relay)
+	return second(ctx, x)
 }
 
 type way func(ctx context.Context, x Exchange) (Reply, error)
@@ -133,7 +147,7 @@
 	}
 	send(first)
 	open, next := 1, second
-	timer := time.NewTimer(otherAfter + x.Wait)
+	timer := time.NewTimer(max(otherAfter, p.pace.hedge()) + x.Wait)
 	defer timer.Stop()
 	var refusal result
 	var silent error
--- a/internal/process/jaystore/store.go
+++ b/internal/process/jaystore/store.go
@@ -38,6 +38,9 @@
 	Fence *Fence
 	// At, when set, is where the topic must end.
 	At *uint64
+	// Try counts the tries of an append that is repeated while earlier ones are open,
+	// from 1; they go different ways, one each. Zero may go both ways.
+	Try int
 }
 
 // Chunk is what a read has found.
--- a/internal/process/jaystore/store_test.go
+++ b/internal/process/jaystore/store_test.go
@@ -3,10 +3,13 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/sourcegraph/conc"
 	"gotest.tools/v3/assert"
 )
 
@@ -259,3 +262,56 @@
 	_, down = p.Down()
 	assert.Assert(t, !down)
 }
+
+// A store that takes its appends one by one and a quarter of a second for each is
+// not asked more often than it can answer: all records of a burst are stored, with
+// few repeats.
+func TestSlowStoreIsNotFloodedWithRepeats(t *testing.T) {
+	const each = 250 * time.Millisecond
+	var queue sync.Mutex
+	var calls atomic.Int64
+	slow := func(ctx context.Context, x Exchange) (Reply, error) {
+		if x.Method != "append" {
+			return Reply{Status: 200}, nil
+		}
+		calls.Add(1)
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			queue.Lock()
+			defer queue.Unlock()
+			time.Sleep(each)
+		}()
+		select {
+		case <-ctx.Done():
+			return Reply{}, &NoAnswerError{Operation: "append", Cause: ctx.Err().Error()}
+		case <-done:
+			return Reply{Status: 200}, nil
+		}
+	}
+	p := &Path{Direct: slow, Relay: slow, HasPeer: func() bool { return true }}
+	client := &Client{Append: func(ctx context.Context, a Append) (uint64, error) {
+		_, err := p.Do(ctx, Exchange{Method: "append", Try: a.Try})
+		return 0, err
+	}}
+	const writers, records = 3, 3
+	var wg conc.WaitGroup
+	var failed atomic.Int64
+	for w := range writers {
+		a := NewAppender(client, "t")
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go a.Run(ctx)
+		for r := range records {
+			wg.Go(func() {
+				time.Sleep(time.Duration(w*70+r*300) * time.Millisecond)
+				if err := a.Put(Record{Key: fmt.Sprintf("%d/%d", w, r)}, time.Now().Add(5*time.Second)); err != nil {
+					failed.Add(1)
+				}
+			})
+		}
+	}
+	wg.Wait()
+	assert.Equal(t, failed.Load(), int64(0))
+	assert.Assert(t, calls.Load() <= 2*writers*records, "%d appends for %d records", calls.Load(), writers*records)
+}
--- a/internal/process/jaystore/termlog.go
+++ b/internal/process/jaystore/termlog.go
@@ -46,8 +46,8 @@
 func (l *TermLog) append(ctx context.Context, records []Record) error {
 	for tries := 0; ; tries++ {
 		fence := Fence{Producer: l.producer, Term: l.term, Sequence: l.sequence}
-		_, err := l.pace.hedged(ctx, func(ctx context.Context) (uint64, error) {
-			return l.client.Append(ctx, Append{Topic: l.topic, Records: records, Fence: &fence})
+		_, err := l.pace.hedged(ctx, func(ctx context.Context, try int) (uint64, error) {
+			return l.client.Append(ctx, Append{Topic: l.topic, Records: records, Fence: &fence, Try: try})
 		})
 		var order *SequenceError
 		var fenced *FencedError
