--- a/internal/version/jaysettings/cell.go
+++ b/internal/version/jaysettings/cell.go
@@ -24,9 +24,11 @@
 	Readiness string
 	Control   string
 	Link      string
-	Metrics   string
-	Seeds     string
-	Store     string
+	// LinkAnnounced is where others reach the link; empty is where it listens.
+	LinkAnnounced string
+	Metrics       string
+	Seeds         string
+	Store         string
 	// Advice is empty where there is no advice service.
 	Advice string
 	Runner string
@@ -81,6 +83,7 @@
 		address("listen", "readiness", "address of the readiness check", "127.0.0.1:8523", true, &c.Readiness),
 		address("listen", "control", "address that other processes know as a seed", "127.0.0.1:8526", true, &c.Control),
 		address("listen", "link", "address for links of sides and entries", "127.0.0.1:7000", true, &c.Link),
+		address("listen", "link_announced", "address at which others reach the link; empty is the one that it listens on", "127.0.0.1:7000", false, &c.LinkAnnounced),
 		address("advice", "address", "address of the service that knows which runners may run a step; empty is none", "127.0.0.1:8525", false, &c.Advice),
 	)
 }
