--- a/internal/process/jaycell/cell.go
+++ b/internal/process/jaycell/cell.go
@@ -253,7 +253,8 @@
 		r = &Runner{id: m.Runner, node: m.Node, holds: map[string]*hold{}, leaseEnd: c.leaseEnd()}
 		c.runners[m.Runner] = r
 	}
-	h := &hold{unit: u, run: u.run, index: m.Index, runner: r, room: u.spec().Charge(), committed: true, changedAt: c.now, share: 100}
+	h := newHold(u, m.Index, r, c.now)
+	h.committed = true
 	u.live = append(u.live, h)
 	r.add(h)
 }
--- a/internal/process/jaycell/order.go
+++ b/internal/process/jaycell/order.go
@@ -1,6 +1,7 @@
 package jaycell
 
 import (
+	"cmp"
 	"sort"
 )
 
@@ -44,22 +45,38 @@
 
 func (r *round) isGuaranteed(j *job) bool { return r.guaranteed[j] }
 
-// before orders units: guarantees first, then by tier, then jobs that have begun,
+// ranked is a unit with what its place in the order depends on.
+type ranked struct {
+	unit       *unit
+	guaranteed bool
+	tier       float64
+}
+
+// compare orders units: guarantees first, then by tier, then jobs that have begun,
 // since a job counts only when all of it is done, then by acceptance.
-func (r *round) before(a, b *unit) bool {
-	if x, y := r.isGuaranteed(a.job), r.isGuaranteed(b.job); x != y {
-		return x
+func (a ranked) compare(b ranked) int {
+	if a.guaranteed != b.guaranteed {
+		return first(a.guaranteed)
+	}
+	if a.tier != b.tier {
+		return cmp.Compare(a.tier, b.tier)
 	}
-	if x, y := r.cell.tier(a), r.cell.tier(b); x != y {
-		return x < y
+	x, y := a.unit.job, b.unit.job
+	if x.begun != y.begun {
+		return first(x.begun)
 	}
-	if x, y := a.job.begun, b.job.begun; x != y {
-		return x
+	if x != y {
+		return first(earlier(x, y))
 	}
-	if a.job != b.job {
-		return earlier(a.job, b.job)
+	return cmp.Compare(a.unit.key(), b.unit.key())
+}
+
+// first is the comparison of two items of which the condition puts one first.
+func first(condition bool) int {
+	if condition {
+		return -1
 	}
-	return a.key() < b.key()
+	return 1
 }
 
 // tier returns how urgent a unit is, the least first: its priority, more when it
--- a/internal/process/jaycell/place.go
+++ b/internal/process/jaycell/place.go
@@ -1,6 +1,7 @@
 package jaycell
 
 import (
+	"slices"
 	"sort"
 	"time"
 
@@ -29,6 +30,8 @@
 	guaranteed map[*job]bool
 	// spare is how many free accelerators are not kept for urgent work.
 	spare int
+	// seen holds the units whose turn has been.
+	seen map[*unit]bool
 	// blocked remembers shapes that found no room, so that equal ones are skipped.
 	blocked map[shape]bool
 }
@@ -54,33 +57,45 @@
 		return
 	}
 	r := c.newRound()
-	sort.SliceStable(waiting, func(i, j int) bool { return r.before(waiting[i], waiting[j]) })
-	tried := map[*unit]bool{}
-	for i, u := range waiting {
-		if tried[u] {
-			continue
-		}
-		step := alike(waiting[i:], u)
-		most := r.atOnce(u, len(step))
-		for _, t := range step[most:] {
-			tried[t] = true
-		}
-		if most == 0 {
-			continue
-		}
-		together := []*unit{u}
-		if r.together(u) {
-			together = step[:most]
-		}
-		if len(together) > 1 && r.everTogether(u, len(together)) {
-			for _, t := range together {
-				tried[t] = true
-			}
-			r.try(together)
-			continue
-		}
-		r.try([]*unit{u})
+	for _, u := range r.sorted(waiting) {
+		r.placeStep(u)
+	}
+}
+
+// placeStep starts what may start of the step of a unit, together where parts are
+// of no use. A step whose turn has been is passed over.
+func (r *round) placeStep(u *unit) {
+	if r.seen[u] {
+		return
+	}
+	step := r.waitingOf(u)
+	for _, t := range step {
+		r.seen[t] = true
+	}
+	step = step[:r.atOnce(u, len(step))]
+	if len(step) == 0 {
+		return
+	}
+	if len(step) > 1 && r.together(u) && r.everTogether(u, len(step)) {
+		r.try(step)
+		return
+	}
+	for _, t := range step {
+		r.try([]*unit{t})
+	}
+}
+
+// sorted returns the units, the most urgent first.
+func (r *round) sorted(units []*unit) []*unit {
+	all := make([]ranked, len(units))
+	for i, u := range units {
+		all[i] = ranked{unit: u, guaranteed: r.isGuaranteed(u.job), tier: r.cell.tier(u)}
+	}
+	slices.SortFunc(all, ranked.compare)
+	for i, x := range all {
+		units[i] = x.unit
 	}
+	return units
 }
 
 // together reports whether the tasks of a unit's step start all at once or not at
@@ -93,11 +108,11 @@
 	return r.isGuaranteed(u.job) || r.cell.slack(u) >= 0
 }
 
-// alike returns the units of the same step that wait.
-func alike(waiting []*unit, u *unit) []*unit {
+// waitingOf returns the units of the same step that wait and may be tried.
+func (r *round) waitingOf(u *unit) []*unit {
 	var all []*unit
-	for _, w := range waiting {
-		if w.job == u.job && w.step == u.step && w.occurrence == u.occurrence {
+	for _, w := range u.job.table[u.occurrence][u.step] {
+		if w != nil && w.waits(r.cell.now) {
 			all = append(all, w)
 		}
 	}
@@ -122,7 +137,7 @@
 		}
 		j.open(c.wall.Add(-dueSlack))
 		for _, u := range j.units {
-			if u.phase == phaseWaiting && c.now >= u.notBefore {
+			if u.waits(c.now) {
 				all = append(all, u)
 			}
 		}
@@ -131,7 +146,7 @@
 }
 
 func (c *Cell) newRound() *round {
-	r := &round{cell: c, guaranteed: c.guaranteedJobs(), blocked: map[shape]bool{}}
+	r := &round{cell: c, guaranteed: c.guaranteedJobs(), seen: map[*unit]bool{}, blocked: map[shape]bool{}}
 	claimed := c.claimed()
 	racks := map[string]bool{}
 	for _, n := range c.sortedRunners() {
@@ -252,7 +267,7 @@
 	u.run++
 	u.reason = ""
 	for i, v := range runners {
-		h := &hold{unit: u, run: u.run, index: u.first + i, runner: v.runner, room: u.spec().Charge(), changedAt: c.now, share: 100}
+		h := newHold(u, u.first+i, v.runner, c.now)
 		u.live = append(u.live, h)
 		v.runner.add(h)
 		v.free = v.free.Minus(h.room)
--- a/internal/process/jaycell/unit.go
+++ b/internal/process/jaycell/unit.go
@@ -23,7 +23,9 @@
 
 // unit is what starts and ends as one: a gang, or a single task.
 type unit struct {
-	job        *job
+	job *job
+	// name is the key of the unit's record.
+	name       string
 	occurrence int
 	step       int
 	first      int
@@ -56,6 +58,11 @@
 
 func (u *unit) spec() *jaytask.Step { return &u.job.spec.Steps[u.step] }
 
+// waits reports whether the unit may be started now.
+func (u *unit) waits(now time.Duration) bool {
+	return u.phase == phaseWaiting && now >= u.notBefore
+}
+
 // exhausted reports whether no further run may begin.
 func (u *unit) exhausted() bool {
 	return !u.spec().Daemon && len(u.failedRuns) >= max(u.job.spec.Terms.Attempts, 1)
@@ -69,9 +76,12 @@
 	u.avoid[id] = until
 }
 
-// key names the unit's record: the job, the occurrence, the step, and for a
-// single task its index.
-func (u *unit) key() string {
+// key names the unit's record.
+func (u *unit) key() string { return u.name }
+
+// makeKey returns the job, the occurrence, the step, and for a single task its
+// index.
+func (u *unit) makeKey() string {
 	k := fmt.Sprintf("%s.%d.%d", u.job.spec.ID, u.occurrence, u.step)
 	if u.spec().Gang {
 		return k
@@ -133,6 +143,7 @@
 // hold is one member of a run on one runner.
 type hold struct {
 	unit   *unit
+	name   string
 	run    int
 	index  int
 	runner *Runner
@@ -161,17 +172,25 @@
 	paceAt  time.Duration
 }
 
-func (h *hold) task() string {
-	return TaskName(h.unit.job.spec.ID, h.unit.occurrence, h.unit.step, h.index)
+// newHold returns a member of a unit's current run.
+func newHold(u *unit, index int, r *Runner, now time.Duration) *hold {
+	return &hold{unit: u, name: TaskName(u.job.spec.ID, u.occurrence, u.step, index), run: u.run, index: index, runner: r, room: u.spec().Charge(), changedAt: now, share: fullShare}
 }
 
+// fullShare is the share of its speed, in percent, at which a run begins.
+const fullShare = 100
+
+func (h *hold) task() string { return h.name }
+
 // job is a job that has not ended, with its units.
 type job struct {
 	spec     *jaytask.Job
 	state    jaytask.State
 	canceled bool
-	// units by occurrence and step, created when their turn comes.
+	// units by their keys, created when their turn comes; table holds them by
+	// occurrence, step and index.
 	units map[string]*unit
+	table [][][]*unit
 	// undone counts the units of each occurrence and step that are not done.
 	undone  [][]int
 	opened  [][]bool
@@ -198,6 +217,7 @@
 			j.left += undone[i]
 		}
 		j.undone = append(j.undone, undone)
+		j.table = append(j.table, make([][]*unit, len(spec.Steps)))
 		j.opened = append(j.opened, make([]bool, len(spec.Steps)))
 	}
 	return j
@@ -216,15 +236,22 @@
 		return nil
 	}
 	s := &j.spec.Steps[step]
-	u := &unit{job: j, occurrence: occurrence, step: step, first: index, count: 1}
 	if s.Gang {
-		u.first, u.count = 0, s.Count
+		index = 0
+	}
+	if j.table[occurrence][step] == nil {
+		j.table[occurrence][step] = make([]*unit, unitsOf(*s))
 	}
-	if old := j.units[u.key()]; old != nil {
-		return old
+	at := &j.table[occurrence][step][index]
+	if *at == nil {
+		u := &unit{job: j, occurrence: occurrence, step: step, first: index, count: 1}
+		if s.Gang {
+			u.count = s.Count
+		}
+		u.name = u.makeKey()
+		*at, j.units[u.name] = u, u
 	}
-	j.units[u.key()] = u
-	return u
+	return *at
 }
 
 // ready reports whether the steps that a step waits for are done.
--- a/internal/process/jaycell/width.go
+++ b/internal/process/jaycell/width.go
@@ -33,8 +33,8 @@
 		return n
 	}
 	running := 0
-	for i := range s.Count {
-		if u.job.unitOf(u.occurrence, u.step, i).phase == phaseActive {
+	for _, w := range u.job.table[u.occurrence][u.step] {
+		if w != nil && w.phase == phaseActive {
 			running++
 		}
 	}
--- a/internal/process/jayplay/play_test.go
+++ b/internal/process/jayplay/play_test.go
@@ -116,3 +116,24 @@
 		})
 	}
 }
+
+// grown is the load of a deployment seven times as large, short of room.
+func grown(b *testing.B) Load {
+	l, err := FindLoad("salish")
+	assert.NilError(b, err)
+	l.Runners, l.Workspaces = 76, 10
+	l.Classes[0].PerSecond, l.Classes[0].width = 3, spread{5, 0.8, 30}
+	l.Classes[1].PerSecond, l.Classes[1].width = 0.65, spread{8, 0.8, 45}
+	l.Classes[2].PerSecond, l.Classes[2].width = 0.5, spread{30, 0.8, 160}
+	return l
+}
+
+// BenchmarkGrownDay plays a day of 64 s, 3,200 rounds, with hundreds of tasks that
+// wait on 76 workers.
+func BenchmarkGrownDay(b *testing.B) {
+	l := grown(b)
+	for b.Loop() {
+		_, err := l.Play(1)
+		assert.NilError(b, err)
+	}
+}
