Tell the role of a settings file from the file

Change: without the option the role counts in which the fewest faults are found; faults name the role. Test: TestRoleIsToldFromTheFile (all five roles, also with a fault in the file); before, it failed to build.

--- a/cmd/jaystile/settings.go
+++ b/cmd/jaystile/settings.go
@@ -17,7 +17,7 @@
 type settingsCommand struct{}
 
 type settingsCheckCommand struct {
-	Role string `long:"role" default:"entry" description:"entry, side, standin, cell-entry or cell-side"`
+	Role string `long:"role" description:"entry, side, standin, cell-entry or cell-side; without it the role that the file fits best"`
 	Args struct {
 		File string `positional-arg-name:"FILE"`
 	} `positional-args:"yes" required:"yes"`
@@ -41,10 +41,14 @@
 	if err != nil {
 		return err
 	}
-	if err := jaysettings.Check(jaysettings.Role(c.Role), source); err != nil {
-		return &exitError{status: exitInvalid, cause: err}
+	role := jaysettings.Role(c.Role)
+	if role == "" {
+		role = jaysettings.RoleOf(source)
 	}
-	fmt.Printf("%s: settings of role %s are right\n", c.Args.File, c.Role)
+	if err := jaysettings.Check(role, source); err != nil {
+		return &exitError{status: exitInvalid, cause: fmt.Errorf("settings of role %s: %w", role, err)}
+	}
+	fmt.Printf("%s: settings of role %s are right\n", c.Args.File, role)
 	return nil
 }
 
--- a/internal/version/jaysettings/roles.go
+++ b/internal/version/jaysettings/roles.go
@@ -1,6 +1,7 @@
 package jaysettings
 
 import (
+	"errors"
 	"fmt"
 	"time"
 )
@@ -66,6 +67,28 @@
 	return err
 }
 
+// Roles returns all roles that have settings.
+func Roles() []Role {
+	return []Role{RoleEntry, RoleSide, RoleStandin, RoleCellEntry, RoleCellSide}
+}
+
+// RoleOf returns the role that settings fit best: the one in which the fewest
+// faults are found.
+func RoleOf(s Source) Role {
+	best, fewest := RoleEntry, -1
+	for _, role := range Roles() {
+		var invalid *InvalidError
+		faults := 0
+		if err := Check(role, s); errors.As(err, &invalid) {
+			faults = len(invalid.Problems)
+		}
+		if fewest < 0 || faults < fewest {
+			best, fewest = role, faults
+		}
+	}
+	return best
+}
+
 // Entry holds the settings of an entry. The setters of a program that builds
 // its settings itself are the exported fields.
 type Entry struct {
