--- a/internal/process/jayhub/advice.go
+++ b/internal/process/jayhub/advice.go
@@ -66,7 +66,7 @@
 	l.at()
 	l.cell.Advised(q, tickets, valid, begun)
 	l.mutex.Unlock()
-	poke(l.kick)
+	Poke(l.kick)
 	return true
 }
 
--- a/internal/process/jayhub/hub.go
+++ b/internal/process/jayhub/hub.go
@@ -220,7 +220,7 @@
 	h.config.Store(c)
 	h.Logger.Info().Str("event", "config").Uint64("version", c.Version()).Uint64("offset", s.Offset).Msg("configuration is in force")
 	if l := h.leading(); l != nil {
-		poke(l.kick)
+		Poke(l.kick)
 	}
 }
 
--- a/internal/process/jayhub/lead.go
+++ b/internal/process/jayhub/lead.go
@@ -263,7 +263,7 @@
 	}
 	l.mutex.Unlock()
 	l.send(stops)
-	poke(l.asking)
+	Poke(l.asking)
 	if batch != nil {
 		l.hub.tasks.Go(func() { l.store(ctx, runs, batch) })
 	}
@@ -284,7 +284,7 @@
 	l.doubtful = false
 	l.lastTick = jayclock.Elapsed()
 	l.mutex.Unlock()
-	poke(l.kick)
+	Poke(l.kick)
 }
 
 // store writes a batch, in one append where it fits, then sends the orders that
@@ -317,7 +317,7 @@
 	if !doubtful {
 		l.send(orders)
 	}
-	poke(l.kick)
+	Poke(l.kick)
 }
 
 // forget drops the records of jobs that ended longer ago than callers may ask, also
@@ -404,7 +404,7 @@
 	if err := link.Send(grant); err != nil {
 		l.hub.Logger.Debug().Str("event", "link").Str("peer", link.Peer()).Err(err).Msg("cannot grant")
 	}
-	poke(l.kick)
+	Poke(l.kick)
 }
 
 func fromFrame(m *jayframe.CellReport) jaycell.Report {
@@ -439,7 +439,7 @@
 		l.cell.Submit(j)
 	}
 	l.mutex.Unlock()
-	poke(l.kick)
+	Poke(l.kick)
 }
 
 // cancel stops a job.
@@ -448,7 +448,7 @@
 	l.at()
 	l.cell.Cancel(id)
 	l.mutex.Unlock()
-	poke(l.kick)
+	Poke(l.kick)
 }
 
 // accepted passes a new job of the table to the lead.
--- a/internal/process/jayhub/links.go
+++ b/internal/process/jayhub/links.go
@@ -130,7 +130,7 @@
 	h.mutex.Unlock()
 	if current {
 		h.resignedTerm.Store(term)
-		poke(h.vacant)
+		Poke(h.vacant)
 	}
 }
 
--- a/internal/process/jayhub/signal.go
+++ b/internal/process/jayhub/signal.go
@@ -27,8 +27,8 @@
 	}
 }
 
-// poke leaves a signal in a channel of capacity one.
-func poke(c chan struct{}) {
+// Poke leaves a signal in a channel of capacity one.
+func Poke(c chan struct{}) {
 	select {
 	case c <- struct{}{}:
 	default:
--- a/internal/process/jaykeep/keeper.go
+++ b/internal/process/jaykeep/keeper.go
@@ -11,6 +11,7 @@
 
 	"github.com/jaystile/jaystile/internal/process/jaycell"
 	"github.com/jaystile/jaystile/internal/process/jayclock"
+	"github.com/jaystile/jaystile/internal/process/jayhub"
 )
 
 const (
@@ -101,13 +102,6 @@
 	return &Keeper{orders: map[string]*order{}, changed: make(chan struct{}, 1), urgent: make(chan struct{}, 1)}
 }
 
-func signal(c chan struct{}) {
-	select {
-	case c <- struct{}{}:
-	default:
-	}
-}
-
 // Run keeps the runner until ctx ends.
 func (k *Keeper) Run(ctx context.Context) {
 	k.mutex.Lock()
@@ -149,7 +143,7 @@
 		delete(k.orders, task)
 	}
 	k.results = nil
-	signal(k.urgent)
+	jayhub.Poke(k.urgent)
 }
 
 // Grant extends the permission to hold the lease, counted from when the report
@@ -190,7 +184,7 @@
 	}
 	k.replace(h)
 	k.take(listing, jayclock.Elapsed(), jayclock.Elapsed(), fence)
-	signal(k.urgent)
+	jayhub.Poke(k.urgent)
 }
 
 // refresh takes a newer report of the same life.
@@ -198,7 +192,7 @@
 	k.sequence = h.Sequence
 	if k.runner.Draining != h.Runner.Draining {
 		k.Logger.Info().Str("event", "runner").Str("runner", h.Runner.ID).Bool("draining", h.Runner.Draining).Dur("drain_left", h.Runner.DrainLeft).Msg("runner changed its state")
-		signal(k.changed)
+		jayhub.Poke(k.changed)
 	}
 	k.runner = h.Runner
 }
@@ -215,7 +209,7 @@
 	}
 	k.runner, k.sequence, k.left, k.acked, k.results, k.clockSet, k.fenced, k.told = h.Runner, h.Sequence, false, 0, nil, false, 0, 0
 	k.listing = Listing{}
-	signal(k.changed)
+	jayhub.Poke(k.changed)
 }
 
 // Leave notes that a runner has said that it is gone.
@@ -227,7 +221,7 @@
 	}
 	k.Logger.Info().Str("event", "runner").Str("runner", id).Msg("runner has left")
 	k.left = true
-	signal(k.changed)
+	jayhub.Poke(k.changed)
 }
 
 // watch asks for ends without pause.
@@ -324,7 +318,7 @@
 		}
 	}
 	if len(old.Finished) != len(l.Finished) || len(old.Running) != len(l.Running) {
-		signal(k.changed)
+		jayhub.Poke(k.changed)
 	}
 }
 
@@ -375,4 +369,4 @@
 }
 
 // Changed makes the next report go out at once.
-func (k *Keeper) Changed() { signal(k.changed) }
+func (k *Keeper) Changed() { jayhub.Poke(k.changed) }
--- a/internal/process/jaykeep/side.go
+++ b/internal/process/jaykeep/side.go
@@ -104,7 +104,7 @@
 	if old != nil {
 		old.Close("the term is over")
 	}
-	signal(s.changed)
+	jayhub.Poke(s.changed)
 }
 
 // target returns the next address to try: the holder's, and after a failure
