Tell from logs what jobs waited for and what was thrown away

Cause: the table of what binds was made by hand from logs each time. Change: 'jaystile losses' reads the entries' logs and prints waits and ends by route and work thrown away by cause.

--- /dev/null
+++ b/cmd/jaystile/losses.go
@@ -0,0 +1,110 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"slices"
+	"strings"
+
+	"github.com/jessevdk/go-flags"
+
+	"github.com/jaystile/jaystile/internal/process/jaylosses"
+)
+
+const usageLosses = `Reads the logs of entries on the users' platform and prints, by route, how long jobs
+waited and how they ended, and by cause which work was thrown away. Without a file
+it reads standard input; lines of other programs are passed over and counted.`
+
+type lossesCommand struct {
+	connectionless
+	Args struct {
+		Files []string `positional-arg-name:"FILE"`
+	} `positional-args:"yes"`
+}
+
+func addLosses(p *flags.Parser) {
+	add(p, "losses", "what jobs waited for and what was thrown away", usageLosses, &lossesCommand{})
+}
+
+type lossesJSON struct {
+	Routes []routeLossJSON `json:"routes"`
+	Losses []lossJSON      `json:"losses"`
+	Unread int             `json:"lines_unread"`
+}
+
+type routeLossJSON struct {
+	Route       string         `json:"route"`
+	Priority    int            `json:"priority"`
+	Jobs        int            `json:"jobs"`
+	Refused     int            `json:"tries_refused"`
+	Begun       int            `json:"begun"`
+	WaitSeconds float64        `json:"wait_mean_seconds"`
+	MostSeconds float64        `json:"wait_most_seconds"`
+	Ended       map[string]int `json:"ended"`
+}
+
+type lossJSON struct {
+	Priority    int     `json:"priority"`
+	Saved       bool    `json:"saves_progress"`
+	Outcome     string  `json:"outcome"`
+	Reason      string  `json:"reason"`
+	Runs        int     `json:"runs"`
+	CoreSeconds float64 `json:"core_seconds"`
+}
+
+// Execute implements flags.Commander.
+func (c *lossesCommand) Execute([]string) error {
+	var sources []io.Reader
+	for _, name := range c.Args.Files {
+		f, err := os.Open(name)
+		if err != nil {
+			return fmt.Errorf("open log: %w", err)
+		}
+		defer func() { _ = f.Close() }()
+		sources = append(sources, f)
+	}
+	if len(sources) == 0 {
+		sources = []io.Reader{os.Stdin}
+	}
+	r, err := jaylosses.Read(io.MultiReader(sources...))
+	if err != nil {
+		return fmt.Errorf("read log: %w", err)
+	}
+	if c.JSON {
+		return json.NewEncoder(os.Stdout).Encode(lossesToJSON(r))
+	}
+	printLosses(r)
+	return nil
+}
+
+func lossesToJSON(r jaylosses.Report) lossesJSON {
+	out := lossesJSON{Unread: r.Unread}
+	for _, x := range r.Routes {
+		out.Routes = append(out.Routes, routeLossJSON{Route: x.Name, Priority: x.Priority, Jobs: x.Jobs, Refused: x.Refused, Begun: x.Begun, WaitSeconds: x.WaitMean.Seconds(), MostSeconds: x.WaitMost.Seconds(), Ended: x.Ended})
+	}
+	for _, x := range r.Losses {
+		out.Losses = append(out.Losses, lossJSON{Priority: x.Priority, Saved: x.Saved, Outcome: x.Outcome, Reason: x.Reason, Runs: x.Runs, CoreSeconds: x.CoreSeconds})
+	}
+	return out
+}
+
+func printLosses(r jaylosses.Report) {
+	fmt.Printf("%-12s %8s %5s %8s %6s %8s %8s  ended\n", "route", "priority", "jobs", "refused", "begun", "wait s", "most s")
+	for _, x := range r.Routes {
+		var ended []string
+		for name, n := range x.Ended {
+			ended = append(ended, fmt.Sprintf("%s %d", name, n))
+		}
+		slices.Sort(ended)
+		fmt.Printf("%-12s %8d %5d %8d %6d %8.2f %8.2f  %s\n", x.Name, x.Priority, x.Jobs, x.Refused, x.Begun, x.WaitMean.Seconds(), x.WaitMost.Seconds(), strings.Join(ended, ", "))
+	}
+	fmt.Printf("\n%12s %5s %8s %6s %-9s reason\n", "core-seconds", "runs", "priority", "saved", "outcome")
+	for _, x := range r.Losses {
+		fmt.Printf("%12.0f %5d %8d %6v %-9s %s\n", x.CoreSeconds, x.Runs, x.Priority, x.Saved, x.Outcome, x.Reason)
+	}
+	if r.Unread > 0 {
+		fmt.Printf("\n%d lines were no log lines\n", r.Unread)
+	}
+}
--- a/cmd/jaystile/main.go
+++ b/cmd/jaystile/main.go
@@ -55,7 +55,7 @@
 
 // commands add their subcommands to the parser.
 var commands = []func(*flags.Parser){
-	addEntry, addSide, addCellEntry, addCellSide, addStandin, addDemo, addSettings, addManifest, addJob, addWhy, addStatus, addTimeline, addLoad, addPolicy, addPlay, addVersion,
+	addEntry, addSide, addCellEntry, addCellSide, addStandin, addDemo, addSettings, addManifest, addJob, addWhy, addStatus, addTimeline, addLoad, addPolicy, addPlay, addLosses, addVersion,
 }
 
 // status says the error on stderr and returns the exit status.
