Leave the term to a stronger entry

Cause: on the grown sites entries have 0.8 or 0.19 cores and 200 or 10 Mbit/s; a round over 76 workers needs up to a tenth of a core for seconds, and any entry took a vacant term. Change: entries announce their processor beside their address; one with clearly less than a linked peer waits three looks, 0.3 s, longer, also after a resignation.

--- a/cmd/jaystile/cellentry.go
+++ b/cmd/jaystile/cellentry.go
@@ -62,6 +62,7 @@
 	}
 	h := jayhub.New(listeners[0])
 	h.Name, h.DataCentre, h.Address, h.Boot = s.Name, s.DataCentre, cmp.Or(s.LinkAnnounced, s.Link), uint64(time.Now().UnixNano())
+	h.Cores = s.Cores
 	h.Timing = jayhub.Timing{Lease: s.Lease(), Retention: s.Retention, Stop: s.Stop, Gang: s.Gang, Reclaim: s.Reclaim, Far: s.Far}
 	h.Topics = jayhub.Topics{Operator: jayadapter.TopicOperator, Cell: jayadapter.TopicCell, Jobs: jayadapter.TopicJobs, Runs: jayadapter.TopicRuns, ConfigKey: jayadapter.ConfigKey}
 	h.Logger = logger
--- a/internal/process/jayhub/hub.go
+++ b/internal/process/jayhub/hub.go
@@ -70,9 +70,11 @@
 	// process from others of the same name.
 	Address string
 	Boot    uint64
-	Timing  Timing
-	Topics  Topics
-	Logger  zerolog.Logger
+	// Cores is this process's processor, zero when it is not known.
+	Cores  float64
+	Timing Timing
+	Topics Topics
+	Logger zerolog.Logger
 	// Direct sends a request straight to the store, MakeClient makes a client over
 	// a way to send requests.
 	Direct     func(ctx context.Context, x jaystore.Exchange) (jaystore.Reply, error)
@@ -107,6 +109,7 @@
 	lead        *lead
 	holder      *jaylink.Link
 	entries     map[string]string
+	strengths   map[string]float64
 	peers       map[*jaylink.Link]string
 	sides       map[string]*jaylink.Link
 	draining    bool
@@ -115,7 +118,7 @@
 
 // New returns an entry that takes links on the listener.
 func New(listener net.Listener) *Hub {
-	return &Hub{listener: listener, entries: map[string]string{}, peers: map[*jaylink.Link]string{}, sides: map[string]*jaylink.Link{}, vacant: make(chan struct{}, 1)}
+	return &Hub{listener: listener, entries: map[string]string{}, strengths: map[string]float64{}, peers: map[*jaylink.Link]string{}, sides: map[string]*jaylink.Link{}, vacant: make(chan struct{}, 1)}
 }
 
 // Prepare connects the parts; it is called once, after the fields are set.
@@ -177,7 +180,7 @@
 func (h *Hub) announce(ctx context.Context) {
 	for ctx.Err() == nil {
 		call, cancel := context.WithTimeout(ctx, announceTimeout)
-		_, err := h.client.Append(call, jaystore.Append{Topic: h.Topics.Cell, Records: []jaystore.Record{{Key: entryPrefix + h.Name, Value: []byte(h.Address)}}})
+		_, err := h.client.Append(call, jaystore.Append{Topic: h.Topics.Cell, Records: []jaystore.Record{{Key: entryPrefix + h.Name, Value: entryValue(h.Address, h.Cores)}}})
 		cancel()
 		if err == nil {
 			return
--- a/internal/process/jayhub/term.go
+++ b/internal/process/jayhub/term.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -29,6 +30,11 @@
 	missesBeforeTake = 3
 	// missesSpread keeps entries from taking the term at once.
 	missesSpread = 2
+	// weakerMisses is how many looks more an entry leaves the term to a stronger one,
+	// which misses the holder at the same time, and strongerBy how many times as
+	// much processor that one has.
+	weakerMisses = 3
+	strongerBy   = 1.5
 	// takeTimeout bounds one try to take the term: four answers of a store that
 	// takes a hundred times as long as usual.
 	takeTimeout = 2500 * time.Millisecond
@@ -96,6 +102,7 @@
 		case <-ticker.C:
 		}
 		t := h.Term()
+		v.yield = h.yield()
 		resigned := t.number > 0 && t.number == h.resignedTerm.Load()
 		if v.look(t, h.mayTake(), resigned, t.name == h.Name || t.number == 0) {
 			h.take(ctx)
@@ -106,8 +113,11 @@
 // vigil counts how long the holder of the term has been missing.
 type vigil struct {
 	patience int
-	misses   int
-	term     uint64
+	// yield is how many looks more this entry waits, also for a holder that has
+	// resigned, so that a stronger one is first.
+	yield  int
+	misses int
+	term   uint64
 }
 
 func newVigil(patience int) *vigil { return &vigil{patience: patience} }
@@ -126,13 +136,27 @@
 	if own {
 		v.misses += missesBeforeTake / 2
 	}
-	if !resigned && v.misses < v.patience {
+	if resigned && v.misses <= v.yield || !resigned && v.misses < v.patience+v.yield {
 		return false
 	}
 	v.misses = 0
 	return true
 }
 
+// yield returns how many looks this entry leaves the term to others: some, while
+// one that is linked has clearly more processor, which a round of decisions over a
+// large pool needs.
+func (h *Hub) yield() int {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	for _, name := range h.peers {
+		if h.strengths[name] > strongerBy*h.Cores {
+			return weakerMisses
+		}
+	}
+	return 0
+}
+
 // mayTake reports whether this entry misses the holder of the term.
 func (h *Hub) mayTake() bool {
 	// The tail's mutex comes before the hub's.
@@ -215,7 +239,7 @@
 		}
 		h.setTerm(t)
 	default:
-		name, address, ok := EntryRecord(s)
+		name, address, cores, ok := EntryRecord(s)
 		if !ok {
 			return
 		}
@@ -223,15 +247,25 @@
 		defer h.mutex.Unlock()
 		if address == "" {
 			delete(h.entries, name)
+			delete(h.strengths, name)
 			return
 		}
-		h.entries[name] = address
+		h.entries[name], h.strengths[name] = address, cores
 	}
 }
 
-// EntryRecord reads a record that tells an entry's address. The address is empty
-// when the entry is gone.
-func EntryRecord(s jaystore.Stored) (name, address string, ok bool) {
+// entryValue is the record of an entry: its address and its processor, in cores.
+func entryValue(address string, cores float64) []byte {
+	return []byte(address + " " + strconv.FormatFloat(cores, 'g', -1, 64))
+}
+
+// EntryRecord reads a record that tells an entry's address and its processor in
+// cores, zero when that is not told. The address is empty when the entry is gone.
+func EntryRecord(s jaystore.Stored) (name, address string, cores float64, ok bool) {
 	name, ok = strings.CutPrefix(s.Key, entryPrefix)
-	return name, string(s.Value), ok && name != ""
+	address, told, _ := strings.Cut(string(s.Value), " ")
+	if n, err := strconv.ParseFloat(told, 64); err == nil {
+		cores = n
+	}
+	return name, address, cores, ok && name != ""
 }
--- a/internal/process/jaykeep/side.go
+++ b/internal/process/jaykeep/side.go
@@ -72,7 +72,7 @@
 
 // apply takes a record of the cell's topic.
 func (s *Side) apply(r jaystore.Stored) {
-	name, address, isEntry := jayhub.EntryRecord(r)
+	name, address, _, isEntry := jayhub.EntryRecord(r)
 	switch {
 	case r.Key == jayhub.TermKey && r.Value != nil:
 		t, err := jayhub.DecodeTerm(r.Value)
