Read the topics that peers spread less often

Change: the term is read for 1.5 s at a time, jobs and states, which peers spread, for 2 s, by sides for 8 s; the configuration as before.

--- a/internal/process/jayhub/hub.go
+++ b/internal/process/jayhub/hub.go
@@ -23,6 +23,11 @@
 	// tailWait is how long a read of the store waits for news: with the time-out
 	// of a call it bounds how long a silent connection hides a new configuration.
 	tailWait = time.Second
+	// cellWait is the same for the term, which links tell as well, and jobsWait for
+	// jobs and their states, which peers spread: these are read to learn of what was
+	// missed. Each entry's reads of one second each would be half of all calls.
+	cellWait = 1500 * time.Millisecond
+	jobsWait = 2 * time.Second
 	// jobsPause rests the follower of the jobs' topic: peers spread records sooner.
 	jobsPause = 400 * time.Millisecond
 	// runsPause rests the follower of the holder's topic, of which every entry hears
@@ -133,9 +138,9 @@
 	h.jobs = newJobTable(h.Logger)
 	h.jobs.accepted, h.jobs.canceled = h.accepted, h.canceled
 	h.jobsPut = jaystore.NewAppender(h.client, h.Topics.Jobs)
-	h.cellTail = &jaystore.Tail{Client: h.client, Topic: h.Topics.Cell, Apply: h.applyCell, Wait: tailWait, Failed: h.tailFailed(h.Topics.Cell)}
-	h.jobsTail = &jaystore.Tail{Client: h.client, Topic: h.Topics.Jobs, Wait: tailWait, Pause: jobsPause, Failed: h.tailFailed(h.Topics.Jobs), Replace: h.jobs.replace, Apply: func(s jaystore.Stored) { h.jobs.apply(s.Key, s.Value) }}
-	h.runsTail = &jaystore.Tail{Client: h.client, Topic: h.Topics.Runs, Wait: tailWait, Pause: runsPause, Failed: h.tailFailed(h.Topics.Runs), Apply: func(s jaystore.Stored) {
+	h.cellTail = &jaystore.Tail{Client: h.client, Topic: h.Topics.Cell, Apply: h.applyCell, Wait: cellWait, Failed: h.tailFailed(h.Topics.Cell)}
+	h.jobsTail = &jaystore.Tail{Client: h.client, Topic: h.Topics.Jobs, Wait: jobsWait, Pause: jobsPause, Failed: h.tailFailed(h.Topics.Jobs), Replace: h.jobs.replace, Apply: func(s jaystore.Stored) { h.jobs.apply(s.Key, s.Value) }}
+	h.runsTail = &jaystore.Tail{Client: h.client, Topic: h.Topics.Runs, Wait: jobsWait, Pause: runsPause, Failed: h.tailFailed(h.Topics.Runs), Apply: func(s jaystore.Stored) {
 		if jaycell.IsState(s.Key) {
 			h.jobs.apply(s.Key, s.Value)
 		}
--- a/internal/process/jaykeep/side.go
+++ b/internal/process/jaykeep/side.go
@@ -18,7 +18,7 @@
 const (
 	// tailWait is how long a read for a new term waits; a side that has a link
 	// hears of it there as well.
-	tailWait = 5 * time.Second
+	tailWait = 8 * time.Second
 	// linkBeat and linkSilence are those of entries.
 	linkBeat    = 250 * time.Millisecond
 	linkSilence = 800 * time.Millisecond
