--- a/internal/process/jayplay/world.go
+++ b/internal/process/jayplay/world.go
@@ -30,7 +30,6 @@
 	// done and total are seconds of work, fresh what is not saved.
 	done, total, fresh float64
 	stops              time.Duration
-	far                bool
 }
 
 // worker is one runner of the played pool.
@@ -58,9 +57,8 @@
 	begun  map[string]time.Duration
 	left   map[string]int
 	done   map[string]bool
-	saved  map[string]float64
+	// tokens is the share done at each saved progress.
 	tokens map[string]float64
-	tries  map[string]int
 	// wasted is work in core-seconds that was thrown away.
 	wasted float64
 	stops  int
@@ -69,7 +67,7 @@
 }
 
 func newWorld(l *Load, requests []*request) *world {
-	w := &world{load: l, byID: map[string]*worker{}, byJob: map[string]*request{}, doneAt: map[string]time.Duration{}, begun: map[string]time.Duration{}, left: map[string]int{}, done: map[string]bool{}, saved: map[string]float64{}, tokens: map[string]float64{}, tries: map[string]int{}}
+	w := &world{load: l, byID: map[string]*worker{}, byJob: map[string]*request{}, doneAt: map[string]time.Duration{}, begun: map[string]time.Duration{}, left: map[string]int{}, done: map[string]bool{}, tokens: map[string]float64{}}
 	for i := range l.Runners {
 		x := &worker{id: fmt.Sprintf("runner-%02d", i), rack: rackName(i / perRack), speed: 1, runs: map[string]*running{}, highest: map[string]int{}}
 		w.workers = append(w.workers, x)
--- a/internal/version/jaysettings/cell.go
+++ b/internal/version/jaysettings/cell.go
@@ -1,6 +1,7 @@
 package jaysettings
 
 import (
+	"fmt"
 	"slices"
 	"strconv"
 	"strings"
@@ -74,8 +75,8 @@
 		amount("bounds", "gang_ms", "time for which members of a gang wait for each other, in milliseconds", time.Millisecond, &c.Gang),
 		amount("bounds", "reclaim_ms", "time within which a guaranteed job begins, in milliseconds", time.Millisecond, &c.Reclaim),
 		amount("bounds", "retention_s", "time for which an ended job can be asked about, in seconds", time.Second, &c.Retention),
-		share("process", "cores", "processor of this process, in cores", &c.Cores),
-		factor("bounds", "far_factor", "how many times longer work takes that is far from its rack or data", &c.Far),
+		ratio("process", "cores", "processor of this process, in cores", 0, &c.Cores),
+		ratio("bounds", "far_factor", "how many times longer work takes that is far from its rack or data", 1, &c.Far),
 		amount("bounds", "grace_s", "time between SIGTERM and SIGKILL, in seconds", time.Second, &c.Grace),
 	}
 }
@@ -134,27 +135,15 @@
 	}}
 }
 
-// share is a number of 0 or more. An empty value keeps the default.
-func share(section, key, doc string, target *float64) field {
-	return field{section: section, key: key, doc: doc, allowed: "number from 0 to 1000, or empty", example: strconv.FormatFloat(*target, 'f', -1, 64), set: func(s string) bool {
+// ratio is a number from low on. An empty value keeps the default.
+func ratio(section, key, doc string, low float64, target *float64) field {
+	return field{section: section, key: key, doc: doc, allowed: fmt.Sprintf("number from %g to 1000, or empty", low), example: strconv.FormatFloat(*target, 'f', -1, 64), set: func(s string) bool {
 		if s == "" {
 			return true
 		}
 		n, err := strconv.ParseFloat(s, 64)
 		*target = n
-		return err == nil && n >= 0 && n <= 1000
-	}}
-}
-
-// factor is a number of 1 or more. An empty value keeps the default.
-func factor(section, key, doc string, target *float64) field {
-	return field{section: section, key: key, doc: doc, allowed: "number from 1 to 1000, or empty", example: strconv.FormatFloat(*target, 'f', -1, 64), set: func(s string) bool {
-		if s == "" {
-			return true
-		}
-		n, err := strconv.ParseFloat(s, 64)
-		*target = n
-		return err == nil && n >= 1 && n <= 1000
+		return err == nil && n >= low && n <= 1000
 	}}
 }
 
