Take no refusal for final while another try is open

Found by reading: of two tries of an append on two ways, a refusal of the later one was returned as the answer while the earlier one was still open, and the caller was told 'not stored'. Change: such an answer is 'unknown', which is answered 504 and repeated. Test: TestRefusalBesideAnOpenTryIsNoRefusal, failed before.

--- a/internal/process/jayhub/desk.go
+++ b/internal/process/jayhub/desk.go
@@ -77,7 +77,7 @@
 	// turned away at once: more than the answers of a slow store take.
 	downAfter = 900 * time.Millisecond
 	// endsUnderWay is how long a task's end takes from its runner to every entry: the
-	// side's report, two records of the store, the way to the peers. Who asks for a
+	// side's report, one append to the store, the way to the peers. Who asks for a
 	// running job meanwhile is told of that end, not of the past; callers ask as
 	// soon as their work has ended.
 	endsUnderWay = 100 * time.Millisecond
--- a/internal/process/jaystore/hedge.go
+++ b/internal/process/jaystore/hedge.go
@@ -92,8 +92,15 @@
 			open--
 			var silent *NoAnswerError
 			if !errors.As(r.err, &silent) {
-				if r.err != nil && unanswered != nil && isRefusal(r.err) {
-					return 0, unanswered
+				if r.err != nil && isRefusal(r.err) {
+					// An earlier try that was refused is of no matter; one that is open, or
+					// was not answered, may still be carried out.
+					if unanswered != nil {
+						return 0, unanswered
+					}
+					if open > 0 {
+						return 0, &NoAnswerError{Operation: "append", Cause: "refused on one way, open on another"}
+					}
 				}
 				return r.end, r.err
 			}
--- a/internal/process/jaystore/store_test.go
+++ b/internal/process/jaystore/store_test.go
@@ -315,3 +315,23 @@
 	assert.Equal(t, failed.Load(), int64(0))
 	assert.Assert(t, calls.Load() <= 2*writers*records, "%d appends for %d records", calls.Load(), writers*records)
 }
+
+// A refusal on one way says nothing of a try that is still open on the other: its
+// record may yet be stored, and the caller must not be told that it is not.
+func TestRefusalBesideAnOpenTryIsNoRefusal(t *testing.T) {
+	var p pace
+	released := make(chan struct{})
+	defer close(released)
+	_, err := p.hedged(t.Context(), func(ctx context.Context, try int) (uint64, error) {
+		if try == 1 {
+			select {
+			case <-ctx.Done():
+			case <-released:
+			}
+			return 0, &NoAnswerError{Operation: "append", Cause: "open"}
+		}
+		return 0, &RefusedError{Operation: "append", Status: statusUnavailable}
+	})
+	var silent *NoAnswerError
+	assert.Assert(t, errors.As(err, &silent), "%v", err)
+}
