Weigh work, count room and check runners in one place each

Found at the last read: what a task weighs in cores stood four times, how often it fits into a worker twice, whether a runner is of a unit's service and kind four times, the rule of how many lasting tasks may be away twice; a step's name was formatted in two ways; the cell's type of an advice's times was never read, nor a job's estimated chain; and each report sorted a runner's holds for paces although nothing fills there. Now Room.Cores, Room.Times, Runner.serves, maySpare and stepName serve all, what was not read is gone, and a runner without filling work is passed over.

--- a/internal/process/jaycell/advice.go
+++ b/internal/process/jaycell/advice.go
@@ -16,14 +16,6 @@
 	ticketSlack = 500 * time.Millisecond
 )
 
-// Advice tells how a route's questions are answered: each takes Decide and Each
-// for every runner that it names, and what it allows holds for Valid.
-type Advice struct {
-	Decide time.Duration
-	Each   time.Duration
-	Valid  time.Duration
-}
-
 // Question asks which of some runners may run a step.
 type Question struct {
 	// Step names the job, the occurrence and the step.
@@ -45,24 +37,15 @@
 	barred  map[string]bool
 }
 
-func percentText(n int) string { return fmt.Sprintf("%d%%", n) }
-
-func adviceKey(u *unit) string {
-	return fmt.Sprintf("%s.%d.%d", u.job.spec.ID, u.occurrence, u.step)
-}
-
 // advice returns what is known of a unit's runners, nil where none is needed.
 func (c *Cell) advice(u *unit) *advised {
-	if c.settings.Advice == nil {
-		return nil
-	}
-	if _, needed := c.settings.Advice(u.job.spec.Terms.Route); !needed {
+	if c.settings.NeedsTicket == nil || !c.settings.NeedsTicket(u.job.spec.Terms.Route) {
 		return nil
 	}
-	k := adviceKey(u)
+	k := [2]int{u.occurrence, u.step}
 	if u.job.advised[k] == nil {
 		if u.job.advised == nil {
-			u.job.advised = map[string]*advised{}
+			u.job.advised = map[[2]int]*advised{}
 		}
 		u.job.advised[k] = &advised{tickets: map[string]ticket{}, barred: map[string]bool{}}
 	}
@@ -85,7 +68,7 @@
 	if len(runners) == 0 {
 		return
 	}
-	q := Question{Step: adviceKey(u), Route: u.job.spec.Terms.Route, Runners: runners}
+	q := Question{Step: stepName(u.job.spec.ID, u.occurrence, u.step), Route: u.job.spec.Terms.Route, Runners: runners}
 	for _, old := range r.cell.questions {
 		if old.Step == q.Step {
 			return
@@ -104,7 +87,7 @@
 	var unknown []*view
 	for _, v := range r.views {
 		n := v.runner
-		if n.info.Service != u.job.spec.Terms.Service || !n.labelled(u.spec().Label) || a.allows(n.id) || a.barred[n.id] || !u.spec().Charge().Fits(n.info.Capacity) {
+		if !n.serves(u) || a.allows(n.id) || a.barred[n.id] || !u.spec().Charge().Fits(n.info.Capacity) {
 			continue
 		}
 		unknown = append(unknown, v)
@@ -130,19 +113,15 @@
 	if a == nil {
 		return true
 	}
-	ended := map[string]bool{}
+	var ended []string
 	for _, v := range runners {
-		if a.tickets[v.runner.id].until < r.cell.now+ticketSlack {
-			ended[v.runner.id] = true
+		id := v.runner.id
+		if a.tickets[id].until < r.cell.now+ticketSlack && !slices.Contains(ended, id) {
+			ended = append(ended, id)
 		}
 	}
-	var names []string
-	for id := range ended {
-		names = append(names, id)
-	}
-	sort.Strings(names)
-	r.want(u, names)
-	return len(names) == 0
+	r.want(u, ended)
+	return len(ended) == 0
 }
 
 // ticketOf returns the ticket for a member's start, empty where none is needed.
@@ -171,11 +150,7 @@
 	if !ok || j == nil {
 		return
 	}
-	u := j.unitOf(occurrence, step, 0)
-	if u == nil {
-		return
-	}
-	a := c.advice(u)
+	a := j.advised[[2]int{occurrence, step}]
 	if a == nil {
 		return
 	}
--- a/internal/process/jaycell/advice_test.go
+++ b/internal/process/jaycell/advice_test.go
@@ -11,7 +11,7 @@
 // adviseWorld is a world in which all starts need tickets, which hold for 3 s.
 func adviseWorld(t *testing.T, runners ...string) *world {
 	w := newWorld(t, nil, runners...)
-	w.cell.settings.Advice = func(string) (Advice, bool) { return Advice{Valid: 3 * time.Second}, true }
+	w.cell.settings.NeedsTicket = func(string) bool { return true }
 	return w
 }
 
--- a/internal/process/jaycell/cell.go
+++ b/internal/process/jaycell/cell.go
@@ -43,8 +43,8 @@
 	Far float64
 	// Guaranteed returns a workspace's guaranteed accelerators.
 	Guaranteed func(workspace string) int
-	// Advice tells whether the starts of a route need tickets; nil is never.
-	Advice func(route string) (Advice, bool)
+	// NeedsTicket tells whether the starts of a route need tickets; nil is never.
+	NeedsTicket func(route string) bool
 	// Explain is called with each decision that touches a job.
 	Explain func(Decision)
 	// Broken is called with each invariant that does not hold; the cell goes on
--- a/internal/process/jaycell/choose.go
+++ b/internal/process/jaycell/choose.go
@@ -100,17 +100,7 @@
 	if s.MaxPerRunner > 0 {
 		n = min(n, s.MaxPerRunner)
 	}
-	return roomFor(capacity, s.Charge(), n)
-}
-
-// roomFor returns how many of n tasks fit into an empty worker.
-func roomFor(capacity, room jaytask.Room, n int) int {
-	for _, p := range [][2]int{{room.CPU, capacity.CPU}, {room.Memory, capacity.Memory}, {room.Accelerators, capacity.Accelerators}} {
-		if p[0] > 0 {
-			n = min(n, p[1]/p[0])
-		}
-	}
-	return n
+	return s.Charge().Times(capacity, n)
 }
 
 // usable returns the runners of a rack, or of all, that may run the unit. Those
@@ -122,7 +112,7 @@
 	advice := r.cell.advice(u)
 	for _, v := range r.views {
 		n := v.runner
-		if n.info.Service != u.job.spec.Terms.Service || !n.labelled(u.spec().Label) || rack != "" && v.rack != rack || !advice.allows(n.id) {
+		if !n.serves(u) || rack != "" && v.rack != rack || !advice.allows(n.id) {
 			continue
 		}
 		if r.cell.now < u.avoid[n.id] || r.cell.now < n.avoidTill {
--- a/internal/process/jaycell/daemon.go
+++ b/internal/process/jaycell/daemon.go
@@ -60,7 +60,7 @@
 	if !c.hasRoomElsewhere(h) && !hurry {
 		return
 	}
-	if hurry || u.spec().MayMiss == 0 || !u.atWork() || u.away() < u.spec().MayMiss {
+	if hurry || c.maySpare(u, map[*unit]int{}) {
 		c.stop(u, "runner is draining")
 	}
 }
@@ -68,7 +68,7 @@
 // hasRoomElsewhere reports whether another runner could take the task now.
 func (c *Cell) hasRoomElsewhere(h *hold) bool {
 	for _, r := range c.runners {
-		if r != h.runner && r.open(c.now) && r.info.Service == h.unit.job.spec.Terms.Service && r.labelled(h.unit.spec().Label) && h.room.Fits(r.free()) {
+		if r != h.runner && r.open(c.now) && r.serves(h.unit) && h.room.Fits(r.free()) {
 			return true
 		}
 	}
--- a/internal/process/jaycell/estimate.go
+++ b/internal/process/jaycell/estimate.go
@@ -130,7 +130,7 @@
 	held := map[string]int{}
 	u.spread, u.spreadAt = true, c.now
 	for _, r := range c.runners {
-		if r.gone || !r.known || r.info.Service != u.job.spec.Terms.Service || !r.labelled(s.Label) {
+		if r.gone || !r.known || !r.serves(u) {
 			continue
 		}
 		rack := r.rack()
--- a/internal/process/jaycell/pace.go
+++ b/internal/process/jaycell/pace.go
@@ -1,6 +1,9 @@
 package jaycell
 
-import "time"
+import (
+	"strconv"
+	"time"
+)
 
 const (
 	// paceSettle is how long a new pace takes to show in a report: the runner's
@@ -32,10 +35,23 @@
 	return h.unit.spec().Fills && h.unit.phase == phaseActive && !h.stopOrdered
 }
 
+// hasFilling reports whether anything fills on the runner.
+func (r *Runner) hasFilling() bool {
+	for _, h := range r.holds {
+		if h.fills() {
+			return true
+		}
+	}
+	return false
+}
+
 // pace keeps the tail latency of a runner's serving tasks under their targets: it
 // shrinks the share of what fills beside them at once, to nothing when a target is
 // missed, and lets it grow in steps. How far a pair of images may go is learnt.
 func (c *Cell) pace(r *Runner) {
+	if !r.hasFilling() {
+		return
+	}
 	var filling []*hold
 	strain, serving := 0.0, []string(nil)
 	for _, h := range sortedHolds(r) {
@@ -53,7 +69,7 @@
 		want := h.share
 		switch {
 		case len(serving) == 0:
-			want = 100
+			want = fullShare
 		case strain >= 1:
 			want = 0
 		case h.paceAt == 0:
@@ -62,7 +78,7 @@
 		case strain >= paceHigh:
 			want = int(paceShrink * float64(h.share))
 		case strain < paceLow:
-			want = min(h.share+paceRaise, c.ceiling(h, serving), 100)
+			want = min(h.share+paceRaise, c.ceiling(h, serving))
 		}
 		if strain >= paceHigh && want < h.share {
 			c.lowerCeilings(h, serving)
@@ -73,10 +89,12 @@
 	}
 }
 
+func percentText(n int) string { return strconv.Itoa(n) + "%" }
+
 // setPace orders a share, and repeats it while tasks serve beside it.
 func (c *Cell) setPace(h *hold, share int, strain float64) {
 	changed := share != h.share
-	if !changed && (share == 100 || c.now-h.paceAt < paceRepeat) {
+	if !changed && (share == fullShare || c.now-h.paceAt < paceRepeat) {
 		return
 	}
 	if changed {
@@ -90,7 +108,7 @@
 // ceiling returns the largest share at which a member is known to leave those
 // that serve beside it alone.
 func (c *Cell) ceiling(h *hold, serving []string) int {
-	least := 100
+	least := fullShare
 	for _, s := range serving {
 		if known, ok := c.ceilings[imagePair{h.unit.spec().Image, s}]; ok {
 			least = min(least, known)
@@ -111,7 +129,7 @@
 	}
 	for _, s := range serving {
 		k := imagePair{h.unit.spec().Image, s}
-		if known, ok := c.ceilings[k]; ok && known < 100 {
+		if known, ok := c.ceilings[k]; ok && known < fullShare {
 			c.ceilings[k] = known + ceilingRaise
 		}
 	}
--- a/internal/process/jaycell/preempt.go
+++ b/internal/process/jaycell/preempt.go
@@ -8,9 +8,6 @@
 )
 
 const (
-	// acceleratorCores is what an accelerator weighs against a core when work is
-	// compared.
-	acceleratorCores = 8
 	// stopBase is the work that a stop costs besides what is not saved: the
 	// restore and the second start.
 	stopBase = 300 * time.Millisecond
@@ -61,7 +58,7 @@
 	lost := stopBase
 	if u.spec().Daemon {
 		lost += daemonBreak
-		return cores(u.spec().Room) * float64(u.count) * lost.Seconds()
+		return u.spec().Room.Cores() * float64(u.count) * lost.Seconds()
 	}
 	onTime := true
 	since := c.wall.Sub(u.job.spec.Accepted)
@@ -74,11 +71,7 @@
 	if onTime && c.slack(u) < c.settings.Stop {
 		lost += c.estimate(u.job, u.step)
 	}
-	return cores(u.spec().Room) * float64(u.count) * lost.Seconds()
-}
-
-func cores(r jaytask.Room) float64 {
-	return float64(r.CPU)/1000 + float64(r.Accelerators*acceleratorCores)
+	return u.spec().Room.Cores() * float64(u.count) * lost.Seconds()
 }
 
 // worthwhile weighs the work that is thrown away against the unit's own.
@@ -98,7 +91,7 @@
 	case slack > waitBeforeStops:
 		share = displaceEarly
 	}
-	own := cores(u.spec().Room) * float64(n) * r.cell.estimate(u.job, u.step).Seconds()
+	own := u.spec().Room.Cores() * float64(n) * r.cell.estimate(u.job, u.step).Seconds()
 	return ch.cost <= share*own
 }
 
--- a/internal/process/jaycell/runner.go
+++ b/internal/process/jaycell/runner.go
@@ -152,6 +152,11 @@
 	return false
 }
 
+// serves reports whether the runner is of a unit's service and kind.
+func (r *Runner) serves(u *unit) bool {
+	return r.info.Service == u.job.spec.Terms.Service && r.labelled(u.spec().Label)
+}
+
 func (r *Runner) free() jaytask.Room { return r.info.Capacity.Minus(r.used) }
 
 // open reports whether new work may start there.
--- a/internal/process/jaycell/unit.go
+++ b/internal/process/jaycell/unit.go
@@ -82,16 +82,21 @@
 // makeKey returns the job, the occurrence, the step, and for a single task its
 // index.
 func (u *unit) makeKey() string {
-	k := fmt.Sprintf("%s.%d.%d", u.job.spec.ID, u.occurrence, u.step)
+	k := stepName(u.job.spec.ID, u.occurrence, u.step)
 	if u.spec().Gang {
 		return k
 	}
 	return k + "." + strconv.Itoa(u.first)
 }
 
+// stepName identifies one occurrence of a job's step.
+func stepName(job string, occurrence, step int) string {
+	return fmt.Sprintf("%s.%d.%d", job, occurrence, step)
+}
+
 // TaskName identifies one task over all processes.
 func TaskName(job string, occurrence, step, index int) string {
-	return fmt.Sprintf("%s.%d.%d.%d", job, occurrence, step, index)
+	return stepName(job, occurrence, step) + "." + strconv.Itoa(index)
 }
 
 // parseTask splits a task's name.
@@ -197,8 +202,9 @@
 	left    int
 	endedAt time.Duration
 	begun   bool
-	// advised is what is known of the runners of steps that need tickets.
-	advised map[string]*advised
+	// advised is what is known of the runners of steps that need tickets, by
+	// occurrence and step.
+	advised map[[2]int]*advised
 	// objective is how long the job may take to be on time, as of objectiveAt.
 	objective   time.Duration
 	objectiveAt time.Duration
--- a/internal/process/jaycell/width.go
+++ b/internal/process/jaycell/width.go
@@ -16,7 +16,7 @@
 	n := 0
 	for _, r := range c.runners {
 		if !r.gone && r.known && r.info.Service == j.spec.Terms.Service {
-			n += roomFor(r.info.Capacity, room, jaytask.MaxTasks)
+			n += room.Times(r.info.Capacity, jaytask.MaxTasks)
 		}
 	}
 	return n
--- a/internal/process/jayhub/lead.go
+++ b/internal/process/jayhub/lead.go
@@ -67,12 +67,13 @@
 			}
 			return 0
 		},
-		Advice: func(route string) (jaycell.Advice, bool) {
-			if c := h.config.Load(); c != nil {
-				a, ok := c.Advice(route)
-				return jaycell.Advice{Decide: a.Decide, Each: a.Each, Valid: a.Valid}, ok
+		NeedsTicket: func(route string) bool {
+			c := h.config.Load()
+			if c == nil {
+				return false
 			}
-			return jaycell.Advice{}, false
+			_, needed := c.Advice(route)
+			return needed
 		},
 		Reclaim: h.Timing.Reclaim,
 		Explain: l.explain,
@@ -340,17 +341,15 @@
 	}
 }
 
-// publish spreads stored records of jobs.
+// publish spreads stored states of jobs.
 func (l *lead) publish(records []jaycell.Record) {
 	if len(records) == 0 {
 		return
 	}
 	m := &jayframe.StoredRecords{}
 	for _, r := range records {
-		if r.Value != nil {
-			l.hub.jobs.apply(r.Key, r.Value)
-			m.Records = append(m.Records, jayframe.StoredRecord{Key: r.Key, Value: r.Value})
-		}
+		l.hub.jobs.apply(r.Key, r.Value)
+		m.Records = append(m.Records, jayframe.StoredRecord{Key: r.Key, Value: r.Value})
 	}
 	l.hub.spread(m)
 }
--- a/internal/process/jaylosses/losses.go
+++ b/internal/process/jaylosses/losses.go
@@ -11,14 +11,13 @@
 	"slices"
 	"strings"
 	"time"
+
+	"github.com/jaystile/jaystile/internal/request/jaytask"
 )
 
 // maxLine bounds one line of a log, in bytes.
 const maxLine = 1 << 20
 
-// acceleratorCores is what an accelerator weighs against a core.
-const acceleratorCores = 8
-
 // line holds the fields of a log line that are read here.
 type line struct {
 	Event        string    `json:"event"`
@@ -148,7 +147,7 @@
 		x.losses[key] = &sum
 	}
 	x.losses[key].Runs++
-	x.losses[key].CoreSeconds += l.Time.Sub(placed).Seconds() * (float64(j.CPU)/1000 + float64(acceleratorCores*j.Accelerators))
+	x.losses[key].CoreSeconds += l.Time.Sub(placed).Seconds() * jaytask.Room{CPU: j.CPU, Accelerators: j.Accelerators}.Cores()
 }
 
 // general leaves out of a reason what names one job or figure.
--- a/internal/process/jayplay/baseline.go
+++ b/internal/process/jayplay/baseline.go
@@ -30,6 +30,10 @@
 	return w.judge(requests)
 }
 
+// partStarts is how many starts more than its attempts a job is given: one that is
+// no gang starts in parts.
+const partStarts = 8
+
 type baseline struct {
 	world *world
 	easy  bool
@@ -57,8 +61,7 @@
 	}
 }
 
-// settle forgets listed ends; jobs whose tasks did not end as done wait again, as
-// often as their attempts allow.
+// settle forgets listed ends: waiting looks at the tasks themselves.
 func (b *baseline) settle() {
 	for _, x := range b.world.workers {
 		x.finished, x.acked = nil, x.number
@@ -103,7 +106,7 @@
 		if shadow > 0 && (!b.easy || b.world.now+estimate > shadow) {
 			continue
 		}
-		if b.tries[q.spec.ID] >= q.class.Attempts+8 {
+		if b.tries[q.spec.ID] >= q.class.Attempts+partStarts {
 			continue
 		}
 		if !b.start(q, tasks) && shadow == 0 {
@@ -115,7 +118,7 @@
 
 // free returns the room of a worker at a time, by the estimates of what runs.
 func (b *baseline) free(x *worker, at time.Duration) jaytask.Room {
-	room := jaytask.Room{CPU: cores, Memory: memory, Accelerators: accelerators}
+	room := workerRoom
 	for _, r := range x.runs {
 		if ends := r.begun + r.step().Estimate; at <= b.world.now || ends > at {
 			room = room.Minus(r.step().Room)
--- a/internal/process/jayplay/load.go
+++ b/internal/process/jayplay/load.go
@@ -157,12 +157,11 @@
 
 // work returns the job's work in core-seconds, an accelerator as eight cores.
 func (q *request) work() float64 {
-	room := q.spec.Steps[0].Room
 	sum := 0.0
 	for _, s := range q.seconds {
 		sum += s
 	}
-	return sum * (float64(room.CPU)/1000 + 8*float64(room.Accelerators))
+	return sum * q.spec.Steps[0].Room.Cores()
 }
 
 // chain returns the run time of the longest task.
@@ -235,20 +234,20 @@
 }
 
 const (
-	service = "pool"
-	perRack = 3
-	// accelerators, cores and memory are those of a worker.
+	service      = "pool"
+	perRack      = 3
 	accelerators = 8
-	cores        = 64000
-	memory       = 131072
 )
 
+// workerRoom is what each worker has.
+var workerRoom = jaytask.Room{CPU: 64000, Memory: 131072, Accelerators: accelerators}
+
 // waveShare is the share of the pool that a step may take in one wave.
 const waveShare = 4
 
 // perWorker returns how many tasks of a kind a worker holds.
 func perWorker(room jaytask.Room) int {
-	return min(accelerators/room.Accelerators, cores/room.CPU, memory/room.Memory)
+	return room.Times(workerRoom, jaytask.MaxTasks)
 }
 
 func rackName(n int) string { return fmt.Sprintf("rack-%d", n) }
--- a/internal/process/jayplay/play.go
+++ b/internal/process/jayplay/play.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/jaystile/jaystile/internal/process/jaycell"
-	"github.com/jaystile/jaystile/internal/request/jaytask"
 )
 
 const (
@@ -19,8 +18,8 @@
 	lease = 5400 * time.Millisecond
 	// after is how long work may end after the last job has come.
 	after = 30 * time.Second
-	// driftedStart is where the virtual clock begins, so that no time is zero.
-	driftedStart = time.Hour
+	// clockStart is where the virtual clock begins, so that no time is zero.
+	clockStart = time.Hour
 )
 
 var epoch = time.UnixMilli(1_700_000_000_000)
@@ -43,11 +42,11 @@
 			return int(l.Guaranteed * float64(l.Runners*accelerators) / float64(l.Workspaces))
 		},
 		Broken: func(what string, x jaycell.Decision) { broken = &BrokenError{What: what, Task: x.Task} },
-	}, driftedStart, epoch)
+	}, clockStart, epoch)
 	next := 0
 	for w.now < l.Span+after {
 		w.advance()
-		d.cell.At(driftedStart+w.now, epoch.Add(w.now))
+		d.cell.At(clockStart+w.now, epoch.Add(w.now))
 		for ; next < len(requests) && requests[next].at <= w.now; next++ {
 			d.cell.Submit(requests[next].spec)
 		}
@@ -151,8 +150,8 @@
 	w := d.world
 	d.reported[x.id] = w.now
 	p := jaycell.Report{
-		Node: "side-" + x.id, Sequence: int64(driftedStart + w.now), Term: 1, Current: true,
-		Runner: jaycell.RunnerInfo{ID: x.id, Service: service, Labels: []string{"a", x.rack}, Capacity: jaytask.Room{CPU: cores, Memory: memory, Accelerators: accelerators}},
+		Node: "side-" + x.id, Sequence: int64(clockStart + w.now), Term: 1, Current: true,
+		Runner: jaycell.RunnerInfo{ID: x.id, Service: service, Labels: []string{"a", x.rack}, Capacity: workerRoom},
 	}
 	for _, r := range x.sorted() {
 		p.Running = append(p.Running, jaycell.Run{Task: r.task, Run: r.run, Percent: min(100, max(0, int(100*r.done/r.total)))})
--- a/internal/process/jayplay/world.go
+++ b/internal/process/jayplay/world.go
@@ -257,8 +257,7 @@
 }
 
 func (w *world) waste(r *running) {
-	room := r.step().Room
-	w.wasted += r.fresh * (float64(room.CPU)/1000 + 8*float64(room.Accelerators))
+	w.wasted += r.fresh * r.step().Room.Cores()
 }
 
 // save returns the token of a task's progress; a gang's members share one.
@@ -277,7 +276,7 @@
 	if x.gone || run <= x.highest[task] {
 		return false
 	}
-	free := jaytask.Room{CPU: cores, Memory: memory, Accelerators: accelerators}
+	free := workerRoom
 	for _, r := range x.runs {
 		free = free.Minus(r.step().Room)
 	}
--- a/internal/request/jaytask/job.go
+++ b/internal/request/jaytask/job.go
@@ -48,6 +48,25 @@
 	return Room{CPU: r.CPU - o.CPU, Memory: r.Memory - o.Memory, Accelerators: r.Accelerators - o.Accelerators}
 }
 
+// Times returns how often r fits into free, at most so many times.
+func (r Room) Times(free Room, most int) int {
+	for _, p := range [][2]int{{r.CPU, free.CPU}, {r.Memory, free.Memory}, {r.Accelerators, free.Accelerators}} {
+		if p[0] > 0 {
+			most = min(most, p[1]/p[0])
+		}
+	}
+	return most
+}
+
+// acceleratorCores is what an accelerator weighs against a core when work is
+// compared.
+const acceleratorCores = 8
+
+// Cores returns what the room weighs in cores.
+func (r Room) Cores() float64 {
+	return float64(r.CPU)/1000 + float64(r.Accelerators*acceleratorCores)
+}
+
 // Step is a set of like tasks.
 type Step struct {
 	// Count is the number of tasks, Room what each of them takes.
@@ -151,21 +170,6 @@
 	return j.Steps[0].Count * j.Steps[0].Room.Accelerators
 }
 
-// Chain returns the estimated run time of the longest chain of steps.
-func (j *Job) Chain() time.Duration {
-	ends := make([]time.Duration, len(j.Steps))
-	var longest time.Duration
-	for i, s := range j.Steps {
-		var begin time.Duration
-		for _, a := range s.After {
-			begin = max(begin, ends[a])
-		}
-		ends[i] = begin + s.Estimate
-		longest = max(longest, ends[i])
-	}
-	return longest
-}
-
 // Check returns an InvalidError when the job contradicts itself.
 func (j *Job) Check() error {
 	if len(j.Spec) > MaxSpecBytes {
--- a/internal/version/jayroutes/config.go
+++ b/internal/version/jayroutes/config.go
@@ -27,11 +27,11 @@
 }
 
 // Advice tells how the service that knows those runners answers: a question takes
-// Decide and Each for every runner that it names, and its answer holds for Valid.
+// Decide and Each for every runner that it names. How long the answer holds comes
+// with it.
 type Advice struct {
 	Decide time.Duration
 	Each   time.Duration
-	Valid  time.Duration
 }
 
 // Service is a pool of runners.
