Log records of the store that cannot be read

Change: followers of topics and the reading of a new term report them as UnreadableError; the others hold as before. Test: TestTailReportsWhatItSkips (failed to build before).

--- a/internal/process/jayhub/lead.go
+++ b/internal/process/jayhub/lead.go
@@ -176,7 +176,7 @@
 	}
 	var records []jaystore.Record
 	err := again(ctx, func() (err error) {
-		records, err = jaystore.LoadAll(ctx, l.hub.client, l.hub.Topics.Runs)
+		records, err = jaystore.LoadAll(ctx, l.hub.client, l.hub.Topics.Runs, l.hub.tailFailed(l.hub.Topics.Runs))
 		return err
 	})
 	if err != nil {
--- a/internal/process/jaystore/path.go
+++ b/internal/process/jaystore/path.go
@@ -91,8 +91,9 @@
 }
 
 // Do sends a request. A request that may be open on one way is sent on the other
-// too: everything that this product sends may be repeated. A refusal on one way
-// is not returned while a try on the other is open.
+// too, unless its tries are counted and go one way each: everything that this product
+// sends may be repeated. A refusal on one way is not returned while a try on the
+// other is open.
 func (p *Path) Do(ctx context.Context, x Exchange) (Reply, error) {
 	begun := time.Now()
 	r, err := p.choose(ctx, x)
--- a/internal/process/jaystore/store.go
+++ b/internal/process/jaystore/store.go
@@ -58,6 +58,20 @@
 	Records []Stored
 	More    bool
 	End     uint64
+	// Unreadable counts records that were left out since they cannot be read.
+	Unreadable int
+}
+
+// UnreadableError reports records of a topic that were skipped since they cannot be
+// read; the others hold.
+type UnreadableError struct {
+	Topic string
+	Count int
+}
+
+// Error implements error.
+func (e *UnreadableError) Error() string {
+	return fmt.Sprintf("skipped %d records of %s that cannot be read", e.Count, e.Topic)
 }
 
 // Client calls the store, one try a call. Its functions are set before use; they
--- a/internal/process/jaystore/store_test.go
+++ b/internal/process/jaystore/store_test.go
@@ -335,3 +335,28 @@
 	var silent *NoAnswerError
 	assert.Assert(t, errors.As(err, &silent), "%v", err)
 }
+
+// Records that cannot be read are reported, and the others hold.
+func TestTailReportsWhatItSkips(t *testing.T) {
+	client := &Client{
+		Newest: func(context.Context, string, string) (Page, error) {
+			return Page{Records: []Stored{{Record: Record{Key: "a"}}}, End: 2, Unreadable: 1}, nil
+		},
+		Read: func(context.Context, string, uint64, time.Duration) (Chunk, error) {
+			return Chunk{Records: []Stored{{Record: Record{Key: "b"}, Offset: 3}}, Next: 4, End: 4, Unreadable: 1}, nil
+		},
+	}
+	var keys []string
+	skipped := 0
+	tail := &Tail{Client: client, Topic: "t", Apply: func(s Stored) { keys = append(keys, s.Key) }, Failed: func(err error) {
+		var unreadable *UnreadableError
+		assert.Assert(t, errors.As(err, &unreadable))
+		skipped += unreadable.Count
+	}}
+	for range 2 {
+		_, err := tail.step(t.Context(), 0)
+		assert.NilError(t, err)
+	}
+	assert.DeepEqual(t, keys, []string{"a", "b"})
+	assert.Equal(t, skipped, 2)
+}
--- a/internal/process/jaystore/tail.go
+++ b/internal/process/jaystore/tail.go
@@ -22,7 +22,7 @@
 	// after records came.
 	Wait  time.Duration
 	Pause time.Duration
-	// Failed is called with each failure.
+	// Failed is called with each failure, and with each UnreadableError.
 	Failed func(err error)
 
 	mutex  sync.Mutex
@@ -126,9 +126,17 @@
 		}
 	}
 	t.next = chunk.Next
+	t.skip(chunk.Unreadable)
 	return len(chunk.Records), nil
 }
 
+// skip reports records that were left out.
+func (t *Tail) skip(unreadable int) {
+	if unreadable > 0 {
+		t.Failed(&UnreadableError{Topic: t.Topic, Count: unreadable})
+	}
+}
+
 // load pages the newest records. Pages are no snapshot: the tail then reads on
 // from where the topic ended before the first page.
 func (t *Tail) load(ctx context.Context) (int, error) {
@@ -147,6 +155,7 @@
 			end = page.End
 		}
 		all = append(all, page.Records...)
+		t.skip(page.Unreadable)
 		if !page.More || len(page.Records) == 0 {
 			break
 		}
@@ -176,10 +185,11 @@
 }
 
 // LoadAll returns the newest record of each key of a topic that nobody else may
-// write to meanwhile, so that its pages belong together.
-func LoadAll(ctx context.Context, c *Client, topic string) ([]Record, error) {
+// write to meanwhile, so that its pages belong together. failed is called with each
+// UnreadableError.
+func LoadAll(ctx context.Context, c *Client, topic string, failed func(err error)) ([]Record, error) {
 	var all []Record
-	t := &Tail{Client: c, Topic: topic, Apply: func(s Stored) {
+	t := &Tail{Client: c, Topic: topic, Failed: failed, Apply: func(s Stored) {
 		if s.Value != nil {
 			all = append(all, s.Record)
 		}
