--- a/cmd/jaystile/cellentry.go
+++ b/cmd/jaystile/cellentry.go
@@ -81,7 +81,7 @@
 	defer stopSignals()
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	callerServer := jayadapter.CallerServer(controller, controller.Config, func() bool { return shutdown.Err() != nil })
+	callerServer := jayadapter.CallerServer(ctx, controller, controller.Config, func() bool { return shutdown.Err() != nil })
 	servers := []*jayadapter.Server{callerServer, jayadapter.ReadinessServer(controller.Ready), jayadapter.SeedServer()}
 	var wg conc.WaitGroup
 	for i, server := range servers {
--- a/internal/process/jaydemo/demo.go
+++ b/internal/process/jaydemo/demo.go
@@ -229,6 +229,7 @@
 	ctx, cancel := context.WithTimeout(ctx, submitTimeout)
 	defer cancel()
 	begin := time.Now()
+	mayHaveRun := false
 	for try := 1; ; try++ {
 		j, err := r.clients[a.kind.Workspace].Submit(ctx, a.body)
 		if err == nil && !j.State.Ended() {
@@ -241,15 +242,25 @@
 		}
 		refusal := jayrefusal.From(err)
 		repeatable := refusal.Outcome() == jayrefusal.NotRun || a.kind.Idempotent || refusal.Code() == jayrefusal.Internal || refusal.Code() == jayrefusal.OwnerLost
+		mayHaveRun = mayHaveRun || refusal.Outcome() != jayrefusal.NotRun
 		if try == maxTries || !repeatable || !retryable(refusal.Code()) {
 			var noJob *jayapi.Job
-			r.checker.recordResult(result{arrival: a, job: noJob, refusal: refusal, latency: time.Since(begin)})
+			r.checker.recordResult(result{arrival: a, job: noJob, refusal: refusalOfAllTries(refusal, mayHaveRun), latency: time.Since(begin)})
 			return
 		}
 		time.Sleep(min(refusal.RetryAfter()+pollInterval, time.Second))
 	}
 }
 
+// refusalOfAllTries returns what the last refusal of a job says of all its tries. That
+// the last try did not run says nothing of an earlier one with an unknown outcome.
+func refusalOfAllTries(last *jayrefusal.Refusal, mayHaveRun bool) *jayrefusal.Refusal {
+	if !mayHaveRun || last.Outcome() != jayrefusal.NotRun {
+		return last
+	}
+	return jayrefusal.New(last.Code(), jayrefusal.Unknown, "%s; an earlier try may have run", last.Message())
+}
+
 // retryable reports whether the same request may succeed later.
 func retryable(c jayrefusal.Code) bool {
 	switch c {
--- a/internal/process/jaydemo/demo_test.go
+++ b/internal/process/jaydemo/demo_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -132,6 +133,33 @@
 	assert.Equal(t, r.countRuns("another"), 0)
 }
 
+// The answer to a caller's first try is cut after the job has run, and its next tries
+// are refused as not run. The caller must not take that for the whole job.
+func TestRefusedRepetitionSaysNothingOfCutTry(t *testing.T) {
+	var tries atomic.Int64
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		if tries.Add(1) == 1 {
+			panic(http.ErrAbortHandler)
+		}
+		w.WriteHeader(http.StatusServiceUnavailable)
+		_ = json.NewEncoder(w).Encode(jayapi.FromRefusal(jayrefusal.New(jayrefusal.NoManifest, jayrefusal.NotRun, "no manifest is in force yet")))
+	}))
+	t.Cleanup(server.Close)
+	client, closeClient := jayclient.New(server.Listener.Addr().String())
+	t.Cleanup(closeClient)
+	kind := kjaergaard().JobKinds()[0]
+	kind.Idempotent = true
+	r := &run{checker: NewChecker(), clients: map[string]*jayclient.Client{kind.Workspace: client}}
+	r.submit(t.Context(), arrival{kind: kind, token: "a", body: jayapi.Submission{Kind: kind.Name, Idempotent: true}})
+	assert.Assert(t, tries.Load() > 1)
+	assert.Equal(t, len(r.checker.results), 1)
+	assert.Equal(t, r.checker.results[0].refusal.Code(), jayrefusal.NoManifest)
+	r.checker.checkRuns(map[string][]jaystandin.Run{"a": {{Attempt: "x.0"}}}, time.Second)
+	for _, v := range r.checker.Violations() {
+		assert.Assert(t, v.Invariant != invariantNotRun, v.Detail)
+	}
+}
+
 // TestKeyedRequestSurvivesEntryFailure kills the entry that owns a keyed request. A
 // retry at another entry gets the answer or "unknown", never a second run.
 func TestKeyedRequestSurvivesEntryFailure(t *testing.T) {
--- a/internal/process/jayentry/entry.go
+++ b/internal/process/jayentry/entry.go
@@ -104,6 +104,9 @@
 	// disables TLS. It is set before Run.
 	TLS *tls.Config
 
+	// ctx lasts until the entry is closed. Calls for a request use it, since the server
+	// reuses the request's own context once its handler returns. Run sets it.
+	ctx context.Context
 	// followEntry keeps a link to the entry at an address. Run sets it.
 	followEntry func(address string)
 }
@@ -174,6 +177,7 @@
 	e.recorder.Record(jaytimeline.ProcessStarted, jaytimeline.Fields{Detail: "incarnation " + e.incarnation.String()})
 	e.Logger.Info().Str("incarnation", e.incarnation.String()).Msg("entry started")
 	inner, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	e.ctx = inner
 	var wg conc.WaitGroup
 	e.mutex.Lock()
 	e.followEntry = func(address string) { e.followPeer(inner, &wg, address) }
--- a/internal/process/jayentry/http.go
+++ b/internal/process/jayentry/http.go
@@ -218,7 +218,7 @@
 		return malformed(err)
 	}
 	s := submission{spec: spec, wait: b.Wait, durable: b.Durable || !b.Wait || !spec.Idempotent(), logWait: logWait}
-	j, known, err := e.submit(c.Context(), s)
+	j, known, err := e.submit(e.ctx, s)
 	if err != nil {
 		e.counter(`jaystile_entry_submissions_refused_total`).Inc()
 		return err
--- a/internal/process/jayentry/operator.go
+++ b/internal/process/jayentry/operator.go
@@ -196,7 +196,7 @@
 }
 
 func (e *Entry) handlePublish(c *fiber.Ctx) error {
-	p, err := e.publish(c.Context(), c.Body(), c.QueryBool("dry_run"))
+	p, err := e.publish(e.ctx, c.Body(), c.QueryBool("dry_run"))
 	if err != nil {
 		return err
 	}
@@ -289,7 +289,7 @@
 	if agent == nil || agent.link == nil {
 		return jayrefusal.New(jayrefusal.NotFound, jayrefusal.NotRun, "no link to such a side")
 	}
-	ctx, cancel := context.WithTimeout(c.Context(), queryTimeout)
+	ctx, cancel := context.WithTimeout(e.ctx, queryTimeout)
 	defer cancel()
 	if _, err := agent.link.Call(ctx, &jayframe.Drain{On: c.QueryBool("on", true)}); err != nil {
 		return jayrefusal.New(jayrefusal.OwnerLost, jayrefusal.Unknown, "%v", err)
--- a/internal/process/jayentry/submit.go
+++ b/internal/process/jayentry/submit.go
@@ -29,6 +29,10 @@
 	// earlierJobTimeout bounds the wait for an earlier job with the same key, here or
 	// at another entry, unless the caller sets a deadline.
 	earlierJobTimeout = 30 * time.Second
+	// unknownOwnerTimeout bounds the wait for an earlier job whose entry does not know it
+	// or has no link to this one: it may not have read its own claim yet, which it gives
+	// up after claimTimeout.
+	unknownOwnerTimeout = claimTimeout
 )
 
 // submission is a validated job with the caller's options.
@@ -194,26 +198,43 @@
 }
 
 // answerRepeated answers a submission with the status of the job that holds its
-// key.
+// key. It asks again while the job's entry does not know of the job.
 func (e *Entry) answerRepeated(row *jaystate.Row, s submission) (*jayapi.Job, error) {
 	if !row.SameDigest(s.spec) {
 		return nil, keyReused()
 	}
 	e.counter(`jaystile_entry_repeated_keys_total`).Inc()
-	if j := e.localJob(s.spec.Workspace(), row.ID()); j != nil {
-		return e.awaitLocalJob(j, s)
-	}
-	if row.End() != nil {
-		status := rowStatus(row)
-		return &status, nil
-	}
-	status, err := e.queryOwner(row.ID(), s.spec.Workspace(), false, s.waitTime())
-	if err == nil && status != nil {
-		return status, nil
+	deadline := e.now() + min(s.waitTime(), unknownOwnerTimeout)
+	for {
+		if j := e.localJob(s.spec.Workspace(), row.ID()); j != nil {
+			return e.awaitLocalJob(j, s)
+		}
+		if status := e.endedStatus(row); status != nil {
+			return status, nil
+		}
+		status, err := e.queryOwner(row.ID(), s.spec.Workspace(), false, s.waitTime())
+		if err == nil && status != nil {
+			return status, nil
+		}
+		if err != nil || e.now() >= deadline || e.isClosed() {
+			break
+		}
+		time.Sleep(claimRetryInterval)
 	}
 	return nil, jayrefusal.New(jayrefusal.OwnerLost, jayrefusal.Unknown, "the key's first job is with an entry that does not answer; ask again").WithRetryAfter(jitteredRetryAfter(2 * time.Second))
 }
 
+// endedStatus returns the status of a job that has ended by the log, or nil.
+func (e *Entry) endedStatus(row *jaystate.Row) *jayapi.Job {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	if row.End() == nil {
+		return nil
+	}
+	status := rowStatus(row)
+	return &status
+}
+
 // waitTime is how long the caller waits for the outcome of an earlier job.
 func (s submission) waitTime() time.Duration {
 	if !s.wait {
