--- a/internal/process/jaysimulation/baseline.go
+++ b/internal/process/jaysimulation/baseline.go
@@ -122,7 +122,7 @@
 // available returns the free resources of a worker at the given time, by the
 // estimates of its runs.
 func (b *baseline) available(w *worker, at time.Duration) jaytask.Resources {
-	free := workerResources
+	free := b.environment.load.Worker
 	for _, r := range w.runs {
 		if ends := r.started + r.spec().Estimate; at <= b.environment.now || ends > at {
 			free = free.Sub(r.spec().Resources)
--- a/internal/process/jaysimulation/bound.go
+++ b/internal/process/jaysimulation/bound.go
@@ -11,13 +11,13 @@
 // fitsPool reports whether the idle pool could run the job.
 func (l *Load) fitsPool(q *request) bool {
 	s := q.spec.Steps[0]
-	return !s.Gang || tasksPerWorker(s.Resources)*l.Runners >= s.Count
+	return !s.Gang || l.tasksPerWorker(s.Resources)*l.Runners >= s.Count
 }
 
 // fitsRack reports whether the job fits one rack, if it is a gang that wants one.
 func (l *Load) fitsRack(q *request) bool {
 	s := q.spec.Steps[0]
-	return !s.Gang || !s.SameRack || tasksPerWorker(s.Resources)*workersPerRack >= s.Count
+	return !s.Gang || !s.SameRack || l.tasksPerWorker(s.Resources)*l.RackSize >= s.Count
 }
 
 // upperBound returns a value that no schedule could exceed. Within each span of
@@ -32,6 +32,10 @@
 		// gain is the value of being on time beyond that of being late.
 		lateValue, gain float64
 	}
+	totalSpeed, topSpeed := 0.0, 0.0
+	for i := range l.Runners {
+		totalSpeed, topSpeed = totalSpeed+l.speed(i), max(topSpeed, l.speed(i))
+	}
 	var items []item
 	base, totalGain := 0.0, 0.0
 	for i, q := range requests {
@@ -45,7 +49,7 @@
 		for _, s := range q.taskSeconds {
 			acceleratorSeconds += slowdown * s * float64(q.spec.Steps[0].Resources.Accelerators)
 		}
-		if time.Duration(slowdown*float64(q.longestTask())) > q.objective() {
+		if time.Duration(slowdown/topSpeed*float64(q.longestTask())) > q.objective() {
 			base += values[i] * q.class.LateValue
 			continue
 		}
@@ -60,7 +64,7 @@
 	bound := totalGain
 	for from := time.Duration(0); from < l.ArrivalPeriod; from += boundGrid {
 		for to := from + boundGrid; to < l.ArrivalPeriod+drainPeriod; to += boundGrid {
-			capacity := (to - from).Seconds() * float64(l.Runners*acceleratorsPerWorker)
+			capacity := (to - from).Seconds() * totalSpeed * float64(l.Worker.Accelerators)
 			sum := 0.0
 			for _, it := range items {
 				switch {
--- a/internal/process/jaysimulation/environment.go
+++ b/internal/process/jaysimulation/environment.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"sort"
 	"time"
 
@@ -18,6 +19,8 @@
 	restoreTime = 100 * time.Millisecond
 	// gangTimeout is how long members of a gang wait for each other.
 	gangTimeout = 3 * time.Second
+	// minStopShare is the shortest duration of a stop, as a share of Load.StopTimeout.
+	minStopShare = 0.3
 )
 
 // taskRun is one run of a task on a worker.
@@ -50,8 +53,10 @@
 
 // environment simulates the workers and records what the score is computed from.
 type environment struct {
-	load    *Load
-	now     time.Duration
+	load *Load
+	now  time.Duration
+	// random draws the durations of stops.
+	random  *rand.Rand
 	workers []*worker
 	byID    map[string]*worker
 	byJob   map[string]*request
@@ -71,9 +76,9 @@
 }
 
 func newEnvironment(l *Load, requests []*request) *environment {
-	e := &environment{load: l, byID: map[string]*worker{}, byJob: map[string]*request{}, completedAt: map[string]time.Duration{}, firstStart: map[string]time.Duration{}, tasksLeft: map[string]int{}, taskDone: map[string]bool{}, checkpoints: map[string]float64{}}
+	e := &environment{load: l, random: rand.New(rand.NewPCG(uint64(len(requests)), 0x73746f70)), byID: map[string]*worker{}, byJob: map[string]*request{}, completedAt: map[string]time.Duration{}, firstStart: map[string]time.Duration{}, tasksLeft: map[string]int{}, taskDone: map[string]bool{}, checkpoints: map[string]float64{}}
 	for i := range l.Runners {
-		w := &worker{id: fmt.Sprintf("runner-%02d", i), rack: rackName(i / workersPerRack), speed: 1, runs: map[string]*taskRun{}, highestRun: map[string]int{}}
+		w := &worker{id: fmt.Sprintf("runner-%02d", i), rack: rackName(i / l.RackSize), speed: l.speed(i), runs: map[string]*taskRun{}, highestRun: map[string]int{}}
 		e.workers = append(e.workers, w)
 		e.byID[w.id] = w
 	}
@@ -89,9 +94,9 @@
 	third := e.load.ArrivalPeriod / 3
 	slow, lost := int(e.load.SlowShare*float64(len(e.workers))+0.5), int(e.load.LostShare*float64(len(e.workers))+0.5)
 	for i, w := range e.workers {
-		w.speed = 1
+		w.speed = e.load.speed(i)
 		if i < slow && e.now >= third && e.now < 2*third {
-			w.speed = 1 / e.load.SlowFactor
+			w.speed /= e.load.SlowFactor
 		}
 		if i >= len(e.workers)-lost && e.now >= third && !w.lost {
 			w.lost = true
@@ -286,7 +291,7 @@
 	if w.lost || run <= w.highestRun[task] {
 		return false
 	}
-	free := workerResources
+	free := e.load.Worker
 	for _, r := range w.runs {
 		free = free.Sub(r.spec().Resources)
 	}
@@ -307,7 +312,7 @@
 // stopRun begins to stop a run and ensures that it does not start later.
 func (e *environment) stopRun(w *worker, task string, run int) {
 	if r := w.runs[task]; r != nil && r.run == run && r.stopAt == 0 {
-		r.stopAt = e.now + e.load.StopTimeout/2
+		r.stopAt = e.now + time.Duration((minStopShare+(1-minStopShare)*e.random.Float64())*float64(e.load.StopTimeout))
 	}
 	w.highestRun[task] = max(w.highestRun[task], run)
 }
--- a/internal/process/jaysimulation/load.go
+++ b/internal/process/jaysimulation/load.go
@@ -45,8 +45,10 @@
 
 	resources    jaytask.Resources
 	accelerators []int
-	taskCount    logNormal
-	taskSeconds  logNormal
+	// initial jobs arrive together at the start of the day.
+	initial     int
+	taskCount   logNormal
+	taskSeconds logNormal
 	// taskVariation is the greatest relative deviation of a task's run time from
 	// the mean, estimateError that of the callers' estimates.
 	taskVariation float64
@@ -72,11 +74,19 @@
 	Bursts  []Burst
 	// ArrivalPeriod is how long jobs arrive.
 	ArrivalPeriod time.Duration
-	// Runners is the number of workers, of eight accelerators each; three share a
-	// rack.
-	Runners int
+	// Runners is the number of workers. Each has the resources of Worker, and RackSize
+	// of them share a rack.
+	Runners  int
+	Worker   jaytask.Resources
+	RackSize int
+	// Speeds are the speeds of the workers, in turn, relative to the one that task run
+	// times refer to; empty means all equal.
+	Speeds []float64
+	// WholeWorkerGangs reports that tasks which use all accelerators of a worker may
+	// form gangs.
+	WholeWorkerGangs bool
 	// StopTimeout is how long stopping a task may take; the simulated workers take
-	// half of it. RemoteSlowdown is how many times longer a task takes on another rack
+	// from minStopShare of it to all of it. RemoteSlowdown is how many times longer a task takes on another rack
 	// than its data, and a gang that wants one rack on several.
 	StopTimeout    time.Duration
 	RemoteSlowdown float64
@@ -107,7 +117,7 @@
 
 // Error implements error.
 func (e *UnknownLoadError) Error() string {
-	return fmt.Sprintf("unknown load %q: want kjaergaard or salish", e.Given)
+	return fmt.Sprintf("unknown load %q: want kjaergaard, salish, kastrinakis or kastrinakis-grown", e.Given)
 }
 
 // newLoad returns a load that exceeds the deployment's resources at times.
@@ -120,7 +130,7 @@
 	large.dataBound, small.dataBound, large.canceled, small.canceled = 0.3, 0.12, 0.05, 0.15
 	large.checkpointing, small.checkpointing = 0.45, 0.45
 	return Load{
-		Name: name, ScoreWeights: weights, Classes: []Class{urgent, large, small}, ArrivalPeriod: 34 * time.Second, Runners: 11, StopTimeout: stop, RemoteSlowdown: 3, Workspaces: 4, GuaranteedShare: 0.62,
+		Name: name, ScoreWeights: weights, Classes: []Class{urgent, large, small}, ArrivalPeriod: 34 * time.Second, Runners: 11, Worker: jaytask.Resources{CPU: 64000, Memory: 131072, Accelerators: 8}, RackSize: 3, StopTimeout: stop, RemoteSlowdown: 3, Workspaces: 4, GuaranteedShare: 0.62,
 		Bursts: []Burst{{Class: urgent.Name, Start: 4 * time.Second, Duration: 6 * time.Second, Factor: 2.2}, {Class: small.Name, Start: 18 * time.Second, Duration: 4 * time.Second, Factor: 2}},
 	}
 }
@@ -140,10 +150,41 @@
 			Class{Name: "slip-quote", Priority: 0, ArrivalsPerSecond: 0.65, OnTimeValue: 4, LateValue: 0.8, Stretch: 1.5, Objective: 250 * time.Millisecond, MaxAttempts: 4, taskSeconds: logNormal{2.5, 0.5, 8}, taskVariation: 0.15, estimateError: 0.5},
 			Class{Name: "arrears-sweep", Priority: 2, ArrivalsPerSecond: 0.19, OnTimeValue: 1, LateValue: 0.1, Stretch: 3, Objective: 3 * time.Second, MaxAttempts: 3, taskSeconds: logNormal{9.5, 0.3, 11}, taskVariation: 0.15, estimateError: 0.5, failing: 0.01},
 			400*time.Millisecond, ScoreWeights{Overall: 0.35, WorstWindows: 0.5, WorstClass: 0.15, WorstWorkspace: 0.2, WasteCost: 0.0028}), nil
+	case "kastrinakis":
+		return newDispatchLoad(name), nil
+	case "kastrinakis-grown":
+		return newDispatchLoad(name).grow(), nil
 	}
 	return Load{}, &UnknownLoadError{Given: name}
 }
 
+// newDispatchLoad returns the load of a deployment whose workers differ in speed and
+// whose urgent jobs are gangs that often need several whole workers.
+func newDispatchLoad(name string) Load {
+	mixed := []int{1, 2, 4, 8, 8}
+	return Load{
+		Name: name, ArrivalPeriod: 34 * time.Second, Runners: 11, Worker: jaytask.Resources{CPU: 32000, Memory: 131072, Accelerators: 8}, RackSize: 3, Speeds: []float64{0.8, 1, 1.25}, WholeWorkerGangs: true,
+		StopTimeout: 900 * time.Millisecond, RemoteSlowdown: 3, Workspaces: 4, GuaranteedShare: 0.62,
+		ScoreWeights: ScoreWeights{Overall: 0.6, WorstWindows: 0.25, WorstClass: 0.15, WorstWorkspace: 0.2, WasteCost: 0.0033},
+		Classes: []Class{
+			{Name: "assignment", Priority: 0, ArrivalsPerSecond: 0.373, OnTimeValue: 4, LateValue: 0.8, Stretch: 1.5, Objective: 250 * time.Millisecond, MaxAttempts: 2, resources: jaytask.Resources{CPU: 3700, Memory: 11000}, accelerators: mixed, taskCount: logNormal{3.4, 0.8, 21}, taskSeconds: logNormal{2.5, 0.5, 8}, taskVariation: 0.3, estimateError: 0.9, gang: 1, sameRack: 0.6},
+			{Name: "plan", Priority: 1, ArrivalsPerSecond: 0.406, OnTimeValue: 3, LateValue: 0.9, Stretch: 3, Objective: time.Second, MaxAttempts: 2, resources: jaytask.Resources{CPU: 13000, Memory: 38000}, accelerators: mixed, taskCount: logNormal{1.5, 0.8, 9}, taskSeconds: logNormal{8.5, 0.3, 11}, taskVariation: 0.15, estimateError: 0.2, gang: 1, sameRack: 0.25, canceled: 0.05, checkpointing: 0.45, failing: 0.03, initial: 4},
+			{Name: "billing", Priority: 2, ArrivalsPerSecond: 0.246, OnTimeValue: 1, LateValue: 0.3, Stretch: 3, Objective: 3 * time.Second, MaxAttempts: 4, resources: jaytask.Resources{CPU: 2800, Memory: 8200}, accelerators: []int{1}, taskCount: logNormal{9.2, 0.8, 55}, taskSeconds: logNormal{6.1, 0.3, 11}, taskVariation: 0.15, estimateError: 0.5, canceled: 0.15, checkpointing: 0.45, failing: 0.03, initial: 2},
+		},
+		Bursts: []Burst{{Class: "assignment", Start: 2 * time.Second, Duration: 6 * time.Second, Factor: 2.2}, {Class: "billing", Start: 13 * time.Second, Duration: 4 * time.Second, Factor: 2.1}},
+	}
+}
+
+// grow turns a dispatch load into that of the same users on 64 workers.
+func (l Load) grow() Load {
+	l.ArrivalPeriod, l.Runners, l.RackSize, l.Workspaces = 53*time.Second, 64, 8, 10
+	urgent, large, small := &l.Classes[0], &l.Classes[1], &l.Classes[2]
+	urgent.ArrivalsPerSecond, large.ArrivalsPerSecond, small.ArrivalsPerSecond = 1.61, 0.743, 0.465
+	urgent.taskCount, large.taskCount, small.taskCount = logNormal{5.4, 0.8, 32}, logNormal{6.6, 0.8, 40}, logNormal{39, 0.8, 230}
+	large.initial, small.initial = 5, 4
+	return l
+}
+
 // request is a submitted job with what only the simulation knows of it.
 type request struct {
 	spec    *jaytask.Job
@@ -188,6 +229,11 @@
 	r := rand.New(rand.NewPCG(seed, 0x6a6179))
 	var all []*request
 	const tick = 10 * time.Millisecond
+	for i := range l.Classes {
+		for range l.Classes[i].initial {
+			all = append(all, l.generateOne(r, &l.Classes[i], 0, start, len(all)))
+		}
+	}
 	for at := time.Duration(0); at < l.ArrivalPeriod; at += tick {
 		for i := range l.Classes {
 			c := &l.Classes[i]
@@ -209,24 +255,24 @@
 	resources := c.resources
 	resources.Accelerators = c.accelerators[r.IntN(len(c.accelerators))]
 	count := max(1, int(c.taskCount.sample(r)+0.5))
-	// Tasks that use whole workers do not form gangs. A gang fits one rack.
-	gang := resources.Accelerators < acceleratorsPerWorker && r.Float64() < c.gang
-	if gang {
-		count = min(count, workersPerRack*tasksPerWorker(resources))
+	gang := (l.WholeWorkerGangs || resources.Accelerators < l.Worker.Accelerators) && r.Float64() < c.gang
+	sameRack := gang && l.WholeWorkerGangs && r.Float64() < c.sameRack
+	if gang && (sameRack || !l.WholeWorkerGangs) {
+		count = min(count, l.RackSize*l.tasksPerWorker(resources))
 	}
 	mean := c.taskSeconds.sample(r)
 	q := &request{class: c, arrival: at, failing: r.Float64() < c.failing}
-	poolTasks := l.Runners * tasksPerWorker(resources)
+	poolTasks := l.Runners * l.tasksPerWorker(resources)
 	q.waves = max(1, (wavesPerPool*count+poolTasks-1)/poolTasks)
 	for range count {
 		q.taskSeconds = append(q.taskSeconds, mean*(1+c.taskVariation*(2*r.Float64()-1)))
 	}
 	s := jaytask.Step{Count: count, Resources: resources, Estimate: time.Duration(mean * (1 + c.estimateError*(2*r.Float64()-1)) * float64(time.Second))}
 	s.Gang = gang && count > 1
-	s.SameRack = s.Gang && r.Float64() < c.sameRack
+	s.SameRack = s.Gang && (sameRack || !l.WholeWorkerGangs && r.Float64() < c.sameRack)
 	s.Checkpoint = r.Float64() < c.checkpointing
 	if r.Float64() < c.dataBound {
-		s.DataRack = rackName(r.IntN((l.Runners + workersPerRack - 1) / workersPerRack))
+		s.DataRack = rackName(r.IntN((l.Runners + l.RackSize - 1) / l.RackSize))
 	}
 	if r.Float64() < c.canceled {
 		q.cancelAt = at + time.Duration(r.Float64()*8*float64(time.Second))
@@ -238,22 +284,23 @@
 	return q
 }
 
-const (
-	service               = "pool"
-	workersPerRack        = 3
-	acceleratorsPerWorker = 8
-)
-
-// workerResources is the capacity of each worker.
-var workerResources = jaytask.Resources{CPU: 64000, Memory: 131072, Accelerators: acceleratorsPerWorker}
+const service = "pool"
 
 // wavesPerPool is the number of waves that would fill the idle pool: a step may use
 // a quarter of it in one wave.
 const wavesPerPool = 4
 
 // tasksPerWorker returns how many tasks fit an idle worker.
-func tasksPerWorker(resources jaytask.Resources) int {
-	return resources.CountIn(workerResources, jaytask.MaxTasks)
+func (l *Load) tasksPerWorker(resources jaytask.Resources) int {
+	return resources.CountIn(l.Worker, jaytask.MaxTasks)
+}
+
+// speed returns the speed of the i-th worker.
+func (l *Load) speed(i int) float64 {
+	if len(l.Speeds) == 0 {
+		return 1
+	}
+	return l.Speeds[i%len(l.Speeds)]
 }
 
 func rackName(n int) string { return fmt.Sprintf("rack-%d", n) }
--- a/internal/process/jaysimulation/result.go
+++ b/internal/process/jaysimulation/result.go
@@ -107,7 +107,7 @@
 	result.ValueShare, result.WorstWindows, result.WorstWorkspace = whole.share(), meanOfLowest(windows, 2), meanOfLowest(workspaces, 1)
 	result.LargeJobs = largeJobShare(scored, earned, requests, values)
 	result.WastedShare, result.Interruptions = e.wastedCoreSeconds/max(requested, 1), e.interruptions
-	result.Utilisation = e.busyAcceleratorSeconds / (e.load.ArrivalPeriod.Seconds() * float64(len(e.workers)*acceleratorsPerWorker))
+	result.Utilisation = e.busyAcceleratorSeconds / (e.load.ArrivalPeriod.Seconds() * float64(len(e.workers)*e.load.Worker.Accelerators))
 	weights := e.load.ScoreWeights
 	result.Score = (weights.Overall*result.ValueShare+weights.WorstWindows*result.WorstWindows+weights.WorstClass*meanOfLowest(classes, 1)+weights.WorstWorkspace*result.WorstWorkspace)/(weights.Overall+weights.WorstWindows+weights.WorstClass+weights.WorstWorkspace) - weights.WasteCost*e.wastedCoreSeconds/max(whole.attainable, 1)
 	result.Bound = e.load.upperBound(requests, values) / max(whole.attainable, 1e-9)
--- a/internal/process/jaysimulation/simulation.go
+++ b/internal/process/jaysimulation/simulation.go
@@ -39,7 +39,7 @@
 	d.cell = jaycell.New(jaycell.Settings{
 		Term: 1, Lease: lease, Retention: time.Hour, StopTimeout: l.StopTimeout, GangTimeout: gangTimeout, RemoteSlowdown: l.RemoteSlowdown,
 		Guaranteed: func(string) int {
-			return int(l.GuaranteedShare * float64(l.Runners*acceleratorsPerWorker) / float64(l.Workspaces))
+			return int(l.GuaranteedShare * float64(l.Runners*l.Worker.Accelerators) / float64(l.Workspaces))
 		},
 		OnInvariantViolation: func(invariant string, decision jaycell.Decision) {
 			violation = &InvariantError{Invariant: invariant, Task: decision.Task}
@@ -154,7 +154,7 @@
 	d.lastReport[w.id] = env.now
 	report := jaycell.Report{
 		Node: "side-" + w.id, Sequence: int64(clockStart + env.now), Term: 1, Responsive: true,
-		Runner: jaycell.RunnerInfo{ID: w.id, Service: service, Labels: []string{"a", w.rack}, Capacity: workerResources},
+		Runner: jaycell.RunnerInfo{ID: w.id, Service: service, Labels: []string{"a", w.rack}, Capacity: env.load.Worker},
 	}
 	for _, r := range w.sortedRuns() {
 		report.Running = append(report.Running, jaycell.Run{Task: r.task, Run: r.run, Percent: min(100, max(0, int(100*r.workDone/r.workTotal)))})
--- a/internal/process/jaysimulation/simulation_test.go
+++ b/internal/process/jaysimulation/simulation_test.go
@@ -9,7 +9,7 @@
 // rounding is the tolerance for sums of the same values in different order.
 const rounding = 1e-9
 
-var loadNames = []string{"kjaergaard", "salish"}
+var loadNames = []string{"kjaergaard", "salish", "kastrinakis"}
 
 func findLoad(t *testing.T, name string) Load {
 	t.Helper()
@@ -81,7 +81,7 @@
 				env, err := l.simulate(requests)
 				assert.NilError(t, err)
 				for _, q := range requests {
-					if q.class.Priority != 0 || q.spec.FirstStepAccelerators() > acceleratorsPerWorker || q.cancelAt > 0 {
+					if q.class.Priority != 0 || q.spec.FirstStepAccelerators() > l.Worker.Accelerators || q.cancelAt > 0 {
 						continue
 					}
 					jobs++
