Preempt within the rack before a gang runs across racks

Change: selectAny tries the scopes without and with preemption, and only then other racks; a gang whose victims take longer than StopTimeout to stop still starts elsewhere, so that a guarantee is met in time. TestGuaranteedGangPreemptsWithinItsRack failed first.

--- a/internal/process/jaycell/cell_test.go
+++ b/internal/process/jaycell/cell_test.go
@@ -362,3 +362,73 @@
 	e.tick(2 * time.Second)
 	assert.Equal(t, e.cell.estimate(e.cell.jobs["job"], 0), 10*time.Second)
 }
+
+// A guaranteed gang that wants one rack preempts there instead of running slowly across
+// racks, and starts across racks if its victims do not stop in time.
+func TestGuaranteedGangPreemptsWithinItsRack(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		stopped bool
+		racks   int
+	}{{"victims stop", true, 1}, {"victims do not stop", false, 2}} {
+		t.Run(c.name, func(t *testing.T) {
+			h := newHarness(t, map[string]int{"w": 16})
+			h.racks = map[string]string{"r1": "r1-1", "r2": "r1-1", "r3": "r1-2", "r4": "r1-2"}
+			runners := []string{"r1", "r2", "r3", "r4"}
+			for _, r := range runners {
+				h.report("n"+r, r, nil)
+			}
+			for _, id := range []string{"a", "b", "c", "d"} {
+				h.submit(id, 1, "other", step(1, 8))
+			}
+			placed := map[string]string{}
+			for _, o := range h.advance(0) {
+				placed[o.Runner] = o.Task
+			}
+			// One runner of each rack becomes free.
+			h.now += 100 * time.Millisecond
+			h.cell.SetTime(h.now, h.wall)
+			for _, r := range runners {
+				h.report("n"+r, r, func(p *Report) {
+					if r == "r1" || r == "r3" {
+						p.Finished = []End{{Number: 1, Task: placed[r], Run: 1, Reason: EndDone}}
+						return
+					}
+					p.Running = []Run{{Task: placed[r], Run: 1, Percent: 5}}
+				})
+			}
+			gang := step(2, 8)
+			gang.Gang, gang.SameRack = true, true
+			h.submit("gang", 0, "w", gang)
+			orders := h.advance(10 * time.Millisecond)
+			assert.Equal(t, len(startedTasks(orders)), 0)
+			assert.Equal(t, countKinds(orders)[OrderStop], 1)
+			var victim Order
+			for _, o := range orders {
+				if o.Kind == OrderStop {
+					victim = o
+				}
+			}
+			h.now += 500 * time.Millisecond
+			h.cell.SetTime(h.now, h.wall)
+			for _, r := range runners {
+				h.report("n"+r, r, func(p *Report) {
+					switch {
+					case r == "r1" || r == "r3":
+					case c.stopped && r == victim.Runner:
+						p.Finished = []End{{Number: 1, Task: victim.Task, Run: 1, Reason: EndStopped}}
+					default:
+						p.Running = []Run{{Task: placed[r], Run: 1, Percent: 10}}
+					}
+				})
+			}
+			used := map[string]bool{}
+			for _, o := range h.advance(10 * time.Millisecond) {
+				if o.Kind == OrderStart && strings.HasPrefix(o.Task, "gang") {
+					used[h.racks[o.Runner]] = true
+				}
+			}
+			assert.Equal(t, len(used), c.racks)
+		})
+	}
+}
--- a/internal/process/jaycell/schedule.go
+++ b/internal/process/jaycell/schedule.go
@@ -214,14 +214,7 @@
 		return
 	}
 	r.releaseClaims(u)
-	sel, ok := r.selectRunners(u, n, nil)
-	// A unit with claims has preempted others already and waits for them to stop.
-	if !ok && u.claims == nil {
-		sel, ok = r.selectRunners(u, n, r.preemptionCosts(u))
-		if ok && !r.worthwhile(u, n, sel) {
-			ok = false
-		}
-	}
+	sel, ok := r.selectAny(u, n)
 	switch {
 	case !ok:
 		r.queryUnknownRunners(u)
@@ -241,6 +234,32 @@
 	}
 }
 
+// selectAny selects runners for n members like those of u: where they run at full speed,
+// without preemption or else with it, and only then elsewhere, since a run at reduced
+// speed takes longer than a stop.
+func (r *round) selectAny(u *unit, n int) (selection, bool) {
+	if sel, ok := r.selectRunners(u, n, nil); ok {
+		return sel, true
+	}
+	if u.claims != nil {
+		// Others are being stopped for the unit. It runs elsewhere only if they take longer
+		// than they may.
+		if r.cell.now-u.claimedAt <= r.cell.settings.StopTimeout {
+			return selection{}, false
+		}
+		return r.selectRemote(u, n, nil)
+	}
+	costs := r.preemptionCosts(u)
+	if sel, ok := r.selectRunners(u, n, costs); ok && r.worthwhile(u, n, sel) {
+		return sel, true
+	}
+	if sel, ok := r.selectRemote(u, n, nil); ok {
+		return sel, true
+	}
+	sel, ok := r.selectRemote(u, n, costs)
+	return sel, ok && r.worthwhile(u, n, sel)
+}
+
 // releaseClaims makes a unit's own claims available while it is being placed.
 func (r *round) releaseClaims(u *unit) { r.adjustClaims(u, 1) }
 
--- a/internal/process/jaycell/select.go
+++ b/internal/process/jaycell/select.go
@@ -21,8 +21,8 @@
 	cost    float64
 }
 
-// selectRunners selects runners for n members like those of u. The units in costs may
-// be preempted; with nil costs, none.
+// selectRunners selects runners for n members like those of u within one of its scopes.
+// The units in costs may be preempted; with nil costs, none.
 func (r *round) selectRunners(u *unit, n int, costs map[*unit]float64) (selection, bool) {
 	var best selection
 	found := false
@@ -35,8 +35,14 @@
 			break
 		}
 	}
-	if found || !r.mayRunRemote(u) {
-		return best, found
+	return best, found
+}
+
+// selectRemote is selectRunners without regard to scopes, for units that may run at
+// reduced speed.
+func (r *round) selectRemote(u *unit, n int, costs map[*unit]float64) (selection, bool) {
+	if !r.mayRunRemote(u) {
+		return selection{}, false
 	}
 	return r.assign(u, n, r.eligible(u, ""), costs)
 }
