Keep the urgent reserve by service

The reserve added up the accelerators and the urgent demand of all services, so that a burst at one kept runners of another free (or counted their free ones as its own reserve). Demand, free and reserved accelerators are now kept by service. TestReserveIsOfOneService failed first (4 and 3 of 4 and 4 tasks started instead of 3 and 4).

--- a/internal/process/jaycell/invariant_test.go
+++ b/internal/process/jaycell/invariant_test.go
@@ -35,7 +35,7 @@
 			u := j.unitFor(0, 1, 0)
 			runner := &Runner{id: "r", placements: map[string]*placement{}, info: RunnerInfo{Capacity: jaytask.Resources{Accelerators: 8}}}
 			cand := &candidate{runner: runner}
-			r := &round{cell: cell}
+			r := &round{cell: cell, unreserved: map[string]int{}}
 			r.startRun(u, c.violate(u, []*candidate{cand, cand}))
 			assert.Equal(t, got, c.want)
 			assert.Equal(t, len(runner.placements) == 2, c.want == "")
--- a/internal/process/jaycell/reserve.go
+++ b/internal/process/jaycell/reserve.go
@@ -33,25 +33,53 @@
 	return min(max(d.peak-allocated, 0), int(reserveShare*float64(pool)))
 }
 
-// urgentAccelerators returns the accelerators allocated to urgent work, and those it
-// wants including the allocated ones.
-func (c *Cell) urgentAccelerators() (allocated, wanted int) {
+// urgentUse holds the accelerators allocated to the urgent work of a service, and those
+// that it wants including the allocated ones.
+type urgentUse struct{ allocated, wanted int }
+
+// urgentUse returns the use of accelerators by urgent work, by service.
+func (c *Cell) urgentUse() map[string]urgentUse {
+	uses := map[string]urgentUse{}
 	for _, j := range c.jobs {
 		if j.state.Ended() || j.spec.Policy.Priority != 0 {
 			continue
 		}
+		use := uses[j.spec.Policy.Service]
 		for _, u := range j.units {
 			n := u.count * u.spec().Resources.Accelerators
 			switch u.phase {
 			case phaseActive:
-				allocated += n
-				wanted += n
+				use.allocated += n
+				use.wanted += n
 			case phaseWaiting:
-				wanted += n
+				use.wanted += n
 			}
 		}
+		uses[j.spec.Policy.Service] = use
+	}
+	return uses
+}
+
+// reserveForUrgent sets the accelerators of each service that are not reserved for its
+// urgent work.
+func (r *round) reserveForUrgent() {
+	c := r.cell
+	total, free := map[string]int{}, map[string]int{}
+	for _, cand := range r.candidates {
+		service := cand.runner.info.Service
+		total[service] += cand.runner.info.Capacity.Accelerators
+		free[service] += max(cand.free.Accelerators, 0)
+	}
+	uses := c.urgentUse()
+	for service := range total {
+		d := c.demand[service]
+		if d == nil {
+			d = &demand{}
+			c.demand[service] = d
+		}
+		d.record(c.now, uses[service].wanted)
+		r.unreserved[service] = free[service] - d.reserve(uses[service].allocated, total[service])
 	}
-	return allocated, wanted
 }
 
 // mayUseReserve reports whether a unit may start as far as the reserve is concerned:
@@ -60,7 +88,7 @@
 func (r *round) mayUseReserve(u *unit) bool {
 	s := u.spec()
 	need := u.count * s.Resources.Accelerators
-	if u.job.spec.Policy.Priority == 0 || s.Checkpoint || need == 0 || r.unreserved >= need {
+	if u.job.spec.Policy.Priority == 0 || s.Checkpoint || need == 0 || r.unreserved[u.job.spec.Policy.Service] >= need {
 		return true
 	}
 	return r.cell.slack(u) < reserveSlack && !r.cell.expired(u.job)
--- a/internal/process/jaycell/reserve_test.go
+++ b/internal/process/jaycell/reserve_test.go
@@ -53,3 +53,42 @@
 	assert.Equal(t, d.reserve(0, 88), 3)
 	assert.Equal(t, d.reserve(8, 88), 0)
 }
+
+// Urgent work of one service does not keep the runners of another one free.
+func TestReserveIsOfOneService(t *testing.T) {
+	h := newHarness(t, nil)
+	report := func(modify func(service string, p *Report)) {
+		for _, service := range []string{"s", "z"} {
+			for _, n := range []string{"1", "2", "3", "4"} {
+				h.report(service+n, service+n, func(p *Report) {
+					p.Runner.Service = service
+					modify(service+n, p)
+				})
+			}
+		}
+	}
+	report(func(string, *Report) {})
+	h.submit("urgent", 0, "w", step(1, 8))
+	started := h.advance(0)
+	assert.Equal(t, len(startedTasks(started)), 1)
+	h.now += time.Second
+	h.cell.SetTime(h.now, h.wall)
+	report(func(runner string, p *Report) {
+		if runner == started[0].Runner {
+			p.Finished = []End{{Number: 1, Task: "urgent.0.0.0", Run: 1, Reason: EndDone}}
+		}
+	})
+	// 24 of the 32 accelerators of either service are not reserved.
+	for _, service := range []string{"s", "z"} {
+		for _, id := range []string{"1", "2", "3", "4"} {
+			h.cell.Submit(&jaytask.Job{ID: service + id, Steps: []jaytask.Step{step(1, 8)}, Accepted: h.wall, Policy: jaytask.Policy{Service: service, Priority: 1, MaxAttempts: 2, Stretch: 3, Objective: time.Second}})
+		}
+	}
+	count := map[string]int{}
+	for _, o := range h.advance(0) {
+		if o.Kind == OrderStart {
+			count[o.Runner[:len(o.Runner)-1]]++
+		}
+	}
+	assert.DeepEqual(t, count, map[string]int{"s": 3, "z": 4})
+}
--- a/internal/process/jaycell/schedule.go
+++ b/internal/process/jaycell/schedule.go
@@ -28,8 +28,9 @@
 	racks      []string
 	// guaranteed holds the jobs covered by the guarantee of their workspace.
 	guaranteed map[*job]bool
-	// unreserved is the number of free accelerators not reserved for urgent work.
-	unreserved int
+	// unreserved is the number of free accelerators not reserved for urgent work, by
+	// service.
+	unreserved map[string]int
 	// tried holds the units that were tried in this round.
 	tried map[*unit]bool
 	// unplaceable caches the shapes that did not fit, so that equal ones are skipped.
@@ -146,7 +147,7 @@
 }
 
 func (c *Cell) newRound() *round {
-	r := &round{cell: c, guaranteed: c.guaranteedJobs(), tried: map[*unit]bool{}, unplaceable: map[shape]bool{}}
+	r := &round{cell: c, guaranteed: c.guaranteedJobs(), unreserved: map[string]int{}, tried: map[*unit]bool{}, unplaceable: map[shape]bool{}}
 	claimed := c.claimedResources()
 	racks := map[string]bool{}
 	for _, runner := range c.sortedRunners() {
@@ -161,14 +162,7 @@
 		}
 	}
 	sort.Strings(r.racks)
-	allocated, wanted := c.urgentAccelerators()
-	c.demand.record(c.now, wanted)
-	total, free := 0, 0
-	for _, cand := range r.candidates {
-		total += cand.runner.info.Capacity.Accelerators
-		free += max(cand.free.Accelerators, 0)
-	}
-	r.unreserved = free - c.demand.reserve(allocated, total)
+	r.reserveForUrgent()
 	return r
 }
 
@@ -293,7 +287,7 @@
 		u.placements = append(u.placements, pl)
 		cand.runner.addPlacement(pl)
 		cand.free = cand.free.Sub(pl.resources)
-		r.unreserved -= pl.resources.Accelerators
+		r.unreserved[u.job.spec.Policy.Service] -= pl.resources.Accelerators
 		c.pendingStarts = append(c.pendingStarts, pl)
 		c.reportDecision(Decision{Job: u.job.spec.ID, Task: pl.task(), Run: u.run, Runner: cand.runner.id, Event: "place", Outcome: "start", Reason: "resources available", AgeMS: c.jobAgeMS(u.job)})
 	}
