Reserve nothing for urgent work that does not fit the pool

An urgent gang larger than the pool that is left counted as wanted for as long as it waited, so that a quarter of the accelerators stayed free and a job that needs more than the rest waited until it had no slack. TestCellAgainstModel found it once work with checkpoints kept out of the reserve; TestOversizedUrgentJobReservesNothing failed first.

--- a/internal/process/jaycell/reserve.go
+++ b/internal/process/jaycell/reserve.go
@@ -37,7 +37,8 @@
 // that it wants including the allocated ones.
 type urgentUse struct{ allocated, wanted int }
 
-// urgentUse returns the use of accelerators by urgent work, by service.
+// urgentUse returns the use of accelerators by urgent work, by service. What does not
+// fit the present pool wants none.
 func (c *Cell) urgentUse() map[string]urgentUse {
 	uses := map[string]urgentUse{}
 	for _, j := range c.jobs {
@@ -52,7 +53,9 @@
 				use.allocated += n
 				use.wanted += n
 			case phaseWaiting:
-				use.wanted += n
+				if c.poolSlots(j, u.step) >= u.count {
+					use.wanted += n
+				}
 			}
 		}
 		uses[j.spec.Policy.Service] = use
--- a/internal/process/jaycell/reserve_test.go
+++ b/internal/process/jaycell/reserve_test.go
@@ -92,3 +92,15 @@
 	}
 	assert.DeepEqual(t, count, map[string]int{"s": 3, "z": 4})
 }
+
+// An urgent gang that is larger than the present pool reserves nothing for as long as it
+// waits.
+func TestOversizedUrgentJobReservesNothing(t *testing.T) {
+	for _, c := range []struct{ members, want int }{{1, 0}, {2, 1}} {
+		h := newHarness(t, nil)
+		h.report("n1", "r1", nil)
+		h.submit("urgent", 0, "w", jaytask.Step{Count: c.members, Gang: c.members > 1, Label: "b", Resources: jaytask.Resources{Accelerators: 8}, Estimate: 2 * time.Second})
+		h.submit("other", 1, "w", jaytask.Step{Count: 1, Checkpoint: true, Resources: jaytask.Resources{Accelerators: 8}, Estimate: time.Minute})
+		assert.Equal(t, len(startedTasks(h.advance(0))), c.want, "%d members", c.members)
+	}
+}
