Learn the speeds of runners and place urgent work by them

Change: the progress of tasks of one step gives each runner a speed; urgent work prefers fast runners, no work starts on a runner under half the mean speed for 8 s. TestUrgentJobPrefersFastRunner failed first.

--- a/internal/process/jaycell/cell.go
+++ b/internal/process/jaycell/cell.go
@@ -270,7 +270,8 @@
 func (c *Cell) restorePlacement(u *unit, m memberRecord) {
 	r := c.runners[m.Runner]
 	if r == nil {
-		r = &Runner{id: m.Runner, node: m.Node, placements: map[string]*placement{}, leaseEnd: c.latestLeaseEnd()}
+		r = newRunner(m.Runner, m.Node)
+		r.leaseEnd = c.latestLeaseEnd()
 		c.runners[m.Runner] = r
 	}
 	pl := newPlacement(u, m.Index, r, c.now)
--- a/internal/process/jaycell/cell_test.go
+++ b/internal/process/jaycell/cell_test.go
@@ -432,3 +432,47 @@
 		})
 	}
 }
+
+// Runners differ in speed, which shows in the progress of tasks of one step. An urgent
+// job starts on a fast runner, and no job on one that is several times slower.
+func TestUrgentJobPrefersFastRunner(t *testing.T) {
+	h := newHarness(t, map[string]int{"w": 32})
+	speeds := map[string]float64{"r1": 0.8, "r2": 0.2, "r3": 1.25, "r4": 1}
+	runners := []string{"r1", "r2", "r3", "r4"}
+	for _, r := range runners {
+		h.report("n"+r, r, nil)
+	}
+	wide := step(4, 8)
+	wide.Estimate = 20 * time.Second
+	h.submit("wide", 0, "w", wide)
+	placed := map[string]string{}
+	for _, o := range h.advance(0) {
+		placed[o.Runner] = o.Task
+	}
+	assert.Equal(t, len(placed), 4)
+	progress := func(r string, seconds float64) func(p *Report) {
+		return func(p *Report) {
+			p.Running = []Run{{Task: placed[r], Run: 1, Percent: int(10 * speeds[r] * seconds)}}
+		}
+	}
+	for i := range 16 {
+		h.advance(500 * time.Millisecond)
+		for _, r := range runners {
+			h.report("n"+r, r, progress(r, float64(i)/2))
+		}
+	}
+	h.now += 100 * time.Millisecond
+	h.cell.SetTime(h.now, h.wall)
+	for _, r := range runners {
+		h.report("n"+r, r, func(p *Report) {
+			p.Finished = []End{{Number: 1, Task: placed[r], Run: 1, Reason: EndDone}}
+		})
+	}
+	h.submit("a", 0, "w", step(1, 8))
+	first := h.advance(0)
+	assert.Equal(t, first[len(first)-1].Runner, "r3")
+	h.submit("b", 0, "w", step(2, 8))
+	for _, o := range h.advance(0) {
+		assert.Assert(t, o.Kind != OrderStart || o.Runner != "r2", "started on the slow runner")
+	}
+}
--- a/internal/process/jaycell/estimate.go
+++ b/internal/process/jaycell/estimate.go
@@ -38,22 +38,43 @@
 	m.mean += time.Duration(weight * float64(runTime-m.mean))
 }
 
-// minMeasuredProgress is the progress, in percent, from which the run time of a task
-// is extrapolated. With less, the age of a report, up to 500 ms, would matter too
-// much.
-const minMeasuredProgress = 10
-
-// recordMeasuredRunTime records the run time of a step's tasks as extrapolated from
-// one of them. Runs that are slowed down by RemoteSlowdown are ignored.
-func (c *Cell) recordMeasuredRunTime(pl *placement, runTime time.Duration) {
-	u := pl.unit
-	if rack := u.spec().DataRack; rack != "" && rack != pl.runner.rack() || c.spansRacks(u) || runTime <= 0 {
+const (
+	// minMeasuredProgress is the progress, in percent, from which the run time of a task
+	// is extrapolated. With less, the age of a report, up to 500 ms, would matter too
+	// much.
+	minMeasuredProgress = 10
+	// minSpeedShare is the share of its expected run time after which the progress of a
+	// task, however small, tells the speed of its runner.
+	minSpeedShare = 0.2
+	// measuredWeight is the weight of the latest report in the measured run time of a
+	// step, speedWeight that in the speed of a runner.
+	measuredWeight = 0.2
+	speedWeight    = 0.2
+)
+
+// measureRun updates the speed of a runner and the run time of a step's tasks on a runner
+// of speed 1 by the progress of one of them. Runs that are slowed down by RemoteSlowdown
+// are ignored.
+func (c *Cell) measureRun(pl *placement) {
+	u, elapsed, gained := pl.unit, c.now-pl.confirmedAt, pl.percent-pl.firstPercent
+	if rack := u.spec().DataRack; rack != "" && rack != pl.runner.rack() || c.spansRacks(u) || elapsed <= 0 {
 		return
 	}
-	if u.job.measuredRunTimes == nil {
-		u.job.measuredRunTimes = map[int]time.Duration{}
+	mean, known := u.job.measuredRunTimes[u.step]
+	if known && float64(elapsed) >= minSpeedShare*float64(mean) {
+		pl.runner.recordSpeed(float64(gained)/100*float64(mean)/float64(elapsed), c.now)
+	}
+	if gained < minMeasuredProgress {
+		return
+	}
+	runTime := time.Duration(pl.runner.speed * float64(elapsed) * 100 / float64(gained))
+	if !known {
+		if u.job.measuredRunTimes == nil {
+			u.job.measuredRunTimes = map[int]time.Duration{}
+		}
+		mean = runTime
 	}
-	u.job.measuredRunTimes[u.step] = runTime
+	u.job.measuredRunTimes[u.step] = mean + time.Duration(measuredWeight*float64(runTime-mean))
 }
 
 // estimate returns the expected run time of a task: measured in this job, else the
--- a/internal/process/jaycell/report.go
+++ b/internal/process/jaycell/report.go
@@ -86,7 +86,7 @@
 		return false
 	}
 	if r == nil {
-		r = &Runner{id: p.Runner.ID, node: p.Node, placements: map[string]*placement{}}
+		r = newRunner(p.Runner.ID, p.Node)
 		c.runners[r.id] = r
 	}
 	if r.lost {
@@ -300,9 +300,9 @@
 	}
 	if run.Percent != pl.percent {
 		pl.percent, pl.progressAt = run.Percent, c.now
-		if gained := run.Percent - pl.firstPercent; gained >= minMeasuredProgress && run.Percent < 100 && !pl.unit.spec().Daemon {
-			c.recordMeasuredRunTime(pl, time.Duration(float64(c.now-pl.confirmedAt)*100/float64(gained)))
-		}
+	}
+	if run.Percent < 100 && !pl.unit.spec().Daemon {
+		c.measureRun(pl)
 	}
 	if run.Checkpoint != "" {
 		pl.checkpoint = run.Checkpoint
--- a/internal/process/jaycell/runner.go
+++ b/internal/process/jaycell/runner.go
@@ -132,6 +132,39 @@
 	failures   int
 	failedJob  string
 	avoidUntil time.Duration
+	// speed is how fast the runner works, relative to the mean of all runners, as of
+	// speedAt.
+	speed   float64
+	speedAt time.Duration
+}
+
+const (
+	// slowSpeed is the speed below which a runner is avoided: less than that of sound
+	// workers of different kinds.
+	slowSpeed = 0.5
+	// maxSpeedRatio bounds one measurement: tasks of one step differ in work.
+	maxSpeedRatio = 8.0
+	// slowRetention is how long a runner is avoided after it was last seen to be slow.
+	slowRetention = 8 * time.Second
+)
+
+func newRunner(id, node string) *Runner {
+	return &Runner{id: id, node: node, placements: map[string]*placement{}, speed: 1}
+}
+
+// recordSpeed adds a measurement to the speed. An old measurement of a slow runner is
+// forgotten first: the cause of its slowness may have passed.
+func (r *Runner) recordSpeed(speed float64, now time.Duration) {
+	if r.speed < slowSpeed && now-r.speedAt > slowRetention {
+		r.speed = 1
+	}
+	r.speed += speedWeight * (min(max(speed, 1/maxSpeedRatio), maxSpeedRatio) - r.speed)
+	r.speedAt = now
+}
+
+// isSlow reports whether the runner was recently seen to be slow.
+func (r *Runner) isSlow(now time.Duration) bool {
+	return r.speed < slowSpeed && now-r.speedAt < slowRetention
 }
 
 // rack returns the rack label, or an empty string.
--- a/internal/process/jaycell/select.go
+++ b/internal/process/jaycell/select.go
@@ -112,8 +112,8 @@
 }
 
 // eligible returns the candidates of a rack, or of all racks, that may run the unit.
-// Runners on which the unit failed recently and runners on probation are left out as
-// long as the others could hold the unit.
+// Runners on which the unit failed recently, slow ones and those on probation are left
+// out as long as the others could hold the unit.
 func (r *round) eligible(u *unit, rack string) []*candidate {
 	var preferred, avoided []*candidate
 	// slots counts the members that the preferred runners could hold when empty.
@@ -124,7 +124,7 @@
 		if !runner.eligibleFor(u) || rack != "" && cand.rack != rack || !advice.allows(runner.id) {
 			continue
 		}
-		if r.cell.now < u.avoidUntil[runner.id] || r.cell.now < runner.avoidUntil {
+		if r.cell.now < u.avoidUntil[runner.id] || r.cell.now < runner.avoidUntil || runner.isSlow(r.cell.now) {
 			avoided = append(avoided, cand)
 			continue
 		}
@@ -137,8 +137,13 @@
 	return preferred
 }
 
+// fastRunnerRank is the leftover for which an urgent unit takes a runner of twice the
+// speed, as in leftover.
+const fastRunnerRank = 4000
+
 // assign places the members one by one, each on the runner with the lowest
-// preemption cost and then the smallest leftover (best fit).
+// preemption cost and then the smallest leftover (best fit). Urgent units prefer fast
+// runners.
 func (r *round) assign(u *unit, n int, candidates []*candidate, costs map[*unit]float64) (selection, bool) {
 	free := make([]jaytask.Resources, len(candidates))
 	counts := make([]int, len(candidates))
@@ -146,7 +151,7 @@
 		free[i] = cand.free
 		counts[i] = r.countSameStep(u, cand.runner)
 	}
-	request, limit := u.spec().Allocation(), u.spec().MaxPerRunner
+	request, limit, urgent := u.spec().Allocation(), u.spec().MaxPerRunner, u.job.spec.Policy.Priority == 0
 	stopped := map[*unit]bool{}
 	var sel selection
 	for m := 0; m < n; m++ {
@@ -169,6 +174,9 @@
 				}
 			}
 			left := leftover(request, free[i], cand.runner)
+			if urgent {
+				left -= int(fastRunnerRank * cand.runner.speed)
+			}
 			if best < 0 || newCost < cost || newCost == cost && left < bestLeftover {
 				best, victims, cost, bestLeftover = i, newVictims, newCost, left
 			}
