Preempt nothing for a patient job that is not urgent

Change: a job that is not urgent preempts nothing while it has 3 s of slack beyond a stop. TestJobWithSlackPreemptsNothing failed first.

--- a/internal/process/jaycell/preempt.go
+++ b/internal/process/jaycell/preempt.go
@@ -14,19 +14,19 @@
 	// The preemption limits bound the work lost for a job without a guarantee, as a
 	// factor of its own work: maxLossUrgent for an urgent job about to be late,
 	// maxLossPatientUrgent for one with more slack than patientSlack, maxLossLate for
-	// another job about to be late, and maxLossOther for a job that can still wait or
-	// is late already.
+	// another job about to be late, and maxLossOverdue for a job that is late already.
+	// Another job that can still wait preempts nothing.
 	maxLossUrgent        = 2.0
 	maxLossPatientUrgent = 0.5
 	maxLossLate          = 0.5
-	maxLossOther         = 0.1
+	maxLossOverdue       = 0.1
 	// patientSlack is the slack, beyond the time of a stop, above which resources for
 	// an urgent job are likely to become free without preemption: half the run time of
 	// a short urgent task.
 	patientSlack = 1500 * time.Millisecond
-	// preemptionSlack is the slack, beyond the time of a stop, above which a job does
-	// not preempt for being late: resources may become free without it.
-	preemptionSlack = 600 * time.Millisecond
+	// preemptionSlack is the slack, beyond the time of a stop, above which a job that is
+	// not urgent preempts nothing: resources are likely to become free without it.
+	preemptionSlack = 3 * time.Second
 )
 
 // preemptionCosts returns the units that may be preempted for u with the cost of
@@ -87,13 +87,13 @@
 	slack := r.cell.slack(u) - r.cell.settings.StopTimeout
 	switch {
 	case slack < 0:
-		limit = maxLossOther
+		limit = maxLossOverdue
 	case u.job.spec.Policy.Priority == 0 && slack > patientSlack:
 		limit = maxLossPatientUrgent
 	case u.job.spec.Policy.Priority == 0:
 		limit = maxLossUrgent
 	case slack > preemptionSlack:
-		limit = maxLossOther
+		return false
 	}
 	own := u.spec().Resources.CoreEquivalents() * float64(n) * r.cell.estimate(u.job, u.step).Seconds()
 	return sel.cost <= limit*own
--- a/internal/process/jaycell/startlimit_test.go
+++ b/internal/process/jaycell/startlimit_test.go
@@ -54,6 +54,31 @@
 	}
 }
 
+// A job that is not urgent preempts nothing while it can wait, however cheap the stops
+// are.
+func TestJobWithSlackPreemptsNothing(t *testing.T) {
+	for _, c := range []struct {
+		waited time.Duration
+		stops  int
+	}{{0, 0}, {3 * time.Second, 0}, {6 * time.Second, 1}} {
+		e := newEnvironment(t, nil, "r1", "r2", "r3", "r4")
+		// One fits each runner and leaves half of the accelerators free.
+		saved := step(1, 4)
+		saved.Checkpoint, saved.Resources.CPU = true, 40000
+		for i := range 4 {
+			e.submit(fmt.Sprintf("other%d", i), 2, "w", saved)
+		}
+		e.tick(0)
+		e.tick(500 * time.Millisecond)
+		e.wall = e.wall.Add(-c.waited)
+		long := step(1, 8)
+		long.Estimate = 4 * time.Second
+		e.submit("long", 1, "w", long)
+		e.wall = e.wall.Add(c.waited)
+		assert.Equal(t, e.countStops(e.tick(100*time.Millisecond)), c.stops, "after %s", c.waited)
+	}
+}
+
 // An urgent job does not wait for a wide job of the same priority.
 func TestUrgentJobStartsBesideWideJob(t *testing.T) {
 	e := newEnvironment(t, nil, "r1", "r2", "r3", "r4", "r5", "r6", "r7", "r8")
