--- a/internal/process/jaycell/preempt.go
+++ b/internal/process/jaycell/preempt.go
@@ -27,14 +27,12 @@
 	// preemptionSlack is the slack, beyond the time of a stop, above which a job that is
 	// not urgent preempts nothing: resources are likely to become free without it.
 	preemptionSlack = 3 * time.Second
-	// maxPreemptions is how often a unit may be stopped for jobs without a guarantee.
-	maxPreemptions = 3
 )
 
 // preemptionCosts returns the units that may be preempted for u with the cost of
 // preempting each, in core-seconds of lost work. Units of guaranteed jobs are never
-// preempted; a job without a guarantee preempts only jobs of lower priority, no daemon
-// tasks, and no unit more than maxPreemptions times.
+// preempted; a job without a guarantee preempts only jobs of lower priority and no
+// daemon tasks.
 func (r *round) preemptionCosts(u *unit) map[*unit]float64 {
 	costs := map[*unit]float64{}
 	guaranteed := r.isGuaranteed(u.job)
@@ -48,9 +46,6 @@
 			if r.isGuaranteed(victim.job) || !guaranteed && victim.job.spec.Policy.Priority <= u.job.spec.Policy.Priority {
 				continue
 			}
-			if !guaranteed && victim.preemptions >= maxPreemptions {
-				continue
-			}
 			if _, known := costs[victim]; known || !r.cell.mayInterrupt(victim, interrupted) {
 				continue
 			}
@@ -155,7 +150,6 @@
 // preempt stops the victims and claims their resources for u.
 func (r *round) preempt(u *unit, sel selection) {
 	for _, victim := range sel.victims {
-		victim.preemptions++
 		r.cell.reportDecision(Decision{Job: victim.job.spec.ID, Event: "preempt", Outcome: "stopping", Reason: "room for " + u.key(), AgeMS: r.cell.jobAgeMS(victim.job)})
 		r.cell.stopUnit(victim, "room for "+u.key())
 	}
--- a/internal/process/jaycell/startlimit_test.go
+++ b/internal/process/jaycell/startlimit_test.go
@@ -79,35 +79,6 @@
 	}
 }
 
-// A task is stopped for urgent jobs only so often, but always for a guaranteed one.
-func TestTaskIsPreemptedAtMostThreeTimes(t *testing.T) {
-	for _, c := range []struct {
-		guaranteed map[string]int
-		stops      int
-	}{{nil, maxPreemptions}, {map[string]int{"w": 8}, 5}} {
-		e := newEnvironment(t, c.guaranteed, "r1")
-		saved := step(1, 8)
-		saved.Checkpoint, saved.Estimate = true, time.Minute
-		e.submit("victim", 2, "other", saved)
-		e.tick(0)
-		stops := 0
-		for i := range 5 {
-			urgent := fmt.Sprintf("urgent%d", i)
-			e.submit(urgent, 0, "w", step(1, 8))
-			stops += e.countStops(e.tick(100 * time.Millisecond))
-			if len(startedTasks(e.tick(100*time.Millisecond))) > 0 {
-				e.endRun("r1", urgent+".0.0.0", EndDone)
-			}
-			e.cell.Cancel(urgent)
-			e.tick(100 * time.Millisecond)
-			// The demand of urgent work is forgotten before the task starts again.
-			e.tick(demandRetention + time.Second)
-			e.tick(100 * time.Millisecond)
-		}
-		assert.Equal(t, stops, c.stops)
-	}
-}
-
 // An urgent job does not wait for a wide job of the same priority.
 func TestUrgentJobStartsBesideWideJob(t *testing.T) {
 	e := newEnvironment(t, nil, "r1", "r2", "r3", "r4", "r5", "r6", "r7", "r8")
--- a/internal/process/jaycell/unit.go
+++ b/internal/process/jaycell/unit.go
@@ -51,8 +51,6 @@
 	claims map[string]jaytask.Resources
 	// claimedAt is when the preemption was ordered.
 	claimedAt time.Duration
-	// preemptions counts the runs that were stopped for other jobs in this term.
-	preemptions int
 	// reason is why the unit's run was last stopped or refused.
 	reason string
 	// spansRacks caches whether the gang is larger than every rack, as of
