--- a/internal/process/jaycell/report.go
+++ b/internal/process/jaycell/report.go
@@ -1,7 +1,6 @@
 package jaycell
 
 import (
-	"fmt"
 	"slices"
 	"sort"
 	"time"
@@ -16,53 +15,8 @@
 	// retryDelay keeps a refused start from being repeated at once: it is shorter than
 	// a report interval.
 	retryDelay = 300 * time.Millisecond
-	// failuresBeforeProbation is the number of consecutive failures of different jobs
-	// after which a runner is put on probation.
-	failuresBeforeProbation = 2
-	// minProbation is how long a runner on probation is avoided; it doubles with each
-	// further failure up to maxProbation.
-	minProbation = 3 * time.Second
-	maxProbation = 12 * time.Second
-	// avoidDuration is how long a unit avoids a runner on which it failed or stalled:
-	// as long as a faulty worker typically keeps failing. refusalAvoidDuration is the
-	// same after a refusal, whose cause passes sooner.
-	avoidDuration        = 8 * time.Second
-	refusalAvoidDuration = 2 * time.Second
-	// stallTimeout is how long a run may show no progress: several times the duration
-	// of one percent of the longest work, and more than a short freeze.
-	stallTimeout = 3500 * time.Millisecond
 )
 
-func (r *Runner) resetFailures() {
-	r.failures, r.failedJob, r.avoidUntil = 0, "", 0
-}
-
-// recordFailure counts a failed run against its runner, unless the job is the likelier
-// cause: its unit already avoids other runners but not this one, or the runner's last
-// counted failure was of the same job.
-func (c *Cell) recordFailure(pl *placement) {
-	u := pl.unit
-	_, failedHere := u.avoidUntil[pl.runner.id]
-	failedElsewhere := len(u.avoidUntil) > 0 && !failedHere
-	u.avoidRunner(pl.runner.id, c.now+avoidDuration)
-	if failedElsewhere || pl.runner.failedJob == u.job.spec.ID {
-		return
-	}
-	pl.runner.failures++
-	pl.runner.failedJob = u.job.spec.ID
-	c.startProbation(pl.runner)
-}
-
-// startProbation keeps new work off a runner that has failed repeatedly.
-func (c *Cell) startProbation(r *Runner) {
-	excess := r.failures - failuresBeforeProbation
-	if excess < 0 {
-		return
-	}
-	r.avoidUntil = c.now + min(minProbation<<min(excess, 4), maxProbation)
-	c.reportDecision(Decision{Runner: r.id, Event: "probation", Outcome: "avoided", Reason: "runs of different jobs failed or stalled in a row", AgeMS: int64((r.avoidUntil - c.now) / time.Millisecond)})
-}
-
 // ApplyReport applies an agent's report. It returns whether the agent may renew its
 // runner's lease.
 func (c *Cell) ApplyReport(p Report) bool {
@@ -270,77 +224,6 @@
 	return p.NewConnection || c.now-sent > orderLossTimeout
 }
 
-// handleRefusal handles a start that the runner refused.
-func (c *Cell) handleRefusal(pl *placement, reason string) {
-	pl.unit.reason = "start refused: " + reason
-	if a := c.adviceFor(pl.unit); a != nil && reason == ReasonTicket {
-		// The runner may still run the step; only the ticket has expired.
-		a.tickets[pl.runner.id] = ticket{}
-		return
-	}
-	pl.unit.avoidRunner(pl.runner.id, c.now+refusalAvoidDuration)
-	if reason == ReasonUnhealthy {
-		pl.runner.failures++
-		c.startProbation(pl.runner)
-	}
-}
-
-// ReasonTicket is the refusal reason for a missing or expired ticket.
-const ReasonTicket = "ticket"
-
-// ReasonUnhealthy is the refusal reason of an unhealthy runner.
-const ReasonUnhealthy = "unhealthy"
-
-// recordProgress updates a placement from a report and stops its run if it has
-// stalled.
-func (c *Cell) recordProgress(pl *placement, run Run) {
-	if !pl.confirmed {
-		pl.confirmed, pl.confirmedAt = true, c.now
-		pl.progressAt, pl.percent, pl.firstPercent = c.now, run.Percent, run.Percent
-	}
-	if run.Percent != pl.percent {
-		pl.percent, pl.progressAt = run.Percent, c.now
-	}
-	if run.Percent < 100 && !pl.unit.spec().Daemon {
-		c.measureRun(pl)
-	}
-	if run.Checkpoint != "" {
-		pl.checkpoint = run.Checkpoint
-	}
-	pl.load = run.Load
-	u := pl.unit
-	// At 100%, a gang member waits for the others and a daemon task is serving. At its
-	// start, a member may wait up to GangTimeout for the others.
-	if run.Percent >= 100 || u.stopping || u.phase != phaseActive || c.now-pl.progressAt < stallTimeout || c.now-pl.confirmedAt < stallTimeout+c.settings.GangTimeout {
-		return
-	}
-	c.handleStall(pl)
-}
-
-func (c *Cell) handleStall(pl *placement) {
-	u := pl.unit
-	for _, member := range u.placements {
-		u.avoidRunner(member.runner.id, c.now+avoidDuration)
-	}
-	pl.runner.failures++
-	c.startProbation(pl.runner)
-	c.stopUnit(u, fmt.Sprintf("no progress beyond %d%% for %s on %s", pl.percent, (c.now-pl.progressAt).Round(time.Millisecond), pl.runner.id))
-}
-
-// remainingTime estimates the remaining run time of a placement.
-func (c *Cell) remainingTime(pl *placement) time.Duration {
-	estimate := c.estimate(pl.unit.job, pl.unit.step)
-	if !pl.confirmed {
-		return estimate
-	}
-	gained := pl.percent - pl.firstPercent
-	if gained < 3 {
-		// Too little progress to extrapolate from.
-		return max(estimate-(c.now-pl.confirmedAt), estimate/10)
-	}
-	return time.Duration(float64(c.now-pl.confirmedAt) * float64(100-pl.percent) / float64(gained))
-}
-
 // Tick expires leases, drains runners and schedules waiting units.
 func (c *Cell) Tick() {
 	for _, r := range c.sortedRunners() {
@@ -359,29 +242,6 @@
 	c.reportMissedGuarantees()
 }
 
-// drainRunner stops the runs that are not expected to end before their runner shuts
-// down. Runs without checkpoints may exceed that time by up to drainGrace.
-func (c *Cell) drainRunner(r *Runner) {
-	for _, pl := range sortedPlacements(r) {
-		u := pl.unit
-		if u.phase != phaseActive || u.stopping {
-			continue
-		}
-		if u.spec().Daemon {
-			c.drainDaemon(pl)
-			continue
-		}
-		remaining := c.remainingTime(pl)
-		if remaining > r.drainEnd-c.now && (u.spec().Checkpoint || remaining > r.drainEnd-c.now+drainGrace) {
-			c.stopUnit(u, "runner is draining")
-		}
-	}
-}
-
-// drainGrace is how much longer than announced a draining runner may be expected
-// to run.
-const drainGrace = time.Second
-
 // deleteExpiredJobs deletes jobs that ended more than Settings.Retention ago. The
 // caller deletes their records.
 func (c *Cell) deleteExpiredJobs() {
--- a/internal/process/jaycell/runner.go
+++ b/internal/process/jaycell/runner.go
@@ -7,6 +7,14 @@
 	"github.com/jaystile/jaystile/internal/request/jaytask"
 )
 
+const (
+	// slowSpeed is the speed below which a runner is avoided: less than that of sound
+	// workers of different kinds.
+	slowSpeed = 0.5
+	// maxSpeedRatio bounds one measurement: tasks of one step differ in work.
+	maxSpeedRatio = 8.0
+)
+
 // RunnerInfo is the state of a runner as it reports it.
 type RunnerInfo struct {
 	// ID identifies one incarnation of the runner.
@@ -138,16 +146,6 @@
 	speedAt time.Duration
 }
 
-const (
-	// slowSpeed is the speed below which a runner is avoided: less than that of sound
-	// workers of different kinds.
-	slowSpeed = 0.5
-	// maxSpeedRatio bounds one measurement: tasks of one step differ in work.
-	maxSpeedRatio = 8.0
-	// slowRetention is how long a runner is avoided after it was last seen to be slow.
-	slowRetention = 8 * time.Second
-)
-
 func newRunner(id, node string) *Runner {
 	return &Runner{id: id, node: node, placements: map[string]*placement{}, speed: 1}
 }
@@ -155,7 +153,7 @@
 // recordSpeed adds a measurement to the speed. An old measurement of a slow runner is
 // forgotten first: the cause of its slowness may have passed.
 func (r *Runner) recordSpeed(speed float64, now time.Duration) {
-	if r.speed < slowSpeed && now-r.speedAt > slowRetention {
+	if r.speed < slowSpeed && now-r.speedAt > avoidDuration {
 		r.speed = 1
 	}
 	r.speed += speedWeight * (min(max(speed, 1/maxSpeedRatio), maxSpeedRatio) - r.speed)
@@ -164,7 +162,7 @@
 
 // isSlow reports whether the runner was recently seen to be slow.
 func (r *Runner) isSlow(now time.Duration) bool {
-	return r.speed < slowSpeed && now-r.speedAt < slowRetention
+	return r.speed < slowSpeed && now-r.speedAt < avoidDuration
 }
 
 // rack returns the rack label, or an empty string.
--- /dev/null
+++ b/internal/process/jaycontroller/leaderlinks.go
@@ -0,0 +1,122 @@
+package jaycontroller
+
+import (
+	"time"
+
+	"github.com/jaystile/jaystile/internal/connection/jayframe"
+	"github.com/jaystile/jaystile/internal/connection/jaylink"
+	"github.com/jaystile/jaystile/internal/process/jaycell"
+	"github.com/jaystile/jaystile/internal/request/jaytask"
+)
+
+// sendOrders sends orders to the agents that are linked; the others receive them
+// after they reconnect.
+func (l *leadership) sendOrders(orders []jaycell.Order) {
+	byNode := map[string]*jayframe.CellOrders{}
+	var nodes []string
+	for _, o := range orders {
+		m := byNode[o.Node]
+		if m == nil {
+			m = &jayframe.CellOrders{Term: l.term}
+			byNode[o.Node] = m
+			nodes = append(nodes, o.Node)
+		}
+		m.Orders = append(m.Orders, encodeOrder(o))
+	}
+	for _, node := range nodes {
+		link := l.controller.agentLink(node)
+		if link == nil {
+			continue
+		}
+		if err := link.Send(byNode[node]); err != nil {
+			l.controller.Logger.Warn().Str("event", "link").Str("peer", node).Err(err).Msg("cannot send orders; sending them again on the next link")
+			link.Close("cannot send orders")
+		}
+	}
+}
+
+func encodeOrder(o jaycell.Order) jayframe.CellOrder {
+	return jayframe.CellOrder{Kind: uint8(o.Kind), Runner: o.Runner, Task: o.Task, Run: o.Run, Spec: o.Spec, Checkpoint: o.Checkpoint, Ticket: o.Ticket, Number: o.Number, Percent: o.Percent}
+}
+
+// applyReport applies an agent's report and answers with a lease grant, whose sequence
+// number is zero if the lease may not be extended. newConnection is set for the first
+// report on a link.
+func (l *leadership) applyReport(link *jaylink.Link, m *jayframe.CellReport, newConnection bool) {
+	l.mutex.Lock()
+	if l.termUnverified || !l.loaded {
+		l.mutex.Unlock()
+		return
+	}
+	l.setCellTime()
+	report := decodeReport(m)
+	report.NewConnection = newConnection
+	granted := l.cell.ApplyReport(report)
+	l.mutex.Unlock()
+	grant := &jayframe.CellLeaseGrant{Term: l.term}
+	if granted {
+		grant.Sequence = m.Sequence
+	}
+	if err := link.Send(grant); err != nil {
+		l.controller.Logger.Debug().Str("event", "link").Str("peer", link.Peer()).Err(err).Msg("cannot send a lease grant")
+	}
+	Signal(l.wake)
+}
+
+func decodeReport(m *jayframe.CellReport) jaycell.Report {
+	r := jaycell.Report{
+		Node: m.Node, Sequence: m.Sequence, Term: m.Term, Responsive: m.Responsive, Deregistered: m.Deregistered,
+		Runner: jaycell.RunnerInfo{
+			ID: m.Runner, Service: m.Service, DataCentre: m.DataCentre, Labels: m.Labels, Draining: m.Draining, DrainRemaining: time.Duration(m.DrainRemainingMillis) * time.Millisecond,
+			Capacity: jaytask.Resources{CPU: m.CPU, Memory: m.Memory, Accelerators: m.Accelerators},
+		},
+	}
+	for _, x := range m.Running {
+		r.Running = append(r.Running, jaycell.Run{Task: x.Task, Run: x.Run, Checkpoint: x.Checkpoint, Percent: x.Percent, Load: x.Load})
+	}
+	for _, x := range m.Finished {
+		r.Finished = append(r.Finished, jaycell.End{Number: x.Number, Task: x.Task, Run: x.Run, Reason: jaycell.EndReason(x.Reason), Checkpoint: x.Checkpoint})
+	}
+	for _, x := range m.OrderResults {
+		r.OrderResults = append(r.OrderResults, jaycell.OrderResult{Task: x.Task, Run: x.Run, Refused: x.Refused, Reason: x.Reason})
+	}
+	for _, x := range m.PendingOrders {
+		r.PendingOrders = append(r.PendingOrders, jaycell.Order{Kind: jaycell.OrderKind(x.Kind), Task: x.Task, Run: x.Run})
+	}
+	return r
+}
+
+// submitJob adds an accepted job.
+func (l *leadership) submitJob(j *jaytask.Job) {
+	l.mutex.Lock()
+	l.setCellTime()
+	// Until loaded is set, load takes all jobs from the job table.
+	if l.loaded {
+		l.cell.Submit(j)
+	}
+	l.mutex.Unlock()
+	Signal(l.wake)
+}
+
+// cancelJob cancels a job.
+func (l *leadership) cancelJob(id string) {
+	l.mutex.Lock()
+	l.setCellTime()
+	l.cell.Cancel(id)
+	l.mutex.Unlock()
+	Signal(l.wake)
+}
+
+// submitToCell passes a newly accepted job to the cell while this entry leads.
+func (c *Controller) submitToCell(j *jaytask.Job) {
+	if l := c.currentLeadership(); l != nil {
+		l.submitJob(j)
+	}
+}
+
+// cancelInCell passes a new cancellation to the cell while this entry leads.
+func (c *Controller) cancelInCell(id string) {
+	if l := c.currentLeadership(); l != nil {
+		l.cancelJob(id)
+	}
+}
--- /dev/null
+++ b/internal/process/jaycontroller/leaderrecords.go
@@ -0,0 +1,154 @@
+package jaycontroller
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"time"
+
+	"github.com/sourcegraph/conc"
+
+	"github.com/jaystile/jaystile/internal/connection/jayframe"
+	"github.com/jaystile/jaystile/internal/process/jaycell"
+	"github.com/jaystile/jaystile/internal/process/jayclock"
+	"github.com/jaystile/jaystile/internal/process/jaystore"
+	"github.com/jaystile/jaystile/internal/request/jaytask"
+)
+
+// load makes the store reject writes of earlier terms, then reads their records.
+// Nothing is scheduled until it returns, so the latency of each of its calls to the
+// store delays the takeover.
+func (l *leadership) load(ctx context.Context, runs *jaystore.TermWriter) error {
+	if err := runs.FenceLowerTerms(ctx); err != nil {
+		return err
+	}
+	var records []jaystore.Record
+	err := retryRead(ctx, func() (err error) {
+		records, err = jaystore.LoadAll(ctx, l.controller.storeClient, l.controller.Topics.Runs, l.controller.tailFailureLogger(l.controller.Topics.Runs))
+		return err
+	})
+	if err != nil {
+		return err
+	}
+	// The jobs are read after the runs, so that the job of every run is known.
+	if err := retryRead(ctx, func() error { return l.controller.jobsTail.Refresh(ctx) }); err != nil {
+		return err
+	}
+	var units []jaystore.Record
+	for _, r := range records {
+		if jaycell.IsStateKey(r.Key) {
+			l.controller.jobs.apply(r.Key, r.Value)
+		} else {
+			units = append(units, r)
+		}
+	}
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.setCellTime()
+	canceled := []string{}
+	for _, row := range l.controller.jobs.unfinished() {
+		l.cell.Submit(row.spec)
+		if row.state == jaytask.Running {
+			l.cell.MarkStarted(row.spec.ID)
+		}
+		if row.canceled {
+			canceled = append(canceled, row.spec.ID)
+		}
+	}
+	for _, r := range units {
+		if err := l.cell.RestoreUnit(jaycell.Record{Key: r.Key, Value: r.Value}); err != nil {
+			l.controller.Logger.Error().Str("event", "record").Err(err).Msg("skipping an invalid unit record")
+		}
+	}
+	// Cancel stops the restored runs, so it comes last.
+	for _, id := range canceled {
+		l.cell.Cancel(id)
+	}
+	l.loaded, l.lastTick = true, jayclock.Elapsed()
+	l.controller.Logger.Info().Str("event", "term").Uint64("term", l.term).Int("runs", len(units)).Msg("deciding")
+	return nil
+}
+
+// retryRead repeats a read until it succeeds or ctx is done.
+func retryRead(ctx context.Context, read func() error) error {
+	for {
+		err := read()
+		if err == nil || ctx.Err() != nil {
+			return err
+		}
+		time.Sleep(tickInterval)
+	}
+}
+
+// storeBatch writes a batch, in one append where it fits, then sends the orders that
+// depend on it.
+func (l *leadership) storeBatch(ctx context.Context, runs *jaystore.TermWriter, b *jaycell.Batch) {
+	l.mutex.Lock()
+	stateDeletions := l.stateDeletions
+	l.stateDeletions = nil
+	l.mutex.Unlock()
+	var records []jaystore.Record
+	for _, r := range slices.Concat(b.Units, b.JobStates, b.Deletions, stateDeletions) {
+		records = append(records, jaystore.Record{Key: r.Key, Value: r.Value})
+	}
+	err := runs.Write(ctx, records)
+	var fenced *jaystore.FencedError
+	if errors.As(err, &fenced) {
+		l.end("the store has accepted a higher term")
+		return
+	}
+	if err != nil {
+		// Write gives up only when ctx is done: the leadership has ended.
+		return
+	}
+	l.mutex.Lock()
+	l.setCellTime()
+	orders := l.cell.ConfirmStored(b)
+	l.writing = false
+	termUnverified := l.termUnverified
+	l.mutex.Unlock()
+	l.publishStates(b.JobStates)
+	if !termUnverified {
+		l.sendOrders(orders)
+	}
+	Signal(l.wake)
+}
+
+// deleteExpiredJobs deletes the records of jobs whose retention has passed, including
+// jobs that ended under earlier terms.
+func (l *leadership) deleteExpiredJobs() {
+	var wg conc.WaitGroup
+	for _, id := range l.controller.jobs.endedBefore(time.Now().Add(-l.controller.Timing.Retention), maxExpiredPerRound) {
+		wg.Go(func() { l.deleteJob(id) })
+	}
+	wg.Wait()
+}
+
+// deleteJob deletes a job's records, its state last: a job without a state counts as
+// new. Deletions for several jobs share appends.
+func (l *leadership) deleteJob(id string) {
+	deadline := time.Now().Add(maxPutWait)
+	for _, key := range []string{jaycell.CancelKey(id), jaycell.JobKey(id)} {
+		if err := l.controller.jobsAppender.Put(jaystore.Record{Key: key}, deadline); err != nil {
+			l.controller.Logger.Warn().Str("event", "forget").Str("job", id).Err(err).Msg("cannot delete a record of an expired job; trying again later")
+			return
+		}
+	}
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.stateDeletions = append(l.stateDeletions, jaycell.Record{Key: jaycell.StateKey(id)})
+}
+
+// publishStates applies stored states of jobs and broadcasts them to the other
+// entries.
+func (l *leadership) publishStates(records []jaycell.Record) {
+	if len(records) == 0 {
+		return
+	}
+	m := &jayframe.StoredRecords{}
+	for _, r := range records {
+		l.controller.jobs.apply(r.Key, r.Value)
+		m.Records = append(m.Records, jayframe.StoredRecord{Key: r.Key, Value: r.Value})
+	}
+	l.controller.broadcast(m)
+}
