--- a/internal/process/jaycell/cell.go
+++ b/internal/process/jaycell/cell.go
@@ -69,7 +69,7 @@
 	Event   string
 	Outcome string
 	Reason  string
-	// AgeMS is the age of the job, or the duration of a runner's probation.
+	// AgeMS is the age of the job, or how long a runner is avoided.
 	AgeMS int64
 }
 
--- a/internal/process/jaycell/estimate.go
+++ b/internal/process/jaycell/estimate.go
@@ -62,7 +62,7 @@
 	}
 	mean, known := u.job.measuredRunTimes[u.step]
 	if known && float64(elapsed) >= minSpeedShare*float64(mean) {
-		pl.runner.recordSpeed(float64(gained)/100*float64(mean)/float64(elapsed), c.now)
+		c.recordSpeed(pl.runner, float64(gained)/100*float64(mean)/float64(elapsed))
 	}
 	if gained < minMeasuredProgress {
 		return
--- a/internal/process/jaycell/health.go
+++ b/internal/process/jaycell/health.go
@@ -21,6 +21,11 @@
 	// stallTimeout is how long a run may show no progress: several times the duration
 	// of one percent of the longest work, and more than a short freeze.
 	stallTimeout = 3500 * time.Millisecond
+	// slowSpeed is the speed below which a runner is avoided for avoidDuration: less than
+	// that of sound workers of different kinds.
+	slowSpeed = 0.5
+	// maxSpeedRatio bounds one measurement: tasks of one step differ in work.
+	maxSpeedRatio = 8.0
 )
 
 func (r *Runner) resetFailures() {
@@ -83,3 +88,17 @@
 	c.startProbation(pl.runner)
 	c.stopUnit(u, fmt.Sprintf("no progress beyond %d%% for %s on %s", pl.percent, (c.now-pl.progressAt).Round(time.Millisecond), pl.runner.id))
 }
+
+// recordSpeed adds a measurement to the speed of a runner. An old measurement of a slow
+// runner is forgotten first: the cause of its slowness may have passed.
+func (c *Cell) recordSpeed(r *Runner, speed float64) {
+	wasSlow := r.isSlow(c.now)
+	if r.speed < slowSpeed && !wasSlow {
+		r.speed = 1
+	}
+	r.speed += speedWeight * (min(max(speed, 1/maxSpeedRatio), maxSpeedRatio) - r.speed)
+	r.speedAt = c.now
+	if r.isSlow(c.now) && !wasSlow {
+		c.reportDecision(Decision{Runner: r.id, Event: "runner", Outcome: "slow", Reason: fmt.Sprintf("its tasks progress at %.2f of the mean speed", r.speed), AgeMS: int64(avoidDuration / time.Millisecond)})
+	}
+}
--- a/internal/process/jaycell/runner.go
+++ b/internal/process/jaycell/runner.go
@@ -7,14 +7,6 @@
 	"github.com/jaystile/jaystile/internal/request/jaytask"
 )
 
-const (
-	// slowSpeed is the speed below which a runner is avoided: less than that of sound
-	// workers of different kinds.
-	slowSpeed = 0.5
-	// maxSpeedRatio bounds one measurement: tasks of one step differ in work.
-	maxSpeedRatio = 8.0
-)
-
 // RunnerInfo is the state of a runner as it reports it.
 type RunnerInfo struct {
 	// ID identifies one incarnation of the runner.
@@ -150,16 +142,6 @@
 	return &Runner{id: id, node: node, placements: map[string]*placement{}, speed: 1}
 }
 
-// recordSpeed adds a measurement to the speed. An old measurement of a slow runner is
-// forgotten first: the cause of its slowness may have passed.
-func (r *Runner) recordSpeed(speed float64, now time.Duration) {
-	if r.speed < slowSpeed && now-r.speedAt > avoidDuration {
-		r.speed = 1
-	}
-	r.speed += speedWeight * (min(max(speed, 1/maxSpeedRatio), maxSpeedRatio) - r.speed)
-	r.speedAt = now
-}
-
 // isSlow reports whether the runner was recently seen to be slow.
 func (r *Runner) isSlow(now time.Duration) bool {
 	return r.speed < slowSpeed && now-r.speedAt < avoidDuration
