--- /dev/null
+++ b/internal/process/jaycell/round_bench_test.go
@@ -0,0 +1,57 @@
+package jaycell
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/jaystile/jaystile/internal/request/jaytask"
+)
+
+// BenchmarkRound measures one round of decisions on a pool that is full of small tasks,
+// while gangs of whole workers wait that may not preempt enough of them.
+func BenchmarkRound(b *testing.B) {
+	const accelerators, rackSize, gangs = 8, 8, 20
+	for _, workers := range []int{75, 300, 1000} {
+		b.Run(fmt.Sprint(workers), func(b *testing.B) {
+			now, wall := time.Hour, time.UnixMilli(1_700_000_000_000)
+			c := New(testSettings(1, nil), now, wall)
+			submit := func(id string, priority int, s jaytask.Step) {
+				c.Submit(&jaytask.Job{ID: id, Steps: []jaytask.Step{s}, Accepted: wall, Policy: jaytask.Policy{Service: "s", Priority: priority, MaxAttempts: 2, Stretch: 3, Objective: time.Second}})
+			}
+			report := func() {
+				for i := range workers {
+					p := Report{Node: fmt.Sprint("n", i), Sequence: int64(now), Term: 1, Responsive: true, Runner: RunnerInfo{ID: fmt.Sprint("r", i), Service: "s", Labels: []string{fmt.Sprint("r-", i/rackSize)}, Capacity: jaytask.Resources{CPU: 32000, Memory: 131072, Accelerators: accelerators}}}
+					if r := c.runners[p.Runner.ID]; r != nil {
+						for _, pl := range r.placements {
+							p.Running = append(p.Running, Run{Task: pl.name, Run: pl.run, Percent: 1})
+						}
+					}
+					c.ApplyReport(p)
+				}
+			}
+			report()
+			for i := range workers * accelerators {
+				submit(fmt.Sprintf("small%05d", i), 2, step(1, 1))
+			}
+			c.Tick()
+			c.ConfirmStored(c.TakeBatch())
+			now, wall = now+time.Second, wall.Add(time.Second)
+			c.SetTime(now, wall)
+			report()
+			for i := range gangs {
+				// Their own work is too short to stop that of others.
+				s := step(2+i%6, accelerators)
+				s.Gang, s.SameRack, s.Estimate = true, i%2 == 0, 10*time.Millisecond
+				submit(fmt.Sprintf("gang%02d", i), i%2, s)
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				c.Tick()
+			}
+			if n := len(c.TakeImmediateOrders()); n > 0 {
+				b.Fatalf("%d tasks were stopped", n)
+			}
+		})
+	}
+}
--- a/internal/process/jaycell/schedule.go
+++ b/internal/process/jaycell/schedule.go
@@ -25,7 +25,9 @@
 type round struct {
 	cell       *Cell
 	candidates []*candidate
-	racks      []string
+	// racks are the names of the racks, byRack their candidates.
+	racks  []string
+	byRack map[string][]*candidate
 	// guaranteed holds the jobs covered by the guarantee of their workspace.
 	guaranteed map[*job]bool
 	// unreserved is the number of free accelerators not reserved for urgent work, by
@@ -147,19 +149,18 @@
 }
 
 func (c *Cell) newRound() *round {
-	r := &round{cell: c, guaranteed: c.guaranteedJobs(), unreserved: map[string]int{}, tried: map[*unit]bool{}, unplaceable: map[shape]bool{}}
+	r := &round{cell: c, guaranteed: c.guaranteedJobs(), byRack: map[string][]*candidate{}, unreserved: map[string]int{}, tried: map[*unit]bool{}, unplaceable: map[shape]bool{}}
 	claimed := c.claimedResources()
-	racks := map[string]bool{}
 	for _, runner := range c.sortedRunners() {
 		if !runner.acceptsWork(c.now) {
 			continue
 		}
 		cand := &candidate{runner: runner, free: runner.available().Sub(claimed[runner.id]), rack: runner.rack()}
 		r.candidates = append(r.candidates, cand)
-		if !racks[cand.rack] {
-			racks[cand.rack] = true
+		if r.byRack[cand.rack] == nil {
 			r.racks = append(r.racks, cand.rack)
 		}
+		r.byRack[cand.rack] = append(r.byRack[cand.rack], cand)
 	}
 	sort.Strings(r.racks)
 	r.reserveForUrgent()
--- a/internal/process/jaycell/select.go
+++ b/internal/process/jaycell/select.go
@@ -120,9 +120,13 @@
 	// slots counts the members that the preferred runners could hold when empty.
 	slots := 0
 	advice := r.cell.adviceFor(u)
-	for _, cand := range r.candidates {
+	candidates := r.candidates
+	if rack != "" {
+		candidates = r.byRack[rack]
+	}
+	for _, cand := range candidates {
 		runner := cand.runner
-		if !runner.eligibleFor(u) || rack != "" && cand.rack != rack || !advice.allows(runner.id) {
+		if !runner.eligibleFor(u) || !advice.allows(runner.id) {
 			continue
 		}
 		if r.cell.now < u.avoidUntil[runner.id] || r.cell.now < runner.avoidUntil || runner.isSlow(r.cell.now) {
@@ -138,6 +142,14 @@
 	return preferred
 }
 
+// preemptionOption is the cheapest way to make room for one member on a candidate. It is
+// known until resources or placements of the candidate change.
+type preemptionOption struct {
+	victims         []*unit
+	cost            float64
+	known, possible bool
+}
+
 // fastRunnerRank is the leftover for which an urgent unit takes a runner of twice the
 // speed, as in leftover.
 const fastRunnerRank = 4000
@@ -148,12 +160,15 @@
 func (r *round) assign(u *unit, n int, candidates []*candidate, costs map[*unit]float64) (selection, bool) {
 	free := make([]jaytask.Resources, len(candidates))
 	counts := make([]int, len(candidates))
+	request, limit, urgent := u.spec().Allocation(), u.spec().MaxPerRunner, u.job.spec.Policy.Priority == 0
 	for i, cand := range candidates {
 		free[i] = cand.free
-		counts[i] = r.countSameStep(u, cand.runner)
+		if limit > 0 {
+			counts[i] = r.countSameStep(u, cand.runner)
+		}
 	}
-	request, limit, urgent := u.spec().Allocation(), u.spec().MaxPerRunner, u.job.spec.Policy.Priority == 0
 	stopped := map[*unit]bool{}
+	options := make([]preemptionOption, len(candidates))
 	var sel selection
 	for m := 0; m < n; m++ {
 		best, victims, cost := -1, []*unit(nil), 0.0
@@ -169,10 +184,15 @@
 				if costs == nil {
 					continue
 				}
-				var ok bool
-				if newVictims, newCost, ok = cheapestVictims(request, free[i], cand.runner, costs, stopped); !ok {
+				o := &options[i]
+				if !o.known {
+					o.victims, o.cost, o.possible = cheapestVictims(request, free[i], cand.runner, costs, stopped)
+					o.known = true
+				}
+				if !o.possible {
 					continue
 				}
+				newVictims, newCost = o.victims, o.cost
 			}
 			left := leftover(request, free[i], cand.runner)
 			if urgent {
@@ -193,12 +213,14 @@
 				for _, pl := range victim.placements {
 					if pl.runner == cand.runner {
 						free[i] = free[i].Add(pl.resources)
+						options[i].known = false
 					}
 				}
 			}
 		}
 		sel.cost += cost
 		free[best] = free[best].Sub(request)
+		options[best].known = false
 		counts[best]++
 		sel.runners = append(sel.runners, candidates[best])
 	}
