Answer no request under a newer configuration than a later one

Change: a request waits 0.2 s for a newer configuration instead of 0.8 s, then it gets 503 and when to come back.

--- a/internal/process/jaycontroller/requests.go
+++ b/internal/process/jaycontroller/requests.go
@@ -70,6 +70,10 @@
 	// maxConfigAge is how long ago the configuration may have been read for a refusal
 	// that a newer one might not make.
 	maxConfigAge = 500 * time.Millisecond
+	// configRefreshTimeout bounds the wait of one request for a newer configuration.
+	// Requests that come while it waits are answered under the older one, so that a longer
+	// wait would answer the earlier request under a newer version than a later one.
+	configRefreshTimeout = 200 * time.Millisecond
 	// refreshTimeout bounds a read of the store on behalf of one request.
 	refreshTimeout = 800 * time.Millisecond
 	// responseMargin is the part of a caller's timeout that is kept for the response.
@@ -122,7 +126,7 @@
 		if age <= maxConfigAge {
 			return r, refusal
 		}
-		call, cancel := context.WithTimeout(ctx, refreshTimeout)
+		call, cancel := context.WithTimeout(ctx, configRefreshTimeout)
 		err := c.operatorTail.Refresh(call)
 		cancel()
 		if err != nil {
