Answer no request under a configuration that came after the timeout

Cause: a request whose route is unknown under an old configuration waits up to 0.2 s for a newer one.

Change: the time that has passed since the request arrived decides. The caller is told to come back; nothing was done for it.

Figures: TestLateConfigurationAnswersNoEarlierRequest fails before (the request is answered under version 2), passes after.

Conclusion: the wait is a bound now.

--- a/internal/process/jaycontroller/requests.go
+++ b/internal/process/jaycontroller/requests.go
@@ -113,6 +113,7 @@
 // the request is refused. Before it refuses under an old configuration, it reads the
 // newest one and tries again.
 func (c *Controller) resolve(ctx context.Context, req Request) (routedRequest, *Response) {
+	arrived := jayclock.Elapsed()
 	for refreshed := false; ; refreshed = true {
 		config := c.config.Load()
 		if config == nil {
@@ -129,7 +130,8 @@
 		call, cancel := context.WithTimeout(ctx, configRefreshTimeout)
 		err := c.operatorTail.Refresh(call)
 		cancel()
-		if err != nil {
+		// A process that stood still may receive the configuration after the timeout.
+		if err != nil || jayclock.Elapsed()-arrived > configRefreshTimeout {
 			return r, &Response{Outcome: NotNow, Reason: "configuration may be out of date", RetryAfter: c.retryAfter()}
 		}
 	}
