Sum up waits and ends by data centre

Cause: an incident report names the callers of one data centre, and `losses` sums up by route only, so that logs cannot tell entries of one data centre that refuse from a pool that is too full for all.

Change: the log line of a submitted job names the data centre of its entry; `losses` prints waits, refusals and ends by data centre beside those by route.

Figures: TestReportByRouteDataCentreAndCause expects the new part.

--- a/cmd/jaystile/losses.go
+++ b/cmd/jaystile/losses.go
@@ -13,9 +13,9 @@
 	"github.com/jaystile/jaystile/internal/process/jaylosses"
 )
 
-const usageLosses = `Reads the logs of entries on the users' platform and prints, by route, how long jobs
-waited and how they ended, and by cause how much work was lost. Without a file it
-reads standard input; lines of other programs are skipped and counted.`
+const usageLosses = `Reads the logs of entries on the users' platform and prints, by route and by data centre,
+how long jobs waited and how they ended, and by cause how much work was lost. Without a
+file it reads standard input; lines of other programs are skipped and counted.`
 
 type lossesCommand struct {
 	outputOption
@@ -29,14 +29,24 @@
 }
 
 type lossesJSON struct {
-	Routes       []routeLossJSON `json:"routes"`
-	Losses       []lossJSON      `json:"losses"`
-	SkippedLines int             `json:"lines_unread"`
+	Routes       []routeLossJSON      `json:"routes"`
+	DataCentres  []dataCentreLossJSON `json:"data_centres"`
+	Losses       []lossJSON           `json:"losses"`
+	SkippedLines int                  `json:"lines_unread"`
 }
 
 type routeLossJSON struct {
-	Route           string         `json:"route"`
-	Priority        int            `json:"priority"`
+	Route    string `json:"route"`
+	Priority int    `json:"priority"`
+	jobGroupJSON
+}
+
+type dataCentreLossJSON struct {
+	DataCentre string `json:"data_centre"`
+	jobGroupJSON
+}
+
+type jobGroupJSON struct {
 	Jobs            int            `json:"jobs"`
 	Refused         int            `json:"tries_refused"`
 	Started         int            `json:"begun"`
@@ -82,7 +92,10 @@
 func lossesToJSON(r jaylosses.Report) lossesJSON {
 	out := lossesJSON{SkippedLines: r.SkippedLines}
 	for _, x := range r.Routes {
-		out.Routes = append(out.Routes, routeLossJSON{Route: x.Name, Priority: x.Priority, Jobs: x.Jobs, Refused: x.Refused, Started: x.Started, MeanWaitSeconds: x.MeanWait.Seconds(), MaxWaitSeconds: x.MaxWait.Seconds(), FinalStates: x.FinalStates})
+		out.Routes = append(out.Routes, routeLossJSON{Route: x.Name, Priority: x.Priority, jobGroupJSON: groupToJSON(x.Group)})
+	}
+	for _, x := range r.DataCentres {
+		out.DataCentres = append(out.DataCentres, dataCentreLossJSON{DataCentre: x.Name, jobGroupJSON: groupToJSON(x)})
 	}
 	for _, x := range r.Losses {
 		out.Losses = append(out.Losses, lossJSON{Priority: x.Priority, Checkpointing: x.Checkpointing, Outcome: x.Outcome, Reason: x.Reason, Runs: x.Runs, CoreSeconds: x.CoreSeconds})
@@ -90,15 +103,31 @@
 	return out
 }
 
+func groupToJSON(g jaylosses.Group) jobGroupJSON {
+	return jobGroupJSON{Jobs: g.Jobs, Refused: g.Refused, Started: g.Started, MeanWaitSeconds: g.MeanWait.Seconds(), MaxWaitSeconds: g.MaxWait.Seconds(), FinalStates: g.FinalStates}
+}
+
+const groupHeader = "%5s %8s %6s %8s %8s  ended\n"
+
+func printGroup(g jaylosses.Group) {
+	var ended []string
+	for name, n := range g.FinalStates {
+		ended = append(ended, fmt.Sprintf("%s %d", name, n))
+	}
+	slices.Sort(ended)
+	fmt.Printf("%5d %8d %6d %8.2f %8.2f  %s\n", g.Jobs, g.Refused, g.Started, g.MeanWait.Seconds(), g.MaxWait.Seconds(), strings.Join(ended, ", "))
+}
+
 func printLosses(r jaylosses.Report) {
-	fmt.Printf("%-12s %8s %5s %8s %6s %8s %8s  ended\n", "route", "priority", "jobs", "refused", "begun", "wait s", "most s")
+	fmt.Printf("%-12s %8s "+groupHeader, "route", "priority", "jobs", "refused", "begun", "wait s", "most s")
 	for _, x := range r.Routes {
-		var ended []string
-		for name, n := range x.FinalStates {
-			ended = append(ended, fmt.Sprintf("%s %d", name, n))
-		}
-		slices.Sort(ended)
-		fmt.Printf("%-12s %8d %5d %8d %6d %8.2f %8.2f  %s\n", x.Name, x.Priority, x.Jobs, x.Refused, x.Started, x.MeanWait.Seconds(), x.MaxWait.Seconds(), strings.Join(ended, ", "))
+		fmt.Printf("%-12s %8d ", x.Name, x.Priority)
+		printGroup(x.Group)
+	}
+	fmt.Printf("\n%-21s "+groupHeader, "data centre", "jobs", "refused", "begun", "wait s", "most s")
+	for _, x := range r.DataCentres {
+		fmt.Printf("%-21s ", x.Name)
+		printGroup(x)
 	}
 	fmt.Printf("\n%12s %5s %8s %6s %-9s reason\n", "core-seconds", "runs", "priority", "saved", "outcome")
 	for _, x := range r.Losses {
--- a/internal/process/jaycontroller/requests.go
+++ b/internal/process/jaycontroller/requests.go
@@ -185,7 +185,7 @@
 	if err != nil {
 		return c.recordResponse("submit", r.id, Response{Outcome: Malformed, Reason: err.Error()})
 	}
-	c.Logger.Info().Str("event", "job").Str("job", r.id).Str("route", r.route.Name).Str("workspace", r.workspace).Int("priority", r.route.Priority).
+	c.Logger.Info().Str("event", "job").Str("job", r.id).Str("data_centre", c.DataCentre).Str("route", r.route.Name).Str("workspace", r.workspace).Int("priority", r.route.Priority).
 		Int("steps", len(spec.Steps)).Int("tasks", spec.Steps[0].Count).Int("accelerators", spec.Steps[0].Resources.Accelerators).Int("cpu", spec.Steps[0].Resources.CPU).
 		Bool("gang", spec.Steps[0].Gang).Bool("same_rack", spec.Steps[0].SameRack).Bool("checkpoint", spec.Steps[0].Checkpoint).Str("data_rack", spec.Steps[0].DataRack).
 		Int64("estimate_ms", spec.Steps[0].Estimate.Milliseconds()).Int64("objective_ms", r.route.Objective.Milliseconds()).Float64("stretch", r.route.Stretch).Int("times", spec.TimedOccurrences).Msg("storing")
--- a/internal/process/jaylosses/losses.go
+++ b/internal/process/jaylosses/losses.go
@@ -1,5 +1,5 @@
 // Package jaylosses reads the logs of a deployment's processes and reports how long
-// jobs waited, by route, and which work was lost, by cause.
+// jobs waited, by route and by data centre, and which work was lost, by cause.
 package jaylosses
 
 import (
@@ -24,6 +24,7 @@
 	Time         time.Time `json:"time"`
 	Job          string    `json:"job"`
 	Route        string    `json:"route"`
+	DataCentre   string    `json:"data_centre"`
 	Task         string    `json:"task"`
 	Run          int       `json:"run"`
 	Outcome      string    `json:"outcome"`
@@ -34,11 +35,10 @@
 	Checkpoint   bool      `json:"checkpoint"`
 }
 
-// Route summarizes the jobs of one route.
-type Route struct {
-	Name     string
-	Priority int
-	Jobs     int
+// Group summarizes the jobs of one route or of one data centre.
+type Group struct {
+	Name string
+	Jobs int
 	// Refused counts the refused submissions of jobs that were accepted in the end.
 	Refused int
 	Started int
@@ -49,6 +49,30 @@
 	FinalStates map[string]int
 }
 
+func newGroup(name string) Group { return Group{Name: name, FinalStates: map[string]int{}} }
+
+// add adds a job whose submission was refused so many times before.
+func (g *Group) add(j *job, refused int) {
+	g.Jobs++
+	g.Refused += refused
+	if j.finalState != "" {
+		g.FinalStates[j.finalState]++
+	}
+	if j.started.IsZero() {
+		return
+	}
+	wait := j.started.Sub(j.Time)
+	g.Started++
+	g.MeanWait += (wait - g.MeanWait) / time.Duration(g.Started)
+	g.MaxWait = max(g.MaxWait, wait)
+}
+
+// Route summarizes the jobs of one route.
+type Route struct {
+	Group
+	Priority int
+}
+
 // Loss summarizes runs that ended without completing their task, by cause.
 type Loss struct {
 	Priority int
@@ -65,7 +89,9 @@
 // Report is the result of reading logs. SkippedLines counts lines that are not
 // events.
 type Report struct {
-	Routes       []Route
+	Routes []Route
+	// DataCentres are those of the entries that accepted the jobs.
+	DataCentres  []Group
 	Losses       []Loss
 	SkippedLines int
 }
@@ -80,7 +106,6 @@
 type reader struct {
 	jobs         map[string]*job
 	starts       map[runKey]time.Time
-	routes       map[string]*Route
 	losses       map[Loss]*Loss
 	refused      map[string]int
 	skippedLines int
@@ -94,7 +119,7 @@
 // Read reads the logs of all processes, in any order of lines. It ignores what
 // precedes the first brace of a line.
 func Read(r io.Reader) (Report, error) {
-	rd := &reader{jobs: map[string]*job{}, starts: map[runKey]time.Time{}, routes: map[string]*Route{}, losses: map[Loss]*Loss{}, refused: map[string]int{}}
+	rd := &reader{jobs: map[string]*job{}, starts: map[runKey]time.Time{}, losses: map[Loss]*Loss{}, refused: map[string]int{}}
 	var lines []logLine
 	s := bufio.NewScanner(r)
 	s.Buffer(make([]byte, 64<<10), maxLineBytes)
@@ -168,36 +193,32 @@
 }
 
 func (rd *reader) report() Report {
-	waits := map[string]time.Duration{}
+	routes, dataCentres := map[string]*Route{}, map[string]*Group{}
 	for id, j := range rd.jobs {
-		r := rd.routes[j.Route]
-		if r == nil {
-			r = &Route{Name: j.Route, Priority: j.Priority, FinalStates: map[string]int{}}
-			rd.routes[j.Route] = r
+		if routes[j.Route] == nil {
+			routes[j.Route] = &Route{Group: newGroup(j.Route), Priority: j.Priority}
 		}
-		r.Jobs++
-		r.Refused += rd.refused[id]
-		if j.finalState != "" {
-			r.FinalStates[j.finalState]++
-		}
-		if !j.started.IsZero() {
-			wait := j.started.Sub(j.Time)
-			r.Started++
-			waits[r.Name] += wait
-			r.MaxWait = max(r.MaxWait, wait)
+		if dataCentres[j.DataCentre] == nil {
+			g := newGroup(j.DataCentre)
+			dataCentres[j.DataCentre] = &g
 		}
+		routes[j.Route].add(j, rd.refused[id])
+		dataCentres[j.DataCentre].add(j, rd.refused[id])
 	}
 	report := Report{SkippedLines: rd.skippedLines}
-	for name, r := range rd.routes {
-		r.MeanWait = waits[name] / time.Duration(max(r.Started, 1))
+	for _, r := range routes {
 		report.Routes = append(report.Routes, *r)
 	}
+	for _, g := range dataCentres {
+		report.DataCentres = append(report.DataCentres, *g)
+	}
 	for _, l := range rd.losses {
 		report.Losses = append(report.Losses, *l)
 	}
 	slices.SortFunc(report.Routes, func(a, b Route) int {
 		return cmp.Or(cmp.Compare(a.Priority, b.Priority), cmp.Compare(a.Name, b.Name))
 	})
+	slices.SortFunc(report.DataCentres, func(a, b Group) int { return cmp.Compare(a.Name, b.Name) })
 	slices.SortFunc(report.Losses, func(a, b Loss) int {
 		return cmp.Or(cmp.Compare(b.CoreSeconds, a.CoreSeconds), cmp.Compare(a.Reason, b.Reason), cmp.Compare(a.Outcome, b.Outcome))
 	})
--- a/internal/process/jaylosses/losses_test.go
+++ b/internal/process/jaylosses/losses_test.go
@@ -9,7 +9,7 @@
 )
 
 const log = `  0.5 edge-1 {"event":"submit","job":"a","outcome":"not_now","time":"2026-12-03T10:00:00Z"}
-  1.0 edge-1 {"event":"job","job":"a","route":"r","priority":1,"accelerators":2,"cpu":4000,"time":"2026-12-03T10:00:01Z"}
+  1.0 edge-1 {"event":"job","job":"a","route":"r","data_centre":"north","priority":1,"accelerators":2,"cpu":4000,"time":"2026-12-03T10:00:01Z"}
   6.0 edge-1 {"event":"end","job":"a","task":"a.0.0.0","run":1,"outcome":"stopped","reason":"room for b.0.0","time":"2026-12-03T10:00:06Z"}
   2.0 edge-1 {"event":"place","job":"a","task":"a.0.0.0","run":1,"time":"2026-12-03T10:00:02Z"}
  no log line
@@ -19,11 +19,15 @@
   9.1 edge-1 {"event":"end","job":"z","task":"z.0.0.0","run":2,"outcome":"failed","time":"2026-12-03T10:00:09Z"}
 `
 
-func TestReportByRouteAndCause(t *testing.T) {
+func TestReportByRouteDataCentreAndCause(t *testing.T) {
 	r, err := Read(strings.NewReader(log))
 	assert.NilError(t, err)
+	jobs := func(name string) Group {
+		return Group{Name: name, Jobs: 1, Refused: 1, Started: 1, MeanWait: time.Second, MaxWait: time.Second, FinalStates: map[string]int{"completed": 1}}
+	}
 	assert.DeepEqual(t, r, Report{
-		Routes:       []Route{{Name: "r", Priority: 1, Jobs: 1, Refused: 1, Started: 1, MeanWait: time.Second, MaxWait: time.Second, FinalStates: map[string]int{"completed": 1}}},
+		Routes:       []Route{{Group: jobs("r"), Priority: 1}},
+		DataCentres:  []Group{jobs("north")},
 		Losses:       []Loss{{Priority: 1, Outcome: "stopped", Reason: "room for another job", Runs: 1, CoreSeconds: 80}},
 		SkippedLines: 1,
 	})
