End an accepted link when its process closes it

What was seen: a test of an agent, whose stand-in for an entry closes the link, stayed linked for a second, until the agent found the link silent.

Cause: an accepted WebSocket is a hijacked connection of fasthttp, whose Close does nothing until the handler returns, and the handler waits in a read. So an entry that closes a link, also one that it found silent, went on reading from it; with a peer that has vanished (power, cut) the read never ends: the link stays among the entry's peers and agents, takes one of its 4096 links, and makes a weaker entry defer to a stronger one that is gone.

Change: Close wakes the reader by a read deadline.

The same call closes dialed links, where it changes nothing.

--- a/internal/connection/jaylink/link.go
+++ b/internal/connection/jaylink/link.go
@@ -117,6 +117,9 @@
 	l.once.Do(func() {
 		l.cause.Store(&ClosedError{Peer: l.peer, Cause: cause})
 		close(l.done)
+		// The server closes an accepted connection only when its handler returns, so the
+		// reader is woken first.
+		_ = l.conn.SetReadDeadline(time.Now())
 		_ = l.conn.Close()
 	})
 }
--- a/internal/connection/jaylink/link_test.go
+++ b/internal/connection/jaylink/link_test.go
@@ -107,6 +107,27 @@
 	}
 }
 
+// An accepted link that its process closes ends on both sides at once, also while its
+// peer sends nothing. It used to stay open until the peer closed it.
+func TestCloseEndsAcceptedLink(t *testing.T) {
+	listener, dialer := endpoint("listener", "key"), endpoint("dialer", "key")
+	listener.Timing.SilenceTimeout, dialer.Timing.SilenceTimeout = time.Hour, time.Hour
+	dialer.Timing.HeartbeatInterval = time.Hour
+	accepted, closed := make(chan *Link, 1), make(chan struct{})
+	listener.Opened = func(l *Link, _ *jayframe.Hello) { accepted <- l }
+	listener.Closed = func(*Link) { close(closed) }
+	relay := serve(t, listener)
+	l := dial(t, dialer, relay.Address())
+	(<-accepted).Close("test")
+	for _, ended := range []<-chan struct{}{closed, l.Done()} {
+		select {
+		case <-ended:
+		case <-time.After(20 * time.Second):
+			t.Fatal("the link is still open")
+		}
+	}
+}
+
 func TestSlowLinkStaysOpen(t *testing.T) {
 	relay := serve(t, endpoint("listener", "key"))
 	l := dial(t, endpoint("dialer", "key"), relay.Address())
