Count a link that led to a lease as no failed dial

Cause: Agent.serveLink returned false also after a link over which the leader had granted leases, so that an agent whose link was reset asked another entry first, closed that link, and only then dialed the leader again: two pauses of 0.12 s and a dial instead of one.

Change: serveLink reports whether a lease was granted over the link, and the count of failures begins anew then. A link to an entry that does not lead, or over which no report was answered, still counts, so that a half-open path to the leader is left for another entry.

--- a/internal/process/jaysupervisor/agent.go
+++ b/internal/process/jaysupervisor/agent.go
@@ -44,10 +44,12 @@
 	mutex    sync.Mutex
 	term     jaycontroller.Term
 	// entries holds the addresses of all entries that the agent has heard of.
-	entries     map[string]bool
-	link        *jaylink.Link
-	termChanged chan struct{}
-	nextSeed    int
+	entries map[string]bool
+	link    *jaylink.Link
+	// leaseGranted is set once a lease has been granted over the link.
+	leaseGranted bool
+	termChanged  chan struct{}
+	nextSeed     int
 }
 
 // NewAgent returns an agent for a supervisor.
@@ -109,8 +111,8 @@
 	jaycontroller.Signal(a.termChanged)
 }
 
-// nextAddress returns the next address to dial: the leader's and, after each failure
-// there, that of another entry in turn, which may know a newer term.
+// nextAddress returns the next address to dial: the leader's and, after each attempt
+// there that did not lead to a lease, that of another entry in turn, which may know a newer term.
 func (a *Agent) nextAddress(failures int) string {
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
@@ -148,8 +150,8 @@
 	}
 }
 
-// serveLink opens a link to an entry and serves it until it ends. It returns false even
-// then, and the next attempt may go to another entry.
+// serveLink opens a link to an entry and serves it until it ends. It reports whether the
+// entry has granted a lease, as only a leader does.
 func (a *Agent) serveLink(ctx context.Context, address string) bool {
 	dial, cancel := context.WithTimeout(ctx, dialTimeout)
 	l, _, err := a.endpoint.Dial(dial, address, &jayframe.Hello{Role: jayframe.RoleAgent, DataCentre: a.DataCentre})
@@ -159,7 +161,7 @@
 		return false
 	}
 	a.mutex.Lock()
-	a.link = l
+	a.link, a.leaseGranted = l, false
 	a.mutex.Unlock()
 	a.Logger.Info().Str("event", "link").Str("peer", l.Peer()).Str("address", address).Msg("linked to an entry")
 	a.Supervisor.ReportNow()
@@ -168,9 +170,10 @@
 	if a.link == l {
 		a.link = nil
 	}
+	granted := a.leaseGranted
 	a.mutex.Unlock()
 	a.Logger.Info().Str("event", "link").Str("peer", l.Peer()).Err(l.Err()).Msg("link ended")
-	return false
+	return granted
 }
 
 // handleMessage handles a message received on the link.
@@ -178,6 +181,7 @@
 	switch m := m.(type) {
 	case *jayframe.CellLeaseGrant:
 		if m.Sequence > 0 {
+			a.recordGrant(l)
 			a.Supervisor.GrantLease(m.Term, m.Sequence)
 		}
 	case *jayframe.CellOrders:
@@ -191,6 +195,14 @@
 	}
 }
 
+func (a *Agent) recordGrant(l *jaylink.Link) {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	if a.link == l {
+		a.leaseGranted = true
+	}
+}
+
 // handleView adopts the term that an entry has announced, and closes the link to an
 // entry that is not the leader.
 func (a *Agent) handleView(l *jaylink.Link, m *jayframe.CellView) {
