Reach the store through entries that reach it when several are cut off

Cause: the path around a cut failed with it. relayThrough asked the linked entries one after the other, in the same order, each for as long as the whole call may take, so that a first one that is cut as well used up the call; the leader, asked by another entry, tried its own way for all of that time before it asked a third; and the time of a failed first way counted as latency of the store, which delayed the next second way.

Change: Failover sends a request over several routes, each next one after a multiple of the store's recent latency; relays are tried in the order of a history by entry, at most three a request, so that an outage of the whole store does not multiply calls; serveRelay uses the transport's knowledge of the direct way.

--- a/internal/process/jaycontroller/controller.go
+++ b/internal/process/jaycontroller/controller.go
@@ -109,6 +109,7 @@
 	endpoint       *jaylink.Endpoint
 	storeTransport *jaystore.Transport
 	storeClient    *jaystore.Client
+	relays         *relayHistory
 	jobs           *jobTable
 	jobsAppender   *jaystore.Appender
 	cellTail       *jaystore.Tail
@@ -142,7 +143,7 @@
 
 // New returns a controller that accepts links on the listener.
 func New(listener net.Listener) *Controller {
-	return &Controller{listener: listener, entryAddresses: map[string]string{}, entryCores: map[string]float64{}, peers: map[*jaylink.Link]string{}, agents: map[string]*jaylink.Link{}, leaderResigned: make(chan struct{}, 1)}
+	return &Controller{listener: listener, relays: newRelayHistory(), entryAddresses: map[string]string{}, entryCores: map[string]float64{}, peers: map[*jaylink.Link]string{}, agents: map[string]*jaylink.Link{}, leaderResigned: make(chan struct{}, 1)}
 }
 
 // Prepare builds the internal components. It is called once, after the exported
--- a/internal/process/jaycontroller/links.go
+++ b/internal/process/jaycontroller/links.go
@@ -6,7 +6,6 @@
 
 	"github.com/jaystile/jaystile/internal/connection/jayframe"
 	"github.com/jaystile/jaystile/internal/connection/jaylink"
-	"github.com/jaystile/jaystile/internal/process/jaystore"
 )
 
 // followLeader keeps a link to the leader while that is another entry.
@@ -72,6 +71,9 @@
 
 func (c *Controller) linkClosed(l *jaylink.Link) {
 	c.mutex.Lock()
+	if name, ok := c.peers[l]; ok {
+		c.relays.forget(name)
+	}
 	delete(c.peers, l)
 	for node, link := range c.agents {
 		if link == l {
@@ -191,71 +193,3 @@
 	defer c.mutex.Unlock()
 	return c.leaderLink != nil || len(c.peers) > 0
 }
-
-// relay sends a request to the store through the linked entries in turn, until the
-// store serves one.
-func (c *Controller) relay(ctx context.Context, req jaystore.Request) (jaystore.Response, error) {
-	return c.relayThrough(ctx, req, 0, nil)
-}
-
-// relayThrough is relay for a request that has been relayed hops times; the link that
-// it came from is skipped. Without a reply of the store it returns an error.
-func (c *Controller) relayThrough(ctx context.Context, req jaystore.Request, hops int, from *jaylink.Link) (jaystore.Response, error) {
-	var reply jaystore.Response
-	var lastErr error = &jaystore.NoAnswerError{Operation: "relay", Cause: "no peer"}
-	for _, l := range c.linkedEntries() {
-		if l == from {
-			continue
-		}
-		call, cancel := context.WithTimeout(ctx, req.Wait+relayTimeout)
-		m, err := l.Call(call, &jayframe.StoreRelay{Method: req.Method, Target: req.Target, Body: req.Body, WaitMillis: req.Wait.Milliseconds(), Hops: hops})
-		cancel()
-		if err != nil {
-			lastErr = &jaystore.NoAnswerError{Operation: "relay", Cause: err.Error()}
-			continue
-		}
-		r, ok := m.(*jayframe.StoreReply)
-		if !ok || r.Error != "" {
-			if ok {
-				lastErr = &jaystore.NoAnswerError{Operation: "relay", Cause: r.Error}
-			}
-			continue
-		}
-		reply, lastErr = jaystore.Response{Status: r.Status, Body: r.Body}, nil
-		if r.Status != statusBusy && r.Status != statusUnavailable {
-			return reply, nil
-		}
-	}
-	return reply, lastErr
-}
-
-const (
-	// relayTimeout bounds a relayed request, in addition to the time that the store may
-	// wait for new records.
-	relayTimeout      = 2 * time.Second
-	statusBusy        = 429
-	statusUnavailable = 503
-	// relayHops allows the leader to forward a relayed request to another entry that
-	// reaches the store.
-	relayHops = 1
-)
-
-// serveRelay forwards a peer's request to the store and answers with its reply.
-func (c *Controller) serveRelay(l *jaylink.Link, call uint64, m *jayframe.StoreRelay) {
-	req := jaystore.Request{Method: m.Method, Target: m.Target, Body: m.Body, Wait: time.Duration(m.WaitMillis) * time.Millisecond}
-	ctx, cancel := context.WithTimeout(c.ctx, req.Wait+relayTimeout)
-	defer cancel()
-	r, err := c.CallStore(ctx, req)
-	if m.Hops < relayHops && (err != nil || r.Status == statusUnavailable || r.Status == statusBusy) {
-		if other, otherErr := c.relayThrough(ctx, req, m.Hops+1, l); otherErr == nil {
-			r, err = other, nil
-		}
-	}
-	reply := &jayframe.StoreReply{Status: r.Status, Body: r.Body}
-	if err != nil {
-		reply.Error = err.Error()
-	}
-	if err := l.Reply(call, reply); err != nil {
-		c.Logger.Debug().Str("event", "relay").Str("peer", l.Peer()).Err(err).Msg("cannot answer a relayed request")
-	}
-}
--- a/internal/process/jaystore/store_test.go
+++ b/internal/process/jaystore/store_test.go
@@ -224,8 +224,8 @@
 	noAnswer := func(context.Context, Request) (Response, error) { return Response{}, &NoAnswerError{} }
 	for _, c := range []struct {
 		name    string
-		direct  route
-		relay   route
+		direct  Route
+		relay   Route
 		status  int
 		unknown bool
 	}{
@@ -248,6 +248,20 @@
 	}
 }
 
+// Routes that do not answer cost a request the delay of each, not all of its time.
+func TestFailoverPassesSilentRoutes(t *testing.T) {
+	silent := func(ctx context.Context, _ Request) (Response, error) {
+		<-ctx.Done()
+		return Response{}, &NoAnswerError{}
+	}
+	ok := func(context.Context, Request) (Response, error) { return Response{Status: 200}, nil }
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	r, err := Failover(ctx, Request{}, time.Millisecond, silent, silent, ok)
+	assert.NilError(t, err)
+	assert.Equal(t, r.Status, 200)
+}
+
 func TestTransportOutageEndsWithSuccess(t *testing.T) {
 	status := 503
 	p := &Transport{Direct: func(context.Context, Request) (Response, error) { return Response{Status: status}, nil }, HasPeer: func() bool { return false }}
--- a/internal/process/jaystore/transport.go
+++ b/internal/process/jaystore/transport.go
@@ -42,13 +42,16 @@
 	statusUnavailable = 503
 )
 
+// Route is a way to send a request to the store.
+type Route func(ctx context.Context, request Request) (Response, error)
+
 // Transport sends requests to the store, either directly or through a peer while
 // the store does not serve this process. Its fields are set before use.
 type Transport struct {
 	// Direct sends a request to the store itself.
-	Direct func(ctx context.Context, request Request) (Response, error)
+	Direct Route
 	// Relay sends a request through a peer; without a peer it returns a NoAnswerError.
-	Relay func(ctx context.Context, request Request) (Response, error)
+	Relay Route
 	// HasPeer reports whether a peer is connected.
 	HasPeer func() bool
 	// OnRouteChange is called when the preferred route changes.
@@ -91,17 +94,18 @@
 	callsFailed.Inc()
 }
 
+// HedgeDelay returns how long a route may take to answer, longer for a slow store, before
+// another one is worth trying.
+func (t *Transport) HedgeDelay() time.Duration { return t.latency.hedgeDelay() }
+
 // Do sends a request. When it fails or gets no answer over one route, it is sent over
 // the other too, since all requests are idempotent; a request with a Try uses one route
 // only. A refusal over one route is not returned while the other is unanswered.
 func (t *Transport) Do(ctx context.Context, request Request) (Response, error) {
 	start := time.Now()
-	r, err := t.send(ctx, request)
+	r, err := t.send(ctx, request, t.Relay)
 	if request.Wait == 0 {
 		callSeconds.UpdateDuration(start)
-		if err == nil && !isUnavailable(r.Status) {
-			t.latency.observe(time.Since(start))
-		}
 	}
 	// A call that its caller canceled says nothing about the store.
 	if err == nil || !errors.Is(ctx.Err(), context.Canceled) {
@@ -110,50 +114,72 @@
 	return r, err
 }
 
-func (t *Transport) send(ctx context.Context, request Request) (Response, error) {
+// Forward sends a request on behalf of a peer, like Do, but with another relay: the peer
+// itself must not get it back.
+func (t *Transport) Forward(ctx context.Context, request Request, relay Route) (Response, error) {
+	return t.send(ctx, request, relay)
+}
+
+func (t *Transport) send(ctx context.Context, request Request, relay Route) (Response, error) {
 	if !t.HasPeer() {
-		return t.Direct(ctx, request)
+		return t.timed(t.Direct)(ctx, request)
 	}
-	first, second := route(t.sendDirect), route(t.Relay)
+	first, second := t.timed(t.sendDirect), t.timed(relay)
 	if jayclock.Elapsed() < time.Duration(t.cooldownUntil.Load()) {
 		first, second = second, first
 	}
 	switch {
 	case request.Try == 0:
-		return t.sendWithFailover(ctx, request, first, second)
+		return Failover(ctx, request, max(minFailoverDelay, t.HedgeDelay()), first, second)
 	case request.Try%2 == 1:
 		return first(ctx, request)
 	}
 	return second(ctx, request)
 }
 
-// route sends a request directly or through a peer.
-type route func(ctx context.Context, request Request) (Response, error)
+// timed records how long the answers of a route take.
+func (t *Transport) timed(r Route) Route {
+	return func(ctx context.Context, request Request) (Response, error) {
+		start := time.Now()
+		response, err := r(ctx, request)
+		if request.Wait == 0 && err == nil && !isUnavailable(response.Status) {
+			t.latency.observe(time.Since(start))
+		}
+		return response, err
+	}
+}
 
-// sendWithFailover sends over the first route, and over the second too when the
-// first was refused, failed or has not answered in time. The first answer other than
-// a refusal counts; a late one on the first route counts as well.
-func (t *Transport) sendWithFailover(ctx context.Context, request Request, first, second route) (Response, error) {
+// Failover sends an idempotent request over the first route, and over each next one when
+// one has failed or refused, or when none has answered for delay beyond the request's
+// Wait. The first answer other than a refusal counts, over whichever route it comes. A
+// refusal is not returned if a route gave no answer: the request may yet be executed.
+func Failover(ctx context.Context, request Request, delay time.Duration, routes ...Route) (Response, error) {
 	type result struct {
 		response Response
 		err      error
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	results := make(chan result, 2)
-	send := func(via route) {
+	results := make(chan result, len(routes))
+	pending := 0
+	timer := time.NewTimer(delay + request.Wait)
+	defer timer.Stop()
+	sendNext := func() {
+		if len(routes) == 0 {
+			return
+		}
+		via := routes[0]
+		routes = routes[1:]
+		pending++
+		timer.Reset(delay + request.Wait)
 		go func() {
 			r, err := via(ctx, request)
 			results <- result{r, err}
 		}()
 	}
-	send(first)
-	pending, next := 1, second
-	timer := time.NewTimer(max(minFailoverDelay, t.latency.hedgeDelay()) + request.Wait)
-	defer timer.Stop()
 	var refusal result
 	var noAnswer error
-	for {
+	for sendNext(); pending > 0; {
 		select {
 		case r := <-results:
 			pending--
@@ -165,23 +191,16 @@
 			default:
 				refusal = r
 			}
-			if next != nil && ctx.Err() == nil {
-				send(next)
-				pending, next = pending+1, nil
-			}
-			if pending == 0 && noAnswer != nil {
-				return Response{}, noAnswer
-			}
-			if pending == 0 {
-				return refusal.response, nil
-			}
 		case <-timer.C:
-			if next != nil {
-				send(next)
-				pending, next = pending+1, nil
-			}
 		}
+		if ctx.Err() == nil {
+			sendNext()
+		}
+	}
+	if noAnswer != nil {
+		return Response{}, noAnswer
 	}
+	return refusal.response, nil
 }
 
 // sendDirect sends directly and records whether that route works.
