Read jobs and runs side by side when a term begins

Cause: a new leader read the runs of earlier terms and then the jobs, each one or more calls; with a slow store a call takes 0.3 s, and nothing is scheduled meanwhile. The order was kept so that the job of every run is known. The fence already gives that: no run is stored after it, each job is stored before its runs, and both reads begin after it.

Change: both reads side by side after the fence.

--- a/internal/process/jaycontroller/leaderrecords.go
+++ b/internal/process/jaycontroller/leaderrecords.go
@@ -22,16 +22,22 @@
 	if err := runs.FenceLowerTerms(ctx); err != nil {
 		return err
 	}
+	// The job of every run is known: no run has been stored since the fence, and each job is
+	// stored before its runs.
 	var records []jaystore.Record
-	err := retryRead(ctx, func() (err error) {
-		records, err = jaystore.LoadAll(ctx, l.controller.storeClient, l.controller.Topics.Runs, l.controller.tailFailureLogger(l.controller.Topics.Runs))
-		return err
+	var runsErr, jobsErr error
+	var wg conc.WaitGroup
+	wg.Go(func() {
+		runsErr = retryRead(ctx, func() (err error) {
+			records, err = jaystore.LoadAll(ctx, l.controller.storeClient, l.controller.Topics.Runs, l.controller.tailFailureLogger(l.controller.Topics.Runs))
+			return err
+		})
 	})
-	if err != nil {
-		return err
-	}
-	// The jobs are read after the runs, so that the job of every run is known.
-	if err := retryRead(ctx, func() error { return l.controller.jobsTail.Refresh(ctx) }); err != nil {
+	wg.Go(func() {
+		jobsErr = retryRead(ctx, func() error { return l.controller.jobsTail.Refresh(ctx) })
+	})
+	wg.Wait()
+	if err := errors.Join(runsErr, jobsErr); err != nil {
 		return err
 	}
 	var units []jaystore.Record
