Ask another entry for the term when the leader cannot be reached

What callers would see: while an entry is cut off from the store and the leader is lost, that entry accepts nothing until its way to the store is back, although all other entries follow the next leader.

Found by looking for the cause elsewhere.

Change: after a failed dial to the leader an entry opens a link to another entry, in turn, which announces its newest term, and closes it when the term has changed or after 0.2 s.

--- a/internal/process/jaycontroller/links.go
+++ b/internal/process/jaycontroller/links.go
@@ -2,15 +2,21 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/jaystile/jaystile/internal/connection/jayframe"
 	"github.com/jaystile/jaystile/internal/connection/jaylink"
 )
 
-// followLeader keeps a link to the leader while that is another entry.
+// viewTimeout is how long another entry may take to tell the term that it knows.
+const viewTimeout = 200 * time.Millisecond
+
+// followLeader keeps a link to the leader while that is another entry. Whenever it cannot
+// reach the leader, it asks the next other entry for a newer term: an entry that does not
+// reach the store learns of one in no other way.
 func (c *Controller) followLeader(ctx context.Context) {
-	for ctx.Err() == nil {
+	for asked := 0; ctx.Err() == nil; {
 		changed := c.termChanged.changed()
 		t := c.Term()
 		if t.address == "" || t.leader == c.Name {
@@ -20,7 +26,10 @@
 			}
 			continue
 		}
-		c.serveLeaderLink(ctx, t)
+		if !c.serveLeaderLink(ctx, t) {
+			c.askForTerm(ctx, asked, changed)
+			asked++
+		}
 		select {
 		case <-ctx.Done():
 		case <-changed:
@@ -29,20 +38,61 @@
 	}
 }
 
-// serveLeaderLink opens a link to the leader and serves it until it ends.
-func (c *Controller) serveLeaderLink(ctx context.Context, t Term) {
+// askForTerm opens a link to the n-th other entry, in turn, which announces the newest
+// term that it knows. It returns when the term has changed or after viewTimeout.
+func (c *Controller) askForTerm(ctx context.Context, n int, changed <-chan struct{}) {
+	others := c.otherEntries()
+	if len(others) == 0 {
+		return
+	}
+	address := others[n%len(others)]
+	ask, cancel := context.WithTimeout(ctx, viewTimeout)
+	defer cancel()
+	l, _, err := c.endpoint.Dial(ask, address, &jayframe.Hello{Role: jayframe.RoleEntry, Address: c.Address, DataCentre: c.DataCentre})
+	if err != nil {
+		c.Logger.Debug().Str("event", "link").Str("address", address).Err(err).Msg("cannot ask another entry for the term")
+		return
+	}
+	c.tasks.Go(func() {
+		select {
+		case <-ask.Done():
+		case <-changed:
+		}
+		l.Close("the term has been asked for")
+	})
+	l.Run(ask)
+}
+
+// otherEntries returns the sorted addresses of the known entries other than this one and
+// the leader.
+func (c *Controller) otherEntries() []string {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	var all []string
+	for name, address := range c.entryAddresses {
+		if name != c.Name && name != c.term.leader {
+			all = append(all, address)
+		}
+	}
+	slices.Sort(all)
+	return all
+}
+
+// serveLeaderLink opens a link to the leader and serves it until it ends. It returns
+// whether there was one.
+func (c *Controller) serveLeaderLink(ctx context.Context, t Term) bool {
 	dial, cancel := context.WithTimeout(ctx, dialTimeout)
 	l, _, err := c.endpoint.Dial(dial, t.address, &jayframe.Hello{Role: jayframe.RoleEntry, Address: c.Address, DataCentre: c.DataCentre})
 	cancel()
 	if err != nil {
 		c.Logger.Debug().Str("event", "link").Str("peer", t.leader).Err(err).Msg("cannot reach the leader")
-		return
+		return false
 	}
 	c.mutex.Lock()
 	if c.term.number != t.number {
 		c.mutex.Unlock()
 		l.Close("a newer term has begun")
-		return
+		return true
 	}
 	c.leaderLink = l
 	c.mutex.Unlock()
@@ -54,6 +104,7 @@
 	}
 	c.mutex.Unlock()
 	c.Logger.Warn().Str("event", "link").Str("peer", l.Peer()).Err(l.Err()).Msg("link to the leader ended")
+	return true
 }
 
 // linkOpened sends the newest term and the known entries to a new peer.
