Say in the log where a run is slowed down by its place

Cause: to tell a late urgent gang that waited from one that runs across racks at a third of its speed, the racks of its runners had to be known; the log had them nowhere.

Change: the reason of a `place` line ends in `across racks` or `away from its data`.

Figures: TestGuaranteedGangPreemptsWithinItsRack checks the reason.

--- a/internal/process/jaycell/cell_test.go
+++ b/internal/process/jaycell/cell_test.go
@@ -370,9 +370,12 @@
 		name    string
 		stopped bool
 		racks   int
-	}{{"victims stop", true, 1}, {"victims do not stop", false, 2}} {
+		reason  string
+	}{{"victims stop", true, 1, "resources available"}, {"victims do not stop", false, 2, "resources available across racks"}} {
 		t.Run(c.name, func(t *testing.T) {
 			h := newHarness(t, map[string]int{"w": 16})
+			reasons := map[string]string{}
+			h.cell.settings.OnDecision = func(d Decision) { reasons[d.Event+" "+d.Job] = d.Reason }
 			h.racks = map[string]string{"r1": "r1-1", "r2": "r1-1", "r3": "r1-2", "r4": "r1-2"}
 			runners := []string{"r1", "r2", "r3", "r4"}
 			for _, r := range runners {
@@ -429,6 +432,7 @@
 				}
 			}
 			assert.Equal(t, len(used), c.racks)
+			assert.Equal(t, reasons["place gang"], c.reason)
 		})
 	}
 }
--- a/internal/process/jaycell/schedule.go
+++ b/internal/process/jaycell/schedule.go
@@ -286,6 +286,7 @@
 	u.phase, u.stopping = phaseActive, false
 	u.run++
 	u.reason = ""
+	reason := placementReason(u, runners)
 	for i, cand := range runners {
 		pl := newPlacement(u, u.firstIndex+i, cand.runner, c.now)
 		u.placements = append(u.placements, pl)
@@ -293,7 +294,7 @@
 		cand.free = cand.free.Sub(pl.resources)
 		r.unreserved[u.job.spec.Policy.Service] -= pl.resources.Accelerators
 		c.pendingStarts = append(c.pendingStarts, pl)
-		c.reportDecision(Decision{Job: u.job.spec.ID, Task: pl.task(), Run: u.run, Runner: cand.runner.id, Event: "place", Outcome: "start", Reason: "resources available", AgeMS: c.jobAgeMS(u.job)})
+		c.reportDecision(Decision{Job: u.job.spec.ID, Task: pl.task(), Run: u.run, Runner: cand.runner.id, Event: "place", Outcome: "start", Reason: reason, AgeMS: c.jobAgeMS(u.job)})
 	}
 	c.dirtyUnits[u] = true
 	if !u.job.started {
@@ -301,3 +302,18 @@
 		c.jobRecords = append(c.jobRecords, Record{Key: StateKey(u.job.spec.ID), Value: EncodeState(jaytask.Running, c.wall)})
 	}
 }
+
+// placementReason tells whether a run on the runners is slowed down by
+// Settings.RemoteSlowdown.
+func placementReason(u *unit, runners []*candidate) string {
+	s := u.spec()
+	for _, cand := range runners {
+		switch {
+		case s.DataRack != "" && cand.rack != s.DataRack:
+			return "resources available away from its data"
+		case s.DataRack == "" && s.SameRack && cand.rack != runners[0].rack:
+			return "resources available across racks"
+		}
+	}
+	return "resources available"
+}
