--- a/cmd/jaystile/losses.go
+++ b/cmd/jaystile/losses.go
@@ -104,7 +104,7 @@
 }
 
 func groupToJSON(g jaylosses.Group) jobGroupJSON {
-	return jobGroupJSON{Jobs: g.Jobs, Refused: g.Refused, Started: g.Started, MeanWaitSeconds: g.MeanWait.Seconds(), MaxWaitSeconds: g.MaxWait.Seconds(), FinalStates: g.FinalStates}
+	return jobGroupJSON{Jobs: g.Jobs, Refused: g.Refused, Started: g.Started, MeanWaitSeconds: g.MeanWait().Seconds(), MaxWaitSeconds: g.MaxWait.Seconds(), FinalStates: g.FinalStates}
 }
 
 const groupHeader = "%5s %8s %6s %8s %8s  ended\n"
@@ -115,7 +115,7 @@
 		ended = append(ended, fmt.Sprintf("%s %d", name, n))
 	}
 	slices.Sort(ended)
-	fmt.Printf("%5d %8d %6d %8.2f %8.2f  %s\n", g.Jobs, g.Refused, g.Started, g.MeanWait.Seconds(), g.MaxWait.Seconds(), strings.Join(ended, ", "))
+	fmt.Printf("%5d %8d %6d %8.2f %8.2f  %s\n", g.Jobs, g.Refused, g.Started, g.MeanWait().Seconds(), g.MaxWait.Seconds(), strings.Join(ended, ", "))
 }
 
 func printLosses(r jaylosses.Report) {
--- a/internal/process/jaylosses/losses.go
+++ b/internal/process/jaylosses/losses.go
@@ -42,9 +42,10 @@
 	// Refused counts the refused submissions of jobs that were accepted in the end.
 	Refused int
 	Started int
-	// MeanWait and MaxWait are the times until the first start, of started jobs.
-	MeanWait time.Duration
-	MaxWait  time.Duration
+	// TotalWait and MaxWait are the sum and the greatest of the times until the first start,
+	// of started jobs.
+	TotalWait time.Duration
+	MaxWait   time.Duration
 	// FinalStates counts jobs by final state.
 	FinalStates map[string]int
 }
@@ -63,10 +64,13 @@
 	}
 	wait := j.started.Sub(j.Time)
 	g.Started++
-	g.MeanWait += (wait - g.MeanWait) / time.Duration(g.Started)
+	g.TotalWait += wait
 	g.MaxWait = max(g.MaxWait, wait)
 }
 
+// MeanWait returns the mean time until the first start, of started jobs.
+func (g *Group) MeanWait() time.Duration { return g.TotalWait / time.Duration(max(g.Started, 1)) }
+
 // Route summarizes the jobs of one route.
 type Route struct {
 	Group
--- a/internal/process/jaylosses/losses_test.go
+++ b/internal/process/jaylosses/losses_test.go
@@ -23,7 +23,7 @@
 	r, err := Read(strings.NewReader(log))
 	assert.NilError(t, err)
 	jobs := func(name string) Group {
-		return Group{Name: name, Jobs: 1, Refused: 1, Started: 1, MeanWait: time.Second, MaxWait: time.Second, FinalStates: map[string]int{"completed": 1}}
+		return Group{Name: name, Jobs: 1, Refused: 1, Started: 1, TotalWait: time.Second, MaxWait: time.Second, FinalStates: map[string]int{"completed": 1}}
 	}
 	assert.DeepEqual(t, r, Report{
 		Routes:       []Route{{Group: jobs("r"), Priority: 1}},
@@ -31,6 +31,8 @@
 		Losses:       []Loss{{Priority: 1, Outcome: "stopped", Reason: "room for another job", Runs: 1, CoreSeconds: 80}},
 		SkippedLines: 1,
 	})
+	assert.Equal(t, r.Routes[0].MeanWait(), time.Second)
+	assert.Equal(t, r.DataCentres[0].MeanWait(), time.Second)
 }
 
 func TestTooLongLineIsAnError(t *testing.T) {
--- a/internal/process/jaysupervisor/agent.go
+++ b/internal/process/jaysupervisor/agent.go
@@ -111,8 +111,8 @@
 	jaycontroller.Signal(a.termChanged)
 }
 
-// nextAddress returns the next address to dial: the leader's and, after each attempt
-// there that did not lead to a lease, that of another entry in turn, which may know a newer term.
+// nextAddress returns the next address to dial: the leader's and, after each attempt there
+// that did not lead to a lease, that of another entry in turn, which may know a newer term.
 func (a *Agent) nextAddress(failures int) string {
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
