--- a/internal/process/jaycontroller/links.go
+++ b/internal/process/jaycontroller/links.go
@@ -48,7 +48,7 @@
 	address := others[n%len(others)]
 	ask, cancel := context.WithTimeout(ctx, viewTimeout)
 	defer cancel()
-	l, _, err := c.endpoint.Dial(ask, address, &jayframe.Hello{Role: jayframe.RoleEntry, Address: c.Address, DataCentre: c.DataCentre})
+	l, err := c.dialEntry(ask, address)
 	if err != nil {
 		c.Logger.Debug().Str("event", "link").Str("address", address).Err(err).Msg("cannot ask another entry for the term")
 		return
@@ -82,7 +82,7 @@
 // whether there was one.
 func (c *Controller) serveLeaderLink(ctx context.Context, t Term) bool {
 	dial, cancel := context.WithTimeout(ctx, dialTimeout)
-	l, _, err := c.endpoint.Dial(dial, t.address, &jayframe.Hello{Role: jayframe.RoleEntry, Address: c.Address, DataCentre: c.DataCentre})
+	l, err := c.dialEntry(dial, t.address)
 	cancel()
 	if err != nil {
 		c.Logger.Debug().Str("event", "link").Str("peer", t.leader).Err(err).Msg("cannot reach the leader")
@@ -107,6 +107,11 @@
 	return true
 }
 
+func (c *Controller) dialEntry(ctx context.Context, address string) (*jaylink.Link, error) {
+	l, _, err := c.endpoint.Dial(ctx, address, &jayframe.Hello{Role: jayframe.RoleEntry, Address: c.Address, DataCentre: c.DataCentre})
+	return l, err
+}
+
 // linkOpened sends the newest term and the known entries to a new peer.
 func (c *Controller) linkOpened(l *jaylink.Link, hello *jayframe.Hello) {
 	c.mutex.Lock()
