--- a/internal/process/jaycontroller/relay.go
+++ b/internal/process/jaycontroller/relay.go
@@ -17,9 +17,7 @@
 const (
 	// relayTimeout bounds a relayed request, in addition to the time that the store may
 	// wait for new records.
-	relayTimeout      = 2 * time.Second
-	statusBusy        = 429
-	statusUnavailable = 503
+	relayTimeout = 2 * time.Second
 	// relayHops allows the leader to forward a relayed request to another entry that
 	// reaches the store.
 	relayHops = 1
@@ -123,8 +121,9 @@
 		}
 		return jaystore.Response{}, err
 	}
-	c.relays.record(l.Peer(), reply.Status != statusBusy && reply.Status != statusUnavailable)
-	return jaystore.Response{Status: reply.Status, Body: reply.Body}, nil
+	response := jaystore.Response{Status: reply.Status, Body: reply.Body}
+	c.relays.record(l.Peer(), !response.Unavailable())
+	return response, nil
 }
 
 // serveRelay forwards a peer's request to the store, through a third entry if this one
--- a/internal/process/jaystore/transport.go
+++ b/internal/process/jaystore/transport.go
@@ -30,6 +30,10 @@
 	Body   []byte
 }
 
+// Unavailable reports that the store, or the route to it, refused the request without
+// acting on it.
+func (r Response) Unavailable() bool { return r.Status == statusBusy || r.Status == statusUnavailable }
+
 const (
 	// directCooldown is how long requests go through a peer after a direct one
 	// failed, before the direct route is tried first again.
@@ -85,7 +89,7 @@
 
 func (t *Transport) recordResult(r Response, err error) {
 	now := int64(jayclock.Elapsed())
-	if err == nil && !isUnavailable(r.Status) {
+	if err == nil && !r.Unavailable() {
 		t.lastSuccess.Store(now)
 		callsServed.Inc()
 		return
@@ -142,7 +146,7 @@
 	return func(ctx context.Context, request Request) (Response, error) {
 		start := time.Now()
 		response, err := r(ctx, request)
-		if request.Wait == 0 && err == nil && !isUnavailable(response.Status) {
+		if request.Wait == 0 && err == nil && !response.Unavailable() {
 			t.latency.observe(time.Since(start))
 		}
 		return response, err
@@ -184,7 +188,7 @@
 		case r := <-results:
 			pending--
 			switch {
-			case r.err == nil && !isUnavailable(r.response.Status):
+			case r.err == nil && !r.response.Unavailable():
 				return r.response, nil
 			case r.err != nil:
 				noAnswer = r.err
@@ -212,7 +216,7 @@
 		t.avoidDirect("slower than a peer")
 	case err != nil:
 		t.avoidDirect(err.Error())
-	case isUnavailable(r.Status):
+	case r.Unavailable():
 		t.avoidDirect("refused")
 	default:
 		t.cooldownUntil.Store(0)
@@ -231,5 +235,3 @@
 		t.OnRouteChange(throughPeer, cause)
 	}
 }
-
-func isUnavailable(status int) bool { return status == statusBusy || status == statusUnavailable }
