--- a/internal/process/jaysupervisor/heartbeats.go
+++ b/internal/process/jaysupervisor/heartbeats.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"github.com/jaystile/jaystile/internal/process/jaycell"
-	"github.com/jaystile/jaystile/internal/process/jayclock"
 )
 
 const (
@@ -54,7 +53,7 @@
 		s.updateRunner(h)
 	}
 	// The runner has read the response to its previous heartbeat, and so its fence.
-	now := jayclock.Elapsed()
+	now := s.Elapsed()
 	s.applyListing(h.Listing, now, now, s.sentFence)
 	response := HeartbeatResponse{Fence: s.term, Acknowledged: s.acknowledged, NextHeartbeat: nextHeartbeatDelay}
 	if lease := s.grantedUntil - now - maxResponseDelay; lease > 0 {
--- a/internal/process/jaysupervisor/orders.go
+++ b/internal/process/jaysupervisor/orders.go
@@ -93,7 +93,7 @@
 
 // addResult records the result of an order that left no run behind.
 func (s *Supervisor) addResult(o jaycell.Order, refused bool, reason string) {
-	s.results = append(s.results, orderResult{OrderResult: jaycell.OrderResult{Task: o.Task, Run: o.Run, Refused: refused, Reason: reason}, recordedAt: jayclock.Elapsed()})
+	s.results = append(s.results, orderResult{OrderResult: jaycell.OrderResult{Task: o.Task, Run: o.Run, Refused: refused, Reason: reason}, recordedAt: s.Elapsed()})
 	jaycontroller.Signal(s.reportSignal)
 }
 
@@ -113,7 +113,7 @@
 		s.mutex.Lock()
 		request := Start{Incarnation: o.Runner, Task: o.Task, Run: o.Run, Spec: o.Spec, Checkpoint: o.Checkpoint, Ticket: o.Ticket, Deadline: s.leaseDeadline(), Fence: o.term}
 		draining := s.runner.Draining || s.deregistered
-		leased := s.grantedUntil-jayclock.Elapsed() > minLeaseLeft && request.Deadline > 0
+		leased := s.grantedUntil-s.Elapsed() > minLeaseLeft && request.Deadline > 0
 		s.mutex.Unlock()
 		if draining && !o.unanswered {
 			s.recordRefusal(o, ReasonDraining)
@@ -180,7 +180,7 @@
 // awaitListed waits until a listing shows a started run or its end, which removes the
 // order. If a listing requested after the call shows neither, the run has vanished.
 func (s *Supervisor) awaitListed(ctx context.Context, o *order) {
-	after := jayclock.Elapsed()
+	after := s.Elapsed()
 	jaycontroller.Signal(s.pollSignal)
 	for jayclock.Sleep(ctx, retryDelay) {
 		s.mutex.Lock()
@@ -210,7 +210,7 @@
 			return
 		}
 		if err == nil {
-			s.awaitEnd(ctx, o, jayclock.Elapsed())
+			s.awaitEnd(ctx, o, s.Elapsed())
 			return
 		}
 		s.Logger.Warn().Str("event", "stop").Str("task", o.Task).Int("run", o.Run).Err(err).Msg("stop call failed; retrying")
--- a/internal/process/jaysupervisor/supervisor.go
+++ b/internal/process/jaysupervisor/supervisor.go
@@ -73,6 +73,8 @@
 	Logger            zerolog.Logger
 	// SendReport sends a report to the leader.
 	SendReport func(r jaycell.Report)
+	// Elapsed returns the time that leases are measured by.
+	Elapsed func() time.Duration
 
 	ctx   context.Context
 	tasks conc.WaitGroup
@@ -113,7 +115,7 @@
 
 // New returns a supervisor without a runner.
 func New() *Supervisor {
-	return &Supervisor{orders: map[string]*order{}, reportSignal: make(chan struct{}, 1), pollSignal: make(chan struct{}, 1)}
+	return &Supervisor{Elapsed: jayclock.Elapsed, orders: map[string]*order{}, reportSignal: make(chan struct{}, 1), pollSignal: make(chan struct{}, 1)}
 }
 
 // Run supervises the runner until ctx is done.
@@ -161,8 +163,7 @@
 }
 
 // GrantLease allows the lease to be extended, counted from when the report with this
-// sequence number was sent: a report's sequence number is its time, as of
-// jayclock.Elapsed.
+// sequence number was sent: a report's sequence number is its time, as of Elapsed.
 func (s *Supervisor) GrantLease(term uint64, sequence int64) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
@@ -198,7 +199,7 @@
 		return
 	}
 	s.replaceRunner(h)
-	s.applyListing(listing, jayclock.Elapsed(), jayclock.Elapsed(), fence)
+	s.applyListing(listing, s.Elapsed(), s.Elapsed(), fence)
 	jaycontroller.Signal(s.pollSignal)
 }
 
@@ -242,9 +243,9 @@
 // pollContinuously long-polls the runner for ended runs.
 func (s *Supervisor) pollContinuously(ctx context.Context) {
 	for ctx.Err() == nil {
-		start := jayclock.Elapsed()
+		start := s.Elapsed()
 		ok := s.poll(ctx, renewalWait)
-		wait := minRenewalInterval - (jayclock.Elapsed() - start)
+		wait := minRenewalInterval - (s.Elapsed() - start)
 		if !ok {
 			wait = retryDelay
 		}
@@ -276,11 +277,11 @@
 	if idle {
 		return false
 	}
-	requestedAt := jayclock.Elapsed()
+	requestedAt := s.Elapsed()
 	call, cancel := context.WithTimeout(ctx, wait+callTimeout)
 	defer cancel()
 	listing, err := s.Client.Renew(call, renewal)
-	answeredAt := jayclock.Elapsed()
+	answeredAt := s.Elapsed()
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	if s.runner.ID != renewal.Incarnation {
@@ -359,7 +360,7 @@
 func (s *Supervisor) Report() jaycell.Report {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	now := jayclock.Elapsed()
+	now := s.Elapsed()
 	r := jaycell.Report{
 		Node: s.Node, Sequence: int64(now), Term: min(s.confirmedFence, s.term), Runner: s.runner, Deregistered: s.deregistered,
 		Responsive: !s.deregistered && s.lastResponse > 0 && now-s.lastResponse < max(responsiveTimeout, s.HeartbeatInterval*responsiveHeartbeats),
