Test the supervisors together with a cell and runners as in the protocol

Cause: tests of the supervisor have no cell, and the cell's model has an agent and runners that refuse more than the real ones: a start that is refused or comes due after the lapse of a lease leaves a mark there. So no test could show a run beginning after the leader had given it up.

What: a fleet of real supervisors and a real cell in simulated time, over model runners on which only stopped and ended runs leave a mark, with links that can be cut, healed late or replaced, paused agents and runners that do not answer. Two scenario tests: a start that is pending when its lease lapses, and a second copy of a refused start.

--- /dev/null
+++ b/internal/process/jaysupervisor/cell_test.go
@@ -0,0 +1,197 @@
+package jaysupervisor
+
+import (
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/jaystile/jaystile/internal/process/jaycell"
+	"github.com/jaystile/jaystile/internal/request/jaytask"
+)
+
+// until waits for a condition, which is checked with the mutex held.
+func (f *fleet) until(what string, limit time.Duration, ok func() bool) {
+	f.t.Helper()
+	for deadline := f.now() + limit; ; time.Sleep(time.Millisecond) {
+		f.mutex.Lock()
+		met, failed := ok(), f.failure != ""
+		if !met && !failed && f.now() > deadline {
+			f.fail("", "no %s within %s", what, limit)
+			failed = true
+		}
+		f.mutex.Unlock()
+		if met {
+			return
+		}
+		if failed {
+			f.close()
+			f.t.FailNow()
+		}
+	}
+}
+
+func (f *fleet) ended(j *jaytask.Job) func() bool {
+	return func() bool { return f.states[j.ID].Ended() }
+}
+
+// hasBegun reports whether a run of the job's first task has begun.
+func (f *fleet) hasBegun(j *jaytask.Job, run int) func() bool {
+	return func() bool {
+		x := f.begun[f.unitOf(jaycell.TaskName(j.ID, 0, 0, 0))]
+		return x != nil && x.run == run
+	}
+}
+
+// logged reports whether an event contains all parts.
+func (f *fleet) logged(parts ...string) func() bool {
+	return func() bool {
+		for _, e := range f.events {
+			all := true
+			for _, p := range parts {
+				all = all && strings.Contains(e.text, p)
+			}
+			if all {
+				return true
+			}
+		}
+		return false
+	}
+}
+
+// The agent of the first node is out of touch until the next run begins on the second.
+func TestPendingStartDoesNotOutliveItsLease(t *testing.T) {
+	for _, c := range []struct {
+		name       string
+		heartbeats bool
+		// leave makes the node lose touch with a start pending, and back ends that.
+		leave, back func(n *node, submit func())
+	}{
+		{"waiting for a lease in the agent", false, func(n *node, submit func()) {
+			n.link.cut(up)
+			time.Sleep(600 * time.Millisecond)
+			submit()
+			n.fleet.until("order", time.Second, n.fleet.logged("n0 gets order start"))
+			n.link.cut(down)
+		}, func(n *node, _ func()) { n.link.heal(up, down) }},
+		{"unanswered by the runner", false, func(n *node, submit func()) {
+			n.setSilent(true)
+			submit()
+			n.fleet.until("order", time.Second, n.fleet.logged("n0 gets order start"))
+			n.link.cut(up, down)
+		}, func(n *node, _ func()) { n.setSilent(false); n.link.heal(up, down) }},
+		{"while only the runner is out of touch", false, func(n *node, submit func()) {
+			n.setSilent(true)
+			submit()
+		}, func(n *node, _ func()) { n.setSilent(false) }},
+		{"in transit on the old link", false, func(n *node, submit func()) {
+			n.link.cut(down)
+			submit()
+			time.Sleep(150 * time.Millisecond)
+			n.link.cut(up)
+		}, func(n *node, _ func()) {
+			n.link.heal(up, down)
+			n.fleet.locked(n.connect)
+		}},
+		{"buffered while the agent pauses", false, func(n *node, submit func()) {
+			n.pause()
+			submit()
+		}, func(n *node, _ func()) { n.resume() }},
+		{"for a runner with orders by heartbeat", true, func(n *node, submit func()) {
+			n.setSilent(true)
+			submit()
+		}, func(n *node, _ func()) { n.setSilent(false) }},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				lease := time.Second
+				if c.heartbeats {
+					lease = 3 * time.Second
+				}
+				f := newFleet(t, lease, 1)
+				defer f.close()
+				n := f.addNode(c.heartbeats)
+				time.Sleep(2 * time.Second)
+				var j *jaytask.Job
+				c.leave(n, func() { j = f.submit(1, false, 3*time.Second) })
+				f.addNode(false)
+				f.until("second run", 2*lease, f.hasBegun(j, 2))
+				c.back(n, nil)
+				f.until("end of the job", 20*time.Second, f.ended(j))
+				time.Sleep(time.Second)
+				f.checkIdle()
+			})
+		})
+	}
+}
+
+func (n *node) setSilent(silent bool) {
+	n.fleet.locked(func() { n.runner.silent = silent })
+}
+
+// setRefusal makes the runner or its agent refuse starts for a reason; an empty one ends
+// that.
+func (n *node) setRefusal(reason string) {
+	n.fleet.locked(func() {
+		n.runner.refusal, n.runner.draining = reason, reason == ReasonDraining
+		n.fleet.logf("", "%s refuses starts: %q", n.runner.id, reason)
+	})
+	time.Sleep(250 * time.Millisecond)
+}
+
+// checkIdle requires that no supervisor has an order and no runner a run.
+func (f *fleet) checkIdle() {
+	for _, n := range f.nodes {
+		for _, o := range n.supervisor.Report().PendingOrders {
+			f.locked(func() { f.fail(o.Task, "%s still has order %s", n.name, describe(o)) })
+		}
+	}
+	f.locked(func() {
+		for _, x := range f.runs {
+			f.fail(x.task, "run %d is still on %s", x.run, x.runner.id)
+		}
+	})
+}
+
+// The leader repeats a start; the copy that arrives first is refused, the other accepted.
+func TestCopyOfRefusedStartDoesNotBegin(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		reason  string
+		oldLink bool
+	}{
+		{"no room", "room", true},
+		{"unhealthy", jaycell.ReasonUnhealthy, true},
+		{"draining", ReasonDraining, true},
+		{"unhealthy, copy on the same link", jaycell.ReasonUnhealthy, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFleet(t, 3*time.Second, 1)
+				defer f.close()
+				n := f.addNode(false)
+				time.Sleep(2 * time.Second)
+				first := n.link
+				first.cut(down)
+				j := f.submit(1, false, 3*time.Second)
+				time.Sleep(100 * time.Millisecond)
+				f.addNode(false)
+				n.setRefusal(c.reason)
+				if c.oldLink {
+					time.Sleep(400 * time.Millisecond)
+					f.locked(n.connect)
+				} else {
+					time.Sleep(1200 * time.Millisecond)
+					for first.deliverNext(down, true) && !f.logged("n0 gets order start")() {
+					}
+				}
+				f.until("second run", 5*time.Second, f.hasBegun(j, 2))
+				n.setRefusal("")
+				first.heal(down)
+				f.until("end of the job", 20*time.Second, f.ended(j))
+				time.Sleep(time.Second)
+				f.checkIdle()
+			})
+		})
+	}
+}
--- /dev/null
+++ b/internal/process/jaysupervisor/cellmodel_test.go
@@ -0,0 +1,459 @@
+package jaysupervisor
+
+import (
+	"cmp"
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/jaystile/jaystile/internal/process/jaycell"
+	"github.com/jaystile/jaystile/internal/process/jaycontroller"
+	"github.com/jaystile/jaystile/internal/request/jaytask"
+)
+
+// Directions of a link's messages.
+const (
+	up = iota
+	down
+)
+
+// fleet joins a leader's cell with supervisors over model runners, in simulated time. Its
+// mutex guards all state of the model.
+type fleet struct {
+	t      *testing.T
+	ctx    context.Context
+	stop   context.CancelFunc
+	group  sync.WaitGroup
+	lease  time.Duration
+	begin  time.Time
+	mutex  sync.Mutex
+	random *rand.Rand
+	// cell is the leader of the term; units and states are what it has stored.
+	cell       *jaycell.Cell
+	term       uint64
+	wake       chan struct{}
+	batch      *jaycell.Batch
+	storeDelay time.Duration
+	units      map[string][]byte
+	states     map[string]jaytask.State
+	endedAt    map[string]time.Duration
+	jobs       []*jaytask.Job
+	canceled   map[string]bool
+	nodes      []*node
+	// links are the leader's links by node.
+	links map[string]*link
+	runs  []*modelRun
+	// begun is the newest start of a unit, done when an end as done was acknowledged.
+	begun   map[string]*modelRun
+	done    map[string]time.Duration
+	events  []event
+	failure string
+	// failedTask is the task that failure is about.
+	failedTask string
+}
+
+// event is a line of the log; those without a task concern all.
+type event struct{ task, text string }
+
+func newFleet(t *testing.T, lease time.Duration, seed uint64) *fleet {
+	f := &fleet{t: t, lease: lease, begin: time.Now().Add(-time.Hour), random: rand.New(rand.NewPCG(seed, 0)), wake: make(chan struct{}, 1), storeDelay: 10 * time.Millisecond, units: map[string][]byte{}, states: map[string]jaytask.State{}, endedAt: map[string]time.Duration{}, canceled: map[string]bool{}, links: map[string]*link{}, begun: map[string]*modelRun{}, done: map[string]time.Duration{}}
+	f.ctx, f.stop = context.WithCancel(t.Context())
+	f.newTerm()
+	f.group.Go(func() {
+		ticker := time.NewTicker(100 * time.Millisecond)
+		defer ticker.Stop()
+		for f.ctx.Err() == nil {
+			f.tick()
+			select {
+			case <-f.ctx.Done():
+			case <-f.wake:
+			case <-ticker.C:
+			}
+		}
+	})
+	f.group.Go(func() {
+		for f.ctx.Err() == nil {
+			f.locked(f.advance)
+			time.Sleep(10 * time.Millisecond)
+		}
+	})
+	return f
+}
+
+func (f *fleet) locked(do func()) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	do()
+}
+
+func (f *fleet) now() time.Duration { return time.Since(f.begin) }
+
+// between returns a duration in milliseconds, with a fraction that keeps events apart.
+func (f *fleet) between(low, high int) time.Duration {
+	return time.Duration(low)*time.Millisecond + time.Duration(f.random.Int64N(int64(high-low)*int64(time.Millisecond)))
+}
+
+func (f *fleet) chance(p float64) bool { return f.random.Float64() < p }
+
+func (f *fleet) logf(task, format string, args ...any) {
+	f.events = append(f.events, event{task, fmt.Sprintf("%9.4f ", (f.now()-time.Hour).Seconds()) + fmt.Sprintf(format, args...)})
+}
+
+func (f *fleet) fail(task, format string, args ...any) {
+	f.logf(task, "FAILURE "+format, args...)
+	if f.failure == "" {
+		f.failure, f.failedTask = fmt.Sprintf(format, args...), task
+	}
+}
+
+// report fails the test with the log of the task that broke a rule, if any.
+func (f *fleet) report() {
+	f.t.Helper()
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	if f.failure == "" {
+		return
+	}
+	var lines []string
+	for _, e := range f.events {
+		if e.task == "" || strings.HasPrefix(e.task, f.failedTask) {
+			lines = append(lines, e.text)
+		}
+	}
+	f.t.Errorf("%s: %s\n%s", f.failedTask, f.failure, strings.Join(lines[max(0, len(lines)-400):], "\n"))
+	f.failure = ""
+}
+
+// close ends all processes.
+func (f *fleet) close() {
+	f.stop()
+	f.group.Wait()
+	f.report()
+}
+
+// newTerm makes another leader take over from the stored records.
+func (f *fleet) newTerm() {
+	f.term++
+	f.batch, f.links = nil, map[string]*link{}
+	f.logf("", "leader of term %d", f.term)
+	f.cell = jaycell.New(jaycell.Settings{
+		Term: f.term, Lease: f.lease, Retention: time.Hour, StopTimeout: modelStopTime, GangTimeout: modelGangTime, RemoteSlowdown: 1, Guaranteed: func(string) int { return 0 },
+		OnDecision: func(d jaycell.Decision) {
+			f.logf(d.Task, "leader: %s run %d %s %s %s %s", d.Task, d.Run, d.Event, d.Outcome, d.Runner, d.Reason)
+		},
+		OnInvariantViolation: func(what string, d jaycell.Decision) { f.fail(d.Task, "invariant: %s", what) },
+	}, f.now(), time.Now())
+	for _, j := range f.jobs {
+		if f.states[j.ID].Ended() {
+			continue
+		}
+		f.cell.Submit(j)
+		if f.states[j.ID] == jaytask.Running {
+			f.cell.MarkStarted(j.ID)
+		}
+	}
+	for key, value := range f.units {
+		if err := f.cell.RestoreUnit(jaycell.Record{Key: key, Value: value}); err != nil {
+			f.fail(key, "restore: %v", err)
+		}
+	}
+	for id := range f.canceled {
+		f.cell.Cancel(id)
+	}
+	for _, n := range f.nodes {
+		time.AfterFunc(f.between(5, 600), func() { f.locked(n.connect) })
+	}
+}
+
+func (f *fleet) submit(count int, gang bool, work time.Duration) *jaytask.Job {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	j := &jaytask.Job{ID: fmt.Sprintf("%016x", len(f.jobs)+1), Accepted: time.Now(), Policy: jaytask.Policy{Service: "s", MaxAttempts: 5, Stretch: 3, Objective: time.Minute}}
+	j.Steps = []jaytask.Step{{Count: count, Gang: gang, Estimate: work, Checkpoint: true, Resources: jaytask.Resources{CPU: 1}}}
+	f.jobs = append(f.jobs, j)
+	f.cell.SetTime(f.now(), time.Now())
+	f.cell.Submit(j)
+	jaycontroller.Signal(f.wake)
+	return j
+}
+
+// tick does what the leader does at a tick.
+func (f *fleet) tick() {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.cell.SetTime(f.now(), time.Now())
+	f.cell.Tick()
+	f.sendOrders(f.cell.TakeImmediateOrders())
+	if f.batch != nil {
+		return
+	}
+	b := f.cell.TakeBatch()
+	if b.Empty() {
+		return
+	}
+	f.batch = b
+	time.AfterFunc(f.storeDelay+f.between(1, 5), func() {
+		f.mutex.Lock()
+		defer f.mutex.Unlock()
+		if f.batch != b {
+			return
+		}
+		f.batch = nil
+		f.store(b)
+		f.cell.SetTime(f.now(), time.Now())
+		f.sendOrders(f.cell.ConfirmStored(b))
+		jaycontroller.Signal(f.wake)
+	})
+}
+
+func (f *fleet) store(b *jaycell.Batch) {
+	for _, r := range slices.Concat(b.Units, b.Deletions) {
+		if f.units[r.Key] = r.Value; r.Value == nil {
+			delete(f.units, r.Key)
+		}
+	}
+	for _, r := range b.JobStates {
+		id := strings.TrimPrefix(r.Key, jaycell.StateKey(""))
+		f.states[id], _, _ = jaycell.DecodeState(r.Value)
+		if f.states[id].Ended() {
+			f.endedAt[id] = f.now()
+		}
+	}
+}
+
+func (f *fleet) sendOrders(orders []jaycell.Order) {
+	byNode := map[string][]jaycell.Order{}
+	for _, o := range orders {
+		byNode[o.Node] = append(byNode[o.Node], o)
+		f.logf(o.Task, "leader: order %s to %s", describe(o), o.Runner)
+	}
+	term := f.term
+	for _, n := range f.nodes {
+		if l, sent := f.links[n.name], byNode[n.name]; l != nil && len(sent) > 0 {
+			l.send(down, func() {
+				f.locked(func() {
+					for _, o := range sent {
+						f.logf(o.Task, "%s gets order %s", n.name, describe(o))
+					}
+				})
+				l.supervisor.ApplyOrders(term, sent)
+			})
+		}
+	}
+}
+
+func describe(o jaycell.Order) string {
+	kind := [...]string{jaycell.OrderStart: "start", jaycell.OrderStop: "stop", jaycell.OrderAcknowledge: "acknowledge", jaycell.OrderThrottle: "throttle"}[o.Kind]
+	return fmt.Sprintf("%s %s run %d (%d)", kind, o.Task, o.Run, o.Number)
+}
+
+// link carries messages between an agent process and the leader of a term, in order.
+type link struct {
+	node       *node
+	supervisor *Supervisor
+	term       uint64
+	// closed links accept no messages; lost ones do not deliver those in transit either.
+	closed, lost bool
+	// cuts counts the reasons to hold back the messages of a direction.
+	cuts  [2]int
+	queue [2][]func()
+	due   [2]time.Duration
+}
+
+func (l *link) send(direction int, deliver func()) {
+	f := l.node.fleet
+	if l.closed {
+		return
+	}
+	l.due[direction] = max(l.due[direction]+time.Microsecond, f.now()+f.between(1, 6))
+	time.AfterFunc(l.due[direction]-f.now(), func() {
+		f.mutex.Lock()
+		l.queue[direction] = append(l.queue[direction], deliver)
+		f.mutex.Unlock()
+		l.flush(direction)
+	})
+}
+
+// flush delivers the messages that have arrived and are not held back.
+func (l *link) flush(direction int) {
+	for l.deliverNext(direction, false) {
+	}
+}
+
+// deliverNext delivers one message, even during a cut if forced. It reports whether there
+// was one.
+func (l *link) deliverNext(direction int, forced bool) bool {
+	l.node.fleet.mutex.Lock()
+	held := l.cuts[direction] > 0 && !forced || direction == down && l.node.paused != nil
+	if held || len(l.queue[direction]) == 0 {
+		l.node.fleet.mutex.Unlock()
+		return false
+	}
+	deliver := l.queue[direction][0]
+	l.queue[direction] = l.queue[direction][1:]
+	lost := l.lost || direction == down && l.supervisor != l.node.supervisor
+	l.node.fleet.mutex.Unlock()
+	if !lost {
+		deliver()
+	}
+	return true
+}
+
+// cut holds back the messages of the given directions.
+func (l *link) cut(directions ...int) {
+	l.node.fleet.locked(func() {
+		for _, d := range directions {
+			l.cuts[d]++
+		}
+		l.node.fleet.logf("", "link of %s cut %v", l.node.name, directions)
+	})
+}
+
+func (l *link) heal(directions ...int) {
+	l.node.fleet.locked(func() {
+		for _, d := range directions {
+			l.cuts[d]--
+		}
+		l.node.fleet.logf("", "link of %s healed %v", l.node.name, directions)
+	})
+	for _, d := range directions {
+		l.flush(d)
+	}
+}
+
+// handleReport does what the leader does with a report.
+func (f *fleet) handleReport(l *link, r jaycell.Report) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	if l.term != f.term {
+		return
+	}
+	r.NewConnection = f.links[r.Node] != l
+	f.links[r.Node] = l
+	f.cell.SetTime(f.now(), time.Now())
+	for _, o := range r.OrderResults {
+		f.logf(o.Task, "leader: result from %s: %s run %d refused %v %s", r.Node, o.Task, o.Run, o.Refused, o.Reason)
+	}
+	if f.cell.ApplyReport(r) {
+		term := f.term
+		l.send(down, func() { l.supervisor.GrantLease(term, r.Sequence) })
+	}
+	jaycontroller.Signal(f.wake)
+}
+
+// node is a machine with an agent process and a runner.
+type node struct {
+	fleet      *fleet
+	name       string
+	heartbeats bool
+	runner     *modelRunner
+	supervisor *Supervisor
+	link       *link
+	kill       context.CancelFunc
+	// paused is closed when a pause of the agent process ends.
+	paused   chan struct{}
+	sequence uint64
+	elapsed  time.Duration
+	clock    sync.Mutex
+}
+
+func (f *fleet) addNode(heartbeats bool) *node {
+	n := &node{fleet: f, name: fmt.Sprintf("n%d", len(f.nodes)), heartbeats: heartbeats}
+	f.locked(func() {
+		f.nodes = append(f.nodes, n)
+		n.newRunner()
+		n.launch()
+	})
+	f.group.Go(func() {
+		for f.ctx.Err() == nil {
+			n.heartbeat()
+			time.Sleep(200 * time.Millisecond)
+		}
+	})
+	return n
+}
+
+// now is the machine's clock; no two readings are equal.
+func (n *node) now() time.Duration {
+	n.clock.Lock()
+	defer n.clock.Unlock()
+	n.elapsed = max(n.elapsed+1, n.fleet.now())
+	return n.elapsed
+}
+
+// launch starts an agent process in place of the previous one, whose calls may still be
+// carried out.
+func (n *node) launch() {
+	if n.kill != nil {
+		n.kill()
+		n.fleet.logf("", "agent of %s killed", n.name)
+	}
+	ctx, cancel := context.WithCancel(n.fleet.ctx)
+	s := New()
+	s.Node, s.Lease, s.Elapsed, s.Logger, s.OrdersByHeartbeat, s.HeartbeatInterval = n.name, n.fleet.lease, n.now, zerolog.Nop(), n.heartbeats, 200*time.Millisecond
+	s.Client = n.client(ctx)
+	s.SendReport = func(r jaycell.Report) {
+		n.awaitResume(ctx)
+		n.fleet.locked(func() {
+			if l := n.link; ctx.Err() == nil && l != nil {
+				l.send(up, func() { n.fleet.handleReport(l, r) })
+			}
+		})
+	}
+	n.supervisor, n.kill = s, cancel
+	n.fleet.group.Go(func() { s.Run(ctx) })
+	n.connect()
+}
+
+// connect replaces the link to the leader.
+func (n *node) connect() {
+	if n.link != nil {
+		n.link.closed = true
+	}
+	n.fleet.logf("", "%s connects", n.name)
+	l := &link{node: n, supervisor: n.supervisor, term: n.fleet.term}
+	n.link = l
+	l.send(down, func() {
+		l.supervisor.SetTerm(l.term)
+		l.supervisor.ReportNow()
+	})
+}
+
+func (n *node) pause() {
+	n.fleet.locked(func() {
+		n.fleet.logf("", "agent of %s pauses", n.name)
+		n.paused = cmp.Or(n.paused, make(chan struct{}))
+	})
+}
+
+// resume ends a pause.
+func (n *node) resume() {
+	n.fleet.mutex.Lock()
+	l := n.link
+	if n.paused != nil {
+		n.fleet.logf("", "agent of %s goes on", n.name)
+		close(n.paused)
+		n.paused = nil
+	}
+	n.fleet.mutex.Unlock()
+	l.flush(down)
+}
+
+func (n *node) awaitResume(ctx context.Context) {
+	n.fleet.mutex.Lock()
+	paused := n.paused
+	n.fleet.mutex.Unlock()
+	if paused != nil {
+		select {
+		case <-paused:
+		case <-ctx.Done():
+		}
+	}
+}
--- /dev/null
+++ b/internal/process/jaysupervisor/runnermodel_test.go
@@ -0,0 +1,424 @@
+package jaysupervisor
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/jaystile/jaystile/internal/process/jaycell"
+	"github.com/jaystile/jaystile/internal/process/jayclock"
+	"github.com/jaystile/jaystile/internal/request/jaytask"
+)
+
+const (
+	modelStopTime = 200 * time.Millisecond
+	modelGangTime = 800 * time.Millisecond
+	modelSlots    = 3
+)
+
+// modelRunner is one incarnation of a runner. Only runs that were stopped or ended there
+// leave a mark.
+type modelRunner struct {
+	node  *node
+	id    string
+	alive bool
+	// rate is the speed of its clock; lenient runners check only their own lease, not the
+	// deadline of the start.
+	rate         float64
+	lenient      bool
+	fence        uint64
+	deadline     time.Duration
+	lapsedAt     time.Duration
+	marks        map[string]int
+	finished     []jaycell.End
+	endedAt      map[uint64]time.Duration
+	acknowledged uint64
+	draining     bool
+	// refusal is the reason for which all starts are refused.
+	refusal string
+	// silent runners get no calls; unreliable is the chance that a call goes astray.
+	silent     bool
+	unreliable float64
+	// fates are those of the next start calls.
+	fates []fate
+}
+
+// fate is when a call is executed, if at all, and whether it is answered.
+type fate struct {
+	delay              time.Duration
+	executed, answered bool
+}
+
+// modelRun is a run that has begun. Units are gangs or single tasks.
+type modelRun struct {
+	task, unit, checkpoint   string
+	run                      int
+	runner                   *modelRunner
+	work                     time.Duration
+	beganAt, endsAt, stopsAt time.Duration
+	ended                    bool
+}
+
+func (n *node) newRunner() {
+	if old := n.runner; old != nil {
+		old.alive = false
+		for _, x := range slices.Clone(n.fleet.runs) {
+			if x.runner == old {
+				old.end(x, jaycell.EndLost)
+			}
+		}
+	}
+	n.sequence++
+	n.runner = &modelRunner{node: n, id: fmt.Sprintf("%s-r%d", n.name, n.sequence), alive: true, rate: 1 - 0.02*float64(n.sequence%2), lenient: n.fleet.chance(0.5), marks: map[string]int{}, endedAt: map[uint64]time.Duration{}}
+	n.fleet.logf("", "runner %s begins", n.runner.id)
+}
+
+func (r *modelRunner) clock() time.Duration {
+	return time.Duration(float64(r.node.fleet.now()) * r.rate)
+}
+
+// fateOf draws what happens to a call that is made now.
+func (r *modelRunner) fateOf(start bool) fate {
+	f := r.node.fleet
+	x := fate{delay: f.between(1, 4), executed: true, answered: true}
+	switch {
+	case r.silent:
+		return fate{delay: f.between(400, 2500), executed: f.chance(r.unreliable)}
+	case start && len(r.fates) > 0:
+		x, r.fates = r.fates[0], r.fates[1:]
+	case f.chance(r.unreliable):
+		switch f.random.IntN(4) {
+		case 0:
+			x.executed, x.answered = false, false
+		case 1:
+			x.answered = false
+		case 2:
+			x = fate{delay: f.between(5, 350), executed: true, answered: true}
+		case 3:
+			x = fate{delay: f.between(300, 4000), executed: true}
+		}
+	}
+	return x
+}
+
+// call makes a call, which may be executed after the caller has given it up.
+func (n *node) call(ctx, process context.Context, what, task string, execute func(r *modelRunner) error) error {
+	n.awaitResume(process)
+	if process.Err() != nil {
+		return &NoAnswerError{Call: what, Cause: "process ended"}
+	}
+	f := n.fleet
+	answer := make(chan error, 1)
+	f.mutex.Lock()
+	x := n.runner.fateOf(strings.HasPrefix(what, "start"))
+	f.mutex.Unlock()
+	if x.executed {
+		time.AfterFunc(x.delay, func() {
+			f.mutex.Lock()
+			defer f.mutex.Unlock()
+			f.advance()
+			err := execute(n.runner)
+			if task != "" {
+				f.logf(task, "%s %s: %v (sent %s ago, answered %v)", n.runner.id, what, err, x.delay, x.answered)
+			}
+			if x.answered {
+				answer <- err
+			}
+		})
+	}
+	select {
+	case err := <-answer:
+		n.awaitResume(process)
+		return err
+	case <-ctx.Done():
+		n.awaitResume(process)
+		return &NoAnswerError{Call: what, Cause: "timeout"}
+	}
+}
+
+func (n *node) client(process context.Context) RunnerClient {
+	return RunnerClient{
+		Start: func(ctx context.Context, s Start) error {
+			return n.call(ctx, process, fmt.Sprintf("start %s run %d", s.Task, s.Run), s.Task, func(r *modelRunner) error { return r.start(s) })
+		},
+		Stop: func(ctx context.Context, s Stop) error {
+			return n.call(ctx, process, fmt.Sprintf("stop %s run %d", s.Task, s.Run), s.Task, func(r *modelRunner) error { return r.stop(s) })
+		},
+		Renew: func(ctx context.Context, q Renewal) (Listing, error) {
+			if err := n.call(ctx, process, "renew", "", func(r *modelRunner) error { return r.renew(q) }); err != nil {
+				return Listing{}, err
+			}
+			return n.list(ctx, q)
+		},
+		Throttle: func(context.Context, Throttle) error { return nil },
+	}
+}
+
+// list answers a renewal once a run has ended or its time is over.
+func (n *node) list(ctx context.Context, q Renewal) (Listing, error) {
+	until := n.fleet.now() + q.Wait
+	for {
+		n.fleet.mutex.Lock()
+		r := n.runner
+		l, ready := r.listing(), len(r.finished) > 0 || n.fleet.now() >= until
+		silent := r.silent || r.id != q.Incarnation
+		n.fleet.mutex.Unlock()
+		if ready && !silent {
+			return l, nil
+		}
+		if !jayclock.Sleep(ctx, 20*time.Millisecond) {
+			return Listing{}, &NoAnswerError{Call: "renew", Cause: "timeout"}
+		}
+	}
+}
+
+func (r *modelRunner) extend(deadline time.Duration) { r.deadline = max(r.deadline, deadline) }
+
+func (r *modelRunner) start(s Start) error {
+	f := r.node.fleet
+	switch {
+	case s.Incarnation != r.id:
+		return &ReplacedError{Incarnation: r.id}
+	case r.refusal == jaycell.ReasonUnhealthy:
+		return &RefusedError{Call: "start", Reason: r.refusal}
+	case s.Fence < r.fence:
+		return &RefusedError{Call: "start", Reason: ReasonFence}
+	}
+	r.fence = s.Fence
+	r.extend(s.Deadline)
+	if r.clock() > r.deadline || r.clock() > s.Deadline && !r.lenient {
+		return &RefusedError{Call: "start", Reason: ReasonLeaseExpired}
+	}
+	used := 0
+	for _, x := range f.runs {
+		if x.runner == r && x.task == s.Task && x.run == s.Run {
+			return nil
+		}
+		if x.runner == r {
+			used++
+		}
+	}
+	if r.marks[s.Task] >= s.Run {
+		return &RefusedError{Call: "start", Reason: "old"}
+	}
+	if r.refusal != "" || used >= modelSlots {
+		return &RefusedError{Call: "start", Reason: "room"}
+	}
+	f.beginRun(r, s)
+	return nil
+}
+
+func (r *modelRunner) stop(s Stop) error {
+	f := r.node.fleet
+	switch {
+	case s.Incarnation != r.id:
+		return &ReplacedError{Incarnation: r.id}
+	case s.Fence < r.fence:
+		return &RefusedError{Call: "stop", Reason: ReasonFence}
+	}
+	r.fence = s.Fence
+	r.marks[s.Task] = max(r.marks[s.Task], s.Run)
+	for _, x := range f.runs {
+		if x.runner == r && x.task == s.Task && x.run == s.Run && x.stopsAt == 0 {
+			x.stopsAt = f.now() + f.between(2, int(modelStopTime.Milliseconds()))
+		}
+	}
+	return nil
+}
+
+func (r *modelRunner) renew(q Renewal) error {
+	switch {
+	case q.Incarnation != r.id:
+		return &ReplacedError{Incarnation: r.id}
+	case q.Fence < r.fence:
+		return &RefusedError{Call: "renew", Reason: ReasonFence}
+	}
+	r.fence = q.Fence
+	r.extend(q.Deadline)
+	r.acknowledge(q.Acknowledged)
+	return nil
+}
+
+// acknowledge forgets ends. Those as done count from now on, unless the lease has lapsed
+// after them.
+func (r *modelRunner) acknowledge(number uint64) {
+	f := r.node.fleet
+	for len(r.finished) > 0 && r.finished[0].Number <= number {
+		e := r.finished[0]
+		r.finished = r.finished[1:]
+		unit, at := f.unitOf(e.Task), r.endedAt[e.Number]
+		f.logf(e.Task, "%s: end of %s run %d as %s acknowledged", r.id, e.Task, e.Run, e.Reason)
+		if e.Reason != jaycell.EndDone || r.lapsedAt >= at {
+			continue
+		}
+		f.done[unit] = at
+		if x := f.begun[unit]; x.beganAt > at {
+			f.fail(x.task, "run %d began on %s after run %d was done", x.run, x.runner.id, e.Run)
+		}
+	}
+}
+
+func (r *modelRunner) listing() Listing {
+	l := Listing{Clock: r.clock(), Finished: slices.Clone(r.finished)}
+	now := r.node.fleet.now()
+	for _, x := range r.node.fleet.runs {
+		if x.runner != r {
+			continue
+		}
+		percent := 0
+		if x.endsAt > 0 {
+			percent = int(100 * (x.work - max(0, x.endsAt-now)) / x.work)
+		}
+		l.Running = append(l.Running, jaycell.Run{Task: x.task, Run: x.run, Checkpoint: x.checkpoint, Percent: percent})
+	}
+	return l
+}
+
+func (f *fleet) jobOf(task string) *jaytask.Job {
+	for _, j := range f.jobs {
+		if strings.HasPrefix(task, j.ID) {
+			return j
+		}
+	}
+	return nil
+}
+
+// unitOf returns the name of the gang of a task, or of the task itself.
+func (f *fleet) unitOf(task string) string {
+	if f.jobOf(task).Steps[0].Gang {
+		return task[:strings.LastIndexByte(task, '.')+1]
+	}
+	return task
+}
+
+// beginRun checks and begins a run.
+func (f *fleet) beginRun(r *modelRunner, s Start) {
+	unit, now, job := f.unitOf(s.Task), f.now(), f.jobOf(s.Task)
+	x := &modelRun{task: s.Task, unit: unit, run: s.Run, runner: r, beganAt: now, checkpoint: s.Checkpoint, work: job.Steps[0].Estimate}
+	for _, other := range f.runs {
+		switch {
+		case other.unit != unit:
+		case other.task == s.Task || other.run != s.Run:
+			f.fail(s.Task, "run %d begins on %s while run %d of %s is on %s", s.Run, r.id, other.run, other.task, other.runner.id)
+		case other.checkpoint != s.Checkpoint:
+			f.fail(s.Task, "run %d has checkpoint %q, another member %q", s.Run, s.Checkpoint, other.checkpoint)
+		}
+	}
+	if at, ok := f.done[unit]; ok {
+		f.fail(s.Task, "run %d begins on %s %s after it was done", s.Run, r.id, now-at)
+	}
+	if at, ok := f.endedAt[job.ID]; ok && now-at > 2*f.lease {
+		f.fail(s.Task, "run %d begins on %s %s after the end of its job", s.Run, r.id, now-at)
+	}
+	f.runs, f.begun[unit] = append(f.runs, x), x
+	f.logf(s.Task, "%s: run %d of %s begins", r.id, s.Run, s.Task)
+}
+
+// advance lets time pass for all runners.
+func (f *fleet) advance() {
+	now := f.now()
+	for _, n := range f.nodes {
+		if n.runner.clock() > n.runner.deadline {
+			n.runner.lapsedAt = now
+		}
+	}
+	members := map[string]int{}
+	for _, x := range f.runs {
+		members[x.unit]++
+	}
+	for _, x := range slices.Clone(f.runs) {
+		step := f.jobOf(x.task).Steps[0]
+		switch {
+		case x.ended:
+		case x.runner.lapsedAt == now:
+			x.runner.end(x, jaycell.EndLapsed)
+		case x.stopsAt > 0 && now >= x.stopsAt:
+			x.runner.end(x, jaycell.EndStopped)
+		case x.endsAt > 0 && now >= x.endsAt && f.chance(0.05*x.runner.unreliable):
+			x.runner.end(x, jaycell.EndFailed)
+		case x.endsAt > 0 && now >= x.endsAt:
+			x.runner.end(x, jaycell.EndDone)
+		case x.endsAt == 0 && (!step.Gang || members[x.unit] == step.Count):
+			x.endsAt = now + x.work
+		case x.endsAt == 0 && now > x.beganAt+modelGangTime:
+			x.runner.end(x, jaycell.EndGangIncomplete)
+		}
+	}
+}
+
+// end ends a run. The other members of its gang are done or broken with it.
+func (r *modelRunner) end(x *modelRun, reason jaycell.EndReason) {
+	f := r.node.fleet
+	if x.ended {
+		return
+	}
+	x.ended = true
+	f.runs = slices.DeleteFunc(f.runs, func(y *modelRun) bool { return x == y })
+	r.marks[x.task] = max(r.marks[x.task], x.run)
+	number := uint64(len(r.endedAt) + 1)
+	r.endedAt[number] = f.now()
+	checkpoint := fmt.Sprintf("%s/%d", x.unit, x.run)
+	r.finished = append(r.finished, jaycell.End{Number: number, Task: x.task, Run: x.run, Reason: reason, Checkpoint: checkpoint})
+	f.logf(x.task, "%s: run %d of %s ends as %s", r.id, x.run, x.task, reason)
+	others := reason
+	if reason != jaycell.EndDone {
+		others = jaycell.EndGangBroken
+	}
+	for _, y := range slices.Clone(f.runs) {
+		if y.unit == x.unit && y.run == x.run {
+			y.runner.end(y, others)
+		}
+	}
+}
+
+// heartbeat sends a heartbeat of the runner and carries out the response.
+func (n *node) heartbeat() {
+	f := n.fleet
+	n.awaitResume(f.ctx)
+	f.mutex.Lock()
+	f.advance()
+	r, s := n.runner, n.supervisor
+	n.sequence++
+	h := Heartbeat{Sequence: n.sequence, Runner: jaycell.RunnerInfo{ID: r.id, Service: "s", Capacity: jaytask.Resources{CPU: modelSlots}, Draining: r.draining, DrainRemaining: 10 * time.Second}}
+	if n.heartbeats {
+		h.Listing = r.listing()
+	}
+	x := r.fateOf(false)
+	f.mutex.Unlock()
+	if !n.heartbeats {
+		if x.answered {
+			s.HandleHeartbeat(f.ctx, h)
+		}
+		return
+	}
+	sentAt := f.now()
+	if !x.executed || !jayclock.Sleep(f.ctx, min(x.delay, time.Second)) {
+		return
+	}
+	n.awaitResume(f.ctx)
+	response := s.ExchangeHeartbeat(h)
+	if !jayclock.Sleep(f.ctx, 2*time.Millisecond) || !x.answered || f.now()-sentAt > time.Second {
+		return
+	}
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.advance()
+	if n.runner != r || response.Fence < r.fence || response.NextHeartbeat == 0 {
+		return
+	}
+	r.fence = response.Fence
+	r.acknowledge(response.Acknowledged)
+	if response.Lease > 0 {
+		r.extend(r.clock() + response.Lease)
+	}
+	for _, o := range response.Stops {
+		o.Incarnation, o.Fence = r.id, r.fence
+		f.logf(o.Task, "%s heartbeat: stop %s run %d: %v", r.id, o.Task, o.Run, r.stop(o))
+	}
+	for _, o := range response.Starts {
+		o.Incarnation, o.Fence, o.Deadline = r.id, r.fence, r.deadline
+		f.logf(o.Task, "%s heartbeat: start %s run %d: %v", r.id, o.Task, o.Run, r.start(o))
+	}
+}
