Test a killed agent's start and a late end against a real cell

Cause: two more ways by which a run can begin after its task was given up or done: the call of a killed agent, which its successor does not know of, and an end as done that is acknowledged but not counted because a later run exists.

What: two scenario tests, and the first version of a test that injects faults at random over 40 seeds (not yet evaluated). The model of links and nodes has its own file.

--- a/internal/process/jaysupervisor/cell_test.go
+++ b/internal/process/jaysupervisor/cell_test.go
@@ -17,7 +17,7 @@
 		f.mutex.Lock()
 		met, failed := ok(), f.failure != ""
 		if !met && !failed && f.now() > deadline {
-			f.fail("", "no %s within %s", what, limit)
+			f.fail(f.stuck, "no %s within %s", what, limit)
 			failed = true
 		}
 		f.mutex.Unlock()
@@ -129,13 +129,15 @@
 	n.fleet.locked(func() { n.runner.silent = silent })
 }
 
+func (r *modelRunner) refuse(reason string) {
+	r.refusal, r.draining = reason, reason == ReasonDraining
+	r.node.fleet.logf("", "%s refuses starts: %q", r.id, reason)
+}
+
 // setRefusal makes the runner or its agent refuse starts for a reason; an empty one ends
 // that.
 func (n *node) setRefusal(reason string) {
-	n.fleet.locked(func() {
-		n.runner.refusal, n.runner.draining = reason, reason == ReasonDraining
-		n.fleet.logf("", "%s refuses starts: %q", n.runner.id, reason)
-	})
+	n.fleet.locked(func() { n.runner.refuse(reason) })
 	time.Sleep(250 * time.Millisecond)
 }
 
@@ -195,3 +197,54 @@
 		})
 	}
 }
+
+// The old agent's call is carried out after the new agent's copy was refused.
+func TestUnansweredStartOfKilledAgentDoesNotBegin(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 3*time.Second, 1)
+		defer f.close()
+		n := f.addNode(false)
+		time.Sleep(2 * time.Second)
+		f.locked(func() { n.runner.fates = []fate{{delay: 2200 * time.Millisecond, executed: true}} })
+		j := f.submit(1, false, 3*time.Second)
+		f.until("order", time.Second, f.logged("n0 gets order start"))
+		time.Sleep(20 * time.Millisecond)
+		f.locked(n.launch)
+		f.addNode(false)
+		n.setRefusal("room")
+		f.until("second run", 5*time.Second, f.hasBegun(j, 2))
+		n.setRefusal("")
+		f.until("end of the job", 20*time.Second, f.ended(j))
+		time.Sleep(time.Second)
+		f.checkIdle()
+	})
+}
+
+// A run that was done before its lease lapsed is listed while the next run goes on.
+func TestLateEndAsDoneCompletesTheTask(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, time.Second, 1)
+		defer f.close()
+		n := f.addNode(false)
+		time.Sleep(2 * time.Second)
+		j := f.submit(1, false, 500*time.Millisecond)
+		f.until("first run", time.Second, f.hasBegun(j, 1))
+		n.link.cut(up, down)
+		f.addNode(false)
+		f.until("second run", 3*time.Second, f.hasBegun(j, 2))
+		second := f.begun[jaycell.TaskName(j.ID, 0, 0, 0)]
+		time.Sleep(50 * time.Millisecond)
+		f.locked(func() { second.endsAt += 5 * time.Second })
+		n.link.heal(up, down)
+		f.until("acknowledgement", 2*time.Second, f.logged("run 1 as done acknowledged"))
+		f.locked(func() { second.runner.end(second, jaycell.EndFailed) })
+		f.until("end of the job", 20*time.Second, f.ended(j))
+		time.Sleep(time.Second)
+		f.locked(func() {
+			if last := f.begun[second.unit]; last != second {
+				f.fail(last.task, "run %d began after the end of run 1 as done was acknowledged", last.run)
+			}
+		})
+		f.checkIdle()
+	})
+}
--- /dev/null
+++ b/internal/process/jaysupervisor/faults_test.go
@@ -0,0 +1,174 @@
+package jaysupervisor
+
+import (
+	"os"
+	"strconv"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/jaystile/jaystile/internal/process/jaycell"
+)
+
+// jointSeeds is how many seeds every test run plays.
+const jointSeeds = 40
+
+// TestSupervisorsAndCellUnderFaults injects faults in series and overlapping, and checks
+// what the runners see. JAYSTILE_JOINT selects other seeds, as FIRST-LAST.
+func TestSupervisorsAndCellUnderFaults(t *testing.T) {
+	first, last := uint64(1), uint64(jointSeeds)
+	if seeds := os.Getenv("JAYSTILE_JOINT"); seeds != "" {
+		from, to, _ := strings.Cut(seeds, "-")
+		var err error
+		first, err = strconv.ParseUint(from, 10, 64)
+		assert.NilError(t, err)
+		last, err = strconv.ParseUint(to, 10, 64)
+		assert.NilError(t, err)
+	}
+	for seed := first; seed <= last; seed++ {
+		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) { playFaults(t, seed) })
+		})
+	}
+}
+
+func playFaults(t *testing.T, seed uint64) {
+	lease, heartbeats := time.Second, seed%4 == 0
+	if heartbeats {
+		lease = 3 * time.Second
+	}
+	f := newFleet(t, lease, seed)
+	defer f.close()
+	for i := range 3 + int(seed%2) {
+		f.addNode(heartbeats && i == 0)
+	}
+	time.Sleep(2 * time.Second)
+	for until := f.now() + 20*time.Second; f.now() < until && !f.failed(); {
+		var wait time.Duration
+		f.locked(func() {
+			f.injectFault()
+			wait = f.between(10, 250)
+		})
+		time.Sleep(wait)
+	}
+	// The last faults end.
+	time.Sleep(2 * maxFault)
+	f.until("end of all jobs", 60*time.Second, func() bool {
+		for _, j := range f.jobs {
+			if !f.states[j.ID].Ended() {
+				f.stuck = j.ID
+				return false
+			}
+		}
+		return true
+	})
+	time.Sleep(6 * time.Second)
+	f.checkIdle()
+}
+
+// maxFault is longer than any fault.
+const maxFault = 4 * time.Second
+
+func (f *fleet) failed() bool {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.failure != ""
+}
+
+// later calls a function without the mutex after a delay that is often longer than a lease.
+func (f *fleet) later(do func()) {
+	delay := f.between(20, 600)
+	if f.chance(0.5) {
+		delay = f.between(600, 3500)
+	}
+	time.AfterFunc(delay, do)
+}
+
+// injectFault submits or cancels a job or begins a fault. The mutex is held.
+func (f *fleet) injectFault() {
+	n := f.nodes[f.random.IntN(len(f.nodes))]
+	r := n.runner
+	switch f.random.IntN(20) {
+	case 0, 1, 2, 3, 4, 5:
+		unfinished := 0
+		for _, j := range f.jobs {
+			if !f.states[j.ID].Ended() {
+				unfinished++
+			}
+		}
+		if unfinished < 4 {
+			f.submitLocked(1+f.random.IntN(4), f.chance(0.3), f.between(50, 2500))
+		}
+	case 6, 7, 8, 9:
+		f.cutAtRandom(n.link)
+	case 10, 11:
+		n.pauseLocked()
+		f.later(n.resume)
+	case 12:
+		n.launch()
+	case 13:
+		r.silent = true
+		f.logf("", "%s is silent", r.id)
+		f.later(func() { f.locked(func() { r.silent = false; f.logf("", "%s is no longer silent", r.id) }) })
+	case 14, 15:
+		reasons := []string{"room", jaycell.ReasonUnhealthy, ReasonDraining}
+		r.refuse(reasons[f.random.IntN(len(reasons))])
+		f.later(func() { f.locked(func() { r.refuse("") }) })
+	case 16, 17:
+		r.unreliable = 0.1 + 0.6*f.random.Float64()
+		f.logf("", "%s is unreliable", r.id)
+		f.later(func() { f.locked(func() { r.unreliable = 0; f.logf("", "%s is reliable", r.id) }) })
+	case 18:
+		switch f.random.IntN(4) {
+		case 0:
+			n.newRunner()
+		case 1:
+			f.newTerm()
+		default:
+			f.storeDelay = f.between(100, 900)
+			f.later(func() { f.locked(func() { f.storeDelay = 10 * time.Millisecond }) })
+		}
+	case 19:
+		if j := f.jobs; len(j) > 0 && f.chance(0.3) {
+			id := j[len(j)-1].ID
+			f.logf(id, "cancel %s", id)
+			f.canceled[id] = true
+			f.cell.Cancel(id)
+		}
+	}
+}
+
+// cutAtRandom cuts a link. Afterwards it goes on, or is replaced before or after its data
+// in transit has arrived, or loses them.
+func (f *fleet) cutAtRandom(l *link) {
+	directions := [][]int{{up}, {down}, {up, down}}[f.random.IntN(3)]
+	outcome := f.random.IntN(4)
+	l.cutLocked(directions)
+	f.later(func() {
+		switch outcome {
+		case 0:
+			f.locked(func() { l.lost = true })
+			fallthrough
+		case 1:
+			f.locked(l.replace)
+			time.Sleep(20 * time.Millisecond)
+			l.heal(directions...)
+		case 2:
+			l.heal(directions...)
+			f.locked(l.replace)
+		case 3:
+			l.heal(directions...)
+		}
+	})
+}
+
+// replace opens a new link in place of this one, unless there is one.
+func (l *link) replace() {
+	if l.node.link == l {
+		l.node.connect()
+	}
+}
--- /dev/null
+++ b/internal/process/jaysupervisor/nodemodel_test.go
@@ -0,0 +1,211 @@
+package jaysupervisor
+
+import (
+	"cmp"
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/jaystile/jaystile/internal/process/jaycell"
+)
+
+// Directions of a link's messages.
+const (
+	up = iota
+	down
+)
+
+// link carries messages between an agent process and the leader of a term, in order.
+type link struct {
+	node       *node
+	supervisor *Supervisor
+	term       uint64
+	// closed links accept no messages; lost ones do not deliver those in transit either.
+	closed, lost bool
+	// cuts counts the reasons to hold back the messages of a direction.
+	cuts  [2]int
+	queue [2][]func()
+	due   [2]time.Duration
+}
+
+func (l *link) send(direction int, deliver func()) {
+	f := l.node.fleet
+	if l.closed {
+		return
+	}
+	l.due[direction] = max(l.due[direction]+time.Microsecond, f.now()+f.between(1, 6))
+	time.AfterFunc(l.due[direction]-f.now(), func() {
+		f.mutex.Lock()
+		l.queue[direction] = append(l.queue[direction], deliver)
+		f.mutex.Unlock()
+		l.flush(direction)
+	})
+}
+
+// flush delivers the messages that have arrived and are not held back.
+func (l *link) flush(direction int) {
+	for l.deliverNext(direction, false) {
+	}
+}
+
+// deliverNext delivers one message, even during a cut if forced. It reports whether there
+// was one.
+func (l *link) deliverNext(direction int, forced bool) bool {
+	l.node.fleet.mutex.Lock()
+	held := l.cuts[direction] > 0 && !forced || direction == down && l.node.paused != nil
+	if held || len(l.queue[direction]) == 0 {
+		l.node.fleet.mutex.Unlock()
+		return false
+	}
+	deliver := l.queue[direction][0]
+	l.queue[direction] = l.queue[direction][1:]
+	lost := l.lost || direction == down && l.supervisor != l.node.supervisor
+	l.node.fleet.mutex.Unlock()
+	if !lost {
+		deliver()
+	}
+	return true
+}
+
+// cut holds back the messages of the given directions.
+func (l *link) cut(directions ...int) {
+	l.node.fleet.locked(func() { l.cutLocked(directions) })
+}
+
+func (l *link) cutLocked(directions []int) {
+	for _, d := range directions {
+		l.cuts[d]++
+	}
+	l.node.fleet.logf("", "link of %s cut %v", l.node.name, directions)
+}
+
+func (l *link) heal(directions ...int) {
+	l.node.fleet.locked(func() {
+		for _, d := range directions {
+			l.cuts[d]--
+		}
+		l.node.fleet.logf("", "link of %s healed %v", l.node.name, directions)
+	})
+	for _, d := range directions {
+		l.flush(d)
+	}
+}
+
+// node is a machine with an agent process and a runner.
+type node struct {
+	fleet      *fleet
+	name       string
+	heartbeats bool
+	runner     *modelRunner
+	supervisor *Supervisor
+	link       *link
+	kill       context.CancelFunc
+	// paused is closed when a pause of the agent process ends.
+	paused   chan struct{}
+	sequence uint64
+	elapsed  time.Duration
+	clock    sync.Mutex
+}
+
+func (f *fleet) addNode(heartbeats bool) *node {
+	n := &node{fleet: f, name: fmt.Sprintf("n%d", len(f.nodes)), heartbeats: heartbeats}
+	f.locked(func() {
+		f.nodes = append(f.nodes, n)
+		n.newRunner()
+		n.launch()
+	})
+	f.group.Go(func() {
+		for f.ctx.Err() == nil {
+			n.heartbeat()
+			time.Sleep(200 * time.Millisecond)
+		}
+	})
+	return n
+}
+
+// now is the machine's clock; no two readings are equal.
+func (n *node) now() time.Duration {
+	n.clock.Lock()
+	defer n.clock.Unlock()
+	n.elapsed = max(n.elapsed+1, n.fleet.now())
+	return n.elapsed
+}
+
+// launch starts an agent process in place of the previous one, whose calls may still be
+// carried out.
+func (n *node) launch() {
+	if n.kill != nil {
+		n.kill()
+		n.fleet.logf("", "agent of %s killed", n.name)
+	}
+	if n.paused != nil {
+		close(n.paused)
+		n.paused = nil
+	}
+	ctx, cancel := context.WithCancel(n.fleet.ctx)
+	s := New()
+	s.Node, s.Lease, s.Elapsed, s.Logger, s.OrdersByHeartbeat, s.HeartbeatInterval = n.name, n.fleet.lease, n.now, zerolog.Nop(), n.heartbeats, 200*time.Millisecond
+	s.Client = n.client(ctx)
+	s.SendReport = func(r jaycell.Report) {
+		n.awaitResume(ctx)
+		n.fleet.locked(func() {
+			if l := n.link; ctx.Err() == nil && l != nil {
+				l.send(up, func() { n.fleet.handleReport(l, r) })
+			}
+		})
+	}
+	n.supervisor, n.kill = s, cancel
+	n.fleet.group.Go(func() { s.Run(ctx) })
+	n.connect()
+}
+
+// connect replaces the link to the leader.
+func (n *node) connect() {
+	if n.link != nil {
+		n.link.closed = true
+	}
+	n.fleet.logf("", "%s connects", n.name)
+	l := &link{node: n, supervisor: n.supervisor, term: n.fleet.term}
+	n.link = l
+	l.send(down, func() {
+		l.supervisor.SetTerm(l.term)
+		l.supervisor.ReportNow()
+	})
+}
+
+func (n *node) pause() {
+	n.fleet.locked(n.pauseLocked)
+}
+
+func (n *node) pauseLocked() {
+	n.fleet.logf("", "agent of %s pauses", n.name)
+	n.paused = cmp.Or(n.paused, make(chan struct{}))
+}
+
+// resume ends a pause.
+func (n *node) resume() {
+	n.fleet.mutex.Lock()
+	l := n.link
+	if n.paused != nil {
+		n.fleet.logf("", "agent of %s goes on", n.name)
+		close(n.paused)
+		n.paused = nil
+	}
+	n.fleet.mutex.Unlock()
+	l.flush(down)
+}
+
+func (n *node) awaitResume(ctx context.Context) {
+	n.fleet.mutex.Lock()
+	paused := n.paused
+	n.fleet.mutex.Unlock()
+	if paused != nil {
+		select {
+		case <-paused:
+		case <-ctx.Done():
+		}
+	}
+}
--- a/internal/process/jaysupervisor/runnermodel_test.go
+++ b/internal/process/jaysupervisor/runnermodel_test.go
@@ -26,16 +26,15 @@
 	alive bool
 	// rate is the speed of its clock; lenient runners check only their own lease, not the
 	// deadline of the start.
-	rate         float64
-	lenient      bool
-	fence        uint64
-	deadline     time.Duration
-	lapsedAt     time.Duration
-	marks        map[string]int
-	finished     []jaycell.End
-	endedAt      map[uint64]time.Duration
-	acknowledged uint64
-	draining     bool
+	rate     float64
+	lenient  bool
+	fence    uint64
+	deadline time.Duration
+	lapsedAt time.Duration
+	marks    map[string]int
+	finished []jaycell.End
+	endedAt  map[uint64]time.Duration
+	draining bool
 	// refusal is the reason for which all starts are refused.
 	refusal string
 	// silent runners get no calls; unreliable is the chance that a call goes astray.
