Shorten the logs of the tests with injected faults

Cause: a log of a failure listed what came after it and nothing of the other members of a gang.

What: the log ends with the failure, shows the whole unit and leaves out acknowledgements.

--- a/internal/process/jaysupervisor/cellmodel_test.go
+++ b/internal/process/jaysupervisor/cellmodel_test.go
@@ -1,6 +1,7 @@
 package jaysupervisor
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"math/rand/v2"
@@ -46,8 +47,8 @@
 	done    map[string]time.Duration
 	events  []event
 	failure string
-	// failedTask is the task that failure is about, stuck a job that has not ended.
-	failedTask, stuck string
+	// failedUnit is the unit that failure is about, stuck a job that has not ended.
+	failedUnit, stuck string
 }
 
 // event is a line of the log; those without a task concern all.
@@ -100,7 +101,10 @@
 func (f *fleet) fail(task, format string, args ...any) {
 	f.logf(task, "FAILURE "+format, args...)
 	if f.failure == "" {
-		f.failure, f.failedTask = fmt.Sprintf(format, args...), task
+		f.failure, f.failedUnit = fmt.Sprintf(format, args...), task
+		if f.jobOf(task) != nil && task != f.stuck {
+			f.failedUnit = f.unitOf(task)
+		}
 	}
 }
 
@@ -114,11 +118,14 @@
 	}
 	var lines []string
 	for _, e := range f.events {
-		if e.task == "" || strings.HasPrefix(e.task, f.failedTask) {
+		if e.task == "" || strings.HasPrefix(e.task, f.failedUnit) {
 			lines = append(lines, e.text)
 		}
+		if strings.Contains(e.text, f.failure) {
+			break
+		}
 	}
-	f.t.Errorf("%s: %s\n%s", f.failedTask, f.failure, strings.Join(lines[max(0, len(lines)-400):], "\n"))
+	f.t.Errorf("%s: %s\n%s", f.failedUnit, f.failure, strings.Join(lines[max(0, len(lines)-400):], "\n"))
 	f.failure = ""
 }
 
@@ -137,7 +144,7 @@
 	f.cell = jaycell.New(jaycell.Settings{
 		Term: f.term, Lease: f.lease, Retention: time.Hour, StopTimeout: modelStopTime, GangTimeout: modelGangTime, RemoteSlowdown: 1, Guaranteed: func(string) int { return 0 },
 		OnDecision: func(d jaycell.Decision) {
-			f.logf(d.Task, "leader: %s run %d %s %s %s %s", d.Task, d.Run, d.Event, d.Outcome, d.Runner, d.Reason)
+			f.logf(cmp.Or(d.Task, d.Job), "leader: %s run %d %s %s %s %s", d.Task, d.Run, d.Event, d.Outcome, d.Runner, d.Reason)
 		},
 		OnInvariantViolation: func(what string, d jaycell.Decision) { f.fail(d.Task, "invariant: %s", what) },
 	}, f.now(), time.Now())
@@ -227,7 +234,9 @@
 	byNode := map[string][]jaycell.Order{}
 	for _, o := range orders {
 		byNode[o.Node] = append(byNode[o.Node], o)
-		f.logf(o.Task, "leader: order %s to %s", describe(o), o.Runner)
+		if o.Kind != jaycell.OrderAcknowledge {
+			f.logf(o.Task, "leader: order %s to %s", describe(o), o.Runner)
+		}
 	}
 	term := f.term
 	for _, n := range f.nodes {
@@ -235,6 +244,9 @@
 			l.send(down, func() {
 				f.locked(func() {
 					for _, o := range sent {
+						if o.Kind == jaycell.OrderAcknowledge {
+							continue
+						}
 						f.logf(o.Task, "%s gets order %s", n.name, describe(o))
 					}
 				})
@@ -245,8 +257,8 @@
 }
 
 func describe(o jaycell.Order) string {
-	kind := [...]string{jaycell.OrderStart: "start", jaycell.OrderStop: "stop", jaycell.OrderAcknowledge: "acknowledge", jaycell.OrderThrottle: "throttle"}[o.Kind]
-	return fmt.Sprintf("%s %s run %d (%d)", kind, o.Task, o.Run, o.Number)
+	kind := [...]string{jaycell.OrderStart: "start", jaycell.OrderStop: "stop", jaycell.OrderThrottle: "throttle"}[o.Kind]
+	return fmt.Sprintf("%s %s run %d", kind, o.Task, o.Run)
 }
 
 // handleReport does what the leader does with a report.
