--- a/internal/process/jaysupervisor/cell_test.go
+++ b/internal/process/jaysupervisor/cell_test.go
@@ -156,7 +156,7 @@
 }
 
 // The leader repeats a start; the copy that arrives first is refused, the other accepted.
-func TestCopyOfRefusedStartDoesNotBegin(t *testing.T) {
+func TestCopyOfRefusedStartDoesNotBeginBesideTheNextRun(t *testing.T) {
 	for _, c := range []struct {
 		name    string
 		reason  string
