--- a/internal/process/jaysupervisor/cell_test.go
+++ b/internal/process/jaysupervisor/cell_test.go
@@ -158,20 +158,25 @@
 // The leader repeats a start; the copy that arrives first is refused, the other accepted.
 func TestCopyOfRefusedStartDoesNotBeginBesideTheNextRun(t *testing.T) {
 	for _, c := range []struct {
-		name    string
-		reason  string
-		oldLink bool
+		name          string
+		reason        string
+		oldLink       bool
+		heartbeats    bool
+		lostResponses bool
 	}{
-		{"no room", "room", true},
-		{"unhealthy", jaycell.ReasonUnhealthy, true},
-		{"draining", ReasonDraining, true},
-		{"unhealthy, copy on the same link", jaycell.ReasonUnhealthy, false},
+		{"no room", "room", true, false, false},
+		{"unhealthy", jaycell.ReasonUnhealthy, true, false, false},
+		{"draining", ReasonDraining, true, false, false},
+		{"unhealthy, copy on the same link", jaycell.ReasonUnhealthy, false, false, false},
+		{"no room, by heartbeat", "room", true, true, false},
+		{"draining, by heartbeat", ReasonDraining, true, true, false},
+		{"draining, by heartbeat, responses lost", ReasonDraining, true, true, true},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				f := newFleet(t, 3*time.Second, 1)
 				defer f.close()
-				n := f.addNode(false)
+				n := f.addNode(c.heartbeats)
 				time.Sleep(2 * time.Second)
 				first := n.link
 				first.cut(down)
@@ -179,6 +184,7 @@
 				time.Sleep(100 * time.Millisecond)
 				f.addNode(false)
 				n.setRefusal(c.reason)
+				f.locked(func() { n.runner.deaf = c.lostResponses })
 				if c.oldLink {
 					time.Sleep(400 * time.Millisecond)
 					f.locked(n.connect)
@@ -188,6 +194,7 @@
 					}
 				}
 				f.until("second run", 5*time.Second, f.hasBegun(j, 2))
+				f.locked(func() { n.runner.deaf = false })
 				n.setRefusal("")
 				first.heal(down)
 				f.until("end of the job", 20*time.Second, f.ended(j))
@@ -248,3 +255,35 @@
 		f.checkIdle()
 	})
 }
+
+// A report about an incarnation that the leader has not heard of arrives after one about its
+// successor.
+func TestLateReportDoesNotReplaceTheNewIncarnation(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, time.Second, 1)
+		defer f.close()
+		n := f.addNode(false)
+		time.Sleep(2 * time.Second)
+		first := n.link
+		first.cut(up)
+		f.locked(n.newRunner)
+		time.Sleep(700 * time.Millisecond)
+		f.locked(n.newRunner)
+		time.Sleep(700 * time.Millisecond)
+		f.locked(n.connect)
+		time.Sleep(700 * time.Millisecond)
+		j := f.submit(1, false, 3*time.Second)
+		f.until("first run", time.Second, f.hasBegun(j, 1))
+		f.addNode(false)
+		time.Sleep(700 * time.Millisecond)
+		first.heal(up)
+		f.until("end of the job", 20*time.Second, f.ended(j))
+		f.locked(func() {
+			if last := f.begun[jaycell.TaskName(j.ID, 0, 0, 0)]; last.run != 1 {
+				f.fail(last.task, "run %d began although run 1 went on", last.run)
+			}
+		})
+		time.Sleep(time.Second)
+		f.checkIdle()
+	})
+}
--- a/internal/process/jaysupervisor/runnermodel_test.go
+++ b/internal/process/jaysupervisor/runnermodel_test.go
@@ -40,6 +40,8 @@
 	// silent runners get no calls; unreliable is the chance that a call goes astray.
 	silent     bool
 	unreliable float64
+	// deaf runners get no responses to their heartbeats.
+	deaf bool
 	// fates are those of the next start calls.
 	fates []fate
 }
@@ -398,7 +400,7 @@
 	}
 	n.awaitResume(f.ctx)
 	response := s.ExchangeHeartbeat(h)
-	if !jayclock.Sleep(f.ctx, 2*time.Millisecond) || !x.answered || f.now()-sentAt > time.Second {
+	if !jayclock.Sleep(f.ctx, 2*time.Millisecond) || !x.answered || r.deaf || f.now()-sentAt > time.Second {
 		return
 	}
 	f.mutex.Lock()
