Inject more kinds of faults and fix a race in the model

Cause: the model read whether a runner gets responses without its mutex, and every answer with a listing arrived at once.

What: listings may arrive late, out of order. A third of the seeds has more kills of agents, crashes of runners and changes of the leader.

--- a/internal/process/jaysupervisor/cellmodel_test.go
+++ b/internal/process/jaysupervisor/cellmodel_test.go
@@ -49,6 +49,9 @@
 	failure string
 	// failedUnit is the unit that failure is about, stuck a job that has not ended.
 	failedUnit, stuck string
+	// rough adds kills of agents, crashes of runners and changes of the leader to the
+	// random faults.
+	rough int
 }
 
 // event is a line of the log; those without a task concern all.
--- a/internal/process/jaysupervisor/faults_test.go
+++ b/internal/process/jaysupervisor/faults_test.go
@@ -43,6 +43,9 @@
 	}
 	f := newFleet(t, lease, seed)
 	defer f.close()
+	if seed%3 == 0 {
+		f.rough = 5
+	}
 	for i := range 3 + int(seed%2) {
 		f.addNode(heartbeats && i == 0)
 	}
@@ -92,7 +95,7 @@
 func (f *fleet) injectFault() {
 	n := f.nodes[f.random.IntN(len(f.nodes))]
 	r := n.runner
-	switch f.random.IntN(20) {
+	switch f.random.IntN(20 + f.rough) {
 	case 0, 1, 2, 3, 4, 5:
 		unfinished := 0
 		for _, j := range f.jobs {
@@ -108,7 +111,7 @@
 	case 10, 11:
 		n.pauseLocked()
 		f.later(n.resume)
-	case 12:
+	case 12, 20, 21:
 		n.launch()
 	case 13:
 		r.silent = true
@@ -122,6 +125,10 @@
 		r.unreliable = 0.1 + 0.6*f.random.Float64()
 		f.logf("", "%s is unreliable", r.id)
 		f.later(func() { f.locked(func() { r.unreliable = 0; f.logf("", "%s is reliable", r.id) }) })
+	case 22, 23:
+		n.newRunner()
+	case 24:
+		f.newTerm()
 	case 18:
 		switch f.random.IntN(4) {
 		case 0:
--- a/internal/process/jaysupervisor/runnermodel_test.go
+++ b/internal/process/jaysupervisor/runnermodel_test.go
@@ -151,22 +151,30 @@
 			if err := n.call(ctx, process, "renew", "", func(r *modelRunner) error { return r.renew(q) }); err != nil {
 				return Listing{}, err
 			}
-			return n.list(ctx, q)
+			return n.list(ctx, process, q)
 		},
 		Throttle: func(context.Context, Throttle) error { return nil },
 	}
 }
 
-// list answers a renewal once a run has ended or its time is over.
-func (n *node) list(ctx context.Context, q Renewal) (Listing, error) {
+// list answers a renewal once a run has ended or its time is over. The answer may be late.
+func (n *node) list(ctx, process context.Context, q Renewal) (Listing, error) {
 	until := n.fleet.now() + q.Wait
 	for {
 		n.fleet.mutex.Lock()
 		r := n.runner
 		l, ready := r.listing(), len(r.finished) > 0 || n.fleet.now() >= until
 		silent := r.silent || r.id != q.Incarnation
+		late := time.Duration(0)
+		if n.fleet.chance(r.unreliable) {
+			late = n.fleet.between(1, 300)
+		}
 		n.fleet.mutex.Unlock()
 		if ready && !silent {
+			if !jayclock.Sleep(ctx, late) {
+				return Listing{}, &NoAnswerError{Call: "renew", Cause: "timeout"}
+			}
+			n.awaitResume(process)
 			return l, nil
 		}
 		if !jayclock.Sleep(ctx, 20*time.Millisecond) {
@@ -400,13 +408,13 @@
 	}
 	n.awaitResume(f.ctx)
 	response := s.ExchangeHeartbeat(h)
-	if !jayclock.Sleep(f.ctx, 2*time.Millisecond) || !x.answered || r.deaf || f.now()-sentAt > time.Second {
+	if !jayclock.Sleep(f.ctx, 2*time.Millisecond) || !x.answered || f.now()-sentAt > time.Second {
 		return
 	}
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	f.advance()
-	if n.runner != r || response.Fence < r.fence || response.NextHeartbeat == 0 {
+	if n.runner != r || r.deaf || response.Fence < r.fence || response.NextHeartbeat == 0 {
 		return
 	}
 	r.fence = response.Fence
