Play the same faults whenever a seed is played

Cause: the 40 seeds gave other failures at each run: the model drew its random numbers in turn, and goroutines that run at the same simulated time have no order.

--- a/internal/process/jaysupervisor/cellmodel_test.go
+++ b/internal/process/jaysupervisor/cellmodel_test.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"fmt"
+	"hash/fnv"
 	"math/rand/v2"
 	"slices"
 	"strings"
@@ -19,14 +20,16 @@
 // fleet joins a leader's cell with supervisors over model runners, in simulated time. Its
 // mutex guards all state of the model.
 type fleet struct {
-	t      *testing.T
-	ctx    context.Context
-	stop   context.CancelFunc
-	group  sync.WaitGroup
-	lease  time.Duration
-	begin  time.Time
-	mutex  sync.Mutex
-	random *rand.Rand
+	t     *testing.T
+	ctx   context.Context
+	stop  context.CancelFunc
+	group sync.WaitGroup
+	lease time.Duration
+	begin time.Time
+	mutex sync.Mutex
+	seed  uint64
+	// script is the luck of the faults.
+	script luck
 	// cell is the leader of the term; units and states are what it has stored.
 	cell       *jaycell.Cell
 	term       uint64
@@ -58,7 +61,7 @@
 type event struct{ task, text string }
 
 func newFleet(t *testing.T, lease time.Duration, seed uint64) *fleet {
-	f := &fleet{t: t, lease: lease, begin: time.Now().Add(-time.Hour), random: rand.New(rand.NewPCG(seed, 0)), wake: make(chan struct{}, 1), storeDelay: 10 * time.Millisecond, units: map[string][]byte{}, states: map[string]jaytask.State{}, endedAt: map[string]time.Duration{}, canceled: map[string]bool{}, links: map[string]*link{}, begun: map[string]*modelRun{}, done: map[string]time.Duration{}}
+	f := &fleet{t: t, lease: lease, begin: time.Now().Add(-time.Hour), seed: seed, script: luck{rand.New(rand.NewPCG(seed, 0))}, wake: make(chan struct{}, 1), storeDelay: 10 * time.Millisecond, units: map[string][]byte{}, states: map[string]jaytask.State{}, endedAt: map[string]time.Duration{}, canceled: map[string]bool{}, links: map[string]*link{}, begun: map[string]*modelRun{}, done: map[string]time.Duration{}}
 	f.ctx, f.stop = context.WithCancel(t.Context())
 	f.newTerm()
 	f.group.Go(func() {
@@ -90,12 +93,23 @@
 
 func (f *fleet) now() time.Duration { return time.Since(f.begin) }
 
+// luck is a source of random numbers.
+type luck struct{ *rand.Rand }
+
 // between returns a duration in milliseconds, with a fraction that keeps events apart.
-func (f *fleet) between(low, high int) time.Duration {
-	return time.Duration(low)*time.Millisecond + time.Duration(f.random.Int64N(int64(high-low)*int64(time.Millisecond)))
+func (l luck) between(low, high int) time.Duration {
+	return time.Duration(low)*time.Millisecond + time.Duration(l.Int64N(int64(high-low)*int64(time.Millisecond)))
 }
 
-func (f *fleet) chance(p float64) bool { return f.random.Float64() < p }
+func (l luck) chance(p float64) bool { return l.Float64() < p }
+
+// luckOf depends on the time and a key, not on what was drawn before: goroutines that run
+// at the same time have no order.
+func (f *fleet) luckOf(key string) luck {
+	h := fnv.New64a()
+	fmt.Fprint(h, key, (f.now() + 37*time.Microsecond).Truncate(100*time.Microsecond))
+	return luck{rand.New(rand.NewPCG(f.seed, h.Sum64()))}
+}
 
 func (f *fleet) logf(task, format string, args ...any) {
 	f.events = append(f.events, event{task, fmt.Sprintf("%9.4f ", (f.now()-time.Hour).Seconds()) + fmt.Sprintf(format, args...)})
@@ -169,7 +183,7 @@
 		f.cell.Cancel(id)
 	}
 	for _, n := range f.nodes {
-		time.AfterFunc(f.between(5, 600), func() { f.locked(n.connect) })
+		time.AfterFunc(f.script.between(5, 600), func() { f.locked(n.connect) })
 	}
 }
 
@@ -204,7 +218,7 @@
 		return
 	}
 	f.batch = b
-	time.AfterFunc(f.storeDelay+f.between(1, 5), func() {
+	time.AfterFunc(f.storeDelay+f.luckOf("store").between(1, 5), func() {
 		f.mutex.Lock()
 		defer f.mutex.Unlock()
 		if f.batch != b {
--- a/internal/process/jaysupervisor/faults_test.go
+++ b/internal/process/jaysupervisor/faults_test.go
@@ -54,7 +54,7 @@
 		var wait time.Duration
 		f.locked(func() {
 			f.injectFault()
-			wait = f.between(10, 250)
+			wait = f.script.between(10, 250)
 		})
 		time.Sleep(wait)
 	}
@@ -84,18 +84,18 @@
 
 // later calls a function without the mutex after a delay that is often longer than a lease.
 func (f *fleet) later(do func()) {
-	delay := f.between(20, 600)
-	if f.chance(0.5) {
-		delay = f.between(600, 3500)
+	delay := f.script.between(20, 600)
+	if f.script.chance(0.5) {
+		delay = f.script.between(600, 3500)
 	}
 	time.AfterFunc(delay, do)
 }
 
 // injectFault submits or cancels a job or begins a fault. The mutex is held.
 func (f *fleet) injectFault() {
-	n := f.nodes[f.random.IntN(len(f.nodes))]
+	n := f.nodes[f.script.IntN(len(f.nodes))]
 	r := n.runner
-	switch f.random.IntN(20 + f.rough) {
+	switch f.script.IntN(20 + f.rough) {
 	case 0, 1, 2, 3, 4, 5:
 		unfinished := 0
 		for _, j := range f.jobs {
@@ -104,7 +104,7 @@
 			}
 		}
 		if unfinished < 4 {
-			f.submitLocked(1+f.random.IntN(4), f.chance(0.3), f.between(50, 2500))
+			f.submitLocked(1+f.script.IntN(4), f.script.chance(0.3), f.script.between(50, 2500))
 		}
 	case 6, 7, 8, 9:
 		f.cutAtRandom(n.link)
@@ -119,10 +119,10 @@
 		f.later(func() { f.locked(func() { r.silent = false; f.logf("", "%s is no longer silent", r.id) }) })
 	case 14, 15:
 		reasons := []string{"room", jaycell.ReasonUnhealthy, ReasonDraining}
-		r.refuse(reasons[f.random.IntN(len(reasons))])
+		r.refuse(reasons[f.script.IntN(len(reasons))])
 		f.later(func() { f.locked(func() { r.refuse("") }) })
 	case 16, 17:
-		r.unreliable = 0.1 + 0.6*f.random.Float64()
+		r.unreliable = 0.1 + 0.6*f.script.Float64()
 		f.logf("", "%s is unreliable", r.id)
 		f.later(func() { f.locked(func() { r.unreliable = 0; f.logf("", "%s is reliable", r.id) }) })
 	case 22, 23:
@@ -130,17 +130,17 @@
 	case 24:
 		f.newTerm()
 	case 18:
-		switch f.random.IntN(4) {
+		switch f.script.IntN(4) {
 		case 0:
 			n.newRunner()
 		case 1:
 			f.newTerm()
 		default:
-			f.storeDelay = f.between(100, 900)
+			f.storeDelay = f.script.between(100, 900)
 			f.later(func() { f.locked(func() { f.storeDelay = 10 * time.Millisecond }) })
 		}
 	case 19:
-		if j := f.jobs; len(j) > 0 && f.chance(0.3) {
+		if j := f.jobs; len(j) > 0 && f.script.chance(0.3) {
 			id := j[len(j)-1].ID
 			f.logf(id, "cancel %s", id)
 			f.canceled[id] = true
@@ -152,8 +152,8 @@
 // cutAtRandom cuts a link. Afterwards it goes on, or is replaced before or after its data
 // in transit has arrived, or loses them.
 func (f *fleet) cutAtRandom(l *link) {
-	directions := [][]int{{up}, {down}, {up, down}}[f.random.IntN(3)]
-	outcome := f.random.IntN(4)
+	directions := [][]int{{up}, {down}, {up, down}}[f.script.IntN(3)]
+	outcome := f.script.IntN(4)
 	l.cutLocked(directions)
 	f.later(func() {
 		switch outcome {
--- a/internal/process/jaysupervisor/nodemodel_test.go
+++ b/internal/process/jaysupervisor/nodemodel_test.go
@@ -36,7 +36,7 @@
 	if l.closed {
 		return
 	}
-	l.due[direction] = max(l.due[direction]+time.Microsecond, f.now()+f.between(1, 6))
+	l.due[direction] = max(l.due[direction]+time.Microsecond, f.now()+f.luckOf(fmt.Sprint(l.node.name, direction)).between(1, 6))
 	time.AfterFunc(l.due[direction]-f.now(), func() {
 		f.mutex.Lock()
 		l.queue[direction] = append(l.queue[direction], deliver)
--- a/internal/process/jaysupervisor/runnermodel_test.go
+++ b/internal/process/jaysupervisor/runnermodel_test.go
@@ -72,7 +72,7 @@
 		}
 	}
 	n.sequence++
-	n.runner = &modelRunner{node: n, id: fmt.Sprintf("%s-r%d", n.name, n.sequence), alive: true, rate: 1 - 0.02*float64(n.sequence%2), lenient: n.fleet.chance(0.5), marks: map[string]int{}, endedAt: map[uint64]time.Duration{}}
+	n.runner = &modelRunner{node: n, id: fmt.Sprintf("%s-r%d", n.name, n.sequence), alive: true, rate: 1 - 0.02*float64(n.sequence%2), lenient: n.fleet.script.chance(0.5), marks: map[string]int{}, endedAt: map[uint64]time.Duration{}}
 	n.fleet.logf("", "runner %s begins", n.runner.id)
 }
 
@@ -81,24 +81,24 @@
 }
 
 // fateOf draws what happens to a call that is made now.
-func (r *modelRunner) fateOf(start bool) fate {
-	f := r.node.fleet
-	x := fate{delay: f.between(1, 4), executed: true, answered: true}
+func (r *modelRunner) fateOf(what string) fate {
+	l := r.node.fleet.luckOf(r.id + what)
+	x := fate{delay: l.between(1, 4), executed: true, answered: true}
 	switch {
 	case r.silent:
-		return fate{delay: f.between(400, 2500), executed: f.chance(r.unreliable)}
-	case start && len(r.fates) > 0:
+		return fate{delay: l.between(400, 2500), executed: l.chance(r.unreliable)}
+	case strings.HasPrefix(what, "start") && len(r.fates) > 0:
 		x, r.fates = r.fates[0], r.fates[1:]
-	case f.chance(r.unreliable):
-		switch f.random.IntN(4) {
+	case l.chance(r.unreliable):
+		switch l.IntN(4) {
 		case 0:
 			x.executed, x.answered = false, false
 		case 1:
 			x.answered = false
 		case 2:
-			x = fate{delay: f.between(5, 350), executed: true, answered: true}
+			x = fate{delay: l.between(5, 350), executed: true, answered: true}
 		case 3:
-			x = fate{delay: f.between(300, 4000), executed: true}
+			x = fate{delay: l.between(300, 4000), executed: true}
 		}
 	}
 	return x
@@ -113,7 +113,7 @@
 	f := n.fleet
 	answer := make(chan error, 1)
 	f.mutex.Lock()
-	x := n.runner.fateOf(strings.HasPrefix(what, "start"))
+	x := n.runner.fateOf(what)
 	f.mutex.Unlock()
 	if x.executed {
 		time.AfterFunc(x.delay, func() {
@@ -165,9 +165,9 @@
 		r := n.runner
 		l, ready := r.listing(), len(r.finished) > 0 || n.fleet.now() >= until
 		silent := r.silent || r.id != q.Incarnation
-		late := time.Duration(0)
-		if n.fleet.chance(r.unreliable) {
-			late = n.fleet.between(1, 300)
+		late, chances := time.Duration(0), n.fleet.luckOf(r.id)
+		if chances.chance(r.unreliable) {
+			late = chances.between(1, 300)
 		}
 		n.fleet.mutex.Unlock()
 		if ready && !silent {
@@ -231,7 +231,7 @@
 	r.marks[s.Task] = max(r.marks[s.Task], s.Run)
 	for _, x := range f.runs {
 		if x.runner == r && x.task == s.Task && x.run == s.Run && x.stopsAt == 0 {
-			x.stopsAt = f.now() + f.between(2, int(modelStopTime.Milliseconds()))
+			x.stopsAt = f.now() + f.luckOf(s.Task).between(2, int(modelStopTime.Milliseconds()))
 		}
 	}
 	return nil
@@ -345,7 +345,7 @@
 			x.runner.end(x, jaycell.EndLapsed)
 		case x.stopsAt > 0 && now >= x.stopsAt:
 			x.runner.end(x, jaycell.EndStopped)
-		case x.endsAt > 0 && now >= x.endsAt && f.chance(0.05*x.runner.unreliable):
+		case x.endsAt > 0 && now >= x.endsAt && f.luckOf(x.task).chance(0.05*x.runner.unreliable):
 			x.runner.end(x, jaycell.EndFailed)
 		case x.endsAt > 0 && now >= x.endsAt:
 			x.runner.end(x, jaycell.EndDone)
@@ -394,7 +394,7 @@
 	if n.heartbeats {
 		h.Listing = r.listing()
 	}
-	x := r.fateOf(false)
+	x := r.fateOf("heartbeat")
 	f.mutex.Unlock()
 	if !n.heartbeats {
 		if x.answered {
