Log when a start reaches its runner and when an order is repeated

The log of an agent told only of starts that failed, so that a record of a task that ran twice could not say whether a start was a late first call, a repeated one, or a copy of one that was refused. An agent now logs each answer to a start with the age of the order, the calls made and whether one got no answer; the leader logs each order that it sends again, with the reason.

--- a/internal/process/jaycell/report.go
+++ b/internal/process/jaycell/report.go
@@ -210,15 +210,24 @@
 		case !c.orderLost(p, pl.orderSentAt):
 			// The latest order may still be in transit.
 		case pl.stopOrdered && !(inProgress && o.Kind == OrderStop):
-			pl.orderSentAt = c.now
-			c.immediateOrders = append(c.immediateOrders, stopOrder(pl))
+			c.repeatOrder(p, pl, stopOrder(pl), "stop")
 		case !pl.stopOrdered && !running[pl.task()] && !inProgress:
-			pl.orderSentAt = c.now
-			c.immediateOrders = append(c.immediateOrders, c.startOrder(pl))
+			c.repeatOrder(p, pl, c.startOrder(pl), "start")
 		}
 	}
 }
 
+// repeatOrder sends the latest order for a placement again.
+func (c *Cell) repeatOrder(p Report, pl *placement, o Order, event string) {
+	reason := "missing from reports"
+	if p.NewConnection {
+		reason = "new connection"
+	}
+	pl.orderSentAt = c.now
+	c.immediateOrders = append(c.immediateOrders, o)
+	c.reportDecision(Decision{Job: pl.unit.job.spec.ID, Task: o.Task, Run: o.Run, Runner: o.Runner, Event: event, Outcome: "repeated", Reason: reason, AgeMS: c.jobAgeMS(pl.unit.job)})
+}
+
 // orderLost reports whether an order that is missing from a report must be resent.
 func (c *Cell) orderLost(p Report, sent time.Duration) bool {
 	return p.NewConnection || c.now-sent > orderLossTimeout
--- a/internal/process/jaysupervisor/orders.go
+++ b/internal/process/jaysupervisor/orders.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+	"github.com/rs/zerolog"
 
 	"github.com/jaystile/jaystile/internal/process/jaycell"
 	"github.com/jaystile/jaystile/internal/process/jayclock"
@@ -60,7 +61,7 @@
 		old.cancel()
 	}
 	ctx, cancel := context.WithCancel(s.ctx)
-	pending := &order{Order: o, term: s.term, stop: stop, cancel: cancel}
+	pending := &order{Order: o, term: s.term, stop: stop, receivedAt: s.Elapsed(), cancel: cancel}
 	s.orders[o.Task] = pending
 	if s.OrdersByHeartbeat {
 		return
@@ -123,11 +124,13 @@
 			jayclock.Sleep(ctx, retryDelay)
 			continue
 		}
+		o.calls++
 		err := s.tryStart(ctx, request)
 		var refused *RefusedError
 		var replaced *ReplacedError
 		switch {
 		case err == nil:
+			s.logOrder(o, "accepted", "").Msg("run started")
 			// The order stays pending until a listing confirms the run.
 			s.awaitListed(ctx, o)
 			return
@@ -168,11 +171,20 @@
 	return err
 }
 
+// logOrder returns a log line for the outcome of a start.
+func (s *Supervisor) logOrder(o *order, outcome, reason string) *zerolog.Event {
+	e := s.Logger.Info().Str("event", "start").Uint64("term", o.term).Str("task", o.Task).Int("run", o.Run).Str("runner", o.Runner).Str("outcome", outcome)
+	if reason != "" {
+		e = e.Str("reason", reason)
+	}
+	return e.Int("calls", o.calls).Bool("unanswered", o.unanswered).Int64("age_ms", (s.Elapsed() - o.receivedAt).Milliseconds())
+}
+
 func (s *Supervisor) recordRefusal(o *order, reason string) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	if s.removeOrder(o) {
-		s.Logger.Info().Str("event", "start").Str("task", o.Task).Int("run", o.Run).Str("outcome", "refused").Str("reason", reason).Msg("start refused")
+		s.logOrder(o, "refused", reason).Msg("start refused")
 		s.addResult(o.Order, true, reason)
 	}
 }
--- a/internal/process/jaysupervisor/supervisor.go
+++ b/internal/process/jaysupervisor/supervisor.go
@@ -44,8 +44,10 @@
 	term uint64
 	// stop is set for a stop, and for a start in a heartbeat response that is to be
 	// withdrawn.
-	stop bool
-	// unanswered is set once a start call has had no answer.
+	stop       bool
+	receivedAt time.Duration
+	// calls counts the start calls; unanswered is set once one of them has had no answer.
+	calls      int
 	unanswered bool
 	// timesSent counts the heartbeat responses that have carried the order.
 	timesSent int
