Stop a refused start before its refusal is reported

Callers could see a task run twice: the leader sends a start again when a report does not show it (new connection, or one second), so two copies may be under way. The runner or the agent refused the first one (no room, unhealthy, draining); the agent reported that and forgot the order, and the leader started the next run elsewhere. The second copy was a new order to the agent, and the runner, which keeps no trace of a refusal, accepted it: two runs at once. The same held for a call without an answer of an agent that was killed, which its successor did not know.

A start is now reported as refused only after the runner has confirmed a stop of that run, which makes it refuse every copy and every earlier call, whoever sent them. By heartbeat, the order becomes a stop in the response. So a refusal costs one more call on the same machine, and reaches the leader a listing later.

--- a/internal/process/jaysupervisor/heartbeats.go
+++ b/internal/process/jaysupervisor/heartbeats.go
@@ -1,6 +1,7 @@
 package jaysupervisor
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -76,18 +77,14 @@
 		switch {
 		case o.stop && o.timesSent > 0 && !s.isListed(task, o.Run):
 			s.removeOrder(o)
-			s.addResult(o.Order, o.Kind == jaycell.OrderStart, ReasonNotStarted)
+			s.addResult(o.Order, o.Kind == jaycell.OrderStart, cmp.Or(o.refusal, ReasonNotStarted))
 			continue
 		case !o.stop && s.runner.Draining && o.timesSent == 0:
-			s.removeOrder(o)
-			s.addResult(o.Order, true, ReasonDraining)
-			continue
+			s.withdraw(o, ReasonDraining)
 		case !o.stop && r.Lease < minLeaseLeft:
 			continue
 		case !o.stop && (s.runner.Draining || o.timesSent >= maxStartsSent):
-			// The stop makes the runner refuse the start if it still arrives.
-			s.Logger.Info().Str("event", "start").Str("task", task).Int("run", o.Run).Int("given", o.timesSent).Msg("runner does not list a start; stopping it")
-			o.stop, o.timesSent = true, 0
+			s.withdraw(o, ReasonNotStarted)
 		}
 		o.timesSent++
 		if o.stop {
@@ -97,3 +94,10 @@
 		}
 	}
 }
+
+// withdraw turns a start into a stop, after which the runner refuses all copies of the
+// start.
+func (s *Supervisor) withdraw(o *order, reason string) {
+	s.Logger.Info().Str("event", "start").Str("task", o.Task).Int("run", o.Run).Str("reason", reason).Int("given", o.timesSent).Msg("stopping a start before it is reported as refused")
+	o.stop, o.refusal, o.timesSent = true, reason, 0
+}
--- a/internal/process/jaysupervisor/heartbeats_test.go
+++ b/internal/process/jaysupervisor/heartbeats_test.go
@@ -79,6 +79,21 @@
 	assert.Assert(t, results[0].Refused && results[0].Reason == ReasonNotStarted)
 }
 
+func TestCopyOfStartRefusedByDrainingRunnerIsStopped(t *testing.T) {
+	h := newHeartbeatHarness(t)
+	h.supervisor.ExchangeHeartbeat(Heartbeat{Sequence: 10, Runner: jaycell.RunnerInfo{ID: "r1", Draining: true}})
+	h.order(jaycell.OrderStart, 1)
+	response := h.supervisor.ExchangeHeartbeat(Heartbeat{Sequence: 11, Runner: jaycell.RunnerInfo{ID: "r1", Draining: true}})
+	assert.Equal(t, len(response.Starts), 0)
+	assert.Equal(t, len(response.Stops), 1)
+	assert.Equal(t, len(h.supervisor.Report().OrderResults), 0)
+	h.sequence = 11
+	h.heartbeat("r1", Listing{})
+	results := h.supervisor.Report().OrderResults
+	assert.Equal(t, len(results), 1)
+	assert.Assert(t, results[0].Refused && results[0].Reason == ReasonDraining)
+}
+
 func TestStaleHeartbeatsAreIgnored(t *testing.T) {
 	for _, c := range []struct {
 		name string
--- a/internal/process/jaysupervisor/orders.go
+++ b/internal/process/jaysupervisor/orders.go
@@ -1,6 +1,7 @@
 package jaysupervisor
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"time"
@@ -117,7 +118,7 @@
 		leased := s.grantedUntil-s.Elapsed() > minLeaseLeft && request.Deadline > 0
 		s.mutex.Unlock()
 		if draining && !o.unanswered {
-			s.recordRefusal(o, ReasonDraining)
+			s.refuse(ctx, o, ReasonDraining)
 			return
 		}
 		if !leased {
@@ -142,12 +143,7 @@
 		case errors.As(err, &refused) && refused.Reason == ReasonLeaseExpired:
 			// The next attempt carries a newer lease deadline.
 		case errors.As(err, &refused):
-			if o.unanswered {
-				// An earlier attempt may still arrive. After a stop the runner refuses it.
-				s.stop(ctx, o)
-				return
-			}
-			s.recordRefusal(o, refused.Reason)
+			s.refuse(ctx, o, refused.Reason)
 			return
 		default:
 			s.mutex.Lock()
@@ -180,13 +176,15 @@
 	return e.Int("calls", o.calls).Bool("unanswered", o.unanswered).Int64("age_ms", (s.Elapsed() - o.receivedAt).Milliseconds())
 }
 
-func (s *Supervisor) recordRefusal(o *order, reason string) {
+// refuse reports a start as refused once the run is stopped. A refusal alone leaves no
+// trace on the runner, which may accept a copy of the order or execute an earlier call
+// after the leader has started the next run elsewhere.
+func (s *Supervisor) refuse(ctx context.Context, o *order, reason string) {
 	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	if s.removeOrder(o) {
-		s.logOrder(o, "refused", reason).Msg("start refused")
-		s.addResult(o.Order, true, reason)
-	}
+	o.refusal = reason
+	s.mutex.Unlock()
+	s.logOrder(o, "refused", reason).Msg("start refused")
+	s.stop(ctx, o)
 }
 
 // awaitListed waits until a listing shows a started run or its end, which removes the
@@ -238,7 +236,7 @@
 		s.mutex.Lock()
 		ended := s.listingRequestedAt > after && !s.isListed(o.Task, o.Run)
 		if ended && s.removeOrder(o) {
-			s.addResult(o.Order, false, "stopped before it began")
+			s.addResult(o.Order, o.refusal != "", cmp.Or(o.refusal, "stopped before it began"))
 		}
 		s.mutex.Unlock()
 		if ended {
--- a/internal/process/jaysupervisor/supervisor.go
+++ b/internal/process/jaysupervisor/supervisor.go
@@ -49,6 +49,8 @@
 	// calls counts the start calls; unanswered is set once one of them has had no answer.
 	calls      int
 	unanswered bool
+	// refusal is why a start is refused, while its run is being stopped.
+	refusal string
 	// timesSent counts the heartbeat responses that have carried the order.
 	timesSent int
 	cancel    context.CancelFunc
--- a/internal/process/jaysupervisor/supervisor_test.go
+++ b/internal/process/jaysupervisor/supervisor_test.go
@@ -216,6 +216,56 @@
 	assert.Equal(t, f.runs("a.0.0.0"), 0)
 }
 
+// The leader may have sent a start twice, and has given the run up by the time the copy arrives.
+func TestCopyOfRefusedStartDoesNotBegin(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		refusal  string
+		draining bool
+		want     string
+	}{
+		{"no room", "room", false, "room"},
+		{"unhealthy runner", jaycell.ReasonUnhealthy, false, jaycell.ReasonUnhealthy},
+		{"draining runner", "", true, ReasonDraining},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			f := newFakeRunner()
+			f.refusal = c.refusal
+			s := startSupervisor(t, f)
+			s.HandleHeartbeat(t.Context(), Heartbeat{Sequence: 2, Runner: jaycell.RunnerInfo{ID: "r1", Draining: c.draining}})
+			s.ApplyOrders(1, ordersOf(jaycell.OrderStart, 1))
+			waitUntil(t, "the refusal", func() bool { r := resultOf(s, 1); return r != nil && r.Refused && r.Reason == c.want })
+			s.HandleHeartbeat(t.Context(), Heartbeat{Sequence: 3, Runner: jaycell.RunnerInfo{ID: "r1"}})
+			f.mutex.Lock()
+			f.refusal = ""
+			f.mutex.Unlock()
+			s.ApplyOrders(1, ordersOf(jaycell.OrderStart, 1))
+			waitUntil(t, "the end of the order", func() bool { return len(s.Report().PendingOrders) == 0 })
+			assert.Equal(t, f.runs("a.0.0.0"), 0)
+		})
+	}
+}
+
+func TestRefusalIsFinalAlsoForCallsOfAnEarlierAgent(t *testing.T) {
+	f := newFakeRunner()
+	f.unanswered = 1000
+	t.Run("killed agent", func(t *testing.T) {
+		startSupervisor(t, f).ApplyOrders(1, ordersOf(jaycell.OrderStart, 1))
+		waitUntil(t, "a call", func() bool { f.mutex.Lock(); defer f.mutex.Unlock(); return len(f.late) > 0 })
+	})
+	f.mutex.Lock()
+	f.unanswered, f.refusal = 0, "room"
+	f.mutex.Unlock()
+	s := startSupervisor(t, f)
+	s.ApplyOrders(1, ordersOf(jaycell.OrderStart, 1))
+	waitUntil(t, "the refusal", func() bool { return resultOf(s, 1) != nil })
+	f.mutex.Lock()
+	f.refusal = ""
+	f.mutex.Unlock()
+	f.executeLate()
+	assert.Equal(t, f.runs("a.0.0.0"), 0)
+}
+
 func TestSupervisorFollowsTheHighestTerm(t *testing.T) {
 	f := newFakeRunner()
 	s := startSupervisor(t, f)
