Exclude pending starts before a runner gets a lease after a lapse

Callers could see a task run twice at the same time. While an agent is out of touch, its runner's lease lapses at the leader, which places the next run elsewhere. The lapse ends what runs, but not a start that has not begun: one that waits at the agent, is in transit, or is in a call without an answer. Back in the same term, the agent was granted a lease at once, and the start, whose fence is still valid, began the run that had been given up. Cell.ApplyReport compared the listed runs with the placements and ignored pending orders.

The cell now keeps the runs that it gives up at a lapse without having seen them on the runner, and gives the runner no lease before each is stopped there or listed as ended; a stop makes the runner refuse the start whenever it comes. A runner that the cell does not know and that reports pending starts is treated the same, and a pending start without a placement is stopped. The first report after a lapse no longer counts as the first of the term, whose fence excludes nothing sent in it.

--- a/internal/process/jaycell/cell_test.go
+++ b/internal/process/jaycell/cell_test.go
@@ -66,8 +66,8 @@
 }
 
 // report applies a report of a runner with 64 cores and 8 accelerators; modify, if not
-// nil, changes the report first.
-func (h *harness) report(node, runner string, modify func(p *Report)) {
+// nil, changes the report first. It returns whether the lease may be renewed.
+func (h *harness) report(node, runner string, modify func(p *Report)) bool {
 	p := Report{Node: node, Sequence: int64(h.now), Term: h.cell.settings.Term, Responsive: true, Runner: RunnerInfo{ID: runner, Service: "s", Labels: []string{"a", "r1-1"}, Capacity: jaytask.Resources{CPU: 64000, Memory: 131072, Accelerators: 8}}}
 	if rack := h.racks[runner]; rack != "" {
 		p.Runner.Labels[1] = rack
@@ -75,7 +75,7 @@
 	if modify != nil {
 		modify(&p)
 	}
-	h.cell.ApplyReport(p)
+	return h.cell.ApplyReport(p)
 }
 
 func (h *harness) submit(id string, priority int, workspace string, steps ...jaytask.Step) {
--- /dev/null
+++ b/internal/process/jaycell/lapse.go
@@ -0,0 +1,69 @@
+package jaycell
+
+// The lapse of a lease ends the runs that have begun. It does not exclude a start that is
+// pending at the agent, in transit or in a call without an answer: with the next lease it
+// would begin a run whose successor runs elsewhere, and its fence is still valid. So the
+// runner gets no lease before it has confirmed that it will refuse these starts.
+
+// abandonUnseenRuns notes the runs on a runner whose lease has lapsed that it has not
+// listed yet.
+func (c *Cell) abandonUnseenRuns(r *Runner) {
+	for _, pl := range r.placements {
+		if pl.committed && !pl.confirmed {
+			r.abandon(pl.task(), pl.run)
+		}
+	}
+}
+
+func (r *Runner) abandon(task string, run int) {
+	if r.abandoned == nil {
+		r.abandoned = map[string]int{}
+	}
+	r.abandoned[task] = max(r.abandoned[task], run)
+}
+
+// forgetAbandoned removes a run, and with it earlier ones of the task, that the runner
+// refuses to start from now on.
+func (r *Runner) forgetAbandoned(task string, run int) {
+	if run >= r.abandoned[task] {
+		delete(r.abandoned, task)
+	}
+}
+
+func hasPendingStart(p Report) bool {
+	for _, o := range p.PendingOrders {
+		if o.Kind == OrderStart {
+			return true
+		}
+	}
+	return false
+}
+
+// takeBack reports whether a lost runner may have a lease again. Until then it orders the
+// stops of the abandoned runs. A run is excluded once the runner has stopped it, which all
+// order results imply, or lists its end.
+func (c *Cell) takeBack(r *Runner, p Report) bool {
+	for _, o := range p.PendingOrders {
+		if o.Kind == OrderStart {
+			r.abandon(o.Task, o.Run)
+		}
+	}
+	for _, s := range p.OrderResults {
+		r.forgetAbandoned(s.Task, s.Run)
+	}
+	for _, e := range p.Finished {
+		r.forgetAbandoned(e.Task, e.Run)
+	}
+	if len(r.abandoned) == 0 {
+		r.lost = false
+		c.reportDecision(Decision{Runner: r.id, Event: "runner", Outcome: "back", Reason: "reported by " + p.Node})
+		return true
+	}
+	if r.abandonedStopsSentAt == 0 || c.orderLost(p, r.abandonedStopsSentAt) {
+		r.abandonedStopsSentAt = c.now
+		for task, run := range r.abandoned {
+			c.stopUnknownRun(r, task, run, "its lease has lapsed before it began")
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/process/jaycell/lapse_test.go
@@ -0,0 +1,85 @@
+package jaycell
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// lapse lets the lease of runner r1 lapse, on which run 1 of task a.0.0.0 was placed, so
+// that run 2 is placed on r2. seen reports whether r1 has listed the run before.
+func lapse(t *testing.T, seen bool) *harness {
+	h := newHarness(t, nil)
+	h.report("n1", "r1", nil)
+	h.submit("a", 1, "w", step(1, 8))
+	assert.DeepEqual(t, startedTasks(h.advance(0)), []string{"a.0.0.0"})
+	if seen {
+		h.advance(100 * time.Millisecond)
+		h.report("n1", "r1", func(p *Report) { p.Running = []Run{{Task: "a.0.0.0", Run: 1}} })
+	}
+	var started []string
+	for range 14 {
+		h.report("n2", "r2", nil)
+		started = append(started, startedTasks(h.advance(500*time.Millisecond))...)
+	}
+	assert.DeepEqual(t, started, []string{"a.0.0.0"})
+	return h
+}
+
+func stopOf(run int) Order {
+	return Order{Kind: OrderStop, Node: "n1", Runner: "r1", Task: "a.0.0.0", Run: run}
+}
+
+func TestPendingStartDoesNotOutliveItsLease(t *testing.T) {
+	pending := []Order{{Kind: OrderStart, Task: "a.0.0.0", Run: 1}}
+	for _, c := range []struct {
+		name    string
+		seen    bool
+		back    Report
+		granted bool
+	}{
+		{"start pending at the agent", false, Report{PendingOrders: pending}, false},
+		{"start in transit", false, Report{}, false},
+		{"start of an earlier run listed as ended", false, Report{Finished: []End{{Number: 1, Task: "b.0.0.0", Run: 1, Reason: EndLapsed}}}, false},
+		{"run stopped at the runner", false, Report{OrderResults: []OrderResult{{Task: "a.0.0.0", Run: 1}}}, true},
+		{"run refused for good", false, Report{OrderResults: []OrderResult{{Task: "a.0.0.0", Run: 1, Refused: true}}}, true},
+		{"run lapsed", false, Report{Finished: []End{{Number: 1, Task: "a.0.0.0", Run: 1, Reason: EndLapsed}}}, true},
+		{"run was listed before", true, Report{}, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			h := lapse(t, c.seen)
+			granted := h.report("n1", "r1", func(p *Report) {
+				p.PendingOrders, p.OrderResults, p.Finished = c.back.PendingOrders, c.back.OrderResults, c.back.Finished
+			})
+			assert.Equal(t, granted, c.granted)
+			stops := 0
+			for _, o := range h.advance(0) {
+				if o == stopOf(1) {
+					stops++
+				}
+			}
+			assert.Equal(t, stops > 0, !c.granted)
+		})
+	}
+}
+
+func TestRunnerWithUnknownPendingStartGetsNoLease(t *testing.T) {
+	h := newHarness(t, nil)
+	pending := func(p *Report) { p.PendingOrders = []Order{{Kind: OrderStart, Task: "a.0.0.0", Run: 1}} }
+	assert.Assert(t, !h.report("n1", "r1", pending))
+	assert.DeepEqual(t, h.advance(100*time.Millisecond), []Order{stopOf(1)})
+	assert.Assert(t, !h.report("n1", "r1", pending))
+	assert.Equal(t, len(h.advance(100*time.Millisecond)), 0)
+	assert.Assert(t, !h.report("n1", "r1", func(p *Report) { pending(p); p.NewConnection = true }))
+	assert.DeepEqual(t, h.advance(100*time.Millisecond), []Order{stopOf(1)})
+	assert.Assert(t, h.report("n1", "r1", func(p *Report) { p.OrderResults = []OrderResult{{Task: "a.0.0.0", Run: 1}} }))
+}
+
+func TestPendingStartWithoutPlacementIsStopped(t *testing.T) {
+	h := newHarness(t, nil)
+	h.report("n1", "r1", nil)
+	h.advance(100 * time.Millisecond)
+	h.report("n1", "r1", func(p *Report) { p.PendingOrders = []Order{{Kind: OrderStart, Task: "a.0.0.0", Run: 1}} })
+	assert.DeepEqual(t, h.advance(0), []Order{stopOf(1)})
+}
--- a/internal/process/jaycell/model_test.go
+++ b/internal/process/jaycell/model_test.go
@@ -65,6 +65,9 @@
 	Order
 	term  uint64
 	dueAt time.Duration
+	// lateCall reports a call without an answer that the runner executes late. The agent
+	// does not know of it.
+	lateCall bool
 }
 
 // model simulates the agents, the runners and the store around a cell, and checks
@@ -227,7 +230,13 @@
 func (m *model) deliver(orders []Order) {
 	for _, o := range orders {
 		a := m.agents[o.Node]
-		if a == nil || m.now < a.disconnectedUntil || a.runner.id != o.Runner {
+		if a == nil || a.runner.id != o.Runner {
+			continue
+		}
+		if m.now < a.disconnectedUntil {
+			if rapid.Bool().Draw(m.t, "held back") {
+				a.orders = append(a.orders, modelOrder{Order: o, term: m.term, dueAt: a.disconnectedUntil})
+			}
 			continue
 		}
 		if o.Kind == OrderAcknowledge {
@@ -238,7 +247,7 @@
 		a.orders = append(a.orders, modelOrder{Order: o, term: m.term, dueAt: m.now + delay})
 		if o.Kind == OrderStart && rapid.IntRange(0, 9).Draw(m.t, "late") == 0 {
 			// An unanswered call to the runner is executed again seconds later.
-			a.orders = append(a.orders, modelOrder{Order: o, term: m.term, dueAt: m.now + time.Duration(rapid.IntRange(10, 60).Draw(m.t, "late by"))*modelStep})
+			a.orders = append(a.orders, modelOrder{Order: o, term: m.term, dueAt: m.now + time.Duration(rapid.IntRange(10, 60).Draw(m.t, "late by"))*modelStep, lateCall: true})
 		}
 	}
 }
@@ -252,7 +261,9 @@
 			waiting = append(waiting, o)
 			continue
 		}
-		m.executeOrder(a, r, o)
+		if !m.executeOrder(a, r, o) {
+			waiting = append(waiting, o)
+		}
 	}
 	a.orders = waiting
 	if m.now < a.disconnectedUntil {
@@ -281,7 +292,7 @@
 	for _, o := range a.orders {
 		// An agent drops the orders of earlier terms, but a call to the runner that is
 		// in transit may still be executed.
-		if o.term < a.term {
+		if o.term < a.term || o.lateCall || m.now < o.dueAt {
 			continue
 		}
 		p.PendingOrders = append(p.PendingOrders, Order{Kind: o.Kind, Task: o.Task, Run: o.Run})
@@ -292,10 +303,11 @@
 	a.results, a.newConnection = nil, false
 }
 
-// executeOrder executes an order on the runner.
-func (m *model) executeOrder(a *modelAgent, r *modelRunner, o modelOrder) {
+// executeOrder executes an order on the runner. It returns false if the order stays
+// pending: an agent repeats a start until it has a lease.
+func (m *model) executeOrder(a *modelAgent, r *modelRunner, o modelOrder) bool {
 	if o.Runner != r.id || o.term < r.fence {
-		return
+		return true
 	}
 	r.fence = o.term
 	if o.Kind == OrderStop {
@@ -307,20 +319,29 @@
 		} else if !isListed(r, o.Task, o.Run) {
 			a.results = append(a.results, OrderResult{Task: o.Task, Run: o.Run})
 		}
-		return
+		return true
 	}
 	if x := r.running[o.Task]; x != nil && x.run == o.Run {
-		return
-	}
-	if o.Run <= r.highest[o.Task] || m.now > max(r.leaseEnd, a.leaseEnd) || !m.fits(r, o) {
+		return true
+	}
+	refused := o.Run <= r.highest[o.Task] || !m.fits(r, o)
+	leased := m.now <= r.leaseEnd || !o.lateCall && m.now <= a.leaseEnd
+	switch {
+	case o.lateCall && (refused || !leased):
+		return true
+	case refused:
+		// An agent stops the run before it reports the refusal.
 		if !isListed(r, o.Task, o.Run) {
 			a.results = append(a.results, OrderResult{Task: o.Task, Run: o.Run, Refused: true, Reason: "room"})
 		}
 		r.highest[o.Task] = max(r.highest[o.Task], o.Run)
-		return
+		return true
+	case !leased:
+		return false
 	}
 	r.leaseEnd = max(r.leaseEnd, a.leaseEnd)
 	m.startRun(r, o)
+	return true
 }
 
 func isListed(r *modelRunner, task string, run int) bool {
--- a/internal/process/jaycell/report.go
+++ b/internal/process/jaycell/report.go
@@ -41,12 +41,9 @@
 	}
 	if r == nil {
 		r = newRunner(p.Runner.ID, p.Node)
+		r.lost, r.leaseEnd = hasPendingStart(p), c.now
 		c.runners[r.id] = r
 	}
-	if r.lost {
-		// Its lease had lapsed, which ended all its runs, but the process survived.
-		r.lost, r.reported = false, false
-	}
 	r.node, r.sequence = p.Node, p.Sequence
 	// Only one incarnation can answer at a node's address: all others have ended,
 	// including those known only from records of earlier terms.
@@ -56,6 +53,9 @@
 			old.replaced = true
 		}
 	}
+	if r.lost && !c.takeBack(r, p) {
+		return false
+	}
 	r.leaseEnd = c.latestLeaseEnd()
 	if p.Term != c.settings.Term {
 		// The runner has not confirmed this term's fence, so that orders of an earlier
@@ -175,8 +175,7 @@
 	for _, run := range p.Running {
 		pl := r.placements[run.Task]
 		if pl == nil || pl.run != run.Run {
-			c.immediateOrders = append(c.immediateOrders, Order{Kind: OrderStop, Node: p.Node, Runner: r.id, Task: run.Task, Run: run.Run})
-			c.reportDecision(Decision{Task: run.Task, Run: run.Run, Runner: r.id, Event: "stop", Outcome: "ordered", Reason: "run was not ordered"})
+			c.stopUnknownRun(r, run.Task, run.Run, "run was not ordered")
 			continue
 		}
 		running[run.Task] = true
@@ -186,6 +185,11 @@
 	for _, o := range p.PendingOrders {
 		pending[o.Task] = o
 	}
+	for task, o := range pending {
+		if pl := r.placements[task]; o.Kind == OrderStart && (pl == nil || pl.run != o.Run) {
+			c.stopUnknownRun(r, task, o.Run, "start is pending but was not ordered")
+		}
+	}
 	for _, s := range p.OrderResults {
 		pl := r.placements[s.Task]
 		if pl == nil || pl.run != s.Run || running[s.Task] {
@@ -217,6 +221,12 @@
 	}
 }
 
+// stopUnknownRun orders the stop of a run that has no placement.
+func (c *Cell) stopUnknownRun(r *Runner, task string, run int, reason string) {
+	c.immediateOrders = append(c.immediateOrders, Order{Kind: OrderStop, Node: r.node, Runner: r.id, Task: task, Run: run})
+	c.reportDecision(Decision{Task: task, Run: run, Runner: r.id, Event: "stop", Outcome: "ordered", Reason: reason})
+}
+
 // repeatOrder sends the latest order for a placement again.
 func (c *Cell) repeatOrder(p Report, pl *placement, o Order, event string) {
 	reason := "missing from reports"
@@ -237,6 +247,7 @@
 func (c *Cell) Tick() {
 	for _, r := range c.sortedRunners() {
 		if !r.lost && c.now > r.leaseEnd {
+			c.abandonUnseenRuns(r)
 			c.markLost(r, "its lease has lapsed")
 		}
 		if r.lost && len(r.placements) == 0 && c.now > r.leaseEnd+c.settings.Retention {
--- a/internal/process/jaycell/runner.go
+++ b/internal/process/jaycell/runner.go
@@ -115,8 +115,13 @@
 	info     RunnerInfo
 	// reported is set once the runner has reported in this term, last at reportedAt.
 	reported bool
-	// lost is set when all its runs have certainly ended.
+	// lost is set when all its runs have certainly ended, and while abandoned runs keep a
+	// runner from being taken back.
 	lost bool
+	// abandoned holds the runs, by task, that were given up although their starts may
+	// still reach the runner. Their stops were ordered at abandonedStopsSentAt.
+	abandoned            map[string]int
+	abandonedStopsSentAt time.Duration
 	// replaced reports that this incarnation has ended for good.
 	replaced   bool
 	reportedAt time.Duration
