Refuse copies of a start whose order has a result

A runner that gets its orders by heartbeat confirms nothing: the agent took its next heartbeat for proof that it had read the response to the previous one. If that was lost, a stop was reported as carried out, and a copy of the start that came later was sent and began beside the next run.

An agent now remembers the runs whose orders have a result and refuses their starts, for a minute and for the runner's incarnation. What an earlier response has carried is settled by then: a runner sends its next heartbeat after it has read or given up the response.

--- a/internal/process/jaysupervisor/orders.go
+++ b/internal/process/jaysupervisor/orders.go
@@ -42,6 +42,10 @@
 				jaycontroller.Signal(s.pollSignal)
 			}
 		case jaycell.OrderStart:
+			if o.Run <= s.excluded[o.Task].run {
+				s.addResult(o, true, ReasonNotStarted)
+				continue
+			}
 			s.execute(o, false)
 		case jaycell.OrderStop:
 			s.execute(o, true)
@@ -93,9 +97,12 @@
 	})
 }
 
-// addResult records the result of an order that left no run behind.
+// addResult records the result of an order that left no run behind. The run is excluded:
+// copies of its start may arrive later.
 func (s *Supervisor) addResult(o jaycell.Order, refused bool, reason string) {
-	s.results = append(s.results, orderResult{OrderResult: jaycell.OrderResult{Task: o.Task, Run: o.Run, Refused: refused, Reason: reason}, recordedAt: s.Elapsed()})
+	now := s.Elapsed()
+	s.results = append(s.results, orderResult{OrderResult: jaycell.OrderResult{Task: o.Task, Run: o.Run, Refused: refused, Reason: reason}, recordedAt: now})
+	s.excluded[o.Task] = exclusion{run: max(o.Run, s.excluded[o.Task].run), recordedAt: now}
 	jaycontroller.Signal(s.reportSignal)
 }
 
--- a/internal/process/jaysupervisor/supervisor.go
+++ b/internal/process/jaysupervisor/supervisor.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"sync"
 	"time"
 
@@ -36,6 +37,9 @@
 	minLeaseLeft = 500 * time.Millisecond
 	// resultRetention is how long the result of an order is repeated in reports.
 	resultRetention = 4 * time.Second
+	// exclusionRetention is far longer than a copy of an order may be in transit: silent
+	// links are closed within a second.
+	exclusionRetention = time.Minute
 )
 
 // order is an order in progress.
@@ -62,6 +66,12 @@
 	recordedAt time.Duration
 }
 
+// exclusion is a run whose start is refused until exclusionRetention has passed.
+type exclusion struct {
+	run        int
+	recordedAt time.Duration
+}
+
 // Supervisor supervises one runner. Its exported fields are set before Run.
 type Supervisor struct {
 	// Node names the agent's machine and the runner's address in reports.
@@ -105,7 +115,9 @@
 	acknowledged uint64
 	orders       map[string]*order
 	results      []orderResult
-	listing      Listing
+	// excluded holds, by task, the highest run that has a result and may not start any more.
+	excluded map[string]exclusion
+	listing  Listing
 	// listingRequestedAt is when the newest listing was requested.
 	listingRequestedAt time.Duration
 	// reportSignal requests a report at once, pollSignal a listing.
@@ -119,7 +131,7 @@
 
 // New returns a supervisor without a runner.
 func New() *Supervisor {
-	return &Supervisor{Elapsed: jayclock.Elapsed, orders: map[string]*order{}, reportSignal: make(chan struct{}, 1), pollSignal: make(chan struct{}, 1)}
+	return &Supervisor{Elapsed: jayclock.Elapsed, orders: map[string]*order{}, excluded: map[string]exclusion{}, reportSignal: make(chan struct{}, 1), pollSignal: make(chan struct{}, 1)}
 }
 
 // Run supervises the runner until ctx is done.
@@ -229,6 +241,7 @@
 	}
 	s.runner, s.sequence, s.deregistered, s.acknowledged, s.results, s.runnerClockKnown, s.confirmedFence, s.sentFence = h.Runner, h.Sequence, false, 0, nil, false, 0, 0
 	s.listing = Listing{}
+	clear(s.excluded)
 	jaycontroller.Signal(s.reportSignal)
 }
 
@@ -381,6 +394,7 @@
 		}
 	}
 	s.results = kept
+	maps.DeleteFunc(s.excluded, func(_ string, x exclusion) bool { return now-x.recordedAt > exclusionRetention })
 	for _, o := range s.orders {
 		kind := jaycell.OrderStart
 		if o.stop {
