Ignore reports that come over an earlier link of an agent

A report was compared with earlier ones of the same incarnation of a runner only. One about an incarnation that the leader had not heard of, delivered over an old link after a report about its successor, made the leader give up the live successor and ignore it from then on: its tasks ran twice.

The leader numbers the links that it accepts, and a report counts only if no later link of that node has reported. So the number replaces the flag for the first report on a link, and orders go to the newest link.

--- a/internal/process/jaycell/cell_test.go
+++ b/internal/process/jaycell/cell_test.go
@@ -152,7 +152,9 @@
 		h.now += time.Second
 		h.cell.SetTime(h.now, h.wall)
 		h.report("n1", "r1", func(p *Report) {
-			p.NewConnection = newConnection
+			if newConnection {
+				p.Connection = 1
+			}
 			p.Finished = []End{{Number: 1, Task: "a.0.0.0", Run: 1, Reason: EndDone}}
 		})
 		assert.Equal(t, len(h.cell.TakeImmediateOrders()), 0, "sent before the record is stored")
@@ -171,7 +173,7 @@
 		modify func(p *Report)
 		want   int
 	}{
-		{"immediately on a new connection", 100 * time.Millisecond, func(p *Report) { p.NewConnection = true }, 1},
+		{"immediately on a new connection", 100 * time.Millisecond, func(p *Report) { p.Connection = 1 }, 1},
 		{"not while it may be in transit", 100 * time.Millisecond, nil, 0},
 		{"not while the agent executes it", 2 * time.Second, func(p *Report) { p.PendingOrders = []Order{{Kind: OrderStart, Task: "a.0.0.0", Run: 1}} }, 0},
 		{"when the agent does not list it", 2 * time.Second, nil, 1},
--- a/internal/process/jaycell/lapse.go
+++ b/internal/process/jaycell/lapse.go
@@ -59,7 +59,7 @@
 		c.reportDecision(Decision{Runner: r.id, Event: "runner", Outcome: "back", Reason: "reported by " + p.Node})
 		return true
 	}
-	if r.abandonedStopsSentAt == 0 || c.orderLost(p, r.abandonedStopsSentAt) {
+	if r.abandonedStopsSentAt == 0 || c.orderLost(r, r.abandonedStopsSentAt) {
 		r.abandonedStopsSentAt = c.now
 		for task, run := range r.abandoned {
 			c.stopUnknownRun(r, task, run, "its lease has lapsed before it began")
--- a/internal/process/jaycell/lapse_test.go
+++ b/internal/process/jaycell/lapse_test.go
@@ -73,9 +73,9 @@
 	assert.DeepEqual(t, h.advance(100*time.Millisecond), []Order{stopOf(1)})
 	assert.Assert(t, !h.report("n1", "r1", pending))
 	assert.Equal(t, len(h.advance(100*time.Millisecond)), 0)
-	assert.Assert(t, !h.report("n1", "r1", func(p *Report) { pending(p); p.NewConnection = true }))
+	assert.Assert(t, !h.report("n1", "r1", func(p *Report) { pending(p); p.Connection = 1 }))
 	assert.DeepEqual(t, h.advance(100*time.Millisecond), []Order{stopOf(1)})
-	assert.Assert(t, h.report("n1", "r1", func(p *Report) { p.OrderResults = []OrderResult{{Task: "a.0.0.0", Run: 1}} }))
+	assert.Assert(t, h.report("n1", "r1", func(p *Report) { p.OrderResults, p.Connection = []OrderResult{{Task: "a.0.0.0", Run: 1}}, 1 }))
 }
 
 func TestPendingStartWithoutPlacementIsStopped(t *testing.T) {
--- a/internal/process/jaycell/model_test.go
+++ b/internal/process/jaycell/model_test.go
@@ -108,7 +108,7 @@
 	orders            []modelOrder
 	results           []OrderResult
 	acked             uint64
-	newConnection     bool
+	connection        uint64
 }
 
 func newModel(t *rapid.T, agents int) *model {
@@ -267,11 +267,12 @@
 	}
 	a.orders = waiting
 	if m.now < a.disconnectedUntil {
-		a.newConnection = true
+		a.connection++
 		return
 	}
 	if a.term < m.term {
-		a.term, a.results, a.newConnection = m.term, nil, true
+		a.term, a.results = m.term, nil
+		a.connection++
 	}
 	r.fence = max(r.fence, a.term)
 	r.leaseEnd = max(r.leaseEnd, a.leaseEnd)
@@ -279,7 +280,7 @@
 		r.acked++
 		m.acknowledge(r, r.acked)
 	}
-	p := Report{Node: a.node, NewConnection: a.newConnection, Sequence: int64(m.now), Term: a.term, Responsive: true, OrderResults: a.results, Runner: RunnerInfo{ID: r.id, Service: "service", Labels: []string{"a", "r1-" + a.node[5:]}, Capacity: jaytask.Resources{CPU: 64000, Memory: 1000, Accelerators: 8}}}
+	p := Report{Node: a.node, Connection: a.connection, Sequence: int64(m.now), Term: a.term, Responsive: true, OrderResults: a.results, Runner: RunnerInfo{ID: r.id, Service: "service", Labels: []string{"a", "r1-" + a.node[5:]}, Capacity: jaytask.Resources{CPU: 64000, Memory: 1000, Accelerators: 8}}}
 	for _, task := range sortedKeys(r.running) {
 		x := r.running[task]
 		p.Running = append(p.Running, Run{Task: task, Run: x.run, Percent: int(100 * (m.now - x.startedAt) / (x.endsAt - x.startedAt + 1))})
@@ -300,7 +301,7 @@
 	if m.cell.ApplyReport(p) {
 		a.leaseEnd = m.now + modelLease
 	}
-	a.results, a.newConnection = nil, false
+	a.results = nil
 }
 
 // executeOrder executes an order on the runner. It returns false if the order stays
--- a/internal/process/jaycell/report.go
+++ b/internal/process/jaycell/report.go
@@ -24,7 +24,7 @@
 		return false
 	}
 	r := c.runners[p.Runner.ID]
-	if r != nil && (r.replaced || p.Sequence <= r.sequence) {
+	if r != nil && (r.replaced || p.Sequence <= r.sequence) || c.overEarlierLink(p) {
 		// A late report, or one about an incarnation that has ended.
 		return false
 	}
@@ -45,6 +45,7 @@
 		c.runners[r.id] = r
 	}
 	r.node, r.sequence = p.Node, p.Sequence
+	r.newConnection, r.connection = p.Connection > r.connection, p.Connection
 	// Only one incarnation can answer at a node's address: all others have ended,
 	// including those known only from records of earlier terms.
 	for _, old := range c.sortedRunners() {
@@ -79,6 +80,17 @@
 	return true
 }
 
+// overEarlierLink reports whether the agent has reported over a later link. The runner's
+// incarnation in the report may have ended, also if it is not known.
+func (c *Cell) overEarlierLink(p Report) bool {
+	for _, r := range c.runners {
+		if r.node == p.Node && r.connection > p.Connection {
+			return true
+		}
+	}
+	return false
+}
+
 func runnerStateName(draining bool) string {
 	if draining {
 		return "draining"
@@ -122,7 +134,7 @@
 	}
 	// Ends that are listed long after their acknowledgement are acknowledged again: the
 	// order may be lost.
-	if highest > r.acked || len(p.Finished) > 0 && c.orderLost(p, r.ackedAt) {
+	if highest > r.acked || len(p.Finished) > 0 && c.orderLost(r, r.ackedAt) {
 		r.acked, r.ackedAt = highest, c.now
 		c.orders = append(c.orders, Order{Kind: OrderAcknowledge, Node: r.node, Runner: r.id, Number: highest})
 	}
@@ -213,12 +225,12 @@
 			// The runner's fence is at this term: a start of an earlier term that is
 			// not listed can no longer begin.
 			c.endPlacement(pl, EndRefused, "")
-		case !c.orderLost(p, pl.orderSentAt):
+		case !c.orderLost(r, pl.orderSentAt):
 			// The latest order may still be in transit.
 		case pl.stopOrdered && !(inProgress && o.Kind == OrderStop):
-			c.repeatOrder(p, pl, stopOrder(pl), "stop")
+			c.repeatOrder(pl, stopOrder(pl), "stop")
 		case !pl.stopOrdered && !running[pl.task()] && !inProgress:
-			c.repeatOrder(p, pl, c.startOrder(pl), "start")
+			c.repeatOrder(pl, c.startOrder(pl), "start")
 		}
 	}
 }
@@ -230,9 +242,9 @@
 }
 
 // repeatOrder sends the latest order for a placement again.
-func (c *Cell) repeatOrder(p Report, pl *placement, o Order, event string) {
+func (c *Cell) repeatOrder(pl *placement, o Order, event string) {
 	reason := "missing from reports"
-	if p.NewConnection {
+	if pl.runner.newConnection {
 		reason = "new connection"
 	}
 	pl.orderSentAt = c.now
@@ -241,8 +253,8 @@
 }
 
 // orderLost reports whether an order that is missing from a report must be resent.
-func (c *Cell) orderLost(p Report, sent time.Duration) bool {
-	return p.NewConnection || c.now-sent > orderLossTimeout
+func (c *Cell) orderLost(r *Runner, sent time.Duration) bool {
+	return r.newConnection || c.now-sent > orderLossTimeout
 }
 
 // Tick expires leases, drains runners and schedules waiting units.
--- a/internal/process/jaycell/runner.go
+++ b/internal/process/jaycell/runner.go
@@ -87,9 +87,9 @@
 type Report struct {
 	// Node identifies the agent's machine and the address of its runner.
 	Node string
-	// NewConnection reports that this is the first report on a new connection, so that
-	// orders sent before may be lost.
-	NewConnection bool
+	// Connection numbers the link over which the report came. The leader gives a higher
+	// number to each link that it accepts.
+	Connection uint64
 	// Sequence increases with each report of a node, also over restarts of its agent.
 	Sequence int64
 	// Term is the term whose fence the runner had confirmed when it listed its runs,
@@ -112,7 +112,11 @@
 	id       string
 	node     string
 	sequence int64
-	info     RunnerInfo
+	// connection is the Connection of the newest report. newConnection is set if that was
+	// the first one over its link, so that orders sent before may be lost.
+	connection    uint64
+	newConnection bool
+	info          RunnerInfo
 	// reported is set once the runner has reported in this term, last at reportedAt.
 	reported bool
 	// lost is set when all its runs have certainly ended, and while abandoned runs keep a
--- a/internal/process/jaycontroller/controller.go
+++ b/internal/process/jaycontroller/controller.go
@@ -136,14 +136,18 @@
 	// peers holds the names of the entries that have opened a link to this one.
 	peers map[*jaylink.Link]string
 	// agents holds the links of agents by node.
-	agents      map[string]*jaylink.Link
+	agents map[string]*jaylink.Link
+	// linkNumbers holds the accepted links, numbered in the order of their opening up to
+	// lastLink.
+	linkNumbers map[*jaylink.Link]uint64
+	lastLink    uint64
 	draining    bool
 	termChanged changeNotifier
 }
 
 // New returns a controller that accepts links on the listener.
 func New(listener net.Listener) *Controller {
-	return &Controller{listener: listener, relays: newRelayHistory(), entryAddresses: map[string]string{}, entryCores: map[string]float64{}, peers: map[*jaylink.Link]string{}, agents: map[string]*jaylink.Link{}, leaderResigned: make(chan struct{}, 1)}
+	return &Controller{listener: listener, relays: newRelayHistory(), entryAddresses: map[string]string{}, entryCores: map[string]float64{}, peers: map[*jaylink.Link]string{}, agents: map[string]*jaylink.Link{}, linkNumbers: map[*jaylink.Link]uint64{}, leaderResigned: make(chan struct{}, 1)}
 }
 
 // Prepare builds the internal components. It is called once, after the exported
--- a/internal/process/jaycontroller/leaderlinks.go
+++ b/internal/process/jaycontroller/leaderlinks.go
@@ -40,9 +40,8 @@
 }
 
 // applyReport applies an agent's report and answers with a lease grant, whose sequence
-// number is zero if the lease may not be extended. newConnection is set for the first
-// report on a link.
-func (l *leadership) applyReport(link *jaylink.Link, m *jayframe.CellReport, newConnection bool) {
+// number is zero if the lease may not be extended. connection is the number of the link.
+func (l *leadership) applyReport(link *jaylink.Link, m *jayframe.CellReport, connection uint64) {
 	l.mutex.Lock()
 	if l.termUnverified || !l.loaded {
 		l.mutex.Unlock()
@@ -50,7 +49,7 @@
 	}
 	l.setCellTime()
 	report := decodeReport(m)
-	report.NewConnection = newConnection
+	report.Connection = connection
 	granted := l.cell.ApplyReport(report)
 	l.mutex.Unlock()
 	grant := &jayframe.CellLeaseGrant{Term: l.term}
--- a/internal/process/jaycontroller/links.go
+++ b/internal/process/jaycontroller/links.go
@@ -118,6 +118,8 @@
 	if hello.Role == jayframe.RoleEntry {
 		c.peers[l] = hello.Name
 	}
+	c.lastLink++
+	c.linkNumbers[l] = c.lastLink
 	view := c.cellView()
 	c.mutex.Unlock()
 	if err := l.Send(view); err != nil {
@@ -131,6 +133,7 @@
 		c.relays.forget(name)
 	}
 	delete(c.peers, l)
+	delete(c.linkNumbers, l)
 	for node, link := range c.agents {
 		if link == l {
 			delete(c.agents, node)
@@ -208,10 +211,12 @@
 		return
 	}
 	c.mutex.Lock()
-	newConnection := c.agents[m.Node] != l
-	c.agents[m.Node] = l
+	number := c.linkNumbers[l]
+	if c.linkNumbers[c.agents[m.Node]] <= number {
+		c.agents[m.Node] = l
+	}
 	c.mutex.Unlock()
-	leadership.applyReport(l, m, newConnection)
+	leadership.applyReport(l, m, number)
 }
 
 // agentLink returns the link to a node's agent, or nil.
--- a/internal/process/jaysupervisor/cellmodel_test.go
+++ b/internal/process/jaysupervisor/cellmodel_test.go
@@ -39,9 +39,10 @@
 	jobs       []*jaytask.Job
 	canceled   map[string]bool
 	nodes      []*node
-	// links are the leader's links by node.
-	links map[string]*link
-	runs  []*modelRun
+	// links are the leader's links by node; opened counts the links that were opened.
+	links  map[string]*link
+	opened uint64
+	runs   []*modelRun
 	// begun is the newest start of a unit, done when an end as done was acknowledged.
 	begun   map[string]*modelRun
 	done    map[string]time.Duration
@@ -268,8 +269,10 @@
 	if l.term != f.term {
 		return
 	}
-	r.NewConnection = f.links[r.Node] != l
-	f.links[r.Node] = l
+	r.Connection = l.number
+	if old := f.links[r.Node]; old == nil || old.number <= l.number {
+		f.links[r.Node] = l
+	}
 	f.cell.SetTime(f.now(), time.Now())
 	for _, o := range r.OrderResults {
 		f.logf(o.Task, "leader: result from %s: %s run %d refused %v %s", r.Node, o.Task, o.Run, o.Refused, o.Reason)
--- a/internal/process/jaysupervisor/nodemodel_test.go
+++ b/internal/process/jaysupervisor/nodemodel_test.go
@@ -21,6 +21,7 @@
 // link carries messages between an agent process and the leader of a term, in order.
 type link struct {
 	node       *node
+	number     uint64
 	supervisor *Supervisor
 	term       uint64
 	// closed links accept no messages; lost ones do not deliver those in transit either.
@@ -168,7 +169,8 @@
 		n.link.closed = true
 	}
 	n.fleet.logf("", "%s connects", n.name)
-	l := &link{node: n, supervisor: n.supervisor, term: n.fleet.term}
+	n.fleet.opened++
+	l := &link{node: n, number: n.fleet.opened, supervisor: n.supervisor, term: n.fleet.term}
 	n.link = l
 	l.send(down, func() {
 		l.supervisor.SetTerm(l.term)
