Check attempts, planned ends and late completions with a real cell

Cause: the faults had no job that always fails and no runner that ends as planned, and a start after a job was completed counted only after two leases.

What: a tenth of the jobs is doomed. No run may begin after three failed ones whose ends were acknowledged before their lease lapsed, or a second after its job was completed. Some runners deregister before they end.

--- a/internal/process/jaysupervisor/cellmodel_test.go
+++ b/internal/process/jaysupervisor/cellmodel_test.go
@@ -47,8 +47,12 @@
 	opened uint64
 	runs   []*modelRun
 	// begun is the newest start of a unit, done when an end as done was acknowledged.
-	begun   map[string]*modelRun
-	done    map[string]time.Duration
+	begun map[string]*modelRun
+	done  map[string]time.Duration
+	// failedRuns holds the times of a unit's acknowledged ends as failed, by run.
+	failedRuns map[string]map[int]time.Duration
+	// All runs of doomed jobs fail.
+	doomed  map[string]bool
 	events  []event
 	failure string
 	// failedUnit is the unit that failure is about, stuck a job that has not ended.
@@ -62,7 +66,7 @@
 type event struct{ task, text string }
 
 func newFleet(t *testing.T, lease time.Duration, seed uint64) *fleet {
-	f := &fleet{t: t, lease: lease, begin: time.Now().Add(-time.Hour), seed: seed, script: luck{rand.New(rand.NewPCG(seed, 0))}, wake: make(chan struct{}, 1), storeDelay: 10 * time.Millisecond, units: map[string][]byte{}, states: map[string]jaytask.State{}, endedAt: map[string]time.Duration{}, canceled: map[string]bool{}, links: map[string]*link{}, begun: map[string]*modelRun{}, done: map[string]time.Duration{}}
+	f := &fleet{t: t, lease: lease, begin: time.Now().Add(-time.Hour), seed: seed, script: luck{rand.New(rand.NewPCG(seed, 0))}, wake: make(chan struct{}, 1), storeDelay: 10 * time.Millisecond, units: map[string][]byte{}, states: map[string]jaytask.State{}, endedAt: map[string]time.Duration{}, canceled: map[string]bool{}, links: map[string]*link{}, begun: map[string]*modelRun{}, failedRuns: map[string]map[int]time.Duration{}, doomed: map[string]bool{}, done: map[string]time.Duration{}}
 	f.ctx, f.stop = context.WithCancel(t.Context())
 	f.newTerm()
 	f.group.Go(func() {
@@ -195,7 +199,7 @@
 }
 
 func (f *fleet) submitLocked(count int, gang bool, work time.Duration) *jaytask.Job {
-	j := &jaytask.Job{ID: fmt.Sprintf("%016x", len(f.jobs)+1), Accepted: time.Now(), Policy: jaytask.Policy{Service: "s", MaxAttempts: 5, Stretch: 3, Objective: time.Minute}}
+	j := &jaytask.Job{ID: fmt.Sprintf("%016x", len(f.jobs)+1), Accepted: time.Now(), Policy: jaytask.Policy{Service: "s", MaxAttempts: modelAttempts, Stretch: 3, Objective: time.Minute}}
 	j.Steps = []jaytask.Step{{Count: count, Gang: gang, Estimate: work, Checkpoint: true, Resources: jaytask.Resources{CPU: 1}}}
 	f.jobs = append(f.jobs, j)
 	f.cell.SetTime(f.now(), time.Now())
--- a/internal/process/jaysupervisor/faults_test.go
+++ b/internal/process/jaysupervisor/faults_test.go
@@ -104,7 +104,8 @@
 			}
 		}
 		if unfinished < 4 {
-			f.submitLocked(1+f.script.IntN(4), f.script.chance(0.3), f.script.between(50, 2500))
+			j := f.submitLocked(1+f.script.IntN(4), f.script.chance(0.3), f.script.between(50, 2500))
+			f.doomed[j.ID] = f.script.chance(0.1)
 		}
 	case 6, 7, 8, 9:
 		f.cutAtRandom(n.link)
@@ -125,8 +126,14 @@
 		r.unreliable = 0.1 + 0.6*f.script.Float64()
 		f.logf("", "%s is unreliable", r.id)
 		f.later(func() { f.locked(func() { r.unreliable = 0; f.logf("", "%s is reliable", r.id) }) })
-	case 22, 23:
+	case 22:
 		n.newRunner()
+	case 23:
+		// A planned end: the agent confirms it.
+		if n.paused == nil {
+			n.supervisor.Deregister(r.id)
+			n.newRunner()
+		}
 	case 24:
 		f.newTerm()
 	case 18:
--- a/internal/process/jaysupervisor/runnermodel_test.go
+++ b/internal/process/jaysupervisor/runnermodel_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -16,6 +17,7 @@
 	modelStopTime = 200 * time.Millisecond
 	modelGangTime = 800 * time.Millisecond
 	modelSlots    = 3
+	modelAttempts = 3
 )
 
 // modelRunner is one incarnation of a runner. Only runs that were stopped or ended there
@@ -250,8 +252,8 @@
 	return nil
 }
 
-// acknowledge forgets ends. Those as done count from now on, unless the lease has lapsed
-// after them.
+// acknowledge forgets ends. Those as done or failed count from now on, unless the lease has
+// lapsed after them.
 func (r *modelRunner) acknowledge(number uint64) {
 	f := r.node.fleet
 	for len(r.finished) > 0 && r.finished[0].Number <= number {
@@ -259,7 +261,20 @@
 		r.finished = r.finished[1:]
 		unit, at := f.unitOf(e.Task), r.endedAt[e.Number]
 		f.logf(e.Task, "%s: end of %s run %d as %s acknowledged", r.id, e.Task, e.Run, e.Reason)
-		if e.Reason != jaycell.EndDone || r.lapsedAt >= at {
+		if r.lapsedAt >= at {
+			continue
+		}
+		if e.Reason == jaycell.EndFailed {
+			if f.failedRuns[unit] == nil {
+				f.failedRuns[unit] = map[int]time.Duration{}
+			}
+			f.failedRuns[unit][e.Run] = at
+			latest := slices.Max(slices.Collect(maps.Values(f.failedRuns[unit])))
+			if x := f.begun[unit]; len(f.failedRuns[unit]) >= modelAttempts && x.beganAt > latest {
+				f.fail(x.task, "run %d began on %s after %d had failed", x.run, x.runner.id, modelAttempts)
+			}
+		}
+		if e.Reason != jaycell.EndDone {
 			continue
 		}
 		f.done[unit] = at
@@ -318,7 +333,14 @@
 	if at, ok := f.done[unit]; ok {
 		f.fail(s.Task, "run %d begins on %s %s after it was done", s.Run, r.id, now-at)
 	}
-	if at, ok := f.endedAt[job.ID]; ok && now-at > 2*f.lease {
+	if n := len(f.failedRuns[unit]); n >= modelAttempts {
+		f.fail(s.Task, "run %d begins on %s after %d failed", s.Run, r.id, n)
+	}
+	grace := 2 * f.lease
+	if f.states[job.ID] == jaytask.Completed {
+		grace = time.Second
+	}
+	if at, ok := f.endedAt[job.ID]; ok && now-at > grace {
 		f.fail(s.Task, "run %d begins on %s %s after the end of its job", s.Run, r.id, now-at)
 	}
 	f.runs, f.begun[unit] = append(f.runs, x), x
@@ -345,7 +367,7 @@
 			x.runner.end(x, jaycell.EndLapsed)
 		case x.stopsAt > 0 && now >= x.stopsAt:
 			x.runner.end(x, jaycell.EndStopped)
-		case x.endsAt > 0 && now >= x.endsAt && f.luckOf(x.task).chance(0.05*x.runner.unreliable):
+		case x.endsAt > 0 && now >= x.endsAt && (f.doomed[f.jobOf(x.task).ID] || f.luckOf(x.task).chance(0.05*x.runner.unreliable)):
 			x.runner.end(x, jaycell.EndFailed)
 		case x.endsAt > 0 && now >= x.endsAt:
 			x.runner.end(x, jaycell.EndDone)
