Test the runs of a deregistered runner that goes on

Cause: a runner whose deregistration is not confirmed ends some seconds later.

What: a scenario in which its run goes on for two seconds after that.

--- a/internal/process/jaysupervisor/cell_test.go
+++ b/internal/process/jaysupervisor/cell_test.go
@@ -287,3 +287,23 @@
 		f.checkIdle()
 	})
 }
+
+// A runner that has got no confirmation of its deregistration ends some seconds later.
+func TestRunOfDeregisteredRunnerIsNotDoubled(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, time.Second, 1)
+		defer f.close()
+		n := f.addNode(false)
+		time.Sleep(2 * time.Second)
+		j := f.submit(1, false, 3*time.Second)
+		f.until("first run", time.Second, f.hasBegun(j, 1))
+		f.addNode(false)
+		time.Sleep(700 * time.Millisecond)
+		n.supervisor.Deregister(n.runner.id)
+		time.Sleep(2 * time.Second)
+		f.locked(n.newRunner)
+		f.until("end of the job", 20*time.Second, f.ended(j))
+		time.Sleep(time.Second)
+		f.checkIdle()
+	})
+}
