Report an answered refusal without waiting for a stop

Since a refusal waited for its stop, its task stayed on that runner for as long as it was unhealthy.

Copies that reach this process are excluded by its memory. A stop is needed only for a call whose effect is unknown: one of this process that got no answer, or one of an earlier process, which is possible only if the leader has sent the order before. Orders now say so.

Before: TestAnsweredRefusalIsReportedWithoutAStop failed (no refusal within 5 s). TestRefusalIsFinalAlsoForCallsOfAnEarlierAgent sends the second order as the leader does, as repeated.

--- a/internal/connection/jayframe/cell.go
+++ b/internal/connection/jayframe/cell.go
@@ -82,6 +82,7 @@
 	Ticket     string
 	Number     uint64
 	Percent    int
+	Repeated   bool
 }
 
 // CellOrders sends the orders of a term's leader to an agent.
--- a/internal/process/jaycell/cell.go
+++ b/internal/process/jaycell/cell.go
@@ -105,6 +105,9 @@
 	Number uint64
 	// Percent is the CPU share to which a run is throttled.
 	Percent int
+	// Repeated reports that the order was sent before, perhaps to an agent process that has
+	// ended.
+	Repeated bool
 }
 
 // Batch holds records to be stored, in the order of its fields, and the orders that
--- a/internal/process/jaycell/report.go
+++ b/internal/process/jaycell/report.go
@@ -247,7 +247,7 @@
 	if pl.runner.newConnection {
 		reason = "new connection"
 	}
-	pl.orderSentAt = c.now
+	pl.orderSentAt, o.Repeated = c.now, true
 	c.immediateOrders = append(c.immediateOrders, o)
 	c.reportDecision(Decision{Job: pl.unit.job.spec.ID, Task: o.Task, Run: o.Run, Runner: o.Runner, Event: event, Outcome: "repeated", Reason: reason, AgeMS: c.jobAgeMS(pl.unit.job)})
 }
--- a/internal/process/jaycontroller/leaderlinks.go
+++ b/internal/process/jaycontroller/leaderlinks.go
@@ -36,7 +36,7 @@
 }
 
 func encodeOrder(o jaycell.Order) jayframe.CellOrder {
-	return jayframe.CellOrder{Kind: uint8(o.Kind), Runner: o.Runner, Task: o.Task, Run: o.Run, Spec: o.Spec, Checkpoint: o.Checkpoint, Ticket: o.Ticket, Number: o.Number, Percent: o.Percent}
+	return jayframe.CellOrder{Kind: uint8(o.Kind), Runner: o.Runner, Task: o.Task, Run: o.Run, Spec: o.Spec, Checkpoint: o.Checkpoint, Ticket: o.Ticket, Number: o.Number, Percent: o.Percent, Repeated: o.Repeated}
 }
 
 // applyReport applies an agent's report and answers with a lease grant, whose sequence
--- a/internal/process/jaysupervisor/agent.go
+++ b/internal/process/jaysupervisor/agent.go
@@ -187,7 +187,7 @@
 	case *jayframe.CellOrders:
 		orders := make([]jaycell.Order, len(m.Orders))
 		for i, o := range m.Orders {
-			orders[i] = jaycell.Order{Kind: jaycell.OrderKind(o.Kind), Runner: o.Runner, Task: o.Task, Run: o.Run, Spec: o.Spec, Checkpoint: o.Checkpoint, Ticket: o.Ticket, Number: o.Number, Percent: o.Percent}
+			orders[i] = jaycell.Order{Kind: jaycell.OrderKind(o.Kind), Runner: o.Runner, Task: o.Task, Run: o.Run, Spec: o.Spec, Checkpoint: o.Checkpoint, Ticket: o.Ticket, Number: o.Number, Percent: o.Percent, Repeated: o.Repeated}
 		}
 		a.Supervisor.ApplyOrders(m.Term, orders)
 	case *jayframe.CellView:
--- a/internal/process/jaysupervisor/orders.go
+++ b/internal/process/jaysupervisor/orders.go
@@ -183,15 +183,21 @@
 	return e.Int("calls", o.calls).Bool("unanswered", o.unanswered).Int64("age_ms", (s.Elapsed() - o.receivedAt).Milliseconds())
 }
 
-// refuse reports a start as refused once the run is stopped. A refusal alone leaves no
-// trace on the runner, which may accept a copy of the order or execute an earlier call
-// after the leader has started the next run elsewhere.
+// refuse reports a start as refused. A refusal leaves no trace on the runner: if a call of
+// this process or of an earlier one may still be executed, the run is stopped first, so
+// that it does not begin after the leader has started the next one elsewhere.
 func (s *Supervisor) refuse(ctx context.Context, o *order, reason string) {
 	s.mutex.Lock()
 	o.refusal = reason
+	final := !o.unanswered && !o.Repeated
+	if final && s.removeOrder(o) {
+		s.addResult(o.Order, true, reason)
+	}
 	s.mutex.Unlock()
 	s.logOrder(o, "refused", reason).Msg("start refused")
-	s.stop(ctx, o)
+	if !final {
+		s.stop(ctx, o)
+	}
 }
 
 // awaitListed waits until a listing shows a started run or its end, which removes the
--- /dev/null
+++ b/internal/process/jaysupervisor/refusal_test.go
@@ -0,0 +1,47 @@
+package jaysupervisor
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"gotest.tools/v3/assert"
+
+	"github.com/jaystile/jaystile/internal/process/jaycell"
+)
+
+// A runner that is unhealthy for long may refuse stops as well as starts. The refusal of a
+// start, which it had answered, was then not reported, and its task waited for the runner.
+func TestAnsweredRefusalIsReportedWithoutAStop(t *testing.T) {
+	client := newFakeRunner().client()
+	client.Start = func(context.Context, Start) error {
+		return &RefusedError{Call: "start", Reason: jaycell.ReasonUnhealthy}
+	}
+	client.Stop = func(context.Context, Stop) error {
+		return &RefusedError{Call: "stop", Reason: jaycell.ReasonUnhealthy}
+	}
+	s := startSupervisorOf(t, client)
+	s.ApplyOrders(1, ordersOf(jaycell.OrderStart, 1))
+	deadline := time.Now().Add(5 * time.Second)
+	for resultOf(s, 1) == nil && time.Now().Before(deadline) {
+		time.Sleep(10 * time.Millisecond)
+	}
+	r := resultOf(s, 1)
+	assert.Assert(t, r != nil && r.Refused, "pending: %+v", s.Report().PendingOrders)
+}
+
+// startSupervisorOf is startSupervisor for a runner with another client.
+func startSupervisorOf(t *testing.T, client RunnerClient) *Supervisor {
+	s := New()
+	s.Node, s.Client, s.Lease, s.Logger = "n1", client, time.Minute, zerolog.Nop()
+	s.SendReport = func(r jaycell.Report) { s.GrantLease(s.Term(), r.Sequence) }
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() { s.Run(ctx); close(done) }()
+	t.Cleanup(func() { cancel(); <-done })
+	s.SetTerm(1)
+	s.HandleHeartbeat(ctx, Heartbeat{Sequence: 1, Runner: jaycell.RunnerInfo{ID: "r1"}})
+	waitUntil(t, "a lease", func() bool { return s.Report().Term == 1 && hasLease(s) })
+	return s
+}
--- a/internal/process/jaysupervisor/supervisor_test.go
+++ b/internal/process/jaysupervisor/supervisor_test.go
@@ -257,7 +257,9 @@
 	f.unanswered, f.refusal = 0, "room"
 	f.mutex.Unlock()
 	s := startSupervisor(t, f)
-	s.ApplyOrders(1, ordersOf(jaycell.OrderStart, 1))
+	repeated := ordersOf(jaycell.OrderStart, 1)
+	repeated[0].Repeated = true
+	s.ApplyOrders(1, repeated)
 	waitUntil(t, "the refusal", func() bool { return resultOf(s, 1) != nil })
 	f.mutex.Lock()
 	f.refusal = ""
