Leave a run alone when a copy of its start is refused

A copy of a start that arrived after its run was listed was called again; if the runner was draining or unhealthy by then, the refusal was followed by a stop of the run, whose work was lost.

A start whose run is listed as running is no longer an order, and a refusal stops no listed run.

Before: TestCopyOfListedStartDoesNotStopItsRun failed for a draining and for an unhealthy runner: "0 (int) != 1 (int)".

--- a/internal/process/jaysupervisor/orders.go
+++ b/internal/process/jaysupervisor/orders.go
@@ -42,11 +42,14 @@
 				jaycontroller.Signal(s.pollSignal)
 			}
 		case jaycell.OrderStart:
-			if o.Run <= s.excluded[o.Task].run {
+			switch {
+			case s.isListed(o.Task, o.Run):
+				// The run has begun: this is a copy.
+			case o.Run <= s.excluded[o.Task].run:
 				s.addResult(o, true, ReasonNotStarted)
-				continue
+			default:
+				s.execute(o, false)
 			}
-			s.execute(o, false)
 		case jaycell.OrderStop:
 			s.execute(o, true)
 		case jaycell.OrderThrottle:
@@ -189,8 +192,9 @@
 func (s *Supervisor) refuse(ctx context.Context, o *order, reason string) {
 	s.mutex.Lock()
 	o.refusal = reason
-	final := !o.unanswered && !o.Repeated
-	if final && s.removeOrder(o) {
+	begun := s.isListed(o.Task, o.Run)
+	final := begun || !o.unanswered && !o.Repeated
+	if final && s.removeOrder(o) && !begun {
 		s.addResult(o.Order, true, reason)
 	}
 	s.mutex.Unlock()
--- a/internal/process/jaysupervisor/refusal_test.go
+++ b/internal/process/jaysupervisor/refusal_test.go
@@ -45,3 +45,31 @@
 	waitUntil(t, "a lease", func() bool { return s.Report().Term == 1 && hasLease(s) })
 	return s
 }
+
+// A copy of a start whose run is listed was refused, and the run stopped with it.
+func TestCopyOfListedStartDoesNotStopItsRun(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		refusal  string
+		draining bool
+	}{
+		{"draining runner", "", true},
+		{"unhealthy runner", jaycell.ReasonUnhealthy, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			f := newFakeRunner()
+			s := startSupervisor(t, f)
+			s.ApplyOrders(1, ordersOf(jaycell.OrderStart, 1))
+			waitUntil(t, "the run", func() bool { return len(s.Report().Running) == 1 && len(s.Report().PendingOrders) == 0 })
+			s.HandleHeartbeat(t.Context(), Heartbeat{Sequence: 2, Runner: jaycell.RunnerInfo{ID: "r1", Draining: c.draining}})
+			f.mutex.Lock()
+			f.refusal = c.refusal
+			f.mutex.Unlock()
+			repeated := ordersOf(jaycell.OrderStart, 1)
+			repeated[0].Repeated = true
+			s.ApplyOrders(1, repeated)
+			waitUntil(t, "the end of the order", func() bool { return len(s.Report().PendingOrders) == 0 })
+			assert.Equal(t, f.runs("a.0.0.0"), 1)
+		})
+	}
+}
