Give up the runs of a leaving runner once it has ended

A runner that has announced its end runs on until it has the confirmation, and for some seconds without it. Its runs were given up at once, so that a task could run twice; a start without an answer was called on, so that a run could begin there after that, or after the drain time; and a stop was repeated for ever on a runner that had ended.

A deregistered runner now counts as draining and is polled until nothing listens at its address, or another incarnation does; then its runs are given up and its orders dropped. A start that got no answer is stopped when the runner drains.

--- a/internal/connection/jayframe/cell.go
+++ b/internal/connection/jayframe/cell.go
@@ -49,7 +49,7 @@
 	Draining             bool
 	DrainRemainingMillis int64
 	Responsive           bool
-	Deregistered         bool
+	Ended                bool
 	Running              []CellRun
 	Finished             []CellEnd
 	OrderResults         []CellOrderResult
--- a/internal/process/jaycell/report.go
+++ b/internal/process/jaycell/report.go
@@ -28,10 +28,10 @@
 		// A late report, or one about an incarnation that has ended.
 		return false
 	}
-	if p.Deregistered {
+	if p.Ended {
 		if r != nil {
 			c.applyEnds(r, p)
-			c.markLost(r, "runner has deregistered")
+			c.markLost(r, "runner has ended")
 			r.replaced = true
 		}
 		return false
--- a/internal/process/jaycell/runner.go
+++ b/internal/process/jaycell/runner.go
@@ -98,8 +98,8 @@
 	Runner RunnerInfo
 	// Responsive reports that the runner answered recently with this ID.
 	Responsive bool
-	// Deregistered reports that the runner has announced its shutdown.
-	Deregistered bool
+	// Ended reports that the runner has announced its shutdown and no longer listens.
+	Ended        bool
 	Running      []Run
 	Finished     []End
 	OrderResults []OrderResult
--- a/internal/process/jaycontroller/leaderlinks.go
+++ b/internal/process/jaycontroller/leaderlinks.go
@@ -64,7 +64,7 @@
 
 func decodeReport(m *jayframe.CellReport) jaycell.Report {
 	r := jaycell.Report{
-		Node: m.Node, Sequence: m.Sequence, Term: m.Term, Responsive: m.Responsive, Deregistered: m.Deregistered,
+		Node: m.Node, Sequence: m.Sequence, Term: m.Term, Responsive: m.Responsive, Ended: m.Ended,
 		Runner: jaycell.RunnerInfo{
 			ID: m.Runner, Service: m.Service, DataCentre: m.DataCentre, Labels: m.Labels, Draining: m.Draining, DrainRemaining: time.Duration(m.DrainRemainingMillis) * time.Millisecond,
 			Capacity: jaytask.Resources{CPU: m.CPU, Memory: m.Memory, Accelerators: m.Accelerators},
--- a/internal/process/jaysupervisor/agent.go
+++ b/internal/process/jaysupervisor/agent.go
@@ -234,7 +234,7 @@
 	m := &jayframe.CellReport{
 		Node: r.Node, Sequence: r.Sequence, Term: r.Term, Runner: r.Runner.ID, Service: r.Runner.Service, DataCentre: r.Runner.DataCentre, Labels: r.Runner.Labels,
 		CPU: r.Runner.Capacity.CPU, Memory: r.Runner.Capacity.Memory, Accelerators: r.Runner.Capacity.Accelerators,
-		Draining: r.Runner.Draining, DrainRemainingMillis: r.Runner.DrainRemaining.Milliseconds(), Responsive: r.Responsive, Deregistered: r.Deregistered,
+		Draining: r.Runner.Draining, DrainRemainingMillis: r.Runner.DrainRemaining.Milliseconds(), Responsive: r.Responsive, Ended: r.Ended,
 	}
 	for _, x := range r.Running {
 		m.Running = append(m.Running, jayframe.CellRun{Task: x.Task, Run: x.Run, Checkpoint: x.Checkpoint, Percent: x.Percent, Load: x.Load})
--- a/internal/process/jaysupervisor/client.go
+++ b/internal/process/jaysupervisor/client.go
@@ -66,7 +66,7 @@
 }
 
 // RunnerClient calls one runner, without retries. Its functions return RefusedError,
-// NoAnswerError or ReplacedError.
+// NoAnswerError, ReplacedError or EndedError.
 type RunnerClient struct {
 	Start    func(ctx context.Context, s Start) error
 	Stop     func(ctx context.Context, s Stop) error
@@ -112,6 +112,14 @@
 // Error implements error.
 func (e *ReplacedError) Error() string { return "runner is no longer " + e.Incarnation }
 
+// EndedError reports that nothing listens at the runner's address any more.
+type EndedError struct{ Call string }
+
+// Error implements error.
+func (e *EndedError) Error() string {
+	return "runner has ended: nothing answers " + e.Call + " at its address"
+}
+
 // Heartbeat is a runner's report about itself.
 type Heartbeat struct {
 	Sequence uint64
--- a/internal/process/jaysupervisor/orders.go
+++ b/internal/process/jaysupervisor/orders.go
@@ -24,7 +24,7 @@
 func (s *Supervisor) ApplyOrders(term uint64, orders []jaycell.Order) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	if term < s.term || s.ctx == nil {
+	if term < s.term || s.ctx == nil || s.ended {
 		return
 	}
 	s.setTerm(term)
@@ -127,7 +127,7 @@
 		draining := s.runner.Draining || s.deregistered
 		leased := s.grantedUntil-s.Elapsed() > minLeaseLeft && request.Deadline > 0
 		s.mutex.Unlock()
-		if draining && !o.unanswered {
+		if draining {
 			s.refuse(ctx, o, ReasonDraining)
 			return
 		}
--- a/internal/process/jaysupervisor/supervisor.go
+++ b/internal/process/jaysupervisor/supervisor.go
@@ -98,6 +98,8 @@
 	// sequence is that of the newest heartbeat.
 	sequence     uint64
 	deregistered bool
+	// ended is set once a deregistered runner no longer listens.
+	ended bool
 	// lastResponse is when the runner last answered, zero after another incarnation has
 	// answered instead.
 	lastResponse time.Duration
@@ -170,10 +172,7 @@
 	}
 	s.Logger.Info().Str("event", "term").Uint64("term", term).Uint64("was", s.term).Msg("following a new term")
 	s.term = term
-	for task, o := range s.orders {
-		o.cancel()
-		delete(s.orders, task)
-	}
+	s.dropOrders()
 	s.results = nil
 	jaycontroller.Signal(s.pollSignal)
 }
@@ -232,20 +231,18 @@
 // replaceRunner resets the state for another incarnation of the runner.
 func (s *Supervisor) replaceRunner(h Heartbeat) {
 	s.Logger.Info().Str("event", "runner").Str("runner", h.Runner.ID).Str("was", s.runner.ID).Msg("runner has a new incarnation")
-	for task, o := range s.orders {
-		o.cancel()
-		delete(s.orders, task)
-	}
+	s.dropOrders()
 	if s.runner.ID != "" {
 		s.pastIncarnations = append(s.pastIncarnations[max(0, len(s.pastIncarnations)-maxPastIncarnations+1):], s.runner.ID)
 	}
-	s.runner, s.sequence, s.deregistered, s.acknowledged, s.results, s.runnerClockKnown, s.confirmedFence, s.sentFence = h.Runner, h.Sequence, false, 0, nil, false, 0, 0
+	s.runner, s.sequence, s.deregistered, s.ended, s.acknowledged, s.results, s.runnerClockKnown, s.confirmedFence, s.sentFence = h.Runner, h.Sequence, false, false, 0, nil, false, 0, 0
 	s.listing = Listing{}
 	clear(s.excluded)
 	jaycontroller.Signal(s.reportSignal)
 }
 
-// Deregister records that a runner has announced its shutdown.
+// Deregister records that a runner has announced its shutdown. It may run on for seconds,
+// and its runs with it, so it counts as draining until it has ended.
 func (s *Supervisor) Deregister(id string) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
@@ -255,6 +252,7 @@
 	s.Logger.Info().Str("event", "runner").Str("runner", id).Msg("runner has deregistered")
 	s.deregistered = true
 	jaycontroller.Signal(s.reportSignal)
+	jaycontroller.Signal(s.pollSignal)
 }
 
 // pollContinuously long-polls the runner for ended runs.
@@ -289,7 +287,7 @@
 func (s *Supervisor) poll(ctx context.Context, wait time.Duration) bool {
 	s.mutex.Lock()
 	renewal := Renewal{Incarnation: s.runner.ID, Deadline: s.leaseDeadline(), Fence: s.term, Acknowledged: s.acknowledged, Wait: wait}
-	idle := s.runner.ID == "" || s.deregistered
+	idle := s.runner.ID == "" || s.ended
 	s.mutex.Unlock()
 	if idle {
 		return false
@@ -306,15 +304,34 @@
 	}
 	if err != nil {
 		var replaced *ReplacedError
+		var ended *EndedError
 		if errors.As(err, &replaced) {
 			s.lastResponse = 0
 		}
+		if s.deregistered && (replaced != nil || errors.As(err, &ended)) {
+			s.markEnded()
+		}
 		return false
 	}
 	s.applyListing(listing, requestedAt, answeredAt, renewal.Fence)
 	return true
 }
 
+// markEnded drops all orders for a runner that has ended.
+func (s *Supervisor) markEnded() {
+	s.Logger.Info().Str("event", "runner").Str("runner", s.runner.ID).Msg("runner has ended")
+	s.ended = true
+	s.dropOrders()
+	jaycontroller.Signal(s.reportSignal)
+}
+
+func (s *Supervisor) dropOrders() {
+	for task, o := range s.orders {
+		o.cancel()
+		delete(s.orders, task)
+	}
+}
+
 // leaseDeadline returns when the lease ends on the runner's clock, or zero.
 func (s *Supervisor) leaseDeadline() time.Duration {
 	if !s.runnerClockKnown || s.grantedUntil <= s.runnerClockReadAt {
@@ -379,10 +396,11 @@
 	defer s.mutex.Unlock()
 	now := s.Elapsed()
 	r := jaycell.Report{
-		Node: s.Node, Sequence: int64(now), Term: min(s.confirmedFence, s.term), Runner: s.runner, Deregistered: s.deregistered,
-		Responsive: !s.deregistered && s.lastResponse > 0 && now-s.lastResponse < max(responsiveTimeout, s.HeartbeatInterval*responsiveHeartbeats),
+		Node: s.Node, Sequence: int64(now), Term: min(s.confirmedFence, s.term), Runner: s.runner, Ended: s.ended,
+		Responsive: !s.ended && s.lastResponse > 0 && now-s.lastResponse < max(responsiveTimeout, s.HeartbeatInterval*responsiveHeartbeats),
 		Running:    append([]jaycell.Run(nil), s.listing.Running...), Finished: append([]jaycell.End(nil), s.listing.Finished...),
 	}
+	r.Runner.Draining = r.Runner.Draining || s.deregistered
 	if s.confirmedFence < s.term {
 		r.Term = 0
 	}
