Keep the abandoned starts of a runner that reports

A lost runner was forgotten after the retention also while it reported and was kept from a lease by an abandoned start. The runner made of its next report had none, and got a lease. The time now counts from its last report.

Before: TestAbandonedStartIsNotForgottenWhileItsRunnerReports failed ("h.report("n1", "r1", nil) is true").

--- a/internal/process/jaycell/lapse.go
+++ b/internal/process/jaycell/lapse.go
@@ -59,6 +59,8 @@
 		c.reportDecision(Decision{Runner: r.id, Event: "runner", Outcome: "back", Reason: "reported by " + p.Node})
 		return true
 	}
+	// Tick forgets a lost runner some time after its lease.
+	r.leaseEnd = c.now
 	if r.abandonedStopsSentAt == 0 || c.orderLost(r, r.abandonedStopsSentAt) {
 		r.abandonedStopsSentAt = c.now
 		for task, run := range r.abandoned {
--- a/internal/process/jaycell/lapse_test.go
+++ b/internal/process/jaycell/lapse_test.go
@@ -97,3 +97,13 @@
 	h.report("n2", "r2", func(p *Report) { p.Finished = []End{{Number: 1, Task: "a.0.0.0", Run: 2, Reason: EndStopped}} })
 	assert.Equal(t, len(startedTasks(h.advance(time.Second))), 0)
 }
+
+// A runner that was kept from a lease by an abandoned start was forgotten with it after the
+// retention, though it reported all the time, and got a lease at its next report.
+func TestAbandonedStartIsNotForgottenWhileItsRunnerReports(t *testing.T) {
+	h := lapse(t, false)
+	for range int(2 * h.cell.settings.Retention / time.Second) {
+		h.advance(time.Second)
+		assert.Assert(t, !h.report("n1", "r1", nil))
+	}
+}
