Conclude nothing from a listing that may lack ends

A runner lists 500 ends at a time. A run whose end lay beyond them was reported as vanished or stopped before it began; its task started again, and its success was acknowledged later. Agent and leader now wait for a listing with fewer ends before they take a run that is neither running nor ended for one that never was.

Before: TestRunThatEndedBeyondTheListingIsNotReportedAsVanished failed with result "vanished". By reading only: the same at the first report of a term.

--- a/internal/process/jaycell/report.go
+++ b/internal/process/jaycell/report.go
@@ -221,7 +221,7 @@
 			continue
 		}
 		switch {
-		case firstReport && !running[pl.task()] && !inProgress:
+		case firstReport && !running[pl.task()] && !inProgress && len(p.Finished) < MaxListedEnds:
 			// The runner's fence is at this term: a start of an earlier term that is
 			// not listed can no longer begin.
 			c.endPlacement(pl, EndRefused, "")
--- a/internal/process/jaycell/runner.go
+++ b/internal/process/jaycell/runner.go
@@ -63,6 +63,10 @@
 	return endReasonNames[e]
 }
 
+// MaxListedEnds is how many ends a runner lists at once. A listing with as many may lack
+// later ones.
+const MaxListedEnds = 500
+
 // End is the end of a run; its runner lists it until it is acknowledged.
 type End struct {
 	// Number increases with each end of a runner.
--- a/internal/process/jaysupervisor/orders.go
+++ b/internal/process/jaysupervisor/orders.go
@@ -211,7 +211,7 @@
 	jaycontroller.Signal(s.pollSignal)
 	for jayclock.Sleep(ctx, retryDelay) {
 		s.mutex.Lock()
-		listed := s.listingRequestedAt > after
+		listed := s.isComplete(after)
 		if listed && s.removeOrder(o) {
 			s.addResult(o.Order, false, "vanished")
 		}
@@ -251,7 +251,7 @@
 	jaycontroller.Signal(s.pollSignal)
 	for jayclock.Sleep(ctx, retryDelay) {
 		s.mutex.Lock()
-		ended := s.listingRequestedAt > after && !s.isListed(o.Task, o.Run)
+		ended := s.isComplete(after) && !s.isListed(o.Task, o.Run)
 		if ended && s.removeOrder(o) {
 			s.addResult(o.Order, o.refusal != "", cmp.Or(o.refusal, "stopped before it began"))
 		}
@@ -263,6 +263,12 @@
 	}
 }
 
+// isComplete reports whether the newest listing was requested after the given time and
+// shows all ends.
+func (s *Supervisor) isComplete(after time.Duration) bool {
+	return s.listingRequestedAt > after && len(s.listing.Finished) < jaycell.MaxListedEnds
+}
+
 // isListed reports whether the newest listing shows a run as running.
 func (s *Supervisor) isListed(task string, run int) bool {
 	for _, r := range s.listing.Running {
--- a/internal/process/jaysupervisor/refusal_test.go
+++ b/internal/process/jaysupervisor/refusal_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"time"
 
@@ -73,3 +74,31 @@
 		})
 	}
 }
+
+// A runner lists a part of its ends while many wait for their acknowledgement. A run that had
+// ended beyond that part was reported as never begun, and its task started again.
+func TestRunThatEndedBeyondTheListingIsNotReportedAsVanished(t *testing.T) {
+	const listed = jaycell.MaxListedEnds
+	f := newFakeRunner()
+	for i := range listed {
+		f.finished = append(f.finished, jaycell.End{Number: uint64(i + 1), Task: fmt.Sprintf("b.0.0.%d", i), Run: 1, Reason: jaycell.EndDone})
+	}
+	client := f.client()
+	client.Start = func(_ context.Context, r Start) error {
+		f.mutex.Lock()
+		defer f.mutex.Unlock()
+		f.finished = append(f.finished, jaycell.End{Number: listed + 1, Task: r.Task, Run: r.Run, Reason: jaycell.EndDone})
+		return nil
+	}
+	client.Renew = func(ctx context.Context, r Renewal) (Listing, error) {
+		l, err := f.renew(ctx, r)
+		l.Finished = l.Finished[:min(len(l.Finished), listed)]
+		return l, err
+	}
+	s := startSupervisorOf(t, client)
+	s.ApplyOrders(1, ordersOf(jaycell.OrderStart, 1))
+	for range 100 {
+		assert.Assert(t, resultOf(s, 1) == nil, "result %+v", resultOf(s, 1))
+		time.Sleep(10 * time.Millisecond)
+	}
+}
