Cancel a job whose cancellation reaches the leader first

What callers saw: the cancellation of a job was confirmed, every entry answered `canceled`, and the job ran to its end all the same; then its state changed from `canceled` to `completed`.

Cause: job and cancellation reach the leader by different ways, as a peer's copy and as the store's record. The job table reported each of them once, as an event of its own. An event for a cancellation whose job was not known yet was dropped by the cell, and the later event for the job carried the job alone.

Fix: the table has one notification, which names a job that has become known or canceled. The leadership reads the row under its mutex and passes the cell all that is known: the job, and whether it is canceled. The calls are idempotent and read facts that only accumulate, so neither the order of the records nor that of the calls matters, for single records, for a replacement of all of them and, as before, for the load of a term, which reads the rows under the same mutex.

Evidence, before the fix:

--- FAIL: TestCancellationBeforeItsJobIsNotLost/cancellation_first leaderrecords_test.go:94: assertion failed: 0 (int) != 1 (int): states of the job --- FAIL: TestCancellationBeforeItsJobIsNotLost/cancellation_first,_then_all_records --- FAIL: TestCancellationBeforeItsJobIsNotLost/cancellation_in_all_records,_then_the_job --- FAIL: TestCancellationBeforeItsJobStopsIt (12.11s) cluster_test.go:502: assertion failed: completed (state jaytask.State) != canceled (jaytask.Canceled jaytask.State)

Both pass with it. Tests of jaycontroller, jaycell and platform pass.

The tests of the table count calls of the new notification where they counted those for new jobs: as strict, since each of their jobs must still be reported once or not at all.

--- a/internal/process/jaycontroller/jobtable.go
+++ b/internal/process/jaycontroller/jobtable.go
@@ -41,14 +41,15 @@
 // received from peers.
 type jobTable struct {
 	logger zerolog.Logger
-	// onAccepted and onCanceled are called for each new job and cancellation, without
-	// the table's mutex held.
-	onAccepted func(j *jaytask.Job)
-	onCanceled func(id string)
+	// onChanged is called without the table's mutex held when an unfinished job becomes
+	// known or canceled. It reads the row: a job and its cancellation arrive in any order,
+	// and so may the calls.
+	onChanged func(id string)
 
 	// jobEnded is notified of each final state.
 	jobEnded changeNotifier
 
+	// mutex is locked after those of the controller and of a leadership.
 	mutex sync.Mutex
 	jobs  map[string]*jobRow
 }
@@ -65,8 +66,7 @@
 	for _, s := range all {
 		newest.apply(s.Key, s.Value)
 	}
-	var accepted []*jaytask.Job
-	var canceled []string
+	var changed []string
 	t.mutex.Lock()
 	for id, row := range newest.jobs {
 		old := t.jobs[id]
@@ -76,24 +76,20 @@
 		if row.spec == nil || row.state.Ended() {
 			continue
 		}
-		if old == nil || old.spec == nil {
-			accepted = append(accepted, row.spec)
-		}
-		if row.canceled && (old == nil || !old.canceled) {
-			canceled = append(canceled, id)
+		if old == nil || old.spec == nil || row.canceled && !old.canceled {
+			changed = append(changed, id)
 		}
 	}
 	t.jobs = newest.jobs
 	t.mutex.Unlock()
-	for _, j := range accepted {
-		if t.onAccepted != nil {
-			t.onAccepted(j)
-		}
+	for _, id := range changed {
+		t.reportChange(id)
 	}
-	for _, id := range canceled {
-		if t.onCanceled != nil {
-			t.onCanceled(id)
-		}
+}
+
+func (t *jobTable) reportChange(id string) {
+	if t.onChanged != nil {
+		t.onChanged(id)
 	}
 }
 
@@ -111,8 +107,7 @@
 		t.delete(kind, id)
 		return
 	}
-	var accepted *jaytask.Job
-	var canceled, ended bool
+	var changed, ended bool
 	t.mutex.Lock()
 	row := t.jobs[id]
 	if row == nil {
@@ -127,13 +122,10 @@
 				t.logger.Error().Str("event", "record").Str("job", id).Err(err).Msg("skipping an invalid job record")
 				break
 			}
-			row.spec = spec
-			if !row.state.Ended() {
-				accepted = spec
-			}
+			row.spec, changed = spec, true
 		}
 	case "c":
-		canceled = !row.canceled
+		changed = !row.canceled
 		row.canceled = true
 	case "s":
 		state, at, err := jaycell.DecodeState(value)
@@ -145,15 +137,13 @@
 			row.state, row.stateAt, ended = state, at, state.Ended()
 		}
 	}
+	changed = changed && row.spec != nil && !row.state.Ended()
 	t.mutex.Unlock()
 	if ended {
 		t.jobEnded.broadcast()
 	}
-	if accepted != nil && t.onAccepted != nil {
-		t.onAccepted(accepted)
-	}
-	if canceled && t.onCanceled != nil {
-		t.onCanceled(id)
+	if changed {
+		t.reportChange(id)
 	}
 }
 
--- a/internal/process/jaycontroller/jobtable_test.go
+++ b/internal/process/jaycontroller/jobtable_test.go
@@ -31,7 +31,7 @@
 func TestReplaceReportsOnlyUnfinishedJobs(t *testing.T) {
 	table := newJobTable(zerolog.Nop())
 	var accepted []string
-	table.onAccepted = func(j *jaytask.Job) { accepted = append(accepted, j.ID) }
+	table.onChanged = func(id string) { accepted = append(accepted, id) }
 	table.replace([]jaystore.StoredRecord{jobRecord(t, id), jobRecord(t, "aaaaaaaaaaaaaaaa"), stateRecord(id, jaytask.Completed)})
 	assert.DeepEqual(t, accepted, []string{"aaaaaaaaaaaaaaaa"})
 }
@@ -119,7 +119,7 @@
 func TestReplaceKeepsFinalStatesUntilExpiry(t *testing.T) {
 	accepted := 0
 	table := newJobTable(zerolog.Nop())
-	table.onAccepted = func(*jaytask.Job) { accepted++ }
+	table.onChanged = func(string) { accepted++ }
 	now := time.UnixMilli(1_700_000_000_000)
 	record := jobRecord(t, id)
 	table.apply("s/"+id, jaycell.EncodeState(jaytask.Completed, now))
@@ -127,7 +127,7 @@
 	assert.Equal(t, accepted, 0)
 	assert.Equal(t, len(table.unfinished()), 0)
 	stateFirst := newJobTable(zerolog.Nop())
-	stateFirst.onAccepted = table.onAccepted
+	stateFirst.onChanged = table.onChanged
 	stateFirst.apply("s/"+id, jaycell.EncodeState(jaytask.Completed, now))
 	stateFirst.apply(record.Key, record.Value)
 	assert.Equal(t, accepted, 0, "a job's end may be known before the job")
--- a/internal/process/jaycontroller/leaderlinks.go
+++ b/internal/process/jaycontroller/leaderlinks.go
@@ -86,37 +86,26 @@
 	return r
 }
 
-// submitJob adds an accepted job.
-func (l *leadership) submitJob(j *jaytask.Job) {
+// updateJob passes what is known about a job to the cell.
+func (l *leadership) updateJob(id string) {
 	l.mutex.Lock()
-	l.setCellTime()
 	// Until loaded is set, load takes all jobs from the job table.
 	if l.loaded {
-		l.cell.Submit(j)
+		l.setCellTime()
+		if row, ok := l.controller.jobs.get(id); ok && !row.state.Ended() {
+			l.cell.Submit(row.spec)
+			if row.canceled {
+				l.cell.Cancel(id)
+			}
+		}
 	}
 	l.mutex.Unlock()
 	Signal(l.wake)
 }
 
-// cancelJob cancels a job.
-func (l *leadership) cancelJob(id string) {
-	l.mutex.Lock()
-	l.setCellTime()
-	l.cell.Cancel(id)
-	l.mutex.Unlock()
-	Signal(l.wake)
-}
-
-// submitToCell passes a newly accepted job to the cell while this entry leads.
-func (c *Controller) submitToCell(j *jaytask.Job) {
-	if l := c.currentLeadership(); l != nil {
-		l.submitJob(j)
-	}
-}
-
-// cancelInCell passes a new cancellation to the cell while this entry leads.
-func (c *Controller) cancelInCell(id string) {
+// updateInCell passes what is known about a job to the cell while this entry leads.
+func (c *Controller) updateInCell(id string) {
 	if l := c.currentLeadership(); l != nil {
-		l.cancelJob(id)
+		l.updateJob(id)
 	}
 }
--- a/internal/process/jaycontroller/leaderrecords.go
+++ b/internal/process/jaycontroller/leaderrecords.go
@@ -51,15 +51,12 @@
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	l.setCellTime()
-	canceled := []string{}
-	for _, row := range l.controller.jobs.unfinished() {
+	rows := l.controller.jobs.unfinished()
+	for _, row := range rows {
 		l.cell.Submit(row.spec)
 		if row.state == jaytask.Running {
 			l.cell.MarkStarted(row.spec.ID)
 		}
-		if row.canceled {
-			canceled = append(canceled, row.spec.ID)
-		}
 	}
 	for _, r := range units {
 		if err := l.cell.RestoreUnit(jaycell.Record{Key: r.Key, Value: r.Value}); err != nil {
@@ -67,8 +64,10 @@
 		}
 	}
 	// Cancel stops the restored runs, so it comes last.
-	for _, id := range canceled {
-		l.cell.Cancel(id)
+	for _, row := range rows {
+		if row.canceled {
+			l.cell.Cancel(row.spec.ID)
+		}
 	}
 	l.loaded, l.lastTick = true, jayclock.Elapsed()
 	l.controller.Logger.Info().Str("event", "term").Uint64("term", l.term).Int("runs", len(units)).Msg("deciding")
--- a/internal/process/jaycontroller/leaderrecords_test.go
+++ b/internal/process/jaycontroller/leaderrecords_test.go
@@ -8,7 +8,9 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/jaystile/jaystile/internal/process/jaycell"
 	"github.com/jaystile/jaystile/internal/process/jaystore"
+	"github.com/jaystile/jaystile/internal/request/jaytask"
 )
 
 // A new leader reads jobs and runs side by side, since a slow store takes a large part of
@@ -42,3 +44,57 @@
 	assert.NilError(t, l.load(ctx, jaystore.NewTermWriter(client, "runs", producer, 1)))
 	assert.Assert(t, l.loaded)
 }
+
+// newLeader returns a controller that leads, over a store that holds nothing.
+func newLeader(loaded bool) (*Controller, *leadership) {
+	c := New(nil)
+	c.Topics = Topics{Jobs: "jobs", Runs: "runs"}
+	c.NewStoreClient = func(func(context.Context, jaystore.Request) (jaystore.Response, error)) *jaystore.Client {
+		return &jaystore.Client{
+			Append: func(context.Context, jaystore.Append) (uint64, error) { return 0, nil },
+			Newest: func(context.Context, string, string) (jaystore.Page, error) { return jaystore.Page{}, nil },
+			Read: func(context.Context, string, uint64, time.Duration) (jaystore.ReadResult, error) {
+				return jaystore.ReadResult{}, nil
+			},
+		}
+	}
+	c.Prepare()
+	c.leadership = newLeadership(c, 1)
+	c.leadership.loaded = loaded
+	return c, c.leadership
+}
+
+// The peers' copies and the store's records of a job and of its cancellation reach the leader in any order.
+func TestCancellationBeforeItsJobIsNotLost(t *testing.T) {
+	job, cancel := jobRecord(t, id), jaystore.StoredRecord{Record: cancelRecord(id, time.UnixMilli(1))}
+	one := func(s jaystore.StoredRecord) func(*jobTable) {
+		return func(table *jobTable) { table.apply(s.Key, s.Value) }
+	}
+	all := func(records ...jaystore.StoredRecord) func(*jobTable) {
+		return func(table *jobTable) { table.replace(records) }
+	}
+	for _, c := range []struct {
+		name  string
+		steps []func(*jobTable)
+	}{
+		{"job first", []func(*jobTable){one(job), one(cancel)}},
+		{"cancellation first", []func(*jobTable){one(cancel), one(job)}},
+		{"job first, then all records", []func(*jobTable){one(job), all(cancel, job)}},
+		{"cancellation first, then all records", []func(*jobTable){one(cancel), all(cancel, job)}},
+		{"all records", []func(*jobTable){all(cancel, job)}},
+		{"cancellation in all records, then the job", []func(*jobTable){all(cancel), one(job)}},
+		{"job in all records, then the cancellation", []func(*jobTable){all(job), one(cancel)}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			controller, l := newLeader(true)
+			for _, step := range c.steps {
+				step(controller.jobs)
+			}
+			states := l.cell.TakeBatch().JobStates
+			assert.Equal(t, len(states), 1, "states of the job")
+			state, _, err := jaycell.DecodeState(states[0].Value)
+			assert.NilError(t, err)
+			assert.Equal(t, state, jaytask.Canceled)
+		})
+	}
+}
