Read to the end of a topic when another reader is at work beside

Cause: Tail.Refresh took a read that brought nothing new as the end of the topic. It also brings nothing new when the tail's own loop has just applied the same page of several, or has finished a load that it had begun before the records in question were stored.

Fix: Refresh returns only after a read of its own, made when the topic was loaded, that shows nothing further. A first read of an empty topic costs one call more.

Evidence, before the fix:

--- FAIL: TestRefreshBesideAnotherReaderReadsToTheEnd/load (0.00s) - nil, + {"a", "b"}, --- FAIL: TestRefreshBesideAnotherReaderReadsToTheEnd/page_of_a_read (0.00s) "a", + "b",

Tests of jaystore and jaycontroller pass, also with -race.

--- a/internal/process/jaystore/store_test.go
+++ b/internal/process/jaystore/store_test.go
@@ -374,3 +374,49 @@
 	assert.DeepEqual(t, keys, []string{"a", "b"})
 	assert.Equal(t, skipped, 2)
 }
+
+// The loop of a tail may finish the load or the page first that Refresh has asked for too.
+func TestRefreshBesideAnotherReaderReadsToTheEnd(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		loaded bool
+	}{{"load", false}, {"page of a read", true}} {
+		t.Run(c.name, func(t *testing.T) {
+			var keys []string
+			tail := &Tail{Topic: "t", Apply: func(s StoredRecord) { keys = append(keys, s.Key) }, OnError: func(error) {}}
+			nested := false
+			readBeside := func() bool {
+				if nested {
+					return false
+				}
+				nested = true
+				_, err := tail.readNext(t.Context(), 0)
+				assert.NilError(t, err)
+				return true
+			}
+			tail.Client = &Client{
+				Newest: func(context.Context, string, string) (Page, error) {
+					if !c.loaded && readBeside() {
+						return Page{Records: []StoredRecord{{Record: Record{Key: "a"}}, {Record: Record{Key: "b"}, Offset: 1}}, End: 2}, nil
+					}
+					// The other reader has asked before both records were stored.
+					return Page{}, nil
+				},
+				Read: func(_ context.Context, _ string, from uint64, _ time.Duration) (ReadResult, error) {
+					if c.loaded {
+						readBeside()
+					}
+					r := ReadResult{Next: from, End: 2}
+					if from < 2 {
+						r.Next = from + 1
+						r.Records = []StoredRecord{{Record: Record{Key: string(rune('a' + from))}, Offset: from}}
+					}
+					return r, nil
+				},
+			}
+			tail.loaded = c.loaded
+			assert.NilError(t, tail.Refresh(t.Context()))
+			assert.DeepEqual(t, keys, []string{"a", "b"})
+		})
+	}
+}
--- a/internal/process/jaystore/tail.go
+++ b/internal/process/jaystore/tail.go
@@ -66,17 +66,17 @@
 	}
 }
 
-// Refresh reads up to the current end of the topic.
+// Refresh reads up to the current end of the topic. It goes by the end that a read of its
+// own has told: another reader may have applied, or loaded, less.
 func (t *Tail) Refresh(ctx context.Context) error {
 	for {
 		t.mutex.Lock()
 		loaded := t.loaded
 		t.mutex.Unlock()
-		n, err := t.readNext(ctx, 0)
-		if err != nil {
+		if _, err := t.readNext(ctx, 0); err != nil {
 			return err
 		}
-		if n == 0 || loaded && t.caughtUp() {
+		if loaded && t.caughtUp() {
 			return nil
 		}
 	}
