Keep what is newer than a full read of the jobs

Cause: the pages of a full read are as old as its begin. jobTable.replace took what they lack as deleted, also the ends and cancellations that peers had told meanwhile. The topic's reader brings jobs and cancellations again, but states are in another topic and came once. On the other hand it passed the state of a row on to any later job of its ID.

Evidence, before the fix:

--- FAIL: TestReplaceKeepsWhatIsNewerThanItsRead/end_of_a_job_that_is_not_read (0.00s) jobtable_test.go:175: assertion failed: queued (jaytask.State) != completed (c.want jaytask.State) and its cases end_without_its_job, cancellation_of_a_job_that_is_read, cancellation_of_a_job_that_is_not_read --- FAIL: TestReplaceTellsANewJobFromADeletedOne (0.00s) jobtable_test.go:201: assertion failed: canceled (jaytask.State) != queued (jaytask.Queued jaytask.State)

TestReplaceDropsExpiredJobs passes before and after it. Tests of jaycontroller pass, also with -race.

--- a/internal/process/jaycontroller/jobtable.go
+++ b/internal/process/jaycontroller/jobtable.go
@@ -45,6 +45,10 @@
 	// known or canceled. It reads the row: a job and its cancellation arrive in any order,
 	// and so may the calls.
 	onChanged func(id string)
+	// recent is the age up to which a fact may be missing from a read of the store that
+	// began before it was stored. It must be well below the retention, since older facts
+	// that are missing have been deleted.
+	recent time.Duration
 
 	// jobEnded is notified of each final state.
 	jobEnded changeNotifier
@@ -58,9 +62,19 @@
 	return &jobTable{logger: logger, jobs: map[string]*jobRow{}}
 }
 
+// isRecent reports whether a row's newest dated fact is recent.
+func (t *jobTable) isRecent(r *jobRow) bool {
+	newest := r.stateAt
+	if r.spec != nil && r.spec.Accepted.After(newest) {
+		newest = r.spec.Accepted
+	}
+	return time.Since(newest) < t.recent
+}
+
 // replace replaces the jobs and cancellations with the store's newest records of all of
-// them. States are kept, since they are stored in another topic. Jobs that have ended
-// are not reported as new.
+// them. States are kept, since they are stored in another topic, and so are rows and
+// cancellations that may be newer than the read. Jobs that have ended are not reported
+// as new.
 func (t *jobTable) replace(all []jaystore.StoredRecord) {
 	newest := newJobTable(t.logger)
 	for _, s := range all {
@@ -70,8 +84,13 @@
 	t.mutex.Lock()
 	for id, row := range newest.jobs {
 		old := t.jobs[id]
+		if old != nil && old.spec != nil && row.spec != nil && !old.spec.Accepted.Equal(row.spec.Accepted) {
+			// The old job has been deleted, and a new one accepted under its ID.
+			old = nil
+		}
 		if old != nil {
 			row.state, row.stateAt = old.state, old.stateAt
+			row.canceled = row.canceled || old.canceled
 		}
 		if row.spec == nil || row.state.Ended() {
 			continue
@@ -80,6 +99,11 @@
 			changed = append(changed, id)
 		}
 	}
+	for id, old := range t.jobs {
+		if newest.jobs[id] == nil && t.isRecent(old) {
+			newest.jobs[id] = old
+		}
+	}
 	t.jobs = newest.jobs
 	t.mutex.Unlock()
 	for _, id := range changed {
--- a/internal/process/jaycontroller/jobtable_test.go
+++ b/internal/process/jaycontroller/jobtable_test.go
@@ -17,7 +17,13 @@
 
 func jobRecord(t *testing.T, id string) jaystore.StoredRecord {
 	t.Helper()
-	b, err := jaytask.EncodeJob(&jaytask.Job{ID: id, Spec: "x", Steps: []jaytask.Step{{Count: 1}}})
+	return jobRecordAt(t, id, time.UnixMilli(1))
+}
+
+// jobRecordAt is jobRecord with the time of acceptance.
+func jobRecordAt(t *testing.T, id string, at time.Time) jaystore.StoredRecord {
+	t.Helper()
+	b, err := jaytask.EncodeJob(&jaytask.Job{ID: id, Spec: "x", Accepted: at, Steps: []jaytask.Step{{Count: 1}}})
 	assert.NilError(t, err)
 	return jaystore.StoredRecord{Record: jaystore.Record{Key: jaycell.JobKey(id), Value: b}}
 }
@@ -136,3 +142,61 @@
 	table.apply("j/"+id, nil)
 	assert.Equal(t, len(table.endedBefore(now.Add(time.Second), 10)), 0)
 }
+
+// A read of all jobs may have begun before facts that peers have told since.
+func TestReplaceKeepsWhatIsNewerThanItsRead(t *testing.T) {
+	now := time.Now()
+	job, cancel := jobRecordAt(t, id, now), jaystore.StoredRecord{Record: cancelRecord(id, now)}
+	end := jaystore.StoredRecord{Record: jaystore.Record{Key: jaycell.StateKey(id), Value: jaycell.EncodeState(jaytask.Completed, now)}}
+	for _, c := range []struct {
+		name    string
+		copies  []jaystore.StoredRecord
+		read    []jaystore.StoredRecord
+		want    jaytask.State
+		reports int
+	}{
+		{"end of a job that is not read", []jaystore.StoredRecord{job, end}, nil, jaytask.Completed, 1},
+		{"end without its job", []jaystore.StoredRecord{end}, nil, jaytask.Completed, 0},
+		{"cancellation of a job that is read", []jaystore.StoredRecord{job, cancel}, []jaystore.StoredRecord{job}, jaytask.Canceled, 2},
+		{"cancellation of a job that is not read", []jaystore.StoredRecord{job, cancel}, nil, jaytask.Canceled, 2},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			controller, _ := newLeader(true)
+			table, reports := controller.jobs, 0
+			table.onChanged = func(string) { reports++ }
+			for _, r := range c.copies {
+				table.apply(r.Key, r.Value)
+			}
+			table.replace(c.read)
+			// The tail reads on from where the read began.
+			table.apply(job.Key, job.Value)
+			row, ok := table.get(id)
+			assert.Assert(t, ok)
+			assert.Equal(t, row.callerState(), c.want)
+			assert.Equal(t, reports, c.reports)
+		})
+	}
+}
+
+func TestReplaceDropsExpiredJobs(t *testing.T) {
+	controller, _ := newLeader(true)
+	table, long := controller.jobs, time.Now().Add(-controller.Timing.Retention)
+	job := jobRecordAt(t, id, long)
+	table.apply(job.Key, job.Value)
+	table.apply(jaycell.StateKey(id), jaycell.EncodeState(jaytask.Completed, long))
+	table.replace(nil)
+	_, ok := table.get(id)
+	assert.Assert(t, !ok)
+}
+
+func TestReplaceTellsANewJobFromADeletedOne(t *testing.T) {
+	controller, _ := newLeader(true)
+	table := controller.jobs
+	for _, r := range []jaystore.StoredRecord{jobRecord(t, id), {Record: cancelRecord(id, time.UnixMilli(1))}, stateRecord(id, jaytask.Canceled)} {
+		table.apply(r.Key, r.Value)
+	}
+	table.replace([]jaystore.StoredRecord{jobRecordAt(t, id, time.Now())})
+	row, ok := table.get(id)
+	assert.Assert(t, ok)
+	assert.Equal(t, row.callerState(), jaytask.Queued)
+}
--- a/internal/process/jaycontroller/leaderrecords_test.go
+++ b/internal/process/jaycontroller/leaderrecords_test.go
@@ -49,6 +49,7 @@
 func newLeader(loaded bool) (*Controller, *leadership) {
 	c := New(nil)
 	c.Topics = Topics{Jobs: "jobs", Runs: "runs"}
+	c.Timing.Retention = time.Minute
 	c.NewStoreClient = func(func(context.Context, jaystore.Request) (jaystore.Response, error)) *jaystore.Client {
 		return &jaystore.Client{
 			Append: func(context.Context, jaystore.Append) (uint64, error) { return 0, nil },
