Leave late copies of records to the store

Cause: a peer sends its copy of a record after the store has answered. If the peer stands still in between for longer than the retention, the copy comes after the deletion of the job, whose row, end included, is gone. The copy then counts as a new fact. The same holds for the entry's own copy of a record that it has just stored.

Evidence, before the fix:

--- FAIL: TestLateCopyFromAPeerRevivesNoExpiredJob/late_job (0.00s) jobtable_test.go:240: assertion failed: true (ok bool) != false (c.known bool) --- FAIL: TestLateCopyFromAPeerRevivesNoExpiredJob/late_cancellation (0.00s) jobtable_test.go:245: assertion failed: canceled (jaytask.State) != queued (c.want jaytask.State) --- FAIL: TestLateCopyFromAPeerRevivesNoExpiredJob/late_state (0.00s) jobtable_test.go:245: assertion failed: completed (jaytask.State) != queued (c.want jaytask.State)

Its cases of copies in time passed before and pass after it. Tests of jaycontroller pass, also with -race.

--- a/internal/process/jaycontroller/jobtable.go
+++ b/internal/process/jaycontroller/jobtable.go
@@ -46,8 +46,8 @@
 	// and so may the calls.
 	onChanged func(id string)
 	// recent is the age up to which a fact may be missing from a read of the store that
-	// began before it was stored. It must be well below the retention, since older facts
-	// that are missing have been deleted.
+	// began before it was stored, and up to which a peer's copy of it is of use. It must
+	// be well below the retention: older facts that are missing have been deleted.
 	recent time.Duration
 
 	// jobEnded is notified of each final state.
@@ -171,6 +171,34 @@
 	}
 }
 
+// applyCopy applies a record that this entry did not get from the store. A copy that is
+// not recent is left to the store, which holds it unless it has been deleted since.
+func (t *jobTable) applyCopy(key string, value []byte) {
+	at, err := recordTime(key, value)
+	if err != nil {
+		t.logger.Error().Str("event", "record").Str("key", key).Err(err).Msg("skipping an invalid copy of a record")
+		return
+	}
+	if age := time.Since(at); age > t.recent {
+		t.logger.Info().Str("event", "record").Str("key", key).Int64("age_ms", age.Milliseconds()).Msg("skipping a late copy of a record")
+		return
+	}
+	t.apply(key, value)
+}
+
+// recordTime returns when a job was accepted or canceled, or reached its state.
+func recordTime(key string, value []byte) (time.Time, error) {
+	if id, ok := strings.CutPrefix(key, jaycell.JobKey("")); ok {
+		spec, err := jaytask.DecodeJob(id, value)
+		if err != nil {
+			return time.Time{}, err
+		}
+		return spec.Accepted, nil
+	}
+	_, at, err := jaycell.DecodeState(value)
+	return at, err
+}
+
 // delete applies the deletion of a record. That of the job itself removes its row; the
 // others change nothing.
 func (t *jobTable) delete(kind, id string) {
--- a/internal/process/jaycontroller/jobtable_test.go
+++ b/internal/process/jaycontroller/jobtable_test.go
@@ -8,6 +8,7 @@
 	"github.com/rs/zerolog"
 	"gotest.tools/v3/assert"
 
+	"github.com/jaystile/jaystile/internal/connection/jayframe"
 	"github.com/jaystile/jaystile/internal/process/jaycell"
 	"github.com/jaystile/jaystile/internal/process/jaystore"
 	"github.com/jaystile/jaystile/internal/request/jaytask"
@@ -200,3 +201,48 @@
 	assert.Assert(t, ok)
 	assert.Equal(t, row.callerState(), jaytask.Queued)
 }
+
+// A peer that stood still after it had stored a record sends its copy late.
+func TestLateCopyFromAPeerRevivesNoExpiredJob(t *testing.T) {
+	now := time.Now()
+	for _, c := range []struct {
+		name string
+		// age is that of the copies, in retentions.
+		age  int
+		copy func(at time.Time) jaystore.StoredRecord
+		// known tells whether the job is known after the copy, want the state of a job
+		// accepted under its ID after that.
+		known bool
+		want  jaytask.State
+	}{
+		{"late job", 2, func(at time.Time) jaystore.StoredRecord { return jobRecordAt(t, id, at) }, false, jaytask.Queued},
+		{"late cancellation", 2, func(at time.Time) jaystore.StoredRecord {
+			return jaystore.StoredRecord{Record: cancelRecord(id, at)}
+		}, false, jaytask.Queued},
+		{"late state", 2, func(at time.Time) jaystore.StoredRecord {
+			return jaystore.StoredRecord{Record: jaystore.Record{Key: jaycell.StateKey(id), Value: jaycell.EncodeState(jaytask.Completed, at)}}
+		}, false, jaytask.Queued},
+		{"job in time", 0, func(at time.Time) jaystore.StoredRecord { return jobRecordAt(t, id, at) }, true, jaytask.Queued},
+		{"cancellation in time", 0, func(at time.Time) jaystore.StoredRecord {
+			return jaystore.StoredRecord{Record: cancelRecord(id, at)}
+		}, false, jaytask.Canceled},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			controller, _ := newLeader(true)
+			at := now.Add(-time.Duration(c.age) * controller.Timing.Retention)
+			job := jobRecordAt(t, id, at)
+			controller.jobs.apply(job.Key, job.Value)
+			controller.jobs.apply(jaycell.StateKey(id), jaycell.EncodeState(jaytask.Completed, at))
+			controller.jobs.apply(job.Key, nil)
+			late := c.copy(at)
+			controller.handleMessage(nil, 0, &jayframe.StoredRecords{Records: []jayframe.StoredRecord{{Key: late.Key, Value: late.Value}}})
+			_, ok := controller.jobs.get(id)
+			assert.Equal(t, ok, c.known)
+			again := jobRecordAt(t, id, now)
+			controller.jobs.apply(again.Key, again.Value)
+			row, ok := controller.jobs.get(id)
+			assert.Assert(t, ok)
+			assert.Equal(t, row.callerState(), c.want)
+		})
+	}
+}
--- a/internal/process/jaycontroller/links.go
+++ b/internal/process/jaycontroller/links.go
@@ -164,7 +164,7 @@
 	case *jayframe.StoredRecords:
 		for _, r := range m.Records {
 			if len(r.Value) > 0 {
-				c.jobs.apply(r.Key, r.Value)
+				c.jobs.applyCopy(r.Key, r.Value)
 			}
 		}
 	case *jayframe.CellResign:
--- a/internal/process/jaycontroller/requests.go
+++ b/internal/process/jaycontroller/requests.go
@@ -212,7 +212,7 @@
 	case err != nil:
 		return Response{Outcome: Unsettled, Reason: err.Error()}
 	}
-	c.jobs.apply(r.Key, r.Value)
+	c.jobs.applyCopy(r.Key, r.Value)
 	if c.currentLeadership() == nil {
 		c.broadcast(&jayframe.StoredRecords{Records: []jayframe.StoredRecord{{Key: r.Key, Value: r.Value}}})
 	}
