Delete the states that an earlier leader has left of deleted jobs

Cause: an expired job is deleted from one topic, then its state from the other. A leader that ends in between leaves the state, and the next one looks only for states whose jobs it knows. An entry whose reader of states is behind that of jobs takes up the state after the deletion of the job, and kept it when its own deletion came.

Fix: a leader that loads knows every job that is stored, so a state without a job is one that was left; it is deleted with the first batch. A job whose record is invalid to this version counts as stored, as a later version may be able to read it. The deletion of a state clears a row that has no job.

Evidence, before the fix:

Tests of jaycontroller pass, also with -race.

--- a/internal/process/jaycontroller/jobtable.go
+++ b/internal/process/jaycontroller/jobtable.go
@@ -16,7 +16,9 @@
 
 // jobRow is what the store holds about one job.
 type jobRow struct {
+	// spec is nil until the job's record arrives, and if it is invalid.
 	spec     *jaytask.Job
+	invalid  bool
 	canceled bool
 	state    jaytask.State
 	// stateAt is when the state was reached.
@@ -143,6 +145,7 @@
 		if row.spec == nil {
 			spec, err := jaytask.DecodeJob(id, value)
 			if err != nil {
+				row.invalid = true
 				t.logger.Error().Str("event", "record").Str("job", id).Err(err).Msg("skipping an invalid job record")
 				break
 			}
@@ -199,16 +202,31 @@
 	return at, err
 }
 
-// delete applies the deletion of a record. That of the job itself removes its row; the
-// others change nothing.
+// delete applies the deletion of a record. That of the job itself removes its row. That
+// of its state comes after it, but from another topic: only a state without a job goes.
 func (t *jobTable) delete(kind, id string) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	if kind == "j" {
+	row := t.jobs[id]
+	switch {
+	case kind == "j":
 		delete(t.jobs, id)
+	case kind == "s" && row != nil && row.spec == nil:
+		row.state, row.stateAt = 0, time.Time{}
+		if *row == (jobRow{}) {
+			delete(t.jobs, id)
+		}
 	}
 }
 
+// isStored reports whether a record of the job has been read, valid or not.
+func (t *jobTable) isStored(id string) bool {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	row := t.jobs[id]
+	return row != nil && (row.spec != nil || row.invalid)
+}
+
 // get returns a copy of a job's row.
 func (t *jobTable) get(id string) (jobRow, bool) {
 	t.mutex.Lock()
--- a/internal/process/jaycontroller/leaderrecords.go
+++ b/internal/process/jaycontroller/leaderrecords.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/sourcegraph/conc"
@@ -41,11 +42,17 @@
 		return err
 	}
 	var units []jaystore.Record
+	var stateDeletions []jaycell.Record
 	for _, r := range records {
-		if jaycell.IsStateKey(r.Key) {
-			l.controller.jobs.apply(r.Key, r.Value)
-		} else {
+		id, isState := strings.CutPrefix(r.Key, jaycell.StateKey(""))
+		switch {
+		case !isState:
 			units = append(units, r)
+		case l.controller.jobs.isStored(id):
+			l.controller.jobs.apply(r.Key, r.Value)
+		default:
+			// An earlier leader has deleted the job, and ended before it deleted the state.
+			stateDeletions = append(stateDeletions, jaycell.Record{Key: r.Key})
 		}
 	}
 	l.mutex.Lock()
@@ -69,6 +76,7 @@
 			l.cell.Cancel(row.spec.ID)
 		}
 	}
+	l.stateDeletions = append(l.stateDeletions, stateDeletions...)
 	l.loaded, l.lastTick = true, jayclock.Elapsed()
 	l.controller.Logger.Info().Str("event", "term").Uint64("term", l.term).Int("runs", len(units)).Msg("deciding")
 	return nil
--- a/internal/process/jaycontroller/leaderrecords_test.go
+++ b/internal/process/jaycontroller/leaderrecords_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/rs/zerolog"
 	"gotest.tools/v3/assert"
 
 	"github.com/jaystile/jaystile/internal/process/jaycell"
@@ -99,3 +100,44 @@
 		})
 	}
 }
+
+// A leader may end between the deletion of a job and that of its state.
+func TestStateOfADeletedJobIsDeletedByTheNextLeader(t *testing.T) {
+	const kept, invalid = "aaaaaaaaaaaaaaaa", "bbbbbbbbbbbbbbbb"
+	pages := map[string][]jaystore.StoredRecord{
+		"jobs": {jobRecord(t, kept), {Record: jaystore.Record{Key: jaycell.JobKey(invalid), Value: []byte("of a later version")}}},
+		"runs": {stateRecord(kept, jaytask.Completed), stateRecord(invalid, jaytask.Completed), stateRecord(id, jaytask.Completed)},
+	}
+	c, l := newLeader(false)
+	*c.storeClient = jaystore.Client{
+		Append: c.storeClient.Append,
+		Newest: func(_ context.Context, topic, _ string) (jaystore.Page, error) {
+			return jaystore.Page{Records: pages[topic], End: 3}, nil
+		},
+		Read: func(context.Context, string, uint64, time.Duration) (jaystore.ReadResult, error) {
+			return jaystore.ReadResult{Next: 3, End: 3}, nil
+		},
+	}
+	assert.NilError(t, l.load(t.Context(), jaystore.NewTermWriter(c.storeClient, "runs", producer, 1)))
+	assert.DeepEqual(t, l.stateDeletions, []jaycell.Record{{Key: jaycell.StateKey(id)}})
+	again := jobRecord(t, id)
+	c.jobs.apply(again.Key, again.Value)
+	row, ok := c.jobs.get(id)
+	assert.Assert(t, ok)
+	assert.Equal(t, row.callerState(), jaytask.Queued)
+}
+
+// The tails of jobs and states run side by side, so a state may come after its job's deletion.
+func TestDeletionOfAStateWithoutJobLeavesNothing(t *testing.T) {
+	table := newJobTable(zerolog.Nop())
+	job, end := jobRecord(t, id), stateRecord(id, jaytask.Completed)
+	table.apply(end.Key, end.Value)
+	table.apply(end.Key, nil)
+	assert.Equal(t, len(table.jobs), 0)
+	table.apply(job.Key, job.Value)
+	table.apply(end.Key, end.Value)
+	table.apply(end.Key, nil)
+	row, ok := table.get(id)
+	assert.Assert(t, ok)
+	assert.Equal(t, row.callerState(), jaytask.Completed)
+}
