Start nothing without a ticket before the first configuration

Cause: jobs and configuration are read side by side, and an entry may lead before it has read the first configuration. NeedsTicket took a missing configuration as one that asks for no tickets.

Fix: without a configuration every start waits for a ticket.

Evidence, before the fix:

--- FAIL: TestNothingStartsWithoutATicketBeforeTheConfiguration (0.00s) leaderrecords_test.go:158: assertion failed: 1 (int) != 0 (int)

Tests of jaycontroller pass, also with -race.

--- a/internal/process/jaycontroller/leaderrecords_test.go
+++ b/internal/process/jaycontroller/leaderrecords_test.go
@@ -12,6 +12,7 @@
 	"github.com/jaystile/jaystile/internal/process/jaycell"
 	"github.com/jaystile/jaystile/internal/process/jaystore"
 	"github.com/jaystile/jaystile/internal/request/jaytask"
+	"github.com/jaystile/jaystile/internal/version/jayconfig"
 )
 
 // A new leader reads jobs and runs side by side, since a slow store takes a large part of
@@ -141,3 +142,20 @@
 	assert.Assert(t, ok)
 	assert.Equal(t, row.callerState(), jaytask.Completed)
 }
+
+// A new leader may have read the jobs before the first configuration.
+func TestNothingStartsWithoutATicketBeforeTheConfiguration(t *testing.T) {
+	c, l := newLeader(true)
+	value, err := jaytask.EncodeJob(&jaytask.Job{ID: id, Spec: "x", Accepted: time.Now(), Policy: jaytask.Policy{Route: "r", Service: "s", MaxAttempts: 1, Stretch: 3}, Steps: []jaytask.Step{{Count: 1, Resources: jaytask.Resources{CPU: 1, Memory: 1}}}})
+	assert.NilError(t, err)
+	c.jobs.apply(jaycell.JobKey(id), value)
+	starts := func(sequence int64) int {
+		l.setCellTime()
+		assert.Assert(t, l.cell.ApplyReport(jaycell.Report{Node: "n", Sequence: sequence, Term: 1, Responsive: true, Runner: jaycell.RunnerInfo{ID: "i", Service: "s", Capacity: jaytask.Resources{CPU: 1, Memory: 1}}}))
+		l.cell.Tick()
+		return len(l.cell.ConfirmStored(l.cell.TakeBatch()))
+	}
+	assert.Equal(t, starts(1), 0)
+	c.config.Store(jayconfig.NewConfig(1, nil, nil, nil, jayconfig.Limits{}))
+	assert.Equal(t, starts(2), 1)
+}
--- a/internal/process/jaycontroller/leadership.go
+++ b/internal/process/jaycontroller/leadership.go
@@ -70,7 +70,8 @@
 		NeedsTicket: func(route string) bool {
 			config := c.config.Load()
 			if config == nil {
-				return false
+				// It is about to be read, and may ask for a ticket.
+				return true
 			}
 			_, needed := config.Advice(route)
 			return needed
