Remember that a leader has resigned

What callers could see (by reading; not seen in a run): at a hand-over nothing is decided until the old leader has gone and been missed.

Cause: a resignation counted only at the moment of its message, and only with a link to the leader and a known term. It was dropped if it came before them. If the claim that follows it outlasted the delay before the next dial, as with a slow store, the entry was linked to the resigned leader again, gave up its claim and made no other.

Fix: the newest term whose leader has resigned is kept whatever else is known, and a link to such a leader keeps nobody from claiming the next term.

Evidence, before the fix:

--- FAIL: TestResignationIsRemembered/before_the_term (0.00s) term_test.go:112: assertion failed: false (bool) != true (c.want bool) --- FAIL: TestResignationIsRemembered/before_the_link (0.00s) term_test.go:112: assertion failed: false (bool) != true (c.want bool)

Tests of jaycontroller pass, also with -race.

--- a/internal/process/jaycontroller/links.go
+++ b/internal/process/jaycontroller/links.go
@@ -179,17 +179,20 @@
 	}
 }
 
-// handleResignation closes the link to a leader that resigns and starts an election.
+// handleResignation remembers that the leader of a term has resigned. If the term lasts, it
+// closes the link to its leader and starts an election.
 func (c *Controller) handleResignation(term uint64) {
 	c.mutex.Lock()
-	current := term == c.term.number && c.leaderLink != nil
-	if current {
+	if term > c.resignedTerm.Load() {
+		c.resignedTerm.Store(term)
+	}
+	current := term == c.term.number
+	if current && c.leaderLink != nil {
 		c.leaderLink.Close("the leader has resigned")
 		c.leaderLink = nil
 	}
 	c.mutex.Unlock()
 	if current {
-		c.resignedTerm.Store(term)
 		Signal(c.leaderResigned)
 	}
 }
--- a/internal/process/jaycontroller/term.go
+++ b/internal/process/jaycontroller/term.go
@@ -105,8 +105,7 @@
 		}
 		t := c.Term()
 		detector.deferral = c.electionDeferral()
-		resigned := t.number > 0 && t.number == c.resignedTerm.Load()
-		if detector.observe(t, c.mayClaimTerm(), resigned, t.leader == c.Name || t.number == 0) {
+		if detector.observe(t, c.mayClaimTerm(), c.hasResigned(t.number), t.leader == c.Name || t.number == 0) {
 			c.claimTerm(ctx)
 		}
 	}
@@ -164,14 +163,19 @@
 	return 0
 }
 
+// hasResigned reports whether the leader of a term has resigned.
+func (c *Controller) hasResigned(term uint64) bool {
+	return term > 0 && term == c.resignedTerm.Load()
+}
+
 // mayClaimTerm reports whether this entry is eligible to lead and has no link to the
-// leader.
+// leader, or one that was opened again after the leader had resigned.
 func (c *Controller) mayClaimTerm() bool {
 	// The tail's mutex is locked before the controller's.
 	_, loaded := c.cellTail.Age()
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	return loaded && !c.draining && c.leadership == nil && c.leaderLink == nil
+	return loaded && !c.draining && c.leadership == nil && (c.leaderLink == nil || c.hasResigned(c.term.number))
 }
 
 // claimTerm appends the next term at the offset up to which this entry has read. Of
--- a/internal/process/jaycontroller/term_test.go
+++ b/internal/process/jaycontroller/term_test.go
@@ -5,6 +5,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/jaystile/jaystile/internal/connection/jaylink"
 	"github.com/jaystile/jaystile/internal/process/jaystore"
 )
 
@@ -83,3 +84,32 @@
 		assert.Equal(t, cores, c.cores)
 	}
 }
+
+// A resignation may come before its term or the link to the leader, or during a claim that outlasts the next dial.
+func TestResignationIsRemembered(t *testing.T) {
+	link := func(c *Controller) { c.leaderLink = &jaylink.Link{} }
+	term := func(c *Controller) { c.setTerm(Term{number: 3, leader: "other"}) }
+	resign := func(c *Controller) { c.handleResignation(3) }
+	for _, c := range []struct {
+		name  string
+		steps []func(*Controller)
+		want  bool
+	}{
+		{"before the term", []func(*Controller){resign, term, link}, true},
+		{"before the link", []func(*Controller){term, resign, link}, true},
+		{"none", []func(*Controller){term, link}, false},
+		{"of an earlier term", []func(*Controller){term, func(c *Controller) { c.handleResignation(2) }, link}, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			entry, _ := newLeader(true)
+			entry.leadership = nil
+			assert.NilError(t, entry.cellTail.Refresh(t.Context()))
+			for _, step := range c.steps {
+				step(entry)
+			}
+			detector := newFailureDetector(3)
+			detector.term = 3
+			assert.Equal(t, detector.observe(entry.Term(), entry.mayClaimTerm(), entry.hasResigned(3), false), c.want)
+		})
+	}
+}
