--- a/internal/process/jaycontroller/jobtable.go
+++ b/internal/process/jaycontroller/jobtable.go
@@ -16,7 +16,9 @@
 
 // jobRow is what the store holds about one job.
 type jobRow struct {
+	// spec is nil until the job's record arrives, and if it is invalid.
 	spec     *jaytask.Job
+	invalid  bool
 	canceled bool
 	state    jaytask.State
 	// stateAt is when the state was reached.
@@ -41,14 +43,19 @@
 // received from peers.
 type jobTable struct {
 	logger zerolog.Logger
-	// onAccepted and onCanceled are called for each new job and cancellation, without
-	// the table's mutex held.
-	onAccepted func(j *jaytask.Job)
-	onCanceled func(id string)
+	// onChanged is called without the table's mutex held when an unfinished job becomes
+	// known or canceled. It reads the row: a job and its cancellation arrive in any order,
+	// and so may the calls.
+	onChanged func(id string)
+	// recent is the age up to which a fact may be missing from a read of the store that
+	// began before it was stored, and up to which a peer's copy of it is of use. It must
+	// be well below the retention: older facts that are missing have been deleted.
+	recent time.Duration
 
 	// jobEnded is notified of each final state.
 	jobEnded changeNotifier
 
+	// mutex is locked after those of the controller and of a leadership.
 	mutex sync.Mutex
 	jobs  map[string]*jobRow
 }
@@ -57,43 +64,58 @@
 	return &jobTable{logger: logger, jobs: map[string]*jobRow{}}
 }
 
+// isRecent reports whether a row's newest dated fact is recent.
+func (t *jobTable) isRecent(r *jobRow) bool {
+	newest := r.stateAt
+	if r.spec != nil && r.spec.Accepted.After(newest) {
+		newest = r.spec.Accepted
+	}
+	return time.Since(newest) < t.recent
+}
+
 // replace replaces the jobs and cancellations with the store's newest records of all of
-// them. States are kept, since they are stored in another topic. Jobs that have ended
-// are not reported as new.
+// them. States are kept, since they are stored in another topic, and so are rows and
+// cancellations that may be newer than the read. Jobs that have ended are not reported
+// as new.
 func (t *jobTable) replace(all []jaystore.StoredRecord) {
 	newest := newJobTable(t.logger)
 	for _, s := range all {
 		newest.apply(s.Key, s.Value)
 	}
-	var accepted []*jaytask.Job
-	var canceled []string
+	var changed []string
 	t.mutex.Lock()
 	for id, row := range newest.jobs {
 		old := t.jobs[id]
+		if old != nil && old.spec != nil && row.spec != nil && !old.spec.Accepted.Equal(row.spec.Accepted) {
+			// The old job has been deleted, and a new one accepted under its ID.
+			old = nil
+		}
 		if old != nil {
 			row.state, row.stateAt = old.state, old.stateAt
+			row.canceled = row.canceled || old.canceled
 		}
 		if row.spec == nil || row.state.Ended() {
 			continue
 		}
-		if old == nil || old.spec == nil {
-			accepted = append(accepted, row.spec)
+		if old == nil || old.spec == nil || row.canceled && !old.canceled {
+			changed = append(changed, id)
 		}
-		if row.canceled && (old == nil || !old.canceled) {
-			canceled = append(canceled, id)
+	}
+	for id, old := range t.jobs {
+		if newest.jobs[id] == nil && t.isRecent(old) {
+			newest.jobs[id] = old
 		}
 	}
 	t.jobs = newest.jobs
 	t.mutex.Unlock()
-	for _, j := range accepted {
-		if t.onAccepted != nil {
-			t.onAccepted(j)
-		}
+	for _, id := range changed {
+		t.reportChange(id)
 	}
-	for _, id := range canceled {
-		if t.onCanceled != nil {
-			t.onCanceled(id)
-		}
+}
+
+func (t *jobTable) reportChange(id string) {
+	if t.onChanged != nil {
+		t.onChanged(id)
 	}
 }
 
@@ -111,8 +133,7 @@
 		t.delete(kind, id)
 		return
 	}
-	var accepted *jaytask.Job
-	var canceled, ended bool
+	var changed, ended bool
 	t.mutex.Lock()
 	row := t.jobs[id]
 	if row == nil {
@@ -124,16 +145,14 @@
 		if row.spec == nil {
 			spec, err := jaytask.DecodeJob(id, value)
 			if err != nil {
+				row.invalid = true
 				t.logger.Error().Str("event", "record").Str("job", id).Err(err).Msg("skipping an invalid job record")
 				break
 			}
-			row.spec = spec
-			if !row.state.Ended() {
-				accepted = spec
-			}
+			row.spec, changed = spec, true
 		}
 	case "c":
-		canceled = !row.canceled
+		changed = !row.canceled
 		row.canceled = true
 	case "s":
 		state, at, err := jaycell.DecodeState(value)
@@ -145,28 +164,69 @@
 			row.state, row.stateAt, ended = state, at, state.Ended()
 		}
 	}
+	changed = changed && row.spec != nil && !row.state.Ended()
 	t.mutex.Unlock()
 	if ended {
 		t.jobEnded.broadcast()
 	}
-	if accepted != nil && t.onAccepted != nil {
-		t.onAccepted(accepted)
+	if changed {
+		t.reportChange(id)
+	}
+}
+
+// applyCopy applies a record that this entry did not get from the store. A copy that is
+// not recent is left to the store, which holds it unless it has been deleted since.
+func (t *jobTable) applyCopy(key string, value []byte) {
+	at, err := recordTime(key, value)
+	if err != nil {
+		t.logger.Error().Str("event", "record").Str("key", key).Err(err).Msg("skipping an invalid copy of a record")
+		return
+	}
+	if age := time.Since(at); age > t.recent {
+		t.logger.Info().Str("event", "record").Str("key", key).Int64("age_ms", age.Milliseconds()).Msg("skipping a late copy of a record")
+		return
 	}
-	if canceled && t.onCanceled != nil {
-		t.onCanceled(id)
+	t.apply(key, value)
+}
+
+// recordTime returns when a job was accepted or canceled, or reached its state.
+func recordTime(key string, value []byte) (time.Time, error) {
+	if id, ok := strings.CutPrefix(key, jaycell.JobKey("")); ok {
+		spec, err := jaytask.DecodeJob(id, value)
+		if err != nil {
+			return time.Time{}, err
+		}
+		return spec.Accepted, nil
 	}
+	_, at, err := jaycell.DecodeState(value)
+	return at, err
 }
 
-// delete applies the deletion of a record. That of the job itself removes its row; the
-// others change nothing.
+// delete applies the deletion of a record. That of the job itself removes its row. That
+// of its state comes after it, but from another topic: only a state without a job goes.
 func (t *jobTable) delete(kind, id string) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	if kind == "j" {
+	row := t.jobs[id]
+	switch {
+	case kind == "j":
 		delete(t.jobs, id)
+	case kind == "s" && row != nil && row.spec == nil:
+		row.state, row.stateAt = 0, time.Time{}
+		if *row == (jobRow{}) {
+			delete(t.jobs, id)
+		}
 	}
 }
 
+// isStored reports whether a record of the job has been read, valid or not.
+func (t *jobTable) isStored(id string) bool {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	row := t.jobs[id]
+	return row != nil && (row.spec != nil || row.invalid)
+}
+
 // get returns a copy of a job's row.
 func (t *jobTable) get(id string) (jobRow, bool) {
 	t.mutex.Lock()
--- a/internal/process/jaycontroller/leaderrecords.go
+++ b/internal/process/jaycontroller/leaderrecords.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/sourcegraph/conc"
@@ -41,25 +42,28 @@
 		return err
 	}
 	var units []jaystore.Record
+	var stateDeletions []jaycell.Record
 	for _, r := range records {
-		if jaycell.IsStateKey(r.Key) {
-			l.controller.jobs.apply(r.Key, r.Value)
-		} else {
+		id, isState := strings.CutPrefix(r.Key, jaycell.StateKey(""))
+		switch {
+		case !isState:
 			units = append(units, r)
+		case l.controller.jobs.isStored(id):
+			l.controller.jobs.apply(r.Key, r.Value)
+		default:
+			// An earlier leader has deleted the job, and ended before it deleted the state.
+			stateDeletions = append(stateDeletions, jaycell.Record{Key: r.Key})
 		}
 	}
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	l.setCellTime()
-	canceled := []string{}
-	for _, row := range l.controller.jobs.unfinished() {
+	rows := l.controller.jobs.unfinished()
+	for _, row := range rows {
 		l.cell.Submit(row.spec)
 		if row.state == jaytask.Running {
 			l.cell.MarkStarted(row.spec.ID)
 		}
-		if row.canceled {
-			canceled = append(canceled, row.spec.ID)
-		}
 	}
 	for _, r := range units {
 		if err := l.cell.RestoreUnit(jaycell.Record{Key: r.Key, Value: r.Value}); err != nil {
@@ -67,9 +71,12 @@
 		}
 	}
 	// Cancel stops the restored runs, so it comes last.
-	for _, id := range canceled {
-		l.cell.Cancel(id)
+	for _, row := range rows {
+		if row.canceled {
+			l.cell.Cancel(row.spec.ID)
+		}
 	}
+	l.stateDeletions = append(l.stateDeletions, stateDeletions...)
 	l.loaded, l.lastTick = true, jayclock.Elapsed()
 	l.controller.Logger.Info().Str("event", "term").Uint64("term", l.term).Int("runs", len(units)).Msg("deciding")
 	return nil
