--- a/internal/connection/jayframe/cell.go
+++ b/internal/connection/jayframe/cell.go
@@ -49,7 +49,7 @@
 	Draining             bool
 	DrainRemainingMillis int64
 	Responsive           bool
-	Deregistered         bool
+	Ended                bool
 	Running              []CellRun
 	Finished             []CellEnd
 	OrderResults         []CellOrderResult
@@ -82,6 +82,7 @@
 	Ticket     string
 	Number     uint64
 	Percent    int
+	Repeated   bool
 }
 
 // CellOrders sends the orders of a term's leader to an agent.
--- a/internal/process/jaycell/runner.go
+++ b/internal/process/jaycell/runner.go
@@ -63,6 +63,10 @@
 	return endReasonNames[e]
 }
 
+// MaxListedEnds is how many ends a runner lists at once. A listing with as many may lack
+// later ones.
+const MaxListedEnds = 500
+
 // End is the end of a run; its runner lists it until it is acknowledged.
 type End struct {
 	// Number increases with each end of a runner.
@@ -98,8 +102,8 @@
 	Runner RunnerInfo
 	// Responsive reports that the runner answered recently with this ID.
 	Responsive bool
-	// Deregistered reports that the runner has announced its shutdown.
-	Deregistered bool
+	// Ended reports that the runner has announced its shutdown and no longer listens.
+	Ended        bool
 	Running      []Run
 	Finished     []End
 	OrderResults []OrderResult
--- a/internal/process/jaycontroller/leaderrecords_test.go
+++ b/internal/process/jaycontroller/leaderrecords_test.go
@@ -6,9 +6,13 @@
 	"testing"
 	"time"
 
+	"github.com/rs/zerolog"
 	"gotest.tools/v3/assert"
 
+	"github.com/jaystile/jaystile/internal/process/jaycell"
 	"github.com/jaystile/jaystile/internal/process/jaystore"
+	"github.com/jaystile/jaystile/internal/request/jaytask"
+	"github.com/jaystile/jaystile/internal/version/jayconfig"
 )
 
 // A new leader reads jobs and runs side by side, since a slow store takes a large part of
@@ -42,3 +46,116 @@
 	assert.NilError(t, l.load(ctx, jaystore.NewTermWriter(client, "runs", producer, 1)))
 	assert.Assert(t, l.loaded)
 }
+
+// newLeader returns a controller that leads, over a store that holds nothing.
+func newLeader(loaded bool) (*Controller, *leadership) {
+	c := New(nil)
+	c.Topics = Topics{Jobs: "jobs", Runs: "runs"}
+	c.Timing.Retention = time.Minute
+	c.NewStoreClient = func(func(context.Context, jaystore.Request) (jaystore.Response, error)) *jaystore.Client {
+		return &jaystore.Client{
+			Append: func(context.Context, jaystore.Append) (uint64, error) { return 0, nil },
+			Newest: func(context.Context, string, string) (jaystore.Page, error) { return jaystore.Page{}, nil },
+			Read: func(context.Context, string, uint64, time.Duration) (jaystore.ReadResult, error) {
+				return jaystore.ReadResult{}, nil
+			},
+		}
+	}
+	c.Prepare()
+	c.leadership = newLeadership(c, 1)
+	c.leadership.loaded = loaded
+	return c, c.leadership
+}
+
+// The peers' copies and the store's records of a job and of its cancellation reach the leader in any order.
+func TestCancellationBeforeItsJobIsNotLost(t *testing.T) {
+	job, cancel := jobRecord(t, id), jaystore.StoredRecord{Record: cancelRecord(id, time.UnixMilli(1))}
+	one := func(s jaystore.StoredRecord) func(*jobTable) {
+		return func(table *jobTable) { table.apply(s.Key, s.Value) }
+	}
+	all := func(records ...jaystore.StoredRecord) func(*jobTable) {
+		return func(table *jobTable) { table.replace(records) }
+	}
+	for _, c := range []struct {
+		name  string
+		steps []func(*jobTable)
+	}{
+		{"job first", []func(*jobTable){one(job), one(cancel)}},
+		{"cancellation first", []func(*jobTable){one(cancel), one(job)}},
+		{"job first, then all records", []func(*jobTable){one(job), all(cancel, job)}},
+		{"cancellation first, then all records", []func(*jobTable){one(cancel), all(cancel, job)}},
+		{"all records", []func(*jobTable){all(cancel, job)}},
+		{"cancellation in all records, then the job", []func(*jobTable){all(cancel), one(job)}},
+		{"job in all records, then the cancellation", []func(*jobTable){all(job), one(cancel)}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			controller, l := newLeader(true)
+			for _, step := range c.steps {
+				step(controller.jobs)
+			}
+			states := l.cell.TakeBatch().JobStates
+			assert.Equal(t, len(states), 1, "states of the job")
+			state, _, err := jaycell.DecodeState(states[0].Value)
+			assert.NilError(t, err)
+			assert.Equal(t, state, jaytask.Canceled)
+		})
+	}
+}
+
+// A leader may end between the deletion of a job and that of its state.
+func TestStateOfADeletedJobIsDeletedByTheNextLeader(t *testing.T) {
+	const kept, invalid = "aaaaaaaaaaaaaaaa", "bbbbbbbbbbbbbbbb"
+	pages := map[string][]jaystore.StoredRecord{
+		"jobs": {jobRecord(t, kept), {Record: jaystore.Record{Key: jaycell.JobKey(invalid), Value: []byte("of a later version")}}},
+		"runs": {stateRecord(kept, jaytask.Completed), stateRecord(invalid, jaytask.Completed), stateRecord(id, jaytask.Completed)},
+	}
+	c, l := newLeader(false)
+	*c.storeClient = jaystore.Client{
+		Append: c.storeClient.Append,
+		Newest: func(_ context.Context, topic, _ string) (jaystore.Page, error) {
+			return jaystore.Page{Records: pages[topic], End: 3}, nil
+		},
+		Read: func(context.Context, string, uint64, time.Duration) (jaystore.ReadResult, error) {
+			return jaystore.ReadResult{Next: 3, End: 3}, nil
+		},
+	}
+	assert.NilError(t, l.load(t.Context(), jaystore.NewTermWriter(c.storeClient, "runs", producer, 1)))
+	assert.DeepEqual(t, l.stateDeletions, []jaycell.Record{{Key: jaycell.StateKey(id)}})
+	again := jobRecord(t, id)
+	c.jobs.apply(again.Key, again.Value)
+	row, ok := c.jobs.get(id)
+	assert.Assert(t, ok)
+	assert.Equal(t, row.callerState(), jaytask.Queued)
+}
+
+// The tails of jobs and states run side by side, so a state may come after its job's deletion.
+func TestDeletionOfAStateWithoutJobLeavesNothing(t *testing.T) {
+	table := newJobTable(zerolog.Nop())
+	job, end := jobRecord(t, id), stateRecord(id, jaytask.Completed)
+	table.apply(end.Key, end.Value)
+	table.apply(end.Key, nil)
+	assert.Equal(t, len(table.jobs), 0)
+	table.apply(job.Key, job.Value)
+	table.apply(end.Key, end.Value)
+	table.apply(end.Key, nil)
+	row, ok := table.get(id)
+	assert.Assert(t, ok)
+	assert.Equal(t, row.callerState(), jaytask.Completed)
+}
+
+// A new leader may have read the jobs before the first configuration.
+func TestNothingStartsWithoutATicketBeforeTheConfiguration(t *testing.T) {
+	c, l := newLeader(true)
+	value, err := jaytask.EncodeJob(&jaytask.Job{ID: id, Spec: "x", Accepted: time.Now(), Policy: jaytask.Policy{Route: "r", Service: "s", MaxAttempts: 1, Stretch: 3}, Steps: []jaytask.Step{{Count: 1, Resources: jaytask.Resources{CPU: 1, Memory: 1}}}})
+	assert.NilError(t, err)
+	c.jobs.apply(jaycell.JobKey(id), value)
+	starts := func(sequence int64) int {
+		l.setCellTime()
+		assert.Assert(t, l.cell.ApplyReport(jaycell.Report{Node: "n", Sequence: sequence, Term: 1, Responsive: true, Runner: jaycell.RunnerInfo{ID: "i", Service: "s", Capacity: jaytask.Resources{CPU: 1, Memory: 1}}}))
+		l.cell.Tick()
+		return len(l.cell.ConfirmStored(l.cell.TakeBatch()))
+	}
+	assert.Equal(t, starts(1), 0)
+	c.config.Store(jayconfig.NewConfig(1, nil, nil, nil, jayconfig.Limits{}))
+	assert.Equal(t, starts(2), 1)
+}
--- a/internal/process/jaysupervisor/orders.go
+++ b/internal/process/jaysupervisor/orders.go
@@ -24,7 +24,7 @@
 func (s *Supervisor) ApplyOrders(term uint64, orders []jaycell.Order) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	if term < s.term || s.ctx == nil {
+	if term < s.term || s.ctx == nil || s.ended {
 		return
 	}
 	s.setTerm(term)
@@ -42,11 +42,14 @@
 				jaycontroller.Signal(s.pollSignal)
 			}
 		case jaycell.OrderStart:
-			if o.Run <= s.excluded[o.Task].run {
+			switch {
+			case s.isListed(o.Task, o.Run):
+				// The run has begun: this is a copy.
+			case o.Run <= s.excluded[o.Task].run:
 				s.addResult(o, true, ReasonNotStarted)
-				continue
+			default:
+				s.execute(o, false)
 			}
-			s.execute(o, false)
 		case jaycell.OrderStop:
 			s.execute(o, true)
 		case jaycell.OrderThrottle:
@@ -124,7 +127,7 @@
 		draining := s.runner.Draining || s.deregistered
 		leased := s.grantedUntil-s.Elapsed() > minLeaseLeft && request.Deadline > 0
 		s.mutex.Unlock()
-		if draining && !o.unanswered {
+		if draining {
 			s.refuse(ctx, o, ReasonDraining)
 			return
 		}
@@ -183,15 +186,22 @@
 	return e.Int("calls", o.calls).Bool("unanswered", o.unanswered).Int64("age_ms", (s.Elapsed() - o.receivedAt).Milliseconds())
 }
 
-// refuse reports a start as refused once the run is stopped. A refusal alone leaves no
-// trace on the runner, which may accept a copy of the order or execute an earlier call
-// after the leader has started the next run elsewhere.
+// refuse reports a start as refused. A refusal leaves no trace on the runner: if a call of
+// this process or of an earlier one may still be executed, the run is stopped first, so
+// that it does not begin after the leader has started the next one elsewhere.
 func (s *Supervisor) refuse(ctx context.Context, o *order, reason string) {
 	s.mutex.Lock()
 	o.refusal = reason
+	begun := s.isListed(o.Task, o.Run)
+	final := begun || !o.unanswered && !o.Repeated
+	if final && s.removeOrder(o) && !begun {
+		s.addResult(o.Order, true, reason)
+	}
 	s.mutex.Unlock()
 	s.logOrder(o, "refused", reason).Msg("start refused")
-	s.stop(ctx, o)
+	if !final {
+		s.stop(ctx, o)
+	}
 }
 
 // awaitListed waits until a listing shows a started run or its end, which removes the
@@ -201,7 +211,7 @@
 	jaycontroller.Signal(s.pollSignal)
 	for jayclock.Sleep(ctx, retryDelay) {
 		s.mutex.Lock()
-		listed := s.listingRequestedAt > after
+		listed := s.isComplete(after)
 		if listed && s.removeOrder(o) {
 			s.addResult(o.Order, false, "vanished")
 		}
@@ -241,7 +251,7 @@
 	jaycontroller.Signal(s.pollSignal)
 	for jayclock.Sleep(ctx, retryDelay) {
 		s.mutex.Lock()
-		ended := s.listingRequestedAt > after && !s.isListed(o.Task, o.Run)
+		ended := s.isComplete(after) && !s.isListed(o.Task, o.Run)
 		if ended && s.removeOrder(o) {
 			s.addResult(o.Order, o.refusal != "", cmp.Or(o.refusal, "stopped before it began"))
 		}
@@ -253,6 +263,12 @@
 	}
 }
 
+// isComplete reports whether the newest listing was requested after the given time and
+// shows all ends.
+func (s *Supervisor) isComplete(after time.Duration) bool {
+	return s.listingRequestedAt > after && len(s.listing.Finished) < jaycell.MaxListedEnds
+}
+
 // isListed reports whether the newest listing shows a run as running.
 func (s *Supervisor) isListed(task string, run int) bool {
 	for _, r := range s.listing.Running {
