Adopt a new incarnation after two heartbeats when orders come by heartbeat

A late heartbeat of an incarnation that had ended before the agent's process began was taken for that of a new one. The live runner then counted as an earlier incarnation and was ignored from then on, by the agent and by the leader, which started its tasks elsewhere while they ran on.

An incarnation now replaces the runner once it has sent two heartbeats at least 0.1 s apart while the runner sent none. By calls, the runner answers for its incarnation, so nothing changes.

Before: TestLateHeartbeatOfUnknownIncarnationDoesNotDisplaceTheRunner failed ("r0 != r1"). It passes, as does TestLateHeartbeatsTogetherDoNotDisplaceTheRunner. The harness sends two heartbeats to adopt a runner and has a clock of its own; its checks are the same.

--- a/internal/process/jaysupervisor/heartbeats.go
+++ b/internal/process/jaysupervisor/heartbeats.go
@@ -15,6 +15,9 @@
 	// nextHeartbeatDelay is the heartbeat delay of a runner that gets its orders by
 	// heartbeat: it reports as often as other runners are polled for ended runs.
 	nextHeartbeatDelay = 200 * time.Millisecond
+	// minCandidateAge is the time between two heartbeats of a new incarnation before it
+	// replaces the runner. Late ones of an ended incarnation come closer together.
+	minCandidateAge = nextHeartbeatDelay / 2
 	// maxStartsSent is how many responses carry a start that the runner does not list
 	// before the start is withdrawn by a stop: one response may be lost.
 	maxStartsSent = 2
@@ -48,13 +51,18 @@
 	if slices.Contains(s.pastIncarnations, h.Runner.ID) || s.runner.ID == h.Runner.ID && (s.deregistered || h.Sequence <= s.sequence) {
 		return HeartbeatResponse{}
 	}
-	if s.runner.ID != h.Runner.ID {
-		s.replaceRunner(h)
-	} else {
+	now := s.Elapsed()
+	switch {
+	case s.runner.ID == h.Runner.ID:
+		s.candidate = candidate{}
 		s.updateRunner(h)
+	case !s.candidate.confirm(h, now):
+		return HeartbeatResponse{NextHeartbeat: nextHeartbeatDelay}
+	default:
+		s.candidate = candidate{}
+		s.replaceRunner(h)
 	}
 	// The runner has read the response to its previous heartbeat, and so its fence.
-	now := s.Elapsed()
 	s.applyListing(h.Listing, now, now, s.sentFence)
 	response := HeartbeatResponse{Fence: s.term, Acknowledged: s.acknowledged, NextHeartbeat: nextHeartbeatDelay}
 	if lease := s.grantedUntil - now - maxResponseDelay; lease > 0 {
@@ -65,6 +73,26 @@
 	return response
 }
 
+// candidate is an incarnation that may have replaced the runner. A single heartbeat may
+// be a late one of an incarnation that had ended before this process began.
+type candidate struct {
+	id        string
+	sequence  uint64
+	firstSeen time.Duration
+}
+
+// confirm records a heartbeat and reports whether the incarnation has gone on sending
+// while the runner was silent.
+func (c *candidate) confirm(h Heartbeat, now time.Duration) bool {
+	if c.id != h.Runner.ID {
+		*c = candidate{id: h.Runner.ID, sequence: h.Sequence, firstSeen: now}
+		return false
+	}
+	newer := h.Sequence > c.sequence
+	c.sequence = max(c.sequence, h.Sequence)
+	return newer && now-c.firstSeen >= minCandidateAge
+}
+
 // addOrders adds the pending orders to a response, sorted by task name.
 func (s *Supervisor) addOrders(r *HeartbeatResponse) {
 	tasks := make([]string, 0, len(s.orders))
--- a/internal/process/jaysupervisor/heartbeats_test.go
+++ b/internal/process/jaysupervisor/heartbeats_test.go
@@ -8,7 +8,6 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/jaystile/jaystile/internal/process/jaycell"
-	"github.com/jaystile/jaystile/internal/process/jayclock"
 )
 
 // heartbeatHarness simulates a runner that gets its orders by heartbeat.
@@ -16,20 +15,30 @@
 	t          *testing.T
 	supervisor *Supervisor
 	sequence   uint64
+	elapsed    time.Duration
 }
 
 func newHeartbeatHarness(t *testing.T) *heartbeatHarness {
 	s := New()
+	h := &heartbeatHarness{t: t, supervisor: s, elapsed: time.Hour}
 	s.Node, s.Lease, s.OrdersByHeartbeat, s.HeartbeatInterval, s.Logger, s.ctx = "n", 5*time.Second, true, time.Second, zerolog.Nop(), t.Context()
+	s.Elapsed = func() time.Duration { return h.elapsed }
 	s.SetTerm(1)
-	h := &heartbeatHarness{t: t, supervisor: s}
-	h.heartbeat("r1", Listing{})
-	s.GrantLease(1, int64(jayclock.Elapsed()))
+	h.adopt("r1")
+	s.GrantLease(1, int64(h.elapsed))
 	return h
 }
 
+// adopt sends the heartbeats after which an incarnation counts as the runner.
+func (h *heartbeatHarness) adopt(id string) {
+	for range 2 {
+		h.heartbeat(id, Listing{})
+	}
+}
+
 func (h *heartbeatHarness) heartbeat(id string, l Listing) HeartbeatResponse {
 	h.sequence++
+	h.elapsed += nextHeartbeatDelay
 	return h.supervisor.ExchangeHeartbeat(Heartbeat{Sequence: h.sequence, Runner: jaycell.RunnerInfo{ID: id}, Listing: l})
 }
 
@@ -39,7 +48,7 @@
 
 // running returns a listing with one run of the task.
 func running(run int) Listing {
-	return Listing{Clock: jayclock.Elapsed(), Running: []jaycell.Run{{Task: "t", Run: run}}}
+	return Listing{Clock: time.Hour, Running: []jaycell.Run{{Task: "t", Run: run}}}
 }
 
 func TestHeartbeatResponsesRepeatOrdersUntilListed(t *testing.T) {
@@ -101,7 +110,7 @@
 	}{
 		{"a copy", func(h *heartbeatHarness) HeartbeatResponse { h.sequence--; return h.heartbeat("r1", Listing{}) }},
 		{"of an earlier incarnation", func(h *heartbeatHarness) HeartbeatResponse {
-			h.heartbeat("r2", Listing{})
+			h.adopt("r2")
 			return h.heartbeat("r1", Listing{})
 		}},
 		{"after deregistration", func(h *heartbeatHarness) HeartbeatResponse {
@@ -133,3 +142,25 @@
 	h.heartbeat("r1", Listing{})
 	assert.Equal(t, h.supervisor.Report().Term, uint64(2))
 }
+
+// A late heartbeat of an incarnation that ended before this process began displaced the
+// runner, whose own heartbeats were ignored from then on.
+func TestLateHeartbeatOfUnknownIncarnationDoesNotDisplaceTheRunner(t *testing.T) {
+	h := newHeartbeatHarness(t)
+	h.supervisor.ExchangeHeartbeat(Heartbeat{Sequence: 90, Runner: jaycell.RunnerInfo{ID: "r0"}})
+	for range 20 {
+		h.heartbeat("r1", Listing{})
+	}
+	h.supervisor.GrantLease(1, int64(h.elapsed))
+	assert.Equal(t, h.supervisor.Report().Runner.ID, "r1")
+	assert.Assert(t, h.heartbeat("r1", Listing{}).Lease > 0)
+}
+
+func TestLateHeartbeatsTogetherDoNotDisplaceTheRunner(t *testing.T) {
+	h := newHeartbeatHarness(t)
+	for i := range uint64(3) {
+		h.supervisor.ExchangeHeartbeat(Heartbeat{Sequence: 90 + i, Runner: jaycell.RunnerInfo{ID: "r0"}})
+	}
+	assert.Equal(t, h.supervisor.Report().Runner.ID, "r1")
+	assert.Assert(t, h.heartbeat("r1", Listing{}).Lease > 0)
+}
--- a/internal/process/jaysupervisor/supervisor.go
+++ b/internal/process/jaysupervisor/supervisor.go
@@ -127,6 +127,8 @@
 	pollSignal   chan struct{}
 	// pastIncarnations are the earlier incarnations of the runner.
 	pastIncarnations []string
+	// candidate is an incarnation that may replace the runner, if it reports by heartbeat.
+	candidate candidate
 	// sentFence is the fence in the last response to a heartbeat of this incarnation.
 	sentFence uint64
 }
