--- a/internal/process/jaysupervisor/cell_test.go
+++ b/internal/process/jaysupervisor/cell_test.go
@@ -299,6 +299,7 @@
 		f.until("first run", time.Second, f.hasBegun(j, 1))
 		f.addNode(false)
 		time.Sleep(700 * time.Millisecond)
+		f.locked(func() { n.runner.leaving = true })
 		n.supervisor.Deregister(n.runner.id)
 		time.Sleep(2 * time.Second)
 		f.locked(n.newRunner)
--- a/internal/process/jaysupervisor/faults_test.go
+++ b/internal/process/jaysupervisor/faults_test.go
@@ -129,10 +129,18 @@
 	case 22:
 		n.newRunner()
 	case 23:
-		// A planned end: the agent confirms it.
-		if n.paused == nil {
+		// A planned end, soon if the agent's confirmation arrives.
+		if n.paused == nil && !r.leaving {
+			r.leaving = true
+			f.logf("", "%s deregisters", r.id)
 			n.supervisor.Deregister(r.id)
-			n.newRunner()
+			f.later(func() {
+				f.locked(func() {
+					if n.runner == r {
+						n.newRunner()
+					}
+				})
+			})
 		}
 	case 24:
 		f.newTerm()
--- a/internal/process/jaysupervisor/runnermodel_test.go
+++ b/internal/process/jaysupervisor/runnermodel_test.go
@@ -37,6 +37,8 @@
 	finished []jaycell.End
 	endedAt  map[uint64]time.Duration
 	draining bool
+	// leaving runners have deregistered and send no heartbeats.
+	leaving bool
 	// refusal is the reason for which all starts are refused.
 	refusal string
 	// silent runners get no calls; unreliable is the chance that a call goes astray.
@@ -411,6 +413,10 @@
 	f.mutex.Lock()
 	f.advance()
 	r, s := n.runner, n.supervisor
+	if r.leaving {
+		f.mutex.Unlock()
+		return
+	}
 	n.sequence++
 	h := Heartbeat{Sequence: n.sequence, Runner: jaycell.RunnerInfo{ID: r.id, Service: "s", Capacity: jaytask.Resources{CPU: modelSlots}, Draining: r.draining, DrainRemaining: 10 * time.Second}}
 	if n.heartbeats {
