Let runners be gone for a while under random faults

Cause: in the model, a new runner began at the moment at which the old one ended.

The heartbeats moved to the file of the nodes.

--- a/internal/process/jaysupervisor/faults_test.go
+++ b/internal/process/jaysupervisor/faults_test.go
@@ -44,7 +44,7 @@
 	f := newFleet(t, lease, seed)
 	defer f.close()
 	if seed%3 == 0 {
-		f.rough = 5
+		f.rough = 6
 	}
 	for i := range 3 + int(seed%2) {
 		f.addNode(heartbeats && i == 0)
@@ -128,19 +128,18 @@
 		f.later(func() { f.locked(func() { r.unreliable = 0; f.logf("", "%s is reliable", r.id) }) })
 	case 22:
 		n.newRunner()
+	case 25:
+		if r.alive {
+			n.endRunner()
+			f.later(func() { f.locked(n.replaceRunner(r)) })
+		}
 	case 23:
 		// A planned end, soon if the agent's confirmation arrives.
 		if n.paused == nil && !r.leaving {
 			r.leaving = true
 			f.logf("", "%s deregisters", r.id)
 			n.supervisor.Deregister(r.id)
-			f.later(func() {
-				f.locked(func() {
-					if n.runner == r {
-						n.newRunner()
-					}
-				})
-			})
+			f.later(func() { f.locked(n.replaceRunner(r)) })
 		}
 	case 24:
 		f.newTerm()
@@ -164,6 +163,16 @@
 	}
 }
 
+// replaceRunner returns a function that begins a new runner in place of r, unless there is
+// one.
+func (n *node) replaceRunner(r *modelRunner) func() {
+	return func() {
+		if n.runner == r {
+			n.newRunner()
+		}
+	}
+}
+
 // cutAtRandom cuts a link. Afterwards it goes on, or is replaced before or after its data
 // in transit has arrived, or loses them.
 func (f *fleet) cutAtRandom(l *link) {
--- a/internal/process/jaysupervisor/nodemodel_test.go
+++ b/internal/process/jaysupervisor/nodemodel_test.go
@@ -10,6 +10,8 @@
 	"github.com/rs/zerolog"
 
 	"github.com/jaystile/jaystile/internal/process/jaycell"
+	"github.com/jaystile/jaystile/internal/process/jayclock"
+	"github.com/jaystile/jaystile/internal/request/jaytask"
 )
 
 // Directions of a link's messages.
@@ -211,3 +213,57 @@
 		}
 	}
 }
+
+// heartbeat sends a heartbeat of the runner and carries out the response.
+func (n *node) heartbeat() {
+	f := n.fleet
+	n.awaitResume(f.ctx)
+	f.mutex.Lock()
+	f.advance()
+	r, s := n.runner, n.supervisor
+	if r.leaving || !r.alive {
+		f.mutex.Unlock()
+		return
+	}
+	n.sequence++
+	h := Heartbeat{Sequence: n.sequence, Runner: jaycell.RunnerInfo{ID: r.id, Service: "s", Capacity: jaytask.Resources{CPU: modelSlots}, Draining: r.draining, DrainRemaining: 10 * time.Second}}
+	if n.heartbeats {
+		h.Listing = r.listing()
+	}
+	x := r.fateOf("heartbeat")
+	f.mutex.Unlock()
+	if !n.heartbeats {
+		if x.answered {
+			s.HandleHeartbeat(f.ctx, h)
+		}
+		return
+	}
+	sentAt := f.now()
+	if !x.executed || !jayclock.Sleep(f.ctx, min(x.delay, time.Second)) {
+		return
+	}
+	n.awaitResume(f.ctx)
+	response := s.ExchangeHeartbeat(h)
+	if !jayclock.Sleep(f.ctx, 2*time.Millisecond) || !x.answered || f.now()-sentAt > time.Second {
+		return
+	}
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.advance()
+	if n.runner != r || !r.alive || r.deaf || response.Fence < r.fence || response.NextHeartbeat == 0 {
+		return
+	}
+	r.fence = response.Fence
+	r.acknowledge(response.Acknowledged)
+	if response.Lease > 0 {
+		r.extend(r.clock() + response.Lease)
+	}
+	for _, o := range response.Stops {
+		o.Incarnation, o.Fence = r.id, r.fence
+		f.logf(o.Task, "%s heartbeat: stop %s run %d: %v", r.id, o.Task, o.Run, r.stop(o))
+	}
+	for _, o := range response.Starts {
+		o.Incarnation, o.Fence, o.Deadline = r.id, r.fence, r.deadline
+		f.logf(o.Task, "%s heartbeat: start %s run %d: %v", r.id, o.Task, o.Run, r.start(o))
+	}
+}
--- a/internal/process/jaysupervisor/runnermodel_test.go
+++ b/internal/process/jaysupervisor/runnermodel_test.go
@@ -66,15 +66,22 @@
 	ended                    bool
 }
 
-func (n *node) newRunner() {
-	if old := n.runner; old != nil {
-		old.alive = false
-		for _, x := range slices.Clone(n.fleet.runs) {
-			if x.runner == old {
-				old.end(x, jaycell.EndLost)
-			}
+// endRunner ends the runner. Until there is a new one, nothing listens at its address.
+func (n *node) endRunner() {
+	r := n.runner
+	r.alive = false
+	for _, x := range slices.Clone(n.fleet.runs) {
+		if x.runner == r {
+			r.end(x, jaycell.EndLost)
 		}
 	}
+	n.fleet.logf("", "runner %s has ended", r.id)
+}
+
+func (n *node) newRunner() {
+	if n.runner != nil && n.runner.alive {
+		n.endRunner()
+	}
 	n.sequence++
 	n.runner = &modelRunner{node: n, id: fmt.Sprintf("%s-r%d", n.name, n.sequence), alive: true, rate: 1 - 0.02*float64(n.sequence%2), lenient: n.fleet.script.chance(0.5), marks: map[string]int{}, endedAt: map[uint64]time.Duration{}}
 	n.fleet.logf("", "runner %s begins", n.runner.id)
@@ -124,7 +131,10 @@
 			f.mutex.Lock()
 			defer f.mutex.Unlock()
 			f.advance()
-			err := execute(n.runner)
+			err := error(&EndedError{Call: what})
+			if n.runner.alive {
+				err = execute(n.runner)
+			}
 			if task != "" {
 				f.logf(task, "%s %s: %v (sent %s ago, answered %v)", n.runner.id, what, err, x.delay, x.answered)
 			}
@@ -168,7 +178,7 @@
 		n.fleet.mutex.Lock()
 		r := n.runner
 		l, ready := r.listing(), len(r.finished) > 0 || n.fleet.now() >= until
-		silent := r.silent || r.id != q.Incarnation
+		silent := r.silent || !r.alive || r.id != q.Incarnation
 		late, chances := time.Duration(0), n.fleet.luckOf(r.id)
 		if chances.chance(r.unreliable) {
 			late = chances.between(1, 300)
@@ -405,57 +415,3 @@
 		}
 	}
 }
-
-// heartbeat sends a heartbeat of the runner and carries out the response.
-func (n *node) heartbeat() {
-	f := n.fleet
-	n.awaitResume(f.ctx)
-	f.mutex.Lock()
-	f.advance()
-	r, s := n.runner, n.supervisor
-	if r.leaving {
-		f.mutex.Unlock()
-		return
-	}
-	n.sequence++
-	h := Heartbeat{Sequence: n.sequence, Runner: jaycell.RunnerInfo{ID: r.id, Service: "s", Capacity: jaytask.Resources{CPU: modelSlots}, Draining: r.draining, DrainRemaining: 10 * time.Second}}
-	if n.heartbeats {
-		h.Listing = r.listing()
-	}
-	x := r.fateOf("heartbeat")
-	f.mutex.Unlock()
-	if !n.heartbeats {
-		if x.answered {
-			s.HandleHeartbeat(f.ctx, h)
-		}
-		return
-	}
-	sentAt := f.now()
-	if !x.executed || !jayclock.Sleep(f.ctx, min(x.delay, time.Second)) {
-		return
-	}
-	n.awaitResume(f.ctx)
-	response := s.ExchangeHeartbeat(h)
-	if !jayclock.Sleep(f.ctx, 2*time.Millisecond) || !x.answered || f.now()-sentAt > time.Second {
-		return
-	}
-	f.mutex.Lock()
-	defer f.mutex.Unlock()
-	f.advance()
-	if n.runner != r || r.deaf || response.Fence < r.fence || response.NextHeartbeat == 0 {
-		return
-	}
-	r.fence = response.Fence
-	r.acknowledge(response.Acknowledged)
-	if response.Lease > 0 {
-		r.extend(r.clock() + response.Lease)
-	}
-	for _, o := range response.Stops {
-		o.Incarnation, o.Fence = r.id, r.fence
-		f.logf(o.Task, "%s heartbeat: stop %s run %d: %v", r.id, o.Task, o.Run, r.stop(o))
-	}
-	for _, o := range response.Starts {
-		o.Incarnation, o.Fence, o.Deadline = r.id, r.fence, r.deadline
-		f.logf(o.Task, "%s heartbeat: start %s run %d: %v", r.id, o.Task, o.Run, r.start(o))
-	}
-}
