--- a/internal/process/jaycell/report.go
+++ b/internal/process/jaycell/report.go
@@ -28,10 +28,10 @@
 		// A late report, or one about an incarnation that has ended.
 		return false
 	}
-	if p.Deregistered {
+	if p.Ended {
 		if r != nil {
 			c.applyEnds(r, p)
-			c.markLost(r, "runner has deregistered")
+			c.markLost(r, "runner has ended")
 			r.replaced = true
 		}
 		return false
@@ -221,7 +221,7 @@
 			continue
 		}
 		switch {
-		case firstReport && !running[pl.task()] && !inProgress:
+		case firstReport && !running[pl.task()] && !inProgress && len(p.Finished) < MaxListedEnds:
 			// The runner's fence is at this term: a start of an earlier term that is
 			// not listed can no longer begin.
 			c.endPlacement(pl, EndRefused, "")
--- a/internal/process/jaycontroller/jobtable_test.go
+++ b/internal/process/jaycontroller/jobtable_test.go
@@ -8,6 +8,7 @@
 	"github.com/rs/zerolog"
 	"gotest.tools/v3/assert"
 
+	"github.com/jaystile/jaystile/internal/connection/jayframe"
 	"github.com/jaystile/jaystile/internal/process/jaycell"
 	"github.com/jaystile/jaystile/internal/process/jaystore"
 	"github.com/jaystile/jaystile/internal/request/jaytask"
@@ -17,7 +18,13 @@
 
 func jobRecord(t *testing.T, id string) jaystore.StoredRecord {
 	t.Helper()
-	b, err := jaytask.EncodeJob(&jaytask.Job{ID: id, Spec: "x", Steps: []jaytask.Step{{Count: 1}}})
+	return jobRecordAt(t, id, time.UnixMilli(1))
+}
+
+// jobRecordAt is jobRecord with the time of acceptance.
+func jobRecordAt(t *testing.T, id string, at time.Time) jaystore.StoredRecord {
+	t.Helper()
+	b, err := jaytask.EncodeJob(&jaytask.Job{ID: id, Spec: "x", Accepted: at, Steps: []jaytask.Step{{Count: 1}}})
 	assert.NilError(t, err)
 	return jaystore.StoredRecord{Record: jaystore.Record{Key: jaycell.JobKey(id), Value: b}}
 }
@@ -31,7 +38,7 @@
 func TestReplaceReportsOnlyUnfinishedJobs(t *testing.T) {
 	table := newJobTable(zerolog.Nop())
 	var accepted []string
-	table.onAccepted = func(j *jaytask.Job) { accepted = append(accepted, j.ID) }
+	table.onChanged = func(id string) { accepted = append(accepted, id) }
 	table.replace([]jaystore.StoredRecord{jobRecord(t, id), jobRecord(t, "aaaaaaaaaaaaaaaa"), stateRecord(id, jaytask.Completed)})
 	assert.DeepEqual(t, accepted, []string{"aaaaaaaaaaaaaaaa"})
 }
@@ -119,7 +126,7 @@
 func TestReplaceKeepsFinalStatesUntilExpiry(t *testing.T) {
 	accepted := 0
 	table := newJobTable(zerolog.Nop())
-	table.onAccepted = func(*jaytask.Job) { accepted++ }
+	table.onChanged = func(string) { accepted++ }
 	now := time.UnixMilli(1_700_000_000_000)
 	record := jobRecord(t, id)
 	table.apply("s/"+id, jaycell.EncodeState(jaytask.Completed, now))
@@ -127,7 +134,7 @@
 	assert.Equal(t, accepted, 0)
 	assert.Equal(t, len(table.unfinished()), 0)
 	stateFirst := newJobTable(zerolog.Nop())
-	stateFirst.onAccepted = table.onAccepted
+	stateFirst.onChanged = table.onChanged
 	stateFirst.apply("s/"+id, jaycell.EncodeState(jaytask.Completed, now))
 	stateFirst.apply(record.Key, record.Value)
 	assert.Equal(t, accepted, 0, "a job's end may be known before the job")
@@ -136,3 +143,106 @@
 	table.apply("j/"+id, nil)
 	assert.Equal(t, len(table.endedBefore(now.Add(time.Second), 10)), 0)
 }
+
+// A read of all jobs may have begun before facts that peers have told since.
+func TestReplaceKeepsWhatIsNewerThanItsRead(t *testing.T) {
+	now := time.Now()
+	job, cancel := jobRecordAt(t, id, now), jaystore.StoredRecord{Record: cancelRecord(id, now)}
+	end := jaystore.StoredRecord{Record: jaystore.Record{Key: jaycell.StateKey(id), Value: jaycell.EncodeState(jaytask.Completed, now)}}
+	for _, c := range []struct {
+		name    string
+		copies  []jaystore.StoredRecord
+		read    []jaystore.StoredRecord
+		want    jaytask.State
+		reports int
+	}{
+		{"end of a job that is not read", []jaystore.StoredRecord{job, end}, nil, jaytask.Completed, 1},
+		{"end without its job", []jaystore.StoredRecord{end}, nil, jaytask.Completed, 0},
+		{"cancellation of a job that is read", []jaystore.StoredRecord{job, cancel}, []jaystore.StoredRecord{job}, jaytask.Canceled, 2},
+		{"cancellation of a job that is not read", []jaystore.StoredRecord{job, cancel}, nil, jaytask.Canceled, 2},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			controller, _ := newLeader(true)
+			table, reports := controller.jobs, 0
+			table.onChanged = func(string) { reports++ }
+			for _, r := range c.copies {
+				table.apply(r.Key, r.Value)
+			}
+			table.replace(c.read)
+			// The tail reads on from where the read began.
+			table.apply(job.Key, job.Value)
+			row, ok := table.get(id)
+			assert.Assert(t, ok)
+			assert.Equal(t, row.callerState(), c.want)
+			assert.Equal(t, reports, c.reports)
+		})
+	}
+}
+
+func TestReplaceDropsExpiredJobs(t *testing.T) {
+	controller, _ := newLeader(true)
+	table, long := controller.jobs, time.Now().Add(-controller.Timing.Retention)
+	job := jobRecordAt(t, id, long)
+	table.apply(job.Key, job.Value)
+	table.apply(jaycell.StateKey(id), jaycell.EncodeState(jaytask.Completed, long))
+	table.replace(nil)
+	_, ok := table.get(id)
+	assert.Assert(t, !ok)
+}
+
+func TestReplaceTellsANewJobFromADeletedOne(t *testing.T) {
+	controller, _ := newLeader(true)
+	table := controller.jobs
+	for _, r := range []jaystore.StoredRecord{jobRecord(t, id), {Record: cancelRecord(id, time.UnixMilli(1))}, stateRecord(id, jaytask.Canceled)} {
+		table.apply(r.Key, r.Value)
+	}
+	table.replace([]jaystore.StoredRecord{jobRecordAt(t, id, time.Now())})
+	row, ok := table.get(id)
+	assert.Assert(t, ok)
+	assert.Equal(t, row.callerState(), jaytask.Queued)
+}
+
+// A peer that stood still after it had stored a record sends its copy late.
+func TestLateCopyFromAPeerRevivesNoExpiredJob(t *testing.T) {
+	now := time.Now()
+	for _, c := range []struct {
+		name string
+		// age is that of the copies, in retentions.
+		age  int
+		copy func(at time.Time) jaystore.StoredRecord
+		// known tells whether the job is known after the copy, want the state of a job
+		// accepted under its ID after that.
+		known bool
+		want  jaytask.State
+	}{
+		{"late job", 2, func(at time.Time) jaystore.StoredRecord { return jobRecordAt(t, id, at) }, false, jaytask.Queued},
+		{"late cancellation", 2, func(at time.Time) jaystore.StoredRecord {
+			return jaystore.StoredRecord{Record: cancelRecord(id, at)}
+		}, false, jaytask.Queued},
+		{"late state", 2, func(at time.Time) jaystore.StoredRecord {
+			return jaystore.StoredRecord{Record: jaystore.Record{Key: jaycell.StateKey(id), Value: jaycell.EncodeState(jaytask.Completed, at)}}
+		}, false, jaytask.Queued},
+		{"job in time", 0, func(at time.Time) jaystore.StoredRecord { return jobRecordAt(t, id, at) }, true, jaytask.Queued},
+		{"cancellation in time", 0, func(at time.Time) jaystore.StoredRecord {
+			return jaystore.StoredRecord{Record: cancelRecord(id, at)}
+		}, false, jaytask.Canceled},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			controller, _ := newLeader(true)
+			at := now.Add(-time.Duration(c.age) * controller.Timing.Retention)
+			job := jobRecordAt(t, id, at)
+			controller.jobs.apply(job.Key, job.Value)
+			controller.jobs.apply(jaycell.StateKey(id), jaycell.EncodeState(jaytask.Completed, at))
+			controller.jobs.apply(job.Key, nil)
+			late := c.copy(at)
+			controller.handleMessage(nil, 0, &jayframe.StoredRecords{Records: []jayframe.StoredRecord{{Key: late.Key, Value: late.Value}}})
+			_, ok := controller.jobs.get(id)
+			assert.Equal(t, ok, c.known)
+			again := jobRecordAt(t, id, now)
+			controller.jobs.apply(again.Key, again.Value)
+			row, ok := controller.jobs.get(id)
+			assert.Assert(t, ok)
+			assert.Equal(t, row.callerState(), c.want)
+		})
+	}
+}
