--- a/internal/process/jaycontroller/leaderlinks.go
+++ b/internal/process/jaycontroller/leaderlinks.go
@@ -36,13 +36,12 @@
 }
 
 func encodeOrder(o jaycell.Order) jayframe.CellOrder {
-	return jayframe.CellOrder{Kind: uint8(o.Kind), Runner: o.Runner, Task: o.Task, Run: o.Run, Spec: o.Spec, Checkpoint: o.Checkpoint, Ticket: o.Ticket, Number: o.Number, Percent: o.Percent}
+	return jayframe.CellOrder{Kind: uint8(o.Kind), Runner: o.Runner, Task: o.Task, Run: o.Run, Spec: o.Spec, Checkpoint: o.Checkpoint, Ticket: o.Ticket, Number: o.Number, Percent: o.Percent, Repeated: o.Repeated}
 }
 
 // applyReport applies an agent's report and answers with a lease grant, whose sequence
-// number is zero if the lease may not be extended. newConnection is set for the first
-// report on a link.
-func (l *leadership) applyReport(link *jaylink.Link, m *jayframe.CellReport, newConnection bool) {
+// number is zero if the lease may not be extended. connection is the number of the link.
+func (l *leadership) applyReport(link *jaylink.Link, m *jayframe.CellReport, connection uint64) {
 	l.mutex.Lock()
 	if l.termUnverified || !l.loaded {
 		l.mutex.Unlock()
@@ -50,7 +49,7 @@
 	}
 	l.setCellTime()
 	report := decodeReport(m)
-	report.NewConnection = newConnection
+	report.Connection = connection
 	granted := l.cell.ApplyReport(report)
 	l.mutex.Unlock()
 	grant := &jayframe.CellLeaseGrant{Term: l.term}
