--- a/internal/process/jaysupervisor/orders.go
+++ b/internal/process/jaysupervisor/orders.go
@@ -24,7 +24,7 @@
 func (s *Supervisor) ApplyOrders(term uint64, orders []jaycell.Order) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	if term < s.term || s.ctx == nil {
+	if term < s.term || s.ctx == nil || s.ended {
 		return
 	}
 	s.setTerm(term)
@@ -127,7 +127,7 @@
 		draining := s.runner.Draining || s.deregistered
 		leased := s.grantedUntil-s.Elapsed() > minLeaseLeft && request.Deadline > 0
 		s.mutex.Unlock()
-		if draining && !o.unanswered {
+		if draining {
 			s.refuse(ctx, o, ReasonDraining)
 			return
 		}
@@ -211,7 +211,7 @@
 	jaycontroller.Signal(s.pollSignal)
 	for jayclock.Sleep(ctx, retryDelay) {
 		s.mutex.Lock()
-		listed := s.listingRequestedAt > after
+		listed := s.isComplete(after)
 		if listed && s.removeOrder(o) {
 			s.addResult(o.Order, false, "vanished")
 		}
@@ -251,7 +251,7 @@
 	jaycontroller.Signal(s.pollSignal)
 	for jayclock.Sleep(ctx, retryDelay) {
 		s.mutex.Lock()
-		ended := s.listingRequestedAt > after && !s.isListed(o.Task, o.Run)
+		ended := s.isComplete(after) && !s.isListed(o.Task, o.Run)
 		if ended && s.removeOrder(o) {
 			s.addResult(o.Order, o.refusal != "", cmp.Or(o.refusal, "stopped before it began"))
 		}
@@ -263,6 +263,12 @@
 	}
 }
 
+// isComplete reports whether the newest listing was requested after the given time and
+// shows all ends.
+func (s *Supervisor) isComplete(after time.Duration) bool {
+	return s.listingRequestedAt > after && len(s.listing.Finished) < jaycell.MaxListedEnds
+}
+
 // isListed reports whether the newest listing shows a run as running.
 func (s *Supervisor) isListed(task string, run int) bool {
 	for _, r := range s.listing.Running {
