--- a/internal/process/jaycell/lapse.go
+++ b/internal/process/jaycell/lapse.go
@@ -1,5 +1,10 @@
 package jaycell
 
+import (
+	"maps"
+	"slices"
+)
+
 // The lapse of a lease ends the runs that have begun. It does not exclude a start that is
 // pending at the agent, in transit or in a call without an answer: with the next lease it
 // would begin a run whose successor runs elsewhere, and its fence is still valid. So the
@@ -63,8 +68,8 @@
 	r.leaseEnd = c.now
 	if r.abandonedStopsSentAt == 0 || c.orderLost(r, r.abandonedStopsSentAt) {
 		r.abandonedStopsSentAt = c.now
-		for task, run := range r.abandoned {
-			c.stopUnknownRun(r, task, run, "its lease has lapsed before it began")
+		for _, task := range slices.Sorted(maps.Keys(r.abandoned)) {
+			c.stopUnknownRun(r, task, r.abandoned[task], "its lease has lapsed before it began")
 		}
 	}
 	return false
--- a/internal/process/jaycell/report.go
+++ b/internal/process/jaycell/report.go
@@ -1,6 +1,7 @@
 package jaycell
 
 import (
+	"maps"
 	"slices"
 	"sort"
 	"time"
@@ -199,7 +200,8 @@
 	for _, o := range p.PendingOrders {
 		pending[o.Task] = o
 	}
-	for task, o := range pending {
+	for _, task := range slices.Sorted(maps.Keys(pending)) {
+		o := pending[task]
 		if pl := r.placements[task]; o.Kind == OrderStart && (pl == nil || pl.run != o.Run) {
 			c.stopUnknownRun(r, task, o.Run, "start is pending but was not ordered")
 		}
