--- a/internal/process/jaycell/lapse_test.go
+++ b/internal/process/jaycell/lapse_test.go
@@ -98,8 +98,6 @@
 	assert.Equal(t, len(startedTasks(h.advance(time.Second))), 0)
 }
 
-// A runner that was kept from a lease by an abandoned start was forgotten with it after the
-// retention, though it reported all the time, and got a lease at its next report.
 func TestAbandonedStartIsNotForgottenWhileItsRunnerReports(t *testing.T) {
 	h := lapse(t, false)
 	for range int(2 * h.cell.settings.Retention / time.Second) {
--- a/internal/process/jaycontroller/cutleader_test.go
+++ b/internal/process/jaycontroller/cutleader_test.go
@@ -15,8 +15,7 @@
 	"github.com/jaystile/jaystile/internal/process/jaystore"
 )
 
-// A leader that reached neither the store nor another entry went on granting leases, also
-// after the next leader had waited for their end and started the runs elsewhere.
+// The next leader waits for the end of leases from its own beginning.
 func TestLeaderWithoutStoreAndPeersStopsGranting(t *testing.T) {
 	const lease = 300 * time.Millisecond
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
--- a/internal/process/jaysupervisor/cell_test.go
+++ b/internal/process/jaysupervisor/cell_test.go
@@ -256,8 +256,7 @@
 	})
 }
 
-// A report about an incarnation that the leader has not heard of arrives after one about its
-// successor.
+// The late report is about an incarnation that the leader has not heard of.
 func TestLateReportDoesNotReplaceTheNewIncarnation(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(t, time.Second, 1)
--- a/internal/process/jaysupervisor/heartbeats_test.go
+++ b/internal/process/jaysupervisor/heartbeats_test.go
@@ -143,8 +143,7 @@
 	assert.Equal(t, h.supervisor.Report().Term, uint64(2))
 }
 
-// A late heartbeat of an incarnation that ended before this process began displaced the
-// runner, whose own heartbeats were ignored from then on.
+// The incarnation may have ended before this process began.
 func TestLateHeartbeatOfUnknownIncarnationDoesNotDisplaceTheRunner(t *testing.T) {
 	h := newHeartbeatHarness(t)
 	h.supervisor.ExchangeHeartbeat(Heartbeat{Sequence: 90, Runner: jaycell.RunnerInfo{ID: "r0"}})
--- a/internal/process/jaysupervisor/leaving_test.go
+++ b/internal/process/jaysupervisor/leaving_test.go
@@ -11,8 +11,7 @@
 	"github.com/jaystile/jaystile/internal/process/jaycell"
 )
 
-// A start without an answer was repeated on a runner that had announced its end, which the
-// leader had reported as gone: the run began beside the next one.
+// The leader may have started the next run elsewhere.
 func TestUnansweredStartIsNotRepeatedOnLeavingRunner(t *testing.T) {
 	for _, c := range []struct {
 		name  string
--- a/internal/process/jaysupervisor/refusal_test.go
+++ b/internal/process/jaysupervisor/refusal_test.go
@@ -12,8 +12,7 @@
 	"github.com/jaystile/jaystile/internal/process/jaycell"
 )
 
-// A runner that is unhealthy for long may refuse stops as well as starts. The refusal of a
-// start, which it had answered, was then not reported, and its task waited for the runner.
+// An unhealthy runner refuses stops as well as starts.
 func TestAnsweredRefusalIsReportedWithoutAStop(t *testing.T) {
 	client := newFakeRunner().client()
 	client.Start = func(context.Context, Start) error {
@@ -47,7 +46,6 @@
 	return s
 }
 
-// A copy of a start whose run is listed was refused, and the run stopped with it.
 func TestCopyOfListedStartDoesNotStopItsRun(t *testing.T) {
 	for _, c := range []struct {
 		name     string
@@ -75,8 +73,7 @@
 	}
 }
 
-// A runner lists a part of its ends while many wait for their acknowledgement. A run that had
-// ended beyond that part was reported as never begun, and its task started again.
+// A runner lists a part of its ends while many wait for their acknowledgement.
 func TestRunThatEndedBeyondTheListingIsNotReportedAsVanished(t *testing.T) {
 	const listed = jaycell.MaxListedEnds
 	f := newFakeRunner()
