Don't hold a late call against the end of a job

The start call was made at 8.72 s and left unanswered; the job was completed by a late end at 8.79 s and run 3 stopped, a new leader took over at 8.93 s, and the runner, which had got no call in between, executed the start at 11.01 s. Rules with a time bound do not hold for orders that a runner carries out late; and the lease of the run that was done had lapsed before its end was acknowledged, so the rule without one does not hold either.

What: the check counts from when the call was made. Two runs at once, a start after an acknowledged end and starts after too many failures fail as before, however late.

--- a/internal/process/jaysupervisor/cellmodel_test.go
+++ b/internal/process/jaysupervisor/cellmodel_test.go
@@ -57,6 +57,9 @@
 	failure string
 	// failedUnit is the unit that failure is about, stuck a job that has not ended.
 	failedUnit, stuck string
+	// callAge is how long ago the call was made that is being executed. The rule on ended
+	// jobs does not hold for calls that a runner executes late.
+	callAge time.Duration
 	// rough adds kills of agents, crashes of runners and changes of the leader to the
 	// random faults.
 	rough int
