Stop an unknown run once a second, not with each report

The order is repeated like others now: after a second without effect, or on a new connection.

Before: TestStopOfUnknownRunIsNotSentWithEachReport failed with 15 stops in 1.5 s.

--- a/internal/process/jaycell/lapse.go
+++ b/internal/process/jaycell/lapse.go
@@ -66,11 +66,8 @@
 	}
 	// Tick forgets a lost runner some time after its lease.
 	r.leaseEnd = c.now
-	if r.abandonedStopsSentAt == 0 || c.orderLost(r, r.abandonedStopsSentAt) {
-		r.abandonedStopsSentAt = c.now
-		for _, task := range slices.Sorted(maps.Keys(r.abandoned)) {
-			c.stopUnknownRun(r, task, r.abandoned[task], "its lease has lapsed before it began")
-		}
+	for _, task := range slices.Sorted(maps.Keys(r.abandoned)) {
+		c.stopUnknownRun(r, task, r.abandoned[task], "its lease has lapsed before it began")
 	}
 	return false
 }
--- a/internal/process/jaycell/lapse_test.go
+++ b/internal/process/jaycell/lapse_test.go
@@ -105,3 +105,13 @@
 		assert.Assert(t, !h.report("n1", "r1", nil))
 	}
 }
+
+func TestStopOfUnknownRunIsNotSentWithEachReport(t *testing.T) {
+	h := newHarness(t, nil)
+	stops := 0
+	for range 15 {
+		h.report("n1", "r1", func(p *Report) { p.Running = []Run{{Task: "a.0.0.0", Run: 1}} })
+		stops += countKinds(h.advance(100 * time.Millisecond))[OrderStop]
+	}
+	assert.Equal(t, stops, 2, "in 1.5 s")
+}
--- a/internal/process/jaycell/report.go
+++ b/internal/process/jaycell/report.go
@@ -47,6 +47,7 @@
 	}
 	r.node, r.sequence = p.Node, p.Sequence
 	r.newConnection, r.connection = p.Connection > r.connection, p.Connection
+	maps.DeleteFunc(r.unknownStops, func(_ string, s unknownStop) bool { return c.orderLost(r, s.sentAt) })
 	// Only one incarnation can answer at a node's address: all others have ended,
 	// including those known only from records of earlier terms.
 	for _, old := range c.sortedRunners() {
@@ -237,8 +238,16 @@
 	}
 }
 
-// stopUnknownRun orders the stop of a run that has no placement.
+// stopUnknownRun orders the stop of a run that has no placement, unless the latest order
+// may still be in transit.
 func (c *Cell) stopUnknownRun(r *Runner, task string, run int, reason string) {
+	if s, sent := r.unknownStops[task]; sent && s.run == run {
+		return
+	}
+	if r.unknownStops == nil {
+		r.unknownStops = map[string]unknownStop{}
+	}
+	r.unknownStops[task] = unknownStop{run: run, sentAt: c.now}
 	c.immediateOrders = append(c.immediateOrders, Order{Kind: OrderStop, Node: r.node, Runner: r.id, Task: task, Run: run})
 	c.reportDecision(Decision{Task: task, Run: run, Runner: r.id, Event: "stop", Outcome: "ordered", Reason: reason})
 }
--- a/internal/process/jaycell/runner.go
+++ b/internal/process/jaycell/runner.go
@@ -127,9 +127,10 @@
 	// runner from being taken back.
 	lost bool
 	// abandoned holds the runs, by task, that were given up although their starts may
-	// still reach the runner. Their stops were ordered at abandonedStopsSentAt.
-	abandoned            map[string]int
-	abandonedStopsSentAt time.Duration
+	// still reach the runner.
+	abandoned map[string]int
+	// unknownStops holds the latest orders to stop runs without a placement, by task.
+	unknownStops map[string]unknownStop
 	// replaced reports that this incarnation has ended for good.
 	replaced   bool
 	reportedAt time.Duration
@@ -151,6 +152,12 @@
 	speedAt time.Duration
 }
 
+// unknownStop is an order to stop a run that has no placement.
+type unknownStop struct {
+	run    int
+	sentAt time.Duration
+}
+
 func newRunner(id, node string) *Runner {
 	return &Runner{id: id, node: node, placements: map[string]*placement{}, speed: 1}
 }
