--- a/internal/process/jaysupervisor/cell_test.go
+++ b/internal/process/jaysupervisor/cell_test.go
@@ -256,8 +256,7 @@
 	})
 }
 
-// A report about an incarnation that the leader has not heard of arrives after one about its
-// successor.
+// The late report is about an incarnation that the leader has not heard of.
 func TestLateReportDoesNotReplaceTheNewIncarnation(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(t, time.Second, 1)
@@ -287,3 +286,24 @@
 		f.checkIdle()
 	})
 }
+
+// A runner that has got no confirmation of its deregistration ends some seconds later.
+func TestRunOfDeregisteredRunnerIsNotDoubled(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, time.Second, 1)
+		defer f.close()
+		n := f.addNode(false)
+		time.Sleep(2 * time.Second)
+		j := f.submit(1, false, 3*time.Second)
+		f.until("first run", time.Second, f.hasBegun(j, 1))
+		f.addNode(false)
+		time.Sleep(700 * time.Millisecond)
+		f.locked(func() { n.runner.leaving = true })
+		n.supervisor.Deregister(n.runner.id)
+		time.Sleep(2 * time.Second)
+		f.locked(n.newRunner)
+		f.until("end of the job", 20*time.Second, f.ended(j))
+		time.Sleep(time.Second)
+		f.checkIdle()
+	})
+}
--- a/internal/process/jaysupervisor/runnermodel_test.go
+++ b/internal/process/jaysupervisor/runnermodel_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -16,6 +17,7 @@
 	modelStopTime = 200 * time.Millisecond
 	modelGangTime = 800 * time.Millisecond
 	modelSlots    = 3
+	modelAttempts = 3
 )
 
 // modelRunner is one incarnation of a runner. Only runs that were stopped or ended there
@@ -35,6 +37,8 @@
 	finished []jaycell.End
 	endedAt  map[uint64]time.Duration
 	draining bool
+	// leaving runners have deregistered and send no heartbeats.
+	leaving bool
 	// refusal is the reason for which all starts are refused.
 	refusal string
 	// silent runners get no calls; unreliable is the chance that a call goes astray.
@@ -62,15 +66,22 @@
 	ended                    bool
 }
 
-func (n *node) newRunner() {
-	if old := n.runner; old != nil {
-		old.alive = false
-		for _, x := range slices.Clone(n.fleet.runs) {
-			if x.runner == old {
-				old.end(x, jaycell.EndLost)
-			}
+// endRunner ends the runner. Until there is a new one, nothing listens at its address.
+func (n *node) endRunner() {
+	r := n.runner
+	r.alive = false
+	for _, x := range slices.Clone(n.fleet.runs) {
+		if x.runner == r {
+			r.end(x, jaycell.EndLost)
 		}
 	}
+	n.fleet.logf("", "runner %s has ended", r.id)
+}
+
+func (n *node) newRunner() {
+	if n.runner != nil && n.runner.alive {
+		n.endRunner()
+	}
 	n.sequence++
 	n.runner = &modelRunner{node: n, id: fmt.Sprintf("%s-r%d", n.name, n.sequence), alive: true, rate: 1 - 0.02*float64(n.sequence%2), lenient: n.fleet.script.chance(0.5), marks: map[string]int{}, endedAt: map[uint64]time.Duration{}}
 	n.fleet.logf("", "runner %s begins", n.runner.id)
@@ -120,7 +131,10 @@
 			f.mutex.Lock()
 			defer f.mutex.Unlock()
 			f.advance()
-			err := execute(n.runner)
+			err := error(&EndedError{Call: what})
+			if n.runner.alive {
+				err = execute(n.runner)
+			}
 			if task != "" {
 				f.logf(task, "%s %s: %v (sent %s ago, answered %v)", n.runner.id, what, err, x.delay, x.answered)
 			}
@@ -164,7 +178,7 @@
 		n.fleet.mutex.Lock()
 		r := n.runner
 		l, ready := r.listing(), len(r.finished) > 0 || n.fleet.now() >= until
-		silent := r.silent || r.id != q.Incarnation
+		silent := r.silent || !r.alive || r.id != q.Incarnation
 		late, chances := time.Duration(0), n.fleet.luckOf(r.id)
 		if chances.chance(r.unreliable) {
 			late = chances.between(1, 300)
@@ -250,8 +264,8 @@
 	return nil
 }
 
-// acknowledge forgets ends. Those as done count from now on, unless the lease has lapsed
-// after them.
+// acknowledge forgets ends. Those as done or failed count from now on, unless the lease has
+// lapsed after them.
 func (r *modelRunner) acknowledge(number uint64) {
 	f := r.node.fleet
 	for len(r.finished) > 0 && r.finished[0].Number <= number {
@@ -259,7 +273,20 @@
 		r.finished = r.finished[1:]
 		unit, at := f.unitOf(e.Task), r.endedAt[e.Number]
 		f.logf(e.Task, "%s: end of %s run %d as %s acknowledged", r.id, e.Task, e.Run, e.Reason)
-		if e.Reason != jaycell.EndDone || r.lapsedAt >= at {
+		if r.lapsedAt >= at {
+			continue
+		}
+		if e.Reason == jaycell.EndFailed {
+			if f.failedRuns[unit] == nil {
+				f.failedRuns[unit] = map[int]time.Duration{}
+			}
+			f.failedRuns[unit][e.Run] = at
+			latest := slices.Max(slices.Collect(maps.Values(f.failedRuns[unit])))
+			if x := f.begun[unit]; len(f.failedRuns[unit]) >= modelAttempts && x.beganAt > latest {
+				f.fail(x.task, "run %d began on %s after %d had failed", x.run, x.runner.id, modelAttempts)
+			}
+		}
+		if e.Reason != jaycell.EndDone {
 			continue
 		}
 		f.done[unit] = at
@@ -318,7 +345,14 @@
 	if at, ok := f.done[unit]; ok {
 		f.fail(s.Task, "run %d begins on %s %s after it was done", s.Run, r.id, now-at)
 	}
-	if at, ok := f.endedAt[job.ID]; ok && now-at > 2*f.lease {
+	if n := len(f.failedRuns[unit]); n >= modelAttempts {
+		f.fail(s.Task, "run %d begins on %s after %d failed", s.Run, r.id, n)
+	}
+	grace := 2 * f.lease
+	if f.states[job.ID] == jaytask.Completed {
+		grace = time.Second
+	}
+	if at, ok := f.endedAt[job.ID]; ok && now-at > grace {
 		f.fail(s.Task, "run %d begins on %s %s after the end of its job", s.Run, r.id, now-at)
 	}
 	f.runs, f.begun[unit] = append(f.runs, x), x
@@ -345,7 +379,7 @@
 			x.runner.end(x, jaycell.EndLapsed)
 		case x.stopsAt > 0 && now >= x.stopsAt:
 			x.runner.end(x, jaycell.EndStopped)
-		case x.endsAt > 0 && now >= x.endsAt && f.luckOf(x.task).chance(0.05*x.runner.unreliable):
+		case x.endsAt > 0 && now >= x.endsAt && (f.doomed[f.jobOf(x.task).ID] || f.luckOf(x.task).chance(0.05*x.runner.unreliable)):
 			x.runner.end(x, jaycell.EndFailed)
 		case x.endsAt > 0 && now >= x.endsAt:
 			x.runner.end(x, jaycell.EndDone)
@@ -381,53 +415,3 @@
 		}
 	}
 }
-
-// heartbeat sends a heartbeat of the runner and carries out the response.
-func (n *node) heartbeat() {
-	f := n.fleet
-	n.awaitResume(f.ctx)
-	f.mutex.Lock()
-	f.advance()
-	r, s := n.runner, n.supervisor
-	n.sequence++
-	h := Heartbeat{Sequence: n.sequence, Runner: jaycell.RunnerInfo{ID: r.id, Service: "s", Capacity: jaytask.Resources{CPU: modelSlots}, Draining: r.draining, DrainRemaining: 10 * time.Second}}
-	if n.heartbeats {
-		h.Listing = r.listing()
-	}
-	x := r.fateOf("heartbeat")
-	f.mutex.Unlock()
-	if !n.heartbeats {
-		if x.answered {
-			s.HandleHeartbeat(f.ctx, h)
-		}
-		return
-	}
-	sentAt := f.now()
-	if !x.executed || !jayclock.Sleep(f.ctx, min(x.delay, time.Second)) {
-		return
-	}
-	n.awaitResume(f.ctx)
-	response := s.ExchangeHeartbeat(h)
-	if !jayclock.Sleep(f.ctx, 2*time.Millisecond) || !x.answered || f.now()-sentAt > time.Second {
-		return
-	}
-	f.mutex.Lock()
-	defer f.mutex.Unlock()
-	f.advance()
-	if n.runner != r || r.deaf || response.Fence < r.fence || response.NextHeartbeat == 0 {
-		return
-	}
-	r.fence = response.Fence
-	r.acknowledge(response.Acknowledged)
-	if response.Lease > 0 {
-		r.extend(r.clock() + response.Lease)
-	}
-	for _, o := range response.Stops {
-		o.Incarnation, o.Fence = r.id, r.fence
-		f.logf(o.Task, "%s heartbeat: stop %s run %d: %v", r.id, o.Task, o.Run, r.stop(o))
-	}
-	for _, o := range response.Starts {
-		o.Incarnation, o.Fence, o.Deadline = r.id, r.fence, r.deadline
-		f.logf(o.Task, "%s heartbeat: start %s run %d: %v", r.id, o.Task, o.Run, r.start(o))
-	}
-}
