Keep the accelerators of a task that may still run

By reading: a worker that answered neither the start of a task nor its deletion could run the task while its accelerators were given to another one, and while the entry started the job elsewhere: two runs of an idempotent job at once.

Cause: a failed start ignored the result of the deletion. The stop of a task waits for a worker's lease then, but the agent renewed the lease in the meantime, so that the wait proved nothing; it also took any error status of a deletion for a deletion.

Failed starts and stops now share ensureStopped. It ends the renewals, deletes the task and, unless the worker has deleted it or has none, waits for a lease, at whose end the worker stops the task itself. A renewal under way is waited for first.

--- a/internal/process/jayagent/agent.go
+++ b/internal/process/jayagent/agent.go
@@ -41,7 +41,7 @@
 // Agent is one agent process. Exported fields are set before Run.
 //
 // One mutex guards all tables; no goroutine waits for input or output while holding
-// it.
+// it. Only renewing is held during a call, and it is locked before mutex.
 type Agent struct {
 	Settings jaysettings.Agent
 	Logger   zerolog.Logger
@@ -60,6 +60,9 @@
 	wake        chan struct{}
 	drained     chan struct{}
 
+	// renewing is held while the leases of tasks are renewed.
+	renewing sync.Mutex
+
 	mutex       sync.Mutex
 	ledger      *jayreservation.Ledger
 	members     map[jayreservation.Key]*member
--- a/internal/process/jayagent/members.go
+++ b/internal/process/jayagent/members.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"math"
+	"net/http"
 	"time"
 
 	"github.com/jaystile/jaystile/internal/connection/jayframe"
@@ -44,7 +45,9 @@
 	// throttled is set when the task has been throttled for using more accelerators
 	// than it has reserved.
 	throttled bool
-	ended     bool
+	// deleting is set before the task is deleted; from then on its lease is not renewed.
+	deleting bool
+	ended    bool
 }
 
 // pendingCall is a Reserve call that is answered when the reservation is granted.
@@ -155,7 +158,7 @@
 	if err == nil {
 		return
 	}
-	_ = a.worker.Delete(m.task)
+	a.ensureStopped(m)
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
 	a.countWorkerFailure()
@@ -284,21 +287,33 @@
 			done.ProgressMillis = progress.Milliseconds()
 		}
 	}
-	if !a.deleteTask(m.task) {
-		// The worker stops the task itself when its lease expires.
-		time.Sleep(a.Settings.WorkerLease)
-	}
+	a.ensureStopped(m)
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
 	a.endMember(m, done)
 }
 
-// deleteTask deletes a task from the worker and reports whether the task certainly no
-// longer runs.
-func (a *Agent) deleteTask(task string) bool {
-	err := a.worker.Delete(task)
+// ensureStopped deletes a member's task and returns when the task certainly no longer
+// runs: at once if the worker has deleted it or has none, else when the lease has expired, at which the
+// worker stops the task itself.
+func (a *Agent) ensureStopped(m *member) {
+	a.markDeleting(m)
+	err := a.worker.Delete(m.task)
 	var rejected *jayhttp.RejectedError
-	return err == nil || errors.As(err, &rejected)
+	if err == nil || errors.As(err, &rejected) && rejected.Status == http.StatusNotFound {
+		return
+	}
+	a.Logger.Warn().Err(err).Str("task", m.task).Msg("task may still run, waiting for the end of its lease")
+	time.Sleep(a.Settings.WorkerLease)
+}
+
+// markDeleting ends the renewals of the task's lease. It waits for one that is under way.
+func (a *Agent) markDeleting(m *member) {
+	a.renewing.Lock()
+	defer a.renewing.Unlock()
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	m.deleting = true
 }
 
 // watchTasks long-polls the worker's tasks and ends members whose task has ended.
@@ -387,6 +402,8 @@
 // renewLeases extends the leases of the tasks on the worker. When this process fails or
 // is paused, the leases expire and the worker stops the tasks.
 func (a *Agent) renewLeases() {
+	a.renewing.Lock()
+	defer a.renewing.Unlock()
 	tasks := a.leasedTasks()
 	if len(tasks) == 0 {
 		return
@@ -401,7 +418,7 @@
 	defer a.mutex.Unlock()
 	var tasks []string
 	for _, m := range a.members {
-		if (m.running || m.loadRequested) && m.spec.Shape().Accelerators() > 0 {
+		if (m.running || m.loadRequested) && !m.deleting && m.spec.Shape().Accelerators() > 0 {
 			tasks = append(tasks, m.task)
 		}
 	}
