Let the stop of a task wait for its start

By reading: a member that was stopped while the call that starts its task was under way released its accelerators, and the worker ran the task all the same, beside the task that got them and beside the next run of its job, until its lease ended.

Cause: the deletion found no such task yet (status 404), which was taken for the end of the task. Two more ways to the same: a start that was still queued when its member was stopped, and a start without an answer that the worker carries out after the deletion.

A deletion now bars a start that has not begun and waits for one that has, which its timeout bounds, before it asks the worker. Status 404 means that no such task runs; it is certain only if no start without an answer can come after it, else a lease is waited for.

--- a/internal/process/jayagent/members.go
+++ b/internal/process/jayagent/members.go
@@ -45,9 +45,16 @@
 	// throttled is set when the task has been throttled for using more accelerators
 	// than it has reserved.
 	throttled bool
-	// deleting is set before the task is deleted; from then on its lease is not renewed.
+	// deleting is set before the task is deleted; from then on it is not started and its
+	// lease is not renewed.
 	deleting bool
-	ended    bool
+	// startCall is closed when the call that starts the task has ended; it is nil before
+	// the call.
+	startCall chan struct{}
+	// startUnanswered is set when the call that starts the task got no answer, so that the
+	// worker may still carry it out.
+	startUnanswered bool
+	ended           bool
 }
 
 // pendingCall is a Reserve call that is answered when the reservation is granted.
@@ -149,12 +156,16 @@
 
 // startTask starts the member's task on the worker. watchTasks handles its end.
 func (a *Agent) startTask(m *member) {
+	if !a.openStartCall(m) {
+		return
+	}
 	var err error
 	if m.loadRequested {
 		err = a.worker.Start(m.task)
 	} else {
 		err = a.worker.Create(a.taskRequest(m, true))
 	}
+	a.closeStartCall(m, err)
 	if err == nil {
 		return
 	}
@@ -170,6 +181,26 @@
 	a.endMember(m, &jayframe.MemberDone{Status: status, Message: "worker could not start the task: " + err.Error()})
 }
 
+// openStartCall reports whether the task may still be started, and makes its deletion
+// wait for the call.
+func (a *Agent) openStartCall(m *member) bool {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	if m.ended || m.deleting {
+		return false
+	}
+	m.startCall = make(chan struct{})
+	return true
+}
+
+func (a *Agent) closeStartCall(m *member, err error) {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	var unanswered *jayhttp.NoAnswerError
+	m.startUnanswered = errors.As(err, &unanswered)
+	close(m.startCall)
+}
+
 // runOnRunner sends a member that needs a slot to the runner.
 func (a *Agent) runOnRunner(m *member) {
 	timeout := defaultRunTimeout
@@ -294,26 +325,38 @@
 }
 
 // ensureStopped deletes a member's task and returns when the task certainly no longer
-// runs: at once if the worker has deleted it or has none, else when the lease has expired, at which the
-// worker stops the task itself.
+// runs: at once if the worker has deleted it, or has none and will not start it, else when
+// the lease has expired, at which the worker stops the task itself.
 func (a *Agent) ensureStopped(m *member) {
-	a.markDeleting(m)
+	mayStart := a.markDeleting(m)
 	err := a.worker.Delete(m.task)
 	var rejected *jayhttp.RejectedError
-	if err == nil || errors.As(err, &rejected) && rejected.Status == http.StatusNotFound {
+	if err == nil || !mayStart && errors.As(err, &rejected) && rejected.Status == http.StatusNotFound {
 		return
 	}
 	a.Logger.Warn().Err(err).Str("task", m.task).Msg("task may still run, waiting for the end of its lease")
 	time.Sleep(a.Settings.WorkerLease)
 }
 
-// markDeleting ends the renewals of the task's lease. It waits for one that is under way.
-func (a *Agent) markDeleting(m *member) {
+// markDeleting ends the starts of the task and the renewals of its lease, and waits for
+// calls that are under way. It reports whether the worker may still start the task.
+func (a *Agent) markDeleting(m *member) bool {
+	if startCall := a.barTask(m); startCall != nil {
+		<-startCall
+	}
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	return m.startUnanswered
+}
+
+// barTask sets deleting between two renewals and returns startCall.
+func (a *Agent) barTask(m *member) chan struct{} {
 	a.renewing.Lock()
 	defer a.renewing.Unlock()
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
 	m.deleting = true
+	return m.startCall
 }
 
 // watchTasks long-polls the worker's tasks and ends members whose task has ended.
