Count the result of a request only at the life that it was sent to

By reading: when a runner's agent restarted, the requests that were lost with it counted as failures of the new life. Three of them ejected the runner before it had been sent anything, for 0.5 s at first, and their ends were subtracted from the new life's own requests, so that an entry could send it more than its limit.

Cause: the router is reset when a new incarnation of the agent opens its link; the ends of earlier requests named the runner only.

--- FAIL: TestLostRequestsDoNotEjectTheRestartedRunner (0.00s) restart_test.go:46: assertion failed: 1 (int) != 0 (int)

With the earlier ends as neutral results instead, it failed with

restart_test.go:48: assertion failed: 0 (int) != 1 (int): requests of the present life

All ends of attempts now go through finishRoute, which leaves the router alone if the attempt's incarnation is not the agent's present one: the router has forgotten the request already.

--- a/internal/process/jayentry/outcome.go
+++ b/internal/process/jayentry/outcome.go
@@ -94,7 +94,7 @@
 	took := e.now() - a.sentAt
 	j.runTime += time.Duration(o.ElapsedMillis) * time.Millisecond
 	if a.routed {
-		e.router.Finish(a.coordinator, jayroute.Answered, took, e.now())
+		e.finishRoute(a, jayroute.Answered, took)
 	} else {
 		e.scheduler.Finish(j.id, j.runTime)
 	}
@@ -128,7 +128,7 @@
 		if !loadRefusals[o.Code] {
 			result = jayroute.Failed
 		}
-		e.router.Finish(a.coordinator, result, 0, e.now())
+		e.finishRoute(a, result, 0)
 		j.avoidRunners[a.coordinator] = true
 	} else if !loadRefusals[o.Code] && o.Message != "" {
 		e.recordWorkerFailure(a.coordinator, j.spec)
@@ -185,7 +185,7 @@
 		return
 	}
 	if a.routed {
-		e.router.Finish(a.coordinator, jayroute.Failed, 0, e.now())
+		e.finishRoute(a, jayroute.Failed, 0)
 		j.avoidRunners[a.coordinator] = true
 	} else if code == jayrefusal.Failed {
 		for _, worker := range a.workers {
@@ -207,11 +207,20 @@
 	e.retryPlacement(j, message)
 }
 
+// finishRoute records the end of a request at its runner, unless the agent that it was
+// sent to has restarted since: the router began anew then and does not count the request.
+func (e *Entry) finishRoute(a *attempt, result jayroute.Result, latency time.Duration) {
+	if agent := e.agents[a.coordinator]; agent == nil || agent.incarnation != a.incarnation {
+		return
+	}
+	e.router.Finish(a.coordinator, result, latency, e.now())
+}
+
 // onDeadlinePassed ends a job whose agent gave up at the caller's deadline. This
 // does not count as a failure of the worker or runner.
 func (e *Entry) onDeadlinePassed(a *attempt) {
 	if a.routed {
-		e.router.Finish(a.coordinator, jayroute.Neutral, 0, e.now())
+		e.finishRoute(a, jayroute.Neutral, 0)
 	}
 	e.removeAttempt(a, "the deadline passed")
 	e.finish(a.job, nil, jayrefusal.New(jayrefusal.DeadlinePassed, jayrefusal.Unknown, "the deadline passed while the job ran"))
@@ -297,7 +306,7 @@
 		_ = agent.link.Send(&jayframe.Cancel{Attempt: jayframe.FromID(a.id), Incarnation: uint64(a.incarnation)})
 	}
 	if a.routed {
-		e.router.Finish(a.coordinator, jayroute.Neutral, 0, e.now())
+		e.finishRoute(a, jayroute.Neutral, 0)
 	}
 }
 
