Let a repeated tombstone expire

By reading: an attempt that was refused and then released, as each gang that lacks a member, kept its tombstone for the life of the agent's process. Its memory and jaystile_side_tombstones grew without end.

Cause: the queue of expiries held the first time only. At that time the newer tombstone stays, and its queue entry went.

--- FAIL: TestRepeatedTombstoneExpires (0.00s) tombstone_test.go:22: assertion failed: 1 (int) != 0 (int)

A repeated tombstone is queued again at its newer time. Times only increase, so the queue stays sorted; an older entry of the same attempt goes without effect, as before.

--- a/internal/process/jayreservation/ledger.go
+++ b/internal/process/jayreservation/ledger.go
@@ -470,10 +470,11 @@
 			return false
 		}
 	}
-	if _, ok := l.tombstones[a]; !ok {
-		l.tombstoneQueue = append(l.tombstoneQueue, tombstone{attempt: a, expires: now + l.tombstoneTTL})
+	expires := now + l.tombstoneTTL
+	if old, ok := l.tombstones[a]; !ok || old != expires {
+		l.tombstoneQueue = append(l.tombstoneQueue, tombstone{attempt: a, expires: expires})
 	}
-	l.tombstones[a] = now + l.tombstoneTTL
+	l.tombstones[a] = expires
 	for k := range l.reservations {
 		if k.Attempt == a {
 			l.Release(k)
