Take the answer of a gang that ends while it is moved

By reading: a job whose task ended between the order to move it and the arrival of the stop ran a second time from its last checkpoint; one that must not run twice and had no checkpoint was refused as stopped although it was done.

Cause: the gang had ended as stopped when the order was given, and an ended gang took no answers.

--- FAIL: TestAnswerDuringAMoveCounts (0.00s) late_test.go:23: assertion failed: 4 (jaygang.Result) != 2 (Answered jaygang.Result) --- FAIL: TestMoveIsAnsweredOnlyIfAllMembersAnswer (0.00s) late_test.go:49: assertion failed: 4 (jaygang.Result) != 2 (Answered jaygang.Result)

After it has settled, the outcome that was sent stays; a canceled gang stays canceled.

Open: an agent deletes a stopped task without a look at its result. A task that is done when the deletion comes, but was not listed before, is still reported as stopped.

--- a/internal/process/jaygang/gang.go
+++ b/internal/process/jaygang/gang.go
@@ -72,6 +72,7 @@
 	prepared    bool
 	ended       bool
 	released    bool
+	answered    bool
 	token       uint64
 	lastContact time.Duration
 	answer      []byte
@@ -205,9 +206,13 @@
 }
 
 // MemberEnded records how a member ended. Any result but an answer ends the gang and
-// stops all members.
+// stops all members. A gang that is stopped for other work is answered all the same if
+// every member answers before the gang has settled.
 func (g *Gang) MemberEnded(i int, r Result, answer []byte, cause string, now time.Duration) []Action {
-	if g.phase == Ended || i < 0 || i >= len(g.members) || g.members[i].ended {
+	if i < 0 || i >= len(g.members) || g.members[i].ended {
+		return nil
+	}
+	if g.phase == Ended && (g.result != Stopped || r != Answered || g.Settled(now)) {
 		return nil
 	}
 	m := &g.members[i]
@@ -224,8 +229,9 @@
 		return g.end(r, cause, now)
 	}
 	m.answer = answer
+	m.answered = true
 	for _, o := range g.members {
-		if !o.ended {
+		if !o.answered {
 			return nil
 		}
 	}
