--- a/internal/process/jaysupervisor/refusal_test.go
+++ b/internal/process/jaysupervisor/refusal_test.go
@@ -6,7 +6,6 @@
 	"testing"
 	"time"
 
-	"github.com/rs/zerolog"
 	"gotest.tools/v3/assert"
 
 	"github.com/jaystile/jaystile/internal/process/jaycell"
@@ -31,21 +30,6 @@
 	assert.Assert(t, r != nil && r.Refused, "pending: %+v", s.Report().PendingOrders)
 }
 
-// startSupervisorOf is startSupervisor for a runner with another client.
-func startSupervisorOf(t *testing.T, client RunnerClient) *Supervisor {
-	s := New()
-	s.Node, s.Client, s.Lease, s.Logger = "n1", client, time.Minute, zerolog.Nop()
-	s.SendReport = func(r jaycell.Report) { s.GrantLease(s.Term(), r.Sequence) }
-	ctx, cancel := context.WithCancel(t.Context())
-	done := make(chan struct{})
-	go func() { s.Run(ctx); close(done) }()
-	t.Cleanup(func() { cancel(); <-done })
-	s.SetTerm(1)
-	s.HandleHeartbeat(ctx, Heartbeat{Sequence: 1, Runner: jaycell.RunnerInfo{ID: "r1"}})
-	waitUntil(t, "a lease", func() bool { return s.Report().Term == 1 && hasLease(s) })
-	return s
-}
-
 func TestCopyOfListedStartDoesNotStopItsRun(t *testing.T) {
 	for _, c := range []struct {
 		name     string
--- a/internal/process/jaysupervisor/supervisor_test.go
+++ b/internal/process/jaysupervisor/supervisor_test.go
@@ -122,8 +122,13 @@
 // startSupervisor runs a supervisor for a fake runner under term 1, with a lease
 // granted.
 func startSupervisor(t *testing.T, f *fakeRunner) *Supervisor {
+	return startSupervisorOf(t, f.client())
+}
+
+// startSupervisorOf is startSupervisor for a runner with another client.
+func startSupervisorOf(t *testing.T, client RunnerClient) *Supervisor {
 	s := New()
-	s.Node, s.Client, s.Lease, s.Logger = "n1", f.client(), time.Minute, zerolog.Nop()
+	s.Node, s.Client, s.Lease, s.Logger = "n1", client, time.Minute, zerolog.Nop()
 	s.SendReport = func(r jaycell.Report) { s.GrantLease(s.Term(), r.Sequence) }
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
