--- a/internal/process/jaycell/lapse.go
+++ b/internal/process/jaycell/lapse.go
@@ -45,8 +45,8 @@
 }
 
 // takeBack reports whether a lost runner may have a lease again. Until then it orders the
-// stops of the abandoned runs. A run is excluded once the runner has stopped it, which all
-// order results imply, or lists its end.
+// stops of the abandoned runs. A run is excluded once an order for it has a result, after
+// which its agent or its runner refuses the start, or once its end is listed.
 func (c *Cell) takeBack(r *Runner, p Report) bool {
 	for _, o := range p.PendingOrders {
 		if o.Kind == OrderStart {
--- a/internal/process/jaysupervisor/heartbeats.go
+++ b/internal/process/jaysupervisor/heartbeats.go
@@ -62,7 +62,8 @@
 		s.candidate = candidate{}
 		s.replaceRunner(h)
 	}
-	// The runner has read the response to its previous heartbeat, and so its fence.
+	// The runner has read the response to its previous heartbeat, or given it up: no start
+	// of an earlier term can begin any more, which is what the fence stands for.
 	s.applyListing(h.Listing, now, now, s.sentFence)
 	response := HeartbeatResponse{Fence: s.term, Acknowledged: s.acknowledged, NextHeartbeat: nextHeartbeatDelay}
 	if lease := s.grantedUntil - now - maxResponseDelay; lease > 0 {
