Ask in one place whether a listing shows all ends; make a runner's maps once

Found in the last read of the change: the test for a full listing stood twice in the supervisor, two maps of a runner were made on first use, and tests repeated the lines that make a runner refuse and that mark a start as repeated. No change of behaviour; the tests keep their assertions. Tests of jaycell, jaysupervisor and jaysimulation pass with -race.

--- a/internal/process/jaycell/lapse.go
+++ b/internal/process/jaycell/lapse.go
@@ -21,9 +21,6 @@
 }
 
 func (r *Runner) abandon(task string, run int) {
-	if r.abandoned == nil {
-		r.abandoned = map[string]int{}
-	}
 	r.abandoned[task] = max(r.abandoned[task], run)
 }
 
--- a/internal/process/jaycell/report.go
+++ b/internal/process/jaycell/report.go
@@ -244,9 +244,6 @@
 	if s, sent := r.unknownStops[task]; sent && s.run == run {
 		return
 	}
-	if r.unknownStops == nil {
-		r.unknownStops = map[string]unknownStop{}
-	}
 	r.unknownStops[task] = unknownStop{run: run, sentAt: c.now}
 	c.immediateOrders = append(c.immediateOrders, Order{Kind: OrderStop, Node: r.node, Runner: r.id, Task: task, Run: run})
 	c.reportDecision(Decision{Task: task, Run: run, Runner: r.id, Event: "stop", Outcome: "ordered", Reason: reason})
--- a/internal/process/jaycell/runner.go
+++ b/internal/process/jaycell/runner.go
@@ -159,7 +159,7 @@
 }
 
 func newRunner(id, node string) *Runner {
-	return &Runner{id: id, node: node, placements: map[string]*placement{}, speed: 1}
+	return &Runner{id: id, node: node, placements: map[string]*placement{}, abandoned: map[string]int{}, unknownStops: map[string]unknownStop{}, speed: 1}
 }
 
 // isSlow reports whether the runner was recently seen to be slow.
--- a/internal/process/jaysupervisor/client.go
+++ b/internal/process/jaysupervisor/client.go
@@ -65,6 +65,9 @@
 	InvalidRows int
 }
 
+// showsAllEnds reports whether no end can be missing from the listing.
+func (l Listing) showsAllEnds() bool { return len(l.Finished) < jaycell.MaxListedEnds }
+
 // RunnerClient calls one runner, without retries. Its functions return RefusedError,
 // NoAnswerError, ReplacedError or EndedError.
 type RunnerClient struct {
--- a/internal/process/jaysupervisor/heartbeats.go
+++ b/internal/process/jaysupervisor/heartbeats.go
@@ -104,7 +104,7 @@
 	for _, task := range tasks {
 		o := s.orders[task]
 		switch {
-		case o.stop && o.timesSent > 0 && !s.isListed(task, o.Run) && len(s.listing.Finished) < jaycell.MaxListedEnds:
+		case o.stop && o.timesSent > 0 && !s.isListed(task, o.Run) && s.listing.showsAllEnds():
 			s.removeOrder(o)
 			s.addResult(o.Order, o.Kind == jaycell.OrderStart, cmp.Or(o.refusal, ReasonNotStarted))
 			continue
--- a/internal/process/jaysupervisor/leaving_test.go
+++ b/internal/process/jaysupervisor/leaving_test.go
@@ -58,13 +58,11 @@
 	}
 	s := startSupervisorOf(t, client)
 	s.Deregister("r1")
-	repeated := ordersOf(jaycell.OrderStart, 1)
-	repeated[0].Repeated = true
-	s.ApplyOrders(1, repeated)
+	s.ApplyOrders(1, repeatedStart(1))
 	waitUntil(t, "a stop", func() bool { return calls.Load() > 0 })
 	ended.Store(true)
 	waitUntil(t, "the end", func() bool { return s.Report().Ended })
-	s.ApplyOrders(1, repeated)
+	s.ApplyOrders(1, repeatedStart(1))
 	time.Sleep(retryDelay)
 	before := calls.Load()
 	time.Sleep(4 * retryDelay)
--- a/internal/process/jaysupervisor/orders.go
+++ b/internal/process/jaysupervisor/orders.go
@@ -266,7 +266,7 @@
 // isComplete reports whether the newest listing was requested after the given time and
 // shows all ends.
 func (s *Supervisor) isComplete(after time.Duration) bool {
-	return s.listingRequestedAt > after && len(s.listing.Finished) < jaycell.MaxListedEnds
+	return s.listingRequestedAt > after && s.listing.showsAllEnds()
 }
 
 // isListed reports whether the newest listing shows a run as running.
--- a/internal/process/jaysupervisor/refusal_test.go
+++ b/internal/process/jaysupervisor/refusal_test.go
@@ -45,12 +45,8 @@
 			s.ApplyOrders(1, ordersOf(jaycell.OrderStart, 1))
 			waitUntil(t, "the run", func() bool { return len(s.Report().Running) == 1 && len(s.Report().PendingOrders) == 0 })
 			s.HandleHeartbeat(t.Context(), Heartbeat{Sequence: 2, Runner: jaycell.RunnerInfo{ID: "r1", Draining: c.draining}})
-			f.mutex.Lock()
-			f.refusal = c.refusal
-			f.mutex.Unlock()
-			repeated := ordersOf(jaycell.OrderStart, 1)
-			repeated[0].Repeated = true
-			s.ApplyOrders(1, repeated)
+			f.refuse(c.refusal)
+			s.ApplyOrders(1, repeatedStart(1))
 			waitUntil(t, "the end of the order", func() bool { return len(s.Report().PendingOrders) == 0 })
 			assert.Equal(t, f.runs("a.0.0.0"), 1)
 		})
--- a/internal/process/jaysupervisor/supervisor_test.go
+++ b/internal/process/jaysupervisor/supervisor_test.go
@@ -113,6 +113,13 @@
 	return l, nil
 }
 
+// refuse makes the runner refuse all starts for a reason; an empty one ends that.
+func (f *fakeRunner) refuse(reason string) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.refusal = reason
+}
+
 func (f *fakeRunner) runs(task string) int {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
@@ -160,6 +167,13 @@
 	return []jaycell.Order{{Kind: kind, Runner: "r1", Task: "a.0.0.0", Run: run}}
 }
 
+// repeatedStart is a start that the leader has sent before.
+func repeatedStart(run int) []jaycell.Order {
+	orders := ordersOf(jaycell.OrderStart, run)
+	orders[0].Repeated = true
+	return orders
+}
+
 func resultOf(s *Supervisor, run int) *jaycell.OrderResult {
 	for _, r := range s.Report().OrderResults {
 		if r.Run == run {
@@ -214,9 +228,7 @@
 	s := startSupervisor(t, f)
 	s.ApplyOrders(1, ordersOf(jaycell.OrderStart, 1))
 	waitUntil(t, "the result", func() bool { return resultOf(s, 1) != nil })
-	f.mutex.Lock()
-	f.refusal = ""
-	f.mutex.Unlock()
+	f.refuse("")
 	f.executeLate()
 	assert.Equal(t, f.runs("a.0.0.0"), 0)
 }
@@ -241,9 +253,7 @@
 			s.ApplyOrders(1, ordersOf(jaycell.OrderStart, 1))
 			waitUntil(t, "the refusal", func() bool { r := resultOf(s, 1); return r != nil && r.Refused && r.Reason == c.want })
 			s.HandleHeartbeat(t.Context(), Heartbeat{Sequence: 3, Runner: jaycell.RunnerInfo{ID: "r1"}})
-			f.mutex.Lock()
-			f.refusal = ""
-			f.mutex.Unlock()
+			f.refuse("")
 			s.ApplyOrders(1, ordersOf(jaycell.OrderStart, 1))
 			waitUntil(t, "the end of the order", func() bool { return len(s.Report().PendingOrders) == 0 })
 			assert.Equal(t, f.runs("a.0.0.0"), 0)
@@ -262,13 +272,9 @@
 	f.unanswered, f.refusal = 0, "room"
 	f.mutex.Unlock()
 	s := startSupervisor(t, f)
-	repeated := ordersOf(jaycell.OrderStart, 1)
-	repeated[0].Repeated = true
-	s.ApplyOrders(1, repeated)
+	s.ApplyOrders(1, repeatedStart(1))
 	waitUntil(t, "the refusal", func() bool { return resultOf(s, 1) != nil })
-	f.mutex.Lock()
-	f.refusal = ""
-	f.mutex.Unlock()
+	f.refuse("")
 	f.executeLate()
 	assert.Equal(t, f.runs("a.0.0.0"), 0)
 }
