Count only time in which this process read as silence of a link's peer

Cause: a link was closed when 0.8 s had passed since its last frame, also when the reader was busy with that frame or the process had stood still.

Change: the time of handling a frame, and that between two checks which come late, does not count. Detection of a peer that is silent takes as long as before.

--- a/internal/connection/jaylink/link.go
+++ b/internal/connection/jaylink/link.go
@@ -69,8 +69,7 @@
 	// Sequence numbers of the last heartbeat sent and received.
 	sentSequence     atomic.Uint64
 	receivedSequence atomic.Uint64
-	lastReadAt       atomic.Int64
-	lastAckAt        atomic.Int64
+	silence          *silence
 }
 
 func newLink(peer string, conn *websocket.Conn, e *Endpoint) *Link {
@@ -83,10 +82,8 @@
 		outbox:        make(chan []byte, outboxFrames),
 		done:          make(chan struct{}),
 		calls:         map[uint64]chan jayframe.Message{},
+		silence:       newSilence(e.Timing.HeartbeatInterval, jayclock.Elapsed()),
 	}
-	now := int64(jayclock.Elapsed())
-	l.lastReadAt.Store(now)
-	l.lastAckAt.Store(now)
 	conn.SetReadLimit(jayframe.MaxFrameBytes)
 	return l
 }
@@ -97,13 +94,6 @@
 // Done returns a channel that is closed when the link is closed.
 func (l *Link) Done() <-chan struct{} { return l.done }
 
-// SilentDuration returns the time since the last received frame or since the peer
-// last acknowledged a recent heartbeat, whichever is longer.
-func (l *Link) SilentDuration() time.Duration {
-	now := int64(jayclock.Elapsed())
-	return time.Duration(max(now-l.lastReadAt.Load(), now-l.lastAckAt.Load()))
-}
-
 // Err returns why the link was closed, or nil while it is open.
 func (l *Link) Err() error {
 	if e := l.cause.Load(); e != nil {
@@ -218,7 +208,7 @@
 			return
 		case <-ticker.C:
 		}
-		if silent := l.SilentDuration(); silent > l.timing.SilenceTimeout {
+		if silent := l.silence.check(jayclock.Elapsed()); silent > l.timing.SilenceTimeout {
 			l.Close("silent for " + silent.Round(time.Millisecond).String())
 			return
 		}
@@ -241,17 +231,17 @@
 			l.Close("read: " + err.Error())
 			return
 		}
-		l.lastReadAt.Store(int64(jayclock.Elapsed()))
+		l.silence.received(jayclock.Elapsed())
 		f, err := jayframe.Decode(b)
 		var unknown *jayframe.UnknownKindError
-		if errors.As(err, &unknown) {
-			continue
-		}
-		if err != nil {
+		if err != nil && !errors.As(err, &unknown) {
 			l.Close(err.Error())
 			return
 		}
-		l.dispatch(f)
+		if err == nil {
+			l.dispatch(f)
+		}
+		l.silence.handled(jayclock.Elapsed())
 	}
 }
 
@@ -271,7 +261,7 @@
 		// Only the ack of a heartbeat sent within SilenceTimeout proves that messages
 		// still arrive.
 		if b.Ack+uint64(l.timing.SilenceTimeout/l.timing.HeartbeatInterval) >= l.sentSequence.Load() {
-			l.lastAckAt.Store(int64(jayclock.Elapsed()))
+			l.silence.acknowledged(jayclock.Elapsed())
 		}
 	}
 	l.handler(l, f.Call(), f.Message())
