Compute the cost of victims and the slots of the pool once a round

Cause: each waiting unit computed the cost of every run that it may stop, though that depends only on its priority or guarantee, and each estimate counted the slots of all runners again.

Change: both are cached for a round, sorted placements too. Tests of jaycell unchanged.

--- a/internal/process/jaycell/cell.go
+++ b/internal/process/jaycell/cell.go
@@ -141,6 +141,9 @@
 
 	meanRunTimes map[string]*runTimeMean
 	shareLimits  map[imagePair]int
+	// slots caches poolSlots, as of slotsComputedAt.
+	slots           map[poolShape]int
+	slotsComputedAt time.Duration
 	// demand is the demand of urgent work, by service.
 	demand map[string]*demand
 	// dirtyUnits, orphanedKeys (of units without a job), jobRecords and pendingStarts
@@ -158,7 +161,7 @@
 
 // New returns an empty cell for one term.
 func New(s Settings, now time.Duration, wall time.Time) *Cell {
-	return &Cell{settings: s, now: now, wall: wall, jobs: map[string]*job{}, runners: map[string]*Runner{}, meanRunTimes: map[string]*runTimeMean{}, shareLimits: map[imagePair]int{}, demand: map[string]*demand{}, dirtyUnits: map[*unit]bool{}}
+	return &Cell{settings: s, now: now, wall: wall, jobs: map[string]*job{}, runners: map[string]*Runner{}, meanRunTimes: map[string]*runTimeMean{}, shareLimits: map[imagePair]int{}, slots: map[poolShape]int{}, demand: map[string]*demand{}, dirtyUnits: map[*unit]bool{}}
 }
 
 // SetTime sets the time for the calls that follow: now is monotonic, wall is the
--- a/internal/process/jaycell/preempt.go
+++ b/internal/process/jaycell/preempt.go
@@ -29,21 +29,36 @@
 	preemptionSlack = 3 * time.Second
 )
 
+// claimant is what decides which units may be preempted: whether they are preempted for a
+// guaranteed job, else the priority of the job.
+type claimant struct {
+	guaranteed bool
+	priority   int
+}
+
 // preemptionCosts returns the units that may be preempted for u with the cost of
 // preempting each, in core-seconds of lost work. Units of guaranteed jobs are never
 // preempted; a job without a guarantee preempts only jobs of lower priority and no
 // daemon tasks.
 func (r *round) preemptionCosts(u *unit) map[*unit]float64 {
-	costs := map[*unit]float64{}
-	guaranteed := r.isGuaranteed(u.job)
+	k := claimant{guaranteed: r.isGuaranteed(u.job), priority: u.job.spec.Policy.Priority}
+	if k.guaranteed {
+		k.priority = 0
+	}
+	costs := r.costs[k]
+	if costs != nil {
+		return costs
+	}
+	costs = map[*unit]float64{}
+	r.costs[k] = costs
 	interrupted := map[*unit]int{}
 	for _, cand := range r.candidates {
 		for _, pl := range cand.runner.placements {
 			victim := pl.unit
-			if victim.phase != phaseActive || victim.stopping || victim.job == u.job || victim.spec().Daemon && !guaranteed {
+			if victim.phase != phaseActive || victim.stopping || victim.spec().Daemon && !k.guaranteed {
 				continue
 			}
-			if r.isGuaranteed(victim.job) || !guaranteed && victim.job.spec.Policy.Priority <= u.job.spec.Policy.Priority {
+			if r.isGuaranteed(victim.job) || !k.guaranteed && victim.job.spec.Policy.Priority <= k.priority {
 				continue
 			}
 			if _, known := costs[victim]; known || !r.cell.mayInterrupt(victim, interrupted) {
@@ -55,6 +70,20 @@
 	return costs
 }
 
+// forgetCosts updates the costs after units have been stopped. The stop of a daemon task
+// may forbid that of others.
+func (r *round) forgetCosts(stopped []*unit) {
+	for _, u := range stopped {
+		if u.spec().Daemon {
+			clear(r.costs)
+			return
+		}
+		for _, costs := range r.costs {
+			delete(costs, u)
+		}
+	}
+}
+
 // preemptionCost returns the core-seconds of work lost by stopping a unit, plus the
 // unit's estimated work if the stop would make its job late.
 func (c *Cell) preemptionCost(u *unit) float64 {
@@ -103,14 +132,14 @@
 // request fits, and their total cost. It picks greedily by cost and then drops
 // units that turn out unnecessary. Units in stopped were chosen before: free includes
 // their resources.
-func cheapestVictims(request, free jaytask.Resources, runner *Runner, costs map[*unit]float64, stopped map[*unit]bool) ([]*unit, float64, bool) {
+func cheapestVictims(request, free jaytask.Resources, cand *candidate, costs map[*unit]float64, stopped map[*unit]bool) ([]*unit, float64, bool) {
 	type victim struct {
 		unit      *unit
 		resources jaytask.Resources
 	}
 	var all []victim
 	index := map[*unit]int{}
-	for _, pl := range sortedPlacements(runner) {
+	for _, pl := range cand.sortedPlacements() {
 		if _, preemptible := costs[pl.unit]; !preemptible || stopped[pl.unit] {
 			continue
 		}
@@ -153,6 +182,7 @@
 		r.cell.reportDecision(Decision{Job: victim.job.spec.ID, Event: "preempt", Outcome: "stopping", Reason: "room for " + u.key(), AgeMS: r.cell.jobAgeMS(victim.job)})
 		r.cell.stopUnit(victim, "room for "+u.key())
 	}
+	r.forgetCosts(sel.victims)
 	u.claims, u.claimedAt = map[string]jaytask.Resources{}, r.cell.now
 	for _, cand := range sel.runners {
 		request := u.spec().Allocation()
--- a/internal/process/jaycell/schedule.go
+++ b/internal/process/jaycell/schedule.go
@@ -19,6 +19,16 @@
 	runner *Runner
 	free   jaytask.Resources
 	rack   string
+	// placements caches the runner's placements by name.
+	placements []*placement
+}
+
+// sortedPlacements returns the runner's placements, sorted by name.
+func (cand *candidate) sortedPlacements() []*placement {
+	if cand.placements == nil {
+		cand.placements = sortedPlacements(cand.runner)
+	}
+	return cand.placements
 }
 
 // round is the working state of one scheduling round.
@@ -35,6 +45,8 @@
 	unreserved map[string]int
 	// tried holds the units that were tried in this round.
 	tried map[*unit]bool
+	// costs caches preemptionCosts.
+	costs map[claimant]map[*unit]float64
 	// unplaceable caches the shapes that did not fit, so that equal ones are skipped.
 	unplaceable map[shape]bool
 }
@@ -149,7 +161,7 @@
 }
 
 func (c *Cell) newRound() *round {
-	r := &round{cell: c, guaranteed: c.guaranteedJobs(), byRack: map[string][]*candidate{}, unreserved: map[string]int{}, tried: map[*unit]bool{}, unplaceable: map[shape]bool{}}
+	r := &round{cell: c, guaranteed: c.guaranteedJobs(), byRack: map[string][]*candidate{}, unreserved: map[string]int{}, tried: map[*unit]bool{}, costs: map[claimant]map[*unit]float64{}, unplaceable: map[shape]bool{}}
 	claimed := c.claimedResources()
 	for _, runner := range c.sortedRunners() {
 		if !runner.acceptsWork(c.now) {
@@ -291,6 +303,7 @@
 		pl := newPlacement(u, u.firstIndex+i, cand.runner, c.now)
 		u.placements = append(u.placements, pl)
 		cand.runner.addPlacement(pl)
+		cand.placements = nil
 		cand.free = cand.free.Sub(pl.resources)
 		r.unreserved[u.job.spec.Policy.Service] -= pl.resources.Accelerators
 		c.pendingStarts = append(c.pendingStarts, pl)
--- a/internal/process/jaycell/select.go
+++ b/internal/process/jaycell/select.go
@@ -177,7 +177,7 @@
 				}
 				o := &options[i]
 				if !o.known {
-					o.victims, o.cost, o.possible = cheapestVictims(request, free[i], cand.runner, costs, stopped)
+					o.victims, o.cost, o.possible = cheapestVictims(request, free[i], cand, costs, stopped)
 					o.known = true
 				}
 				if !o.possible {
--- a/internal/process/jaycell/startlimit.go
+++ b/internal/process/jaycell/startlimit.go
@@ -10,15 +10,29 @@
 // counted: two report intervals.
 const waveMargin = time.Second
 
+// poolShape is what decides how many tasks of a step the empty pool holds.
+type poolShape struct {
+	service string
+	request jaytask.Resources
+}
+
 // poolSlots returns how many tasks of a job's step the empty pool holds.
 func (c *Cell) poolSlots(j *job, step int) int {
-	request := j.spec.Steps[step].Allocation()
-	n := 0
+	if c.slotsComputedAt != c.now {
+		clear(c.slots)
+		c.slotsComputedAt = c.now
+	}
+	k := poolShape{service: j.spec.Policy.Service, request: j.spec.Steps[step].Allocation()}
+	n, known := c.slots[k]
+	if known {
+		return n
+	}
 	for _, r := range c.runners {
-		if !r.lost && r.reported && r.info.Service == j.spec.Policy.Service {
-			n += request.CountIn(r.info.Capacity, jaytask.MaxTasks)
+		if !r.lost && r.reported && r.info.Service == k.service {
+			n += k.request.CountIn(r.info.Capacity, jaytask.MaxTasks)
 		}
 	}
+	c.slots[k] = n
 	return n
 }
 
