Read the links of agents while the leader decides

Cause: the reader of an agent's link applied each report under the mutex of the decisions. While a decision took long, no heartbeat was read or acknowledged, so leader and agents closed links to each other as silent.

Change: readers queue reports; one goroutine applies the newest of each runner, which is complete, and asks for one round of decisions after the last. Reports that come while a new leader reads its records wait instead of being dropped.

--- a/internal/process/jaycontroller/leaderlinks.go
+++ b/internal/process/jaycontroller/leaderlinks.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"github.com/jaystile/jaystile/internal/connection/jayframe"
-	"github.com/jaystile/jaystile/internal/connection/jaylink"
 	"github.com/jaystile/jaystile/internal/process/jaycell"
 	"github.com/jaystile/jaystile/internal/request/jaytask"
 )
@@ -39,29 +38,6 @@
 	return jayframe.CellOrder{Kind: uint8(o.Kind), Runner: o.Runner, Task: o.Task, Run: o.Run, Spec: o.Spec, Checkpoint: o.Checkpoint, Ticket: o.Ticket, Number: o.Number, Percent: o.Percent, Repeated: o.Repeated}
 }
 
-// applyReport applies an agent's report and answers with a lease grant, whose sequence
-// number is zero if the lease may not be extended. connection is the number of the link.
-func (l *leadership) applyReport(link *jaylink.Link, m *jayframe.CellReport, connection uint64) {
-	l.mutex.Lock()
-	if l.termUnverified || !l.loaded {
-		l.mutex.Unlock()
-		return
-	}
-	l.setCellTime()
-	report := decodeReport(m)
-	report.Connection = connection
-	granted := l.cell.ApplyReport(report)
-	l.mutex.Unlock()
-	grant := &jayframe.CellLeaseGrant{Term: l.term}
-	if granted {
-		grant.Sequence = m.Sequence
-	}
-	if err := link.Send(grant); err != nil {
-		l.controller.Logger.Debug().Str("event", "link").Str("peer", link.Peer()).Err(err).Msg("cannot send a lease grant")
-	}
-	Signal(l.wake)
-}
-
 func decodeReport(m *jayframe.CellReport) jaycell.Report {
 	r := jaycell.Report{
 		Node: m.Node, Sequence: m.Sequence, Term: m.Term, Responsive: m.Responsive, Ended: m.Ended,
--- a/internal/process/jaycontroller/leaderrecords.go
+++ b/internal/process/jaycontroller/leaderrecords.go
@@ -55,6 +55,13 @@
 			stateDeletions = append(stateDeletions, jaycell.Record{Key: r.Key})
 		}
 	}
+	l.restore(units, stateDeletions)
+	l.applyWaitingReports()
+	return nil
+}
+
+// restore passes the jobs and the records of earlier terms to the cell.
+func (l *leadership) restore(units []jaystore.Record, stateDeletions []jaycell.Record) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	l.setCellTime()
@@ -79,7 +86,6 @@
 	l.stateDeletions = append(l.stateDeletions, stateDeletions...)
 	l.loaded, l.lastTick = true, jayclock.Elapsed()
 	l.controller.Logger.Info().Str("event", "term").Uint64("term", l.term).Int("runs", len(units)).Msg("deciding")
-	return nil
 }
 
 // retryRead repeats a read until it succeeds or ctx is done.
--- a/internal/process/jaycontroller/leadership.go
+++ b/internal/process/jaycontroller/leadership.go
@@ -39,6 +39,7 @@
 	// adviceWanted is signaled when there may be a query for the advice service.
 	adviceWanted chan struct{}
 	endOnce      sync.Once
+	reports          *reportQueue
 
 	mutex sync.Mutex
 	cell  *jaycell.Cell
@@ -58,7 +59,7 @@
 }
 
 func newLeadership(c *Controller, term uint64) *leadership {
-	l := &leadership{controller: c, term: term, wake: make(chan struct{}, 1), adviceWanted: make(chan struct{}, 1), done: make(chan struct{}), lastTick: jayclock.Elapsed()}
+	l := &leadership{controller: c, term: term, wake: make(chan struct{}, 1), adviceWanted: make(chan struct{}, 1), done: make(chan struct{}), reports: newReportQueue(), lastTick: jayclock.Elapsed()}
 	l.cell = jaycell.New(jaycell.Settings{
 		Term: term, Lease: c.Timing.Lease, Retention: c.Timing.Retention, StopTimeout: c.Timing.StopTimeout, GangTimeout: c.Timing.GangTimeout, RemoteSlowdown: c.Timing.RemoteSlowdown,
 		Guaranteed: func(workspace string) int {
--- a/internal/process/jaycontroller/links.go
+++ b/internal/process/jaycontroller/links.go
@@ -219,7 +219,7 @@
 		c.agents[m.Node] = l
 	}
 	c.mutex.Unlock()
-	leadership.applyReport(l, m, number)
+	leadership.receiveReport(receivedReport{link: l, message: m, connection: number})
 }
 
 // agentLink returns the link to a node's agent, or nil.
