Pause between rounds of decisions for as long as they take

Cause: each report asks for a round, some 500 a second with 240 agents, so that the leader's only core did nothing but decide, and reports waited.

Change: after a round the leader waits as long as the round took, at least 5 ms. The histogram jaystile_tick_seconds and a log line tell of long rounds.

--- a/internal/process/jaycontroller/leadership.go
+++ b/internal/process/jaycontroller/leadership.go
@@ -19,6 +19,11 @@
 	// maxTickGap is the gap between two ticks after which this process may have been
 	// frozen, so that another entry may lead by now.
 	maxTickGap = 700 * time.Millisecond
+	// minTickPause is the time between two ticks that reports ask for, unless the last one
+	// took longer: deciding takes at most half of the processor time.
+	minTickPause = 5 * time.Millisecond
+	// slowTick is how long a tick may take without a log line.
+	slowTick = 200 * time.Millisecond
 	// expiryInterval is the time between two scans for expired jobs, and
 	// maxExpiredPerRound how many one scan deletes: far more than arrive in that time.
 	expiryInterval     = 5 * time.Second
@@ -87,6 +92,9 @@
 // startWaitSeconds is how long jobs wait for each of their starts.
 var startWaitSeconds = metrics.NewHistogram("jaystile_start_wait_seconds")
 
+// tickSeconds is how long the leader takes to decide once.
+var tickSeconds = metrics.NewHistogram("jaystile_tick_seconds")
+
 // recordDecision counts and logs a scheduling decision.
 func (l *leadership) recordDecision(d jaycell.Decision) {
 	metrics.GetOrCreateCounter(fmt.Sprintf(`jaystile_decisions_total{event=%q,outcome=%q}`, d.Event, d.Outcome)).Inc()
@@ -155,7 +163,14 @@
 		case <-l.wake:
 		case <-ticker.C:
 		}
+		began := jayclock.Elapsed()
 		l.tick(ctx, runs)
+		took := jayclock.Elapsed() - began
+		tickSeconds.Update(took.Seconds())
+		if took > slowTick {
+			l.controller.Logger.Warn().Str("event", "tick").Uint64("term", l.term).Int64("took_ms", took.Milliseconds()).Msg("decisions took long")
+		}
+		jayclock.Sleep(ctx, max(took, minTickPause))
 	}
 }
 
