Stop granting leases when this entry may not lead any more

A leader that had been paused answered a report that had waited in its socket before it noticed the pause.

Change: no grant while the loop has not run for 0.7 s, or while the store has served nothing for a second and more than half of the linked entries are gone. A successor allows 1.25 s more for leases of runners that do not report to it.

TestLeaderGrantsUntilItIsCutOff, TestReportThatWaitedInAPauseIsGrantedNoLease, TestIsolatedLeader and TestSuccessorWaitsForLeasesGrantedAfterItsBeginning are new.

--- a/internal/process/jaycell/cell.go
+++ b/internal/process/jaycell/cell.go
@@ -36,6 +36,9 @@
 	// Lease is how long a runner keeps its runs after the last lease grant to its
 	// agent.
 	Lease time.Duration
+	// HandoverDelay is how long an earlier leader may grant leases after this term has
+	// begun.
+	HandoverDelay time.Duration
 	// Retention is how long an ended job can be queried.
 	Retention time.Duration
 	// StopTimeout is the longest time a runner takes to stop a run.
@@ -277,7 +280,7 @@
 	r := c.runners[m.Runner]
 	if r == nil {
 		r = newRunner(m.Runner, m.Node)
-		r.leaseEnd = c.latestLeaseEnd()
+		r.leaseEnd = c.latestLeaseEnd() + c.settings.HandoverDelay
 		c.runners[m.Runner] = r
 	}
 	pl := newPlacement(u, m.Index, r, c.now)
--- a/internal/process/jaycell/lapse_test.go
+++ b/internal/process/jaycell/lapse_test.go
@@ -115,3 +115,30 @@
 	}
 	assert.Equal(t, stops, 2, "in 1.5 s")
 }
+
+// A leader that has been cut off grants leases until it notices. Its successor waits for
+// the end of these too before it starts the runs of silent runners again.
+func TestSuccessorWaitsForLeasesGrantedAfterItsBeginning(t *testing.T) {
+	const handover = 1500 * time.Millisecond
+	first := newHarness(t, nil)
+	first.report("n1", "r1", nil)
+	first.submit("j", 0, "", step(1, 1))
+	first.advance(0)
+
+	h := newHarness(t, nil)
+	h.cell.settings.Term, h.cell.settings.HandoverDelay = 2, handover
+	h.submit("j", 0, "", step(1, 1))
+	for key, value := range first.unitRecords {
+		assert.NilError(t, h.cell.RestoreUnit(Record{Key: key, Value: value}))
+	}
+	lease := h.cell.settings.Lease
+	latest := lease + time.Duration(float64(lease)*clockDrift) + clockSlack
+	for waited := time.Duration(0); waited < time.Minute; waited += 100 * time.Millisecond {
+		h.report("n2", "r2", nil)
+		if countKinds(h.advance(100 * time.Millisecond))[OrderStart] > 0 {
+			assert.Assert(t, waited > latest+handover-200*time.Millisecond, "started again after %s", waited)
+			return
+		}
+	}
+	t.Fatal("not started again")
+}
--- a/internal/process/jaycontroller/cutleader_test.go
+++ b/internal/process/jaycontroller/cutleader_test.go
@@ -15,14 +15,31 @@
 	"github.com/jaystile/jaystile/internal/process/jaystore"
 )
 
-// The next leader waits for the end of leases from its own beginning.
-func TestLeaderWithoutStoreAndPeersStopsGranting(t *testing.T) {
-	const lease = 300 * time.Millisecond
+// cutLeader is a leader whose store serves it while served is set and that has no link to
+// the other entry that it knows. One agent is linked to it.
+type cutLeader struct {
+	t          *testing.T
+	controller *Controller
+	leadership *leadership
+	served     atomic.Bool
+	link       *jaylink.Link
+	// sent is the number of the agent's latest report, granted that of the latest one that
+	// was granted a lease.
+	sent    int64
+	granted atomic.Int64
+}
+
+func newCutLeader(t *testing.T) *cutLeader {
+	f := &cutLeader{t: t}
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	c := New(listener)
-	c.Name, c.Timing.Lease = "entry-1", lease
+	f.controller = c
+	c.Name, c.Timing.Lease = "entry-1", 300*time.Millisecond
 	c.CallStore = func(context.Context, jaystore.Request) (jaystore.Response, error) {
+		if f.served.Load() {
+			return jaystore.Response{Status: 200}, nil
+		}
 		return jaystore.Response{}, errors.New("cut off")
 	}
 	c.NewStoreClient = func(func(context.Context, jaystore.Request) (jaystore.Response, error)) *jaystore.Client {
@@ -42,29 +59,92 @@
 	go func() { _ = c.Run(ctx); close(done) }()
 	t.Cleanup(func() { cancel(); <-done })
 	c.applyCellRecord(jaystore.StoredRecord{Record: jaystore.Record{Key: entryPrefix + "entry-2", Value: encodeEntry("127.0.0.1:1", 1)}})
-	l := newLeadership(c, 1)
-	l.loaded = true
+	f.leadership = newLeadership(c, 1)
+	f.leadership.loaded = true
 	c.mutex.Lock()
-	c.term, c.leadership = Term{number: 1, leader: c.Name}, l
+	c.term, c.leadership = Term{number: 1, leader: c.Name}, f.leadership
 	c.mutex.Unlock()
 
-	var granted atomic.Int64
 	agent := &jaylink.Endpoint{Name: "agent-1", Timing: jaylink.Timing{HeartbeatInterval: heartbeatInterval, SilenceTimeout: silenceTimeout}, MakeHeartbeat: func() jayframe.Heartbeat { return jayframe.Heartbeat{} }}
 	agent.Handler = func(_ *jaylink.Link, _ uint64, m jayframe.Message) {
 		if g, ok := m.(*jayframe.CellLeaseGrant); ok {
-			granted.Store(max(granted.Load(), g.Sequence))
+			f.granted.Store(max(f.granted.Load(), g.Sequence))
 		}
 	}
 	link, _, err := agent.Dial(ctx, listener.Addr().String(), &jayframe.Hello{Role: jayframe.RoleAgent})
 	assert.NilError(t, err)
+	f.link = link
 	go link.Run(ctx)
-	runs := jaystore.NewTermWriter(c.storeClient, "runs", producer, 1)
-	var sent int64
-	for range 50 {
-		sent++
-		assert.NilError(t, link.Send(&jayframe.CellReport{Node: "n1", Sequence: sent, Term: 1, Runner: "r1", Responsive: true}))
-		l.tick(ctx, runs)
+	return f
+}
+
+// report sends a number of reports, ten a second, and lets the leader decide after each.
+func (f *cutLeader) report(n int) {
+	runs := jaystore.NewTermWriter(f.controller.storeClient, "runs", producer, 1)
+	for range n {
+		f.sent++
+		assert.NilError(f.t, f.link.Send(&jayframe.CellReport{Node: "n1", Sequence: f.sent, Term: 1, Runner: "r1", Responsive: true}))
+		if f.served.Load() {
+			_, err := f.controller.storeTransport.Do(f.t.Context(), jaystore.Request{})
+			assert.NilError(f.t, err)
+		}
+		f.leadership.tick(f.t.Context(), runs)
 		time.Sleep(100 * time.Millisecond)
 	}
-	assert.Assert(t, granted.Load() < sent-10, "report %d of %d was granted a lease after %s without the store", granted.Load(), sent, 5*time.Second)
+}
+
+// The next leader waits for the end of leases from its own beginning.
+func TestLeaderWithoutStoreAndPeersStopsGranting(t *testing.T) {
+	f := newCutLeader(t)
+	f.report(50)
+	assert.Assert(t, f.granted.Load() < f.sent-10, "report %d of %d was granted a lease after %s without the store", f.granted.Load(), f.sent, 5*time.Second)
+}
+
+// A leader grants leases while the store serves it, and not after the time that its
+// successor allows for.
+func TestLeaderGrantsUntilItIsCutOff(t *testing.T) {
+	f := newCutLeader(t)
+	f.served.Store(true)
+	f.report(20)
+	assert.Assert(t, f.granted.Load() > 0, "no lease was granted")
+	f.served.Store(false)
+	cutAt := f.sent
+	f.report(50)
+	// One report is sent each 100 ms or later.
+	assert.Assert(t, f.granted.Load() <= cutAt+int64(handoverDelay/(100*time.Millisecond)), "report %d was granted a lease; the leader was cut off at %d", f.granted.Load(), cutAt)
+}
+
+// An entry that stood still may have a successor before its own loop notices.
+func TestReportThatWaitedInAPauseIsGrantedNoLease(t *testing.T) {
+	f := newCutLeader(t)
+	f.served.Store(true)
+	f.report(5)
+	f.leadership.mutex.Lock()
+	f.leadership.lastTick -= maxTickGap + time.Millisecond
+	f.leadership.mutex.Unlock()
+	f.sent++
+	assert.NilError(t, f.link.Send(&jayframe.CellReport{Node: "n1", Sequence: f.sent, Term: 1, Runner: "r1", Responsive: true}))
+	time.Sleep(200 * time.Millisecond)
+	assert.Assert(t, f.granted.Load() < f.sent, "granted by a leader that has not decided for %s", maxTickGap)
+}
+
+func TestIsolatedLeader(t *testing.T) {
+	const at = time.Minute
+	for _, c := range []struct {
+		name          string
+		before, now   contact
+		others        int
+		wantsIsolated bool
+	}{
+		{"store serves", contact{entries: 4}, contact{entries: 0, servedAt: at - 100*time.Millisecond}, 4, false},
+		{"store away, all entries linked", contact{entries: 4}, contact{entries: 4, servedAt: at - 10*time.Second}, 4, false},
+		{"store away, half of the entries linked", contact{entries: 4}, contact{entries: 2, servedAt: at - 10*time.Second}, 4, false},
+		{"store away, fewer entries linked", contact{entries: 5}, contact{entries: 2, servedAt: at - isolationTimeout}, 5, true},
+		{"store away, no entry linked", contact{}, contact{servedAt: at - isolationTimeout}, 1, true},
+		{"store away, the only entry", contact{}, contact{servedAt: at - time.Minute}, 0, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			assert.Equal(t, c.now.isolated(c.before, c.others, at), c.wantsIsolated)
+		})
+	}
 }
--- a/internal/process/jaycontroller/leadership.go
+++ b/internal/process/jaycontroller/leadership.go
@@ -44,6 +44,8 @@
 	// adviceWanted is signaled when there may be a query for the advice service.
 	adviceWanted chan struct{}
 	endOnce      sync.Once
+	// contactCheckedAt is used by tick only.
+	contactCheckedAt time.Duration
 	reports          *reportQueue
 
 	mutex sync.Mutex
@@ -57,6 +59,10 @@
 	// until the store confirms that the term still lasts.
 	termUnverified bool
 	lastTick       time.Duration
+	// contact is what this entry could reach when the store last served it; isolated is
+	// set while it may be cut off from the deployment.
+	contact  contact
+	isolated bool
 	// stateDeletions are the state records to delete, of jobs whose other records have
 	// been deleted.
 	stateDeletions []jaycell.Record
@@ -66,7 +72,7 @@
 func newLeadership(c *Controller, term uint64) *leadership {
 	l := &leadership{controller: c, term: term, wake: make(chan struct{}, 1), adviceWanted: make(chan struct{}, 1), done: make(chan struct{}), reports: newReportQueue(), lastTick: jayclock.Elapsed()}
 	l.cell = jaycell.New(jaycell.Settings{
-		Term: term, Lease: c.Timing.Lease, Retention: c.Timing.Retention, StopTimeout: c.Timing.StopTimeout, GangTimeout: c.Timing.GangTimeout, RemoteSlowdown: c.Timing.RemoteSlowdown,
+		Term: term, Lease: c.Timing.Lease, HandoverDelay: handoverDelay, Retention: c.Timing.Retention, StopTimeout: c.Timing.StopTimeout, GangTimeout: c.Timing.GangTimeout, RemoteSlowdown: c.Timing.RemoteSlowdown,
 		Guaranteed: func(workspace string) int {
 			if config := c.config.Load(); config != nil {
 				return config.Guaranteed(workspace)
@@ -188,6 +194,9 @@
 
 // tick makes the decisions that are due and starts to store them.
 func (l *leadership) tick(ctx context.Context, runs *jaystore.TermWriter) {
+	if jayclock.Elapsed()-l.contactCheckedAt >= tickInterval {
+		l.checkContact()
+	}
 	l.mutex.Lock()
 	l.setCellTime()
 	now := jayclock.Elapsed()
--- a/internal/process/jaycontroller/reports.go
+++ b/internal/process/jaycontroller/reports.go
@@ -114,7 +114,7 @@
 	l.setCellTime()
 	report := decodeReport(r.message)
 	report.Connection = r.connection
-	granted := l.cell.ApplyReport(report)
+	granted := l.cell.ApplyReport(report) && l.mayGrant()
 	l.mutex.Unlock()
 	grant := &jayframe.CellLeaseGrant{Term: l.term}
 	if granted {
