Decide nothing and relay nothing while the store is away

All entries relayed their calls through the leader, up to its timeout, though it had no way to the store either.

Change: while a batch has waited 0.9 s to be stored, nothing is placed or preempted; leases, ends and cancellations go on. A leader that no way has led to the store for 0.9 s refuses relayed requests at once, without having acted. Tests: TestNothingIsPlacedOrPreemptedWhileStartsAreHeld, TestRelayIsRefusedWithoutAWayToTheStore.

--- a/internal/process/jaycell/cell.go
+++ b/internal/process/jaycell/cell.go
@@ -147,6 +147,8 @@
 	// slots caches poolSlots, as of slotsComputedAt.
 	slots           map[poolShape]int
 	slotsComputedAt time.Duration
+	// holdingStarts is set while nothing may be placed or preempted.
+	holdingStarts bool
 	// demand is the demand of urgent work, by service.
 	demand map[string]*demand
 	// dirtyUnits, orphanedKeys (of units without a job), jobRecords and pendingStarts
@@ -171,6 +173,10 @@
 // wall clock.
 func (c *Cell) SetTime(now time.Duration, wall time.Time) { c.now, c.wall = now, wall }
 
+// SetStarting allows or forbids placements and preemptions, which are of no use while no
+// start can be stored.
+func (c *Cell) SetStarting(allowed bool) { c.holdingStarts = !allowed }
+
 func (c *Cell) reportDecision(d Decision) {
 	if c.settings.OnDecision != nil {
 		c.settings.OnDecision(d)
--- a/internal/process/jaycell/report.go
+++ b/internal/process/jaycell/report.go
@@ -280,7 +280,9 @@
 		}
 	}
 	c.deleteExpiredJobs()
-	c.schedule()
+	if !c.holdingStarts {
+		c.schedule()
+	}
 	c.reportMissedGuarantees()
 }
 
--- a/internal/process/jaycontroller/leadership.go
+++ b/internal/process/jaycontroller/leadership.go
@@ -19,6 +19,9 @@
 	// maxTickGap is the gap between two ticks after which this process may have been
 	// frozen, so that another entry may lead by now.
 	maxTickGap = 700 * time.Millisecond
+	// maxStartDelay is how long a batch may take to be stored before nothing more is placed
+	// or preempted: what waits for it would be decided on a picture of long ago.
+	maxStartDelay = storeDownThreshold
 	// minTickPause is the time between two ticks that reports ask for, unless the last one
 	// took longer: deciding takes at most half of the processor time.
 	minTickPause = 5 * time.Millisecond
@@ -53,8 +56,9 @@
 	// loaded is set once the records of earlier terms have been read.
 	loaded bool
 	// writing is set while a batch is being stored; the next one is taken afterwards.
-	writing  bool
-	resigned bool
+	writing      bool
+	writingSince time.Duration
+	resigned     bool
 	// termUnverified is set after a pause in which the process may have been frozen,
 	// until the store confirms that the term still lasts.
 	termUnverified bool
@@ -208,6 +212,7 @@
 	l.lastTick = now
 	var batch *jaycell.Batch
 	if !l.resigned && !l.termUnverified {
+		l.cell.SetStarting(!l.writing || now-l.writingSince < maxStartDelay)
 		l.cell.Tick()
 		if !l.writing {
 			batch = l.cell.TakeBatch()
@@ -215,7 +220,7 @@
 	}
 	immediate := l.cell.TakeImmediateOrders()
 	if batch != nil && (!batch.Empty() || len(l.stateDeletions) > 0) {
-		l.writing = true
+		l.writing, l.writingSince = true, now
 	} else {
 		batch = nil
 	}
--- a/internal/process/jaycontroller/relay.go
+++ b/internal/process/jaycontroller/relay.go
@@ -132,6 +132,11 @@
 	req := jaystore.Request{Method: m.Method, Target: m.Target, Body: m.Body, Wait: time.Duration(m.WaitMillis) * time.Millisecond}
 	ctx, cancel := context.WithTimeout(c.ctx, req.Wait+relayTimeout)
 	defer cancel()
+	// Without a way to the store, relayed requests of all entries would pile up here.
+	if down, ok := c.storeTransport.Outage(); ok && down > storeDownThreshold {
+		c.replyToRelay(l, call, &jayframe.StoreReply{Status: jaystore.StatusUnavailable})
+		return
+	}
 	send := c.CallStore
 	if m.Hops < relayHops {
 		send = func(ctx context.Context, req jaystore.Request) (jaystore.Response, error) {
@@ -145,6 +150,10 @@
 	if err != nil {
 		reply.Error = err.Error()
 	}
+	c.replyToRelay(l, call, reply)
+}
+
+func (c *Controller) replyToRelay(l *jaylink.Link, call uint64, reply *jayframe.StoreReply) {
 	if err := l.Reply(call, reply); err != nil {
 		c.Logger.Debug().Str("event", "relay").Str("peer", l.Peer()).Err(err).Msg("cannot answer a relayed request")
 	}
