--- a/internal/process/jaysimulation/load.go
+++ b/internal/process/jaysimulation/load.go
@@ -117,7 +117,7 @@
 
 // Error implements error.
 func (e *UnknownLoadError) Error() string {
-	return fmt.Sprintf("unknown load %q: want kjaergaard, salish, kastrinakis or kastrinakis-grown", e.Given)
+	return fmt.Sprintf("unknown load %q: want kjaergaard, kjaergaard-large, salish, kastrinakis or kastrinakis-grown", e.Given)
 }
 
 // newLoad returns a load that exceeds the deployment's resources at times.
@@ -150,6 +150,8 @@
 			Class{Name: "slip-quote", Priority: 0, ArrivalsPerSecond: 0.65, OnTimeValue: 4, LateValue: 0.8, Stretch: 1.5, Objective: 250 * time.Millisecond, MaxAttempts: 4, taskSeconds: logNormal{2.5, 0.5, 8}, taskVariation: 0.15, estimateError: 0.5},
 			Class{Name: "arrears-sweep", Priority: 2, ArrivalsPerSecond: 0.19, OnTimeValue: 1, LateValue: 0.1, Stretch: 3, Objective: 3 * time.Second, MaxAttempts: 3, taskSeconds: logNormal{9.5, 0.3, 11}, taskVariation: 0.15, estimateError: 0.5, failing: 0.01},
 			400*time.Millisecond, ScoreWeights{Overall: 0.35, WorstWindows: 0.5, WorstClass: 0.15, WorstWorkspace: 0.2, WasteCost: 0.0028}), nil
+	case "kjaergaard-large":
+		return newLargeLoad(name), nil
 	case "kastrinakis":
 		return newDispatchLoad(name), nil
 	case "kastrinakis-grown":
@@ -158,6 +160,23 @@
 	return Load{}, &UnknownLoadError{Given: name}
 }
 
+// newLargeLoad returns the load of 240 workers whose processors and memory hold two large
+// tasks each, whatever these leave of the accelerators.
+func newLargeLoad(name string) Load {
+	mixed := []int{1, 2, 4, 8, 8}
+	return Load{
+		Name: name, ArrivalPeriod: 34 * time.Second, Runners: 240, Worker: jaytask.Resources{CPU: 64000, Memory: 262144, Accelerators: 8}, RackSize: 20, WholeWorkerGangs: true,
+		StopTimeout: 200 * time.Millisecond, RemoteSlowdown: 3, Workspaces: 24, GuaranteedShare: 0.62,
+		ScoreWeights: ScoreWeights{Overall: 0.75, WorstWindows: 0.15, WorstClass: 0.1, WorstWorkspace: 0.2, WasteCost: 0.00065},
+		Classes: []Class{
+			{Name: "replan", Priority: 1, ArrivalsPerSecond: 1.07, OnTimeValue: 3, LateValue: 1.5, Stretch: 3, Objective: time.Second, MaxAttempts: 3, resources: jaytask.Resources{CPU: 26000, Memory: 110000}, accelerators: mixed, taskCount: logNormal{25, 0.8, 150}, taskSeconds: logNormal{6.8, 0.3, 11}, taskVariation: 0.15, estimateError: 0.2, gang: 1, sameRack: 0.6, dataBound: 0.3, canceled: 0.05, checkpointing: 0.45, failing: 0.01, initial: 5},
+			{Name: "pricecheck", Priority: 0, ArrivalsPerSecond: 4.69, OnTimeValue: 4, LateValue: 0.8, Stretch: 1.5, Objective: 250 * time.Millisecond, MaxAttempts: 4, resources: jaytask.Resources{CPU: 7500, Memory: 39000}, accelerators: mixed, taskCount: logNormal{7.6, 0.8, 46}, taskSeconds: logNormal{2.5, 0.5, 8}, taskVariation: 0.3, estimateError: 0.5, gang: 1, sameRack: 0.8},
+			{Name: "shelflife", Priority: 2, ArrivalsPerSecond: 1.01, OnTimeValue: 1, LateValue: 0.5, Stretch: 3, Objective: 3 * time.Second, MaxAttempts: 2, resources: jaytask.Resources{CPU: 5600, Memory: 16000}, accelerators: []int{1}, taskCount: logNormal{78, 0.8, 470}, taskSeconds: logNormal{6.1, 0.3, 11}, taskVariation: 0.3, estimateError: 0.9, dataBound: 0.12, canceled: 0.15, checkpointing: 0.45, failing: 0.03, initial: 7},
+		},
+		Bursts: []Burst{{Class: "pricecheck", Start: 500 * time.Millisecond, Duration: 6 * time.Second, Factor: 2.3}, {Class: "shelflife", Start: 18 * time.Second, Duration: 4 * time.Second, Factor: 2.6}},
+	}
+}
+
 // newDispatchLoad returns the load of a deployment whose workers differ in speed and
 // whose urgent jobs are gangs that often need several whole workers.
 func newDispatchLoad(name string) Load {
