--- a/cmd/jaystile/cellentry.go
+++ b/cmd/jaystile/cellentry.go
@@ -10,8 +10,8 @@
 
 	"github.com/jessevdk/go-flags"
 	"github.com/rs/zerolog"
-	"github.com/sourcegraph/conc"
 
+	"github.com/jaystile/jaystile/internal/process/jayassert"
 	"github.com/jaystile/jaystile/internal/process/jayclock"
 	"github.com/jaystile/jaystile/internal/process/jaycontroller"
 	"github.com/jaystile/jaystile/internal/version/jaysettings"
@@ -83,7 +83,7 @@
 	defer cancel()
 	callerServer := jayadapter.CallerServer(ctx, controller, controller.Config, func() bool { return shutdown.Err() != nil })
 	servers := []*jayadapter.Server{callerServer, jayadapter.ReadinessServer(controller.Ready), jayadapter.SeedServer()}
-	var wg conc.WaitGroup
+	var wg jayassert.Group
 	for i, server := range servers {
 		wg.Go(func() { serveUntilClosed(server, listeners[i], logger) })
 	}
--- a/cmd/jaystile/cellside.go
+++ b/cmd/jaystile/cellside.go
@@ -5,8 +5,8 @@
 	"time"
 
 	"github.com/jessevdk/go-flags"
-	"github.com/sourcegraph/conc"
 
+	"github.com/jaystile/jaystile/internal/process/jayassert"
 	"github.com/jaystile/jaystile/internal/process/jaysupervisor"
 	"github.com/jaystile/jaystile/internal/version/jaysettings"
 	jayadapter "github.com/jaystile/jaystile/platform"
@@ -57,7 +57,7 @@
 	control := jayadapter.ControlServer(ctx, supervisor, func(err error) {
 		logger.Warn().Str("event", "heartbeat").Err(err).Msg("skipping an invalid heartbeat")
 	})
-	var wg conc.WaitGroup
+	var wg jayassert.Group
 	wg.Go(func() { serveUntilClosed(control, listeners[0], logger) })
 	wg.Go(func() { serveMetrics(ctx, listeners[1], logger) })
 	wg.Go(func() { watchSettings(ctx, jaysettings.RoleCellAgent, c.Settings, logger) })
--- a/internal/connection/jaylink/link.go
+++ b/internal/connection/jaylink/link.go
@@ -16,6 +16,7 @@
 	"github.com/sourcegraph/conc"
 
 	"github.com/jaystile/jaystile/internal/connection/jayframe"
+	"github.com/jaystile/jaystile/internal/process/jayassert"
 	"github.com/jaystile/jaystile/internal/process/jayclock"
 )
 
@@ -234,13 +235,14 @@
 		l.silence.received(jayclock.Elapsed())
 		f, err := jayframe.Decode(b)
 		var unknown *jayframe.UnknownKindError
+		if err == nil {
+			// A message on which its handler fails costs the link, not the process.
+			err = jayassert.Try(func() { l.dispatch(f) })
+		}
 		if err != nil && !errors.As(err, &unknown) {
 			l.Close(err.Error())
 			return
 		}
-		if err == nil {
-			l.dispatch(f)
-		}
 		l.silence.handled(jayclock.Elapsed())
 	}
 }
--- a/internal/connection/jaylink/link_test.go
+++ b/internal/connection/jaylink/link_test.go
@@ -128,6 +128,26 @@
 	}
 }
 
+// A message that its handler cannot bear costs the link. The process and its other links go
+// on.
+func TestHandlerThatPanicsClosesItsLinkOnly(t *testing.T) {
+	listener := endpoint("listener", "key")
+	handle := listener.Handler
+	listener.Handler = func(l *Link, call uint64, m jayframe.Message) {
+		if d, ok := m.(*jayframe.Drain); ok && d.On {
+			panic("malformed")
+		}
+		handle(l, call, m)
+	}
+	relay := serve(t, listener)
+	bad, good := dial(t, endpoint("dialer", "key"), relay.Address()), dial(t, endpoint("dialer", "key"), relay.Address())
+	_, err := bad.Call(context.Background(), &jayframe.Drain{On: true})
+	assert.Assert(t, err != nil)
+	<-bad.Done()
+	_, err = good.Call(context.Background(), &jayframe.Drain{})
+	assert.NilError(t, err)
+}
+
 func TestSlowLinkStaysOpen(t *testing.T) {
 	relay := serve(t, endpoint("listener", "key"))
 	l := dial(t, endpoint("dialer", "key"), relay.Address())
--- a/internal/process/jaysupervisor/agent.go
+++ b/internal/process/jaysupervisor/agent.go
@@ -6,10 +6,10 @@
 	"time"
 
 	"github.com/rs/zerolog"
-	"github.com/sourcegraph/conc"
 
 	"github.com/jaystile/jaystile/internal/connection/jayframe"
 	"github.com/jaystile/jaystile/internal/connection/jaylink"
+	"github.com/jaystile/jaystile/internal/process/jayassert"
 	"github.com/jaystile/jaystile/internal/process/jaycell"
 	"github.com/jaystile/jaystile/internal/process/jaycontroller"
 	"github.com/jaystile/jaystile/internal/process/jaystore"
@@ -67,7 +67,7 @@
 	tail := &jaystore.Tail{Client: a.Store, Topic: a.CellTopic, Wait: termPollWait, Apply: a.applyRecord, OnError: func(err error) {
 		a.Logger.Debug().Str("event", "dependency").Str("dependency", "store").Err(err).Msg("cannot read the term")
 	}}
-	var wg conc.WaitGroup
+	var wg jayassert.Group
 	wg.Go(func() { a.Supervisor.Run(ctx) })
 	wg.Go(func() { tail.Run(ctx) })
 	wg.Go(func() { a.maintainLink(ctx) })
--- a/internal/process/jaysupervisor/supervisor.go
+++ b/internal/process/jaysupervisor/supervisor.go
@@ -8,8 +8,8 @@
 	"time"
 
 	"github.com/rs/zerolog"
-	"github.com/sourcegraph/conc"
 
+	"github.com/jaystile/jaystile/internal/process/jayassert"
 	"github.com/jaystile/jaystile/internal/process/jaycell"
 	"github.com/jaystile/jaystile/internal/process/jayclock"
 	"github.com/jaystile/jaystile/internal/process/jaycontroller"
@@ -91,7 +91,7 @@
 	Elapsed func() time.Duration
 
 	ctx   context.Context
-	tasks conc.WaitGroup
+	tasks jayassert.Group
 
 	mutex  sync.Mutex
 	runner jaycell.RunnerInfo
@@ -143,7 +143,7 @@
 	s.mutex.Lock()
 	s.ctx = ctx
 	s.mutex.Unlock()
-	var wg conc.WaitGroup
+	var wg jayassert.Group
 	if !s.OrdersByHeartbeat {
 		wg.Go(func() { s.pollContinuously(ctx) })
 		wg.Go(func() { s.pollOnDemand(ctx) })
