Let another entry lead when a leadership fails unexpectedly

Cause: the loop of a leadership that panicked ended, while its entry kept the links of all others, which went on taking it for the leader: nothing was started any more.

Change: the parts of a leadership run under a guard. One that panics is logged with its stack, the entry resigns and leaves the next terms to others for 5 s; it goes on serving callers. Sections under the leadership's mutex release it by defer. Left open: a job on which every leader fails moves the term from entry to entry; none is known, records are validated when they are read.

--- a/internal/process/jaycontroller/controller.go
+++ b/internal/process/jaycontroller/controller.go
@@ -16,10 +16,10 @@
 	"time"
 
 	"github.com/rs/zerolog"
-	"github.com/sourcegraph/conc"
 
 	"github.com/jaystile/jaystile/internal/connection/jayframe"
 	"github.com/jaystile/jaystile/internal/connection/jaylink"
+	"github.com/jaystile/jaystile/internal/process/jayassert"
 	"github.com/jaystile/jaystile/internal/process/jaycell"
 	"github.com/jaystile/jaystile/internal/process/jayclock"
 	"github.com/jaystile/jaystile/internal/process/jaystore"
@@ -117,12 +117,14 @@
 	runsTail       *jaystore.Tail
 	operatorTail   *jaystore.Tail
 	config         atomic.Pointer[jayconfig.Config]
-	tasks          conc.WaitGroup
+	tasks          jayassert.Group
 	ctx            context.Context
 	// leaderResigned is signaled when the leader resigns.
 	leaderResigned chan struct{}
 	// resignedTerm is the newest term whose leader has resigned.
 	resignedTerm atomic.Uint64
+	// leadershipFailedAt is when a leadership of this entry failed, zero if none has.
+	leadershipFailedAt atomic.Int64
 
 	// mutex guards the fields below. It is locked before a leadership's mutex, never
 	// after it.
@@ -190,7 +192,7 @@
 func (c *Controller) Run(ctx context.Context) error {
 	c.ctx = ctx
 	var serveErr error
-	var wg conc.WaitGroup
+	var wg jayassert.Group
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	wg.Go(func() {
--- a/internal/process/jaycontroller/leaderlinks.go
+++ b/internal/process/jaycontroller/leaderlinks.go
@@ -63,7 +63,13 @@
 
 // updateJob passes what is known about a job to the cell.
 func (l *leadership) updateJob(id string) {
+	l.submit(id)
+	Signal(l.wake)
+}
+
+func (l *leadership) submit(id string) {
 	l.mutex.Lock()
+	defer l.mutex.Unlock()
 	// Until loaded is set, load takes all jobs from the job table.
 	if l.loaded {
 		l.setCellTime()
@@ -74,8 +80,6 @@
 			}
 		}
 	}
-	l.mutex.Unlock()
-	Signal(l.wake)
 }
 
 // updateInCell passes what is known about a job to the cell while this entry leads.
--- a/internal/process/jaycontroller/leaderrecords.go
+++ b/internal/process/jaycontroller/leaderrecords.go
@@ -120,19 +120,23 @@
 		// Write gives up only when ctx is done: the leadership has ended.
 		return
 	}
-	l.mutex.Lock()
-	l.setCellTime()
-	orders := l.cell.ConfirmStored(b)
-	l.writing = false
-	termUnverified := l.termUnverified
-	l.mutex.Unlock()
+	orders, mayOrder := l.confirmStored(b)
 	l.publishStates(b.JobStates)
-	if !termUnverified {
+	if mayOrder {
 		l.sendOrders(orders)
 	}
 	Signal(l.wake)
 }
 
+// confirmStored returns the orders that depend on a batch, and whether they may be sent.
+func (l *leadership) confirmStored(b *jaycell.Batch) (orders []jaycell.Order, mayOrder bool) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.setCellTime()
+	l.writing = false
+	return l.cell.ConfirmStored(b), !l.termUnverified
+}
+
 // deleteExpiredJobs deletes the records of jobs whose retention has passed, including
 // jobs that ended under earlier terms.
 func (l *leadership) deleteExpiredJobs() {
--- a/internal/process/jaycontroller/leadership.go
+++ b/internal/process/jaycontroller/leadership.go
@@ -8,6 +8,8 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"github.com/jaystile/jaystile/internal/connection/jayframe"
+	"github.com/jaystile/jaystile/internal/process/jayassert"
 	"github.com/jaystile/jaystile/internal/process/jaycell"
 	"github.com/jaystile/jaystile/internal/process/jayclock"
 	"github.com/jaystile/jaystile/internal/process/jaystore"
@@ -137,6 +139,24 @@
 	})
 }
 
+// spawn runs a part of the leadership. One that panics ends the leadership: this entry goes
+// on serving callers, and another one leads.
+func (l *leadership) spawn(part func()) {
+	l.controller.tasks.Go(func() {
+		if err := jayassert.Try(part); err != nil {
+			l.fail(err)
+		}
+	})
+}
+
+// fail ends the leadership after an unexpected error and lets another entry lead.
+func (l *leadership) fail(err error) {
+	l.controller.Logger.Error().Str("event", "term").Uint64("term", l.term).Err(err).Msg("leadership failed")
+	l.controller.leadershipFailedAt.Store(int64(jayclock.Elapsed()))
+	l.end("failed")
+	l.controller.broadcast(&jayframe.CellResign{Term: l.term})
+}
+
 // resign stops scheduling. Leases are still granted until another entry leads.
 func (l *leadership) resign() {
 	l.mutex.Lock()
@@ -163,7 +183,7 @@
 		l.controller.Logger.Warn().Str("event", "term").Uint64("term", l.term).Err(err).Msg("cannot load the records of earlier terms")
 		return
 	}
-	l.controller.tasks.Go(func() { l.runAdvice(ctx) })
+	l.spawn(func() { l.runAdvice(ctx) })
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
 	for {
@@ -201,15 +221,31 @@
 	if jayclock.Elapsed()-l.contactCheckedAt >= tickInterval {
 		l.checkContact()
 	}
+	batch, immediate := l.decide(ctx)
+	l.sendOrders(immediate)
+	Signal(l.adviceWanted)
+	if batch != nil {
+		l.spawn(func() { l.storeBatch(ctx, runs, batch) })
+	}
+}
+
+// decide makes the decisions that are due. It returns the batch to be stored, which is nil
+// if there is none or another one is being stored, and the orders to be sent at once.
+func (l *leadership) decide(ctx context.Context) (*jaycell.Batch, []jaycell.Order) {
 	l.mutex.Lock()
+	defer l.mutex.Unlock()
 	l.setCellTime()
 	now := jayclock.Elapsed()
 	if now-l.lastTick > maxTickGap && !l.termUnverified {
 		l.termUnverified = true
 		l.controller.Logger.Warn().Str("event", "pause").Int64("gap_ms", (now - l.lastTick).Milliseconds()).Msg("this process may have been frozen; verifying its term")
-		l.controller.tasks.Go(func() { l.verifyTerm(ctx) })
+		l.spawn(func() { l.verifyTerm(ctx) })
 	}
 	l.lastTick = now
+	if now-l.lastExpiry > expiryInterval && !l.resigned {
+		l.lastExpiry = now
+		l.spawn(l.deleteExpiredJobs)
+	}
 	var batch *jaycell.Batch
 	if !l.resigned && !l.termUnverified {
 		l.cell.SetStarting(!l.writing || now-l.writingSince < maxStartDelay)
@@ -218,22 +254,13 @@
 			batch = l.cell.TakeBatch()
 		}
 	}
-	immediate := l.cell.TakeImmediateOrders()
-	if batch != nil && (!batch.Empty() || len(l.stateDeletions) > 0) {
-		l.writing, l.writingSince = true, now
-	} else {
+	if batch != nil && batch.Empty() && len(l.stateDeletions) == 0 {
 		batch = nil
 	}
-	if now-l.lastExpiry > expiryInterval && !l.resigned {
-		l.lastExpiry = now
-		l.controller.tasks.Go(l.deleteExpiredJobs)
-	}
-	l.mutex.Unlock()
-	l.sendOrders(immediate)
-	Signal(l.adviceWanted)
 	if batch != nil {
-		l.controller.tasks.Go(func() { l.storeBatch(ctx, runs, batch) })
+		l.writing, l.writingSince = true, now
 	}
+	return batch, l.cell.TakeImmediateOrders()
 }
 
 // verifyTerm reads the newest term from the store after a pause. A higher one ends
--- a/internal/process/jaycontroller/reports.go
+++ b/internal/process/jaycontroller/reports.go
@@ -85,7 +85,7 @@
 	if !l.reports.begin() {
 		return
 	}
-	l.controller.tasks.Go(func() {
+	l.spawn(func() {
 		for l.applyNextReport() {
 		}
 		Signal(l.wake)
@@ -96,26 +96,10 @@
 // is zero if the lease may not be extended. It returns false when no report can be applied
 // now; those that arrive before the records of earlier terms are read wait for them.
 func (l *leadership) applyNextReport() bool {
-	l.mutex.Lock()
-	if !l.loaded {
-		l.reports.stop()
-		l.mutex.Unlock()
-		return false
-	}
-	r, ok := l.reports.take()
-	if !ok {
-		l.mutex.Unlock()
-		return false
-	}
-	if l.termUnverified {
-		l.mutex.Unlock()
-		return true
+	r, granted, ok := l.takeReport()
+	if !ok || r.link == nil {
+		return ok
 	}
-	l.setCellTime()
-	report := decodeReport(r.message)
-	report.Connection = r.connection
-	granted := l.cell.ApplyReport(report) && l.mayGrant()
-	l.mutex.Unlock()
 	grant := &jayframe.CellLeaseGrant{Term: l.term}
 	if granted {
 		grant.Sequence = r.message.Sequence
@@ -125,3 +109,21 @@
 	}
 	return true
 }
+
+// takeReport applies a report and returns it and whether a lease is granted. The report is
+// empty if it was dropped, since the term may be over.
+func (l *leadership) takeReport() (r receivedReport, granted, ok bool) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if !l.loaded {
+		l.reports.stop()
+		return receivedReport{}, false, false
+	}
+	if r, ok = l.reports.take(); !ok || l.termUnverified {
+		return receivedReport{}, false, ok
+	}
+	l.setCellTime()
+	report := decodeReport(r.message)
+	report.Connection = r.connection
+	return r, l.cell.ApplyReport(report) && l.mayGrant(), true
+}
--- a/internal/process/jaycontroller/term.go
+++ b/internal/process/jaycontroller/term.go
@@ -12,6 +12,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/fxamacker/cbor/v2"
 
+	"github.com/jaystile/jaystile/internal/process/jayclock"
 	"github.com/jaystile/jaystile/internal/process/jaystore"
 	"github.com/jaystile/jaystile/internal/request/jaytask"
 )
@@ -39,6 +40,9 @@
 	// strongerCoreRatio times its cores, which misses the leader at the same time.
 	weakerEntryMisses = 5
 	strongerCoreRatio = 1.5
+	// failedLeaderDelay is how long an entry whose leadership has failed leaves the next
+	// terms to others.
+	failedLeaderDelay = 5 * time.Second
 	// claimTimeout bounds one attempt to claim the term: four responses of a store that
 	// takes a hundred times as long as usual.
 	claimTimeout = 2500 * time.Millisecond
@@ -189,6 +193,9 @@
 func (c *Controller) mayClaimTerm() bool {
 	// The tail's mutex is locked before the controller's.
 	_, loaded := c.cellTail.Age()
+	if failedAt := c.leadershipFailedAt.Load(); failedAt > 0 && jayclock.Elapsed()-time.Duration(failedAt) < failedLeaderDelay {
+		return false
+	}
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	return loaded && !c.draining && c.leadership == nil && (c.leaderLink == nil || c.hasResigned(c.term.number))
@@ -251,7 +258,7 @@
 	}
 	if t.leader == c.Name && t.incarnation == c.Incarnation && !c.draining {
 		c.leadership = newLeadership(c, t.number)
-		c.tasks.Go(c.leadership.run)
+		c.leadership.spawn(c.leadership.run)
 	}
 	c.termChanged.broadcast()
 }
