Avoid a runner at once when a run fails there as it starts, and try it with one task

Change: a run that fails within 0.3 s puts its runner on probation at once, unless its job has shown no healthy run and fails on many runners. After a probation a runner gets one single task, and is trusted again as soon as one progresses.

--- a/internal/process/jaycell/cell.go
+++ b/internal/process/jaycell/cell.go
@@ -398,6 +398,7 @@
 	switch reason {
 	case EndDone:
 		pl.runner.resetFailures()
+		u.job.healthy = true
 		if !u.spec().Daemon {
 			// Gang members are done together, so the first one completes the gang.
 			c.recordRunTime(pl)
--- a/internal/process/jaycell/health.go
+++ b/internal/process/jaycell/health.go
@@ -13,6 +13,15 @@
 	// further failure up to maxProbation.
 	minProbation = 3 * time.Second
 	maxProbation = 12 * time.Second
+	// instantFailureWindow is how soon after its start a run must fail for the runner to be
+	// the likelier cause: a task fails of its own at any point of its work, but a faulty
+	// runner fails whatever it starts, and so stays free for more.
+	instantFailureWindow = 300 * time.Millisecond
+	// A job of which no run has outlived instantFailureWindow may put at most maxSuspects
+	// runners, or 1/suspectShare of those that it has been placed on, on probation by
+	// instant failures: it may be hopeless itself.
+	maxSuspects  = 2
+	suspectShare = 4
 	// avoidDuration is how long a unit avoids a runner on which it failed or stalled:
 	// as long as a faulty worker typically keeps failing. refusalAvoidDuration is the
 	// same after a refusal, whose cause passes sooner.
@@ -40,6 +49,15 @@
 	_, failedHere := u.avoidUntil[pl.runner.id]
 	failedElsewhere := len(u.avoidUntil) > 0 && !failedHere
 	u.avoidRunner(pl.runner.id, c.now+avoidDuration)
+	if c.isInstantFailure(pl) {
+		// Other runs that began before the probation say nothing new.
+		if c.now >= pl.runner.avoidUntil {
+			pl.runner.failures = max(pl.runner.failures+1, failuresBeforeProbation)
+			pl.runner.failedJob = u.job.spec.ID
+			c.startProbation(pl.runner)
+		}
+		return
+	}
 	if failedElsewhere || pl.runner.failedJob == u.job.spec.ID {
 		return
 	}
@@ -48,6 +66,50 @@
 	c.startProbation(pl.runner)
 }
 
+// isInstantFailure reports whether a run failed so soon that its runner is the likelier
+// cause.
+func (c *Cell) isInstantFailure(pl *placement) bool {
+	if pl.confirmed && c.now-pl.confirmedAt >= instantFailureWindow {
+		return false
+	}
+	j := pl.unit.job
+	if j.healthy {
+		return true
+	}
+	if j.suspects == nil {
+		j.suspects = map[*Runner]bool{}
+	}
+	j.suspects[pl.runner] = true
+	placedOn := map[*Runner]bool{pl.runner: true}
+	for _, u := range j.units {
+		for _, other := range u.placements {
+			placedOn[other.runner] = true
+		}
+	}
+	return len(j.suspects) <= max(maxSuspects, len(placedOn)/suspectShare)
+}
+
+// recordHealth notes that a run works, which acquits its job and its runner.
+func (c *Cell) recordHealth(pl *placement) {
+	if pl.percent <= pl.firstPercent || c.now-pl.confirmedAt < instantFailureWindow {
+		return
+	}
+	pl.unit.job.healthy = true
+	if pl.runner.onTrial() && c.now >= pl.runner.avoidUntil {
+		pl.runner.resetFailures()
+	}
+}
+
+// onTrial reports whether the runner has been on probation and has not worked since. It
+// then gets one single task at a time.
+func (r *Runner) onTrial() bool { return r.failures >= failuresBeforeProbation }
+
+// mayTry reports whether a unit may be placed on the runner as far as its trial is
+// concerned.
+func (r *Runner) mayTry(u *unit) bool {
+	return !r.onTrial() || u.count == 1 && len(r.placements) == 0
+}
+
 // startProbation keeps new work off a runner that has failed repeatedly.
 func (c *Cell) startProbation(r *Runner) {
 	excess := r.failures - failuresBeforeProbation
@@ -55,7 +117,7 @@
 		return
 	}
 	r.avoidUntil = c.now + min(minProbation<<min(excess, 4), maxProbation)
-	c.reportDecision(Decision{Runner: r.id, Event: "probation", Outcome: "avoided", Reason: "runs of different jobs failed or stalled in a row", AgeMS: int64((r.avoidUntil - c.now) / time.Millisecond)})
+	c.reportDecision(Decision{Runner: r.id, Event: "probation", Outcome: "avoided", Reason: "runs failed at once, or of different jobs in a row, or stalled", AgeMS: int64((r.avoidUntil - c.now) / time.Millisecond)})
 }
 
 // handleRefusal handles a start that the runner refused.
--- a/internal/process/jaycell/progress.go
+++ b/internal/process/jaycell/progress.go
@@ -12,6 +12,7 @@
 	if run.Percent != pl.percent {
 		pl.percent, pl.progressAt = run.Percent, c.now
 	}
+	c.recordHealth(pl)
 	if run.Percent < 100 && !pl.unit.spec().Daemon {
 		c.measureRun(pl)
 	}
--- a/internal/process/jaycell/select.go
+++ b/internal/process/jaycell/select.go
@@ -104,8 +104,8 @@
 }
 
 // eligible returns the candidates of a rack, or of all racks, that may run the unit.
-// Runners on which the unit failed recently, slow ones and those on probation are left
-// out as long as the others could hold the unit.
+// Runners on which the unit failed recently, slow ones and those on probation or on trial
+// are left out as long as the others could hold the unit.
 func (r *round) eligible(u *unit, rack string) []*candidate {
 	var preferred, avoided []*candidate
 	// slots counts the members that the preferred runners could hold when empty.
@@ -120,7 +120,7 @@
 		if !runner.eligibleFor(u) || !advice.allows(runner.id) {
 			continue
 		}
-		if r.cell.now < u.avoidUntil[runner.id] || r.cell.now < runner.avoidUntil || runner.isSlow(r.cell.now) {
+		if r.cell.now < u.avoidUntil[runner.id] || r.cell.now < runner.avoidUntil || runner.isSlow(r.cell.now) || !runner.mayTry(u) {
 			avoided = append(avoided, cand)
 			continue
 		}
--- a/internal/process/jaycell/unit.go
+++ b/internal/process/jaycell/unit.go
@@ -213,6 +213,10 @@
 	// measuredRunTimes holds run times extrapolated from the progress of the job's own
 	// runs, by step.
 	measuredRunTimes map[int]time.Duration
+	// healthy is set once a run of the job has worked for a while; suspects holds the
+	// runners on which runs failed at once before.
+	healthy  bool
+	suspects map[*Runner]bool
 	// guaranteeMissReported is set once a missed guarantee has been reported.
 	guaranteeMissReported bool
 }
