Ask the store once more before a caller is refused for an outage

Cause: an entry learns of the store's return by the retries of its tails, up to 2 s later.

Change: a read of at most 50 ms decides; a store that answers gets the record. A read that has no answer leaves nothing behind, so "not run" stays true. Test: TestStoreThatIsBackServesTheNextCaller (refused before).

--- a/internal/process/jaycontroller/cutleader_test.go
+++ b/internal/process/jaycontroller/cutleader_test.go
@@ -22,7 +22,9 @@
 	controller *Controller
 	leadership *leadership
 	served     atomic.Bool
-	link       *jaylink.Link
+	// records is set while the store answers calls for records.
+	records atomic.Bool
+	link    *jaylink.Link
 	// sent is the number of the agent's latest report, granted that of the latest one that
 	// was granted a lease.
 	sent    int64
@@ -44,12 +46,12 @@
 	}
 	c.NewStoreClient = func(func(context.Context, jaystore.Request) (jaystore.Response, error)) *jaystore.Client {
 		return &jaystore.Client{
-			Append: func(context.Context, jaystore.Append) (uint64, error) { return 0, errors.New("cut off") },
+			Append: func(context.Context, jaystore.Append) (uint64, error) { return 0, f.recordsError() },
 			Newest: func(context.Context, string, string) (jaystore.Page, error) {
-				return jaystore.Page{}, errors.New("cut off")
+				return jaystore.Page{}, f.recordsError()
 			},
 			Read: func(context.Context, string, uint64, time.Duration) (jaystore.ReadResult, error) {
-				return jaystore.ReadResult{}, errors.New("cut off")
+				return jaystore.ReadResult{}, f.recordsError()
 			},
 		}
 	}
@@ -78,6 +80,13 @@
 	return f
 }
 
+func (f *cutLeader) recordsError() error {
+	if f.records.Load() {
+		return nil
+	}
+	return errors.New("cut off")
+}
+
 // report sends a number of reports, ten a second, and lets the leader decide after each.
 func (f *cutLeader) report(n int) {
 	runs := jaystore.NewTermWriter(f.controller.storeClient, "runs", producer, 1)
--- a/internal/process/jaycontroller/requests.go
+++ b/internal/process/jaycontroller/requests.go
@@ -84,6 +84,9 @@
 	// storeDownThreshold is how long the store must have served nothing before callers
 	// are refused at once: longer than a slow store's responses take.
 	storeDownThreshold = 900 * time.Millisecond
+	// storeProbeTimeout bounds the read that finds out, before a caller is refused, whether
+	// the store is back: ten answers of a store that is not slow.
+	storeProbeTimeout = 50 * time.Millisecond
 	// endPropagationDelay is how long a task's end takes to reach every entry: the
 	// agent's report, one append to the store and the broadcast to the peers. Callers
 	// ask as soon as their work has ended, so a request about a running job waits this
@@ -189,13 +192,13 @@
 		Int("steps", len(spec.Steps)).Int("tasks", spec.Steps[0].Count).Int("accelerators", spec.Steps[0].Resources.Accelerators).Int("cpu", spec.Steps[0].Resources.CPU).
 		Bool("gang", spec.Steps[0].Gang).Bool("same_rack", spec.Steps[0].SameRack).Bool("checkpoint", spec.Steps[0].Checkpoint).Str("data_rack", spec.Steps[0].DataRack).
 		Int64("estimate_ms", spec.Steps[0].Estimate.Milliseconds()).Int64("objective_ms", r.route.Objective.Milliseconds()).Float64("stretch", r.route.Stretch).Int("times", spec.TimedOccurrences).Msg("storing")
-	return c.recordResponse("submit", r.id, c.storeRecord(jaystore.Record{Key: jaycell.JobKey(r.id), Value: value}, req))
+	return c.recordResponse("submit", r.id, c.storeRecord(ctx, jaystore.Record{Key: jaycell.JobKey(r.id), Value: value}, req))
 }
 
 // storeRecord stores and applies a record on behalf of a caller. It broadcasts the
 // record unless this entry leads.
-func (c *Controller) storeRecord(r jaystore.Record, req Request) Response {
-	if down, ok := c.storeTransport.Outage(); ok && down > storeDownThreshold {
+func (c *Controller) storeRecord(ctx context.Context, r jaystore.Record, req Request) Response {
+	if down, ok := c.storeTransport.Outage(); ok && down > storeDownThreshold && !c.storeAnswers(ctx) {
 		return Response{Outcome: NotNow, Reason: "store has not answered for " + down.Round(time.Millisecond).String(), RetryAfter: c.retryAfter()}
 	}
 	wait := maxPutWait
@@ -219,6 +222,15 @@
 	return Response{Outcome: Accepted}
 }
 
+// storeAnswers reports whether the store, which has not served this entry for a while,
+// answers a read now. The reads of the tails notice its return only after their timeouts,
+// and a caller has few attempts.
+func (c *Controller) storeAnswers(ctx context.Context) bool {
+	call, cancel := context.WithTimeout(ctx, storeProbeTimeout)
+	defer cancel()
+	return c.cellTail.Refresh(call) == nil
+}
+
 // retryAfter returns the RetryAfter of a refusal made now.
 func (c *Controller) retryAfter() time.Duration {
 	down, _ := c.storeTransport.Outage()
@@ -300,7 +312,7 @@
 	if row.canceled || row.state.Ended() {
 		return c.recordResponse("cancel", r.id, Response{Outcome: Accepted, Reason: "over already"})
 	}
-	return c.recordResponse("cancel", r.id, c.storeRecord(cancelRecord(r.id, time.Now()), req))
+	return c.recordResponse("cancel", r.id, c.storeRecord(ctx, cancelRecord(r.id, time.Now()), req))
 }
 
 // recordResponse counts and logs a response, and returns it. kind is the kind of
--- a/internal/process/jaycontroller/requests_test.go
+++ b/internal/process/jaycontroller/requests_test.go
@@ -60,3 +60,21 @@
 		}
 	}
 }
+
+// A store that is back serves the next caller, also before the tails notice its return.
+func TestStoreThatIsBackServesTheNextCaller(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		back bool
+		want Outcome
+	}{{"back", true, Accepted}, {"still away", false, NotNow}} {
+		t.Run(c.name, func(t *testing.T) {
+			f := newCutLeader(t)
+			_, err := f.controller.storeTransport.Do(t.Context(), jaystore.Request{})
+			assert.Assert(t, err != nil)
+			f.records.Store(c.back)
+			response := f.controller.storeRecord(t.Context(), cancelRecord(id, time.Now()), Request{})
+			assert.Equal(t, response.Outcome, c.want, "%s", response.Reason)
+		})
+	}
+}
