Store runs in a standby topic while their topic does not answer

Cause: the store may lose some partitions and serve the others.

Ways weighed: runs spread over partitions by job (a part of the jobs still waits, and every takeover reads all); starts before their record (a successor must wait for the lease of each agent that it has not heard, also without an outage); a standby topic (chosen: nothing changes while the topic answers, one read more at a takeover).

Once the main topic has answered, it moves the records and announces the closing before it writes anything else. A successor reads the announcement before its records and fences the standby's producer.

The stand-in log keeps sequences by producer now, as the store does; the set-up of TestLeaderReadsJobsAndRunsSideBySide has the cell's topic, its check is as it was.

--- a/internal/process/jaycontroller/controller.go
+++ b/internal/process/jaycontroller/controller.go
@@ -65,8 +65,10 @@
 	// Jobs is where entries store accepted jobs and cancellations.
 	Jobs string
 	// Runs is where the leader stores units and states of jobs.
-	Runs      string
-	ConfigKey string
+	Runs string
+	// RunsStandby are topics for records of Runs while that topic does not answer.
+	RunsStandby []string
+	ConfigKey   string
 }
 
 // Timing holds the deployment's values of the fields of the same names in
@@ -149,6 +151,8 @@
 	lastLink    uint64
 	draining    bool
 	termChanged changeNotifier
+	// standby is the newest use of a standby topic.
+	standby jaystore.Standby
 }
 
 // New returns a controller that accepts links on the listener.
--- a/internal/process/jaycontroller/cutleader_test.go
+++ b/internal/process/jaycontroller/cutleader_test.go
@@ -89,7 +89,7 @@
 
 // report sends a number of reports, ten a second, and lets the leader decide after each.
 func (f *cutLeader) report(n int) {
-	runs := jaystore.NewTermWriter(f.controller.storeClient, "runs", producer, 1)
+	runs := f.leadership.newRunsWriter()
 	for range n {
 		f.sent++
 		assert.NilError(f.t, f.link.Send(&jayframe.CellReport{Node: "n1", Sequence: f.sent, Term: 1, Runner: "r1", Responsive: true}))
--- a/internal/process/jaycontroller/leaderrecords.go
+++ b/internal/process/jaycontroller/leaderrecords.go
@@ -19,8 +19,14 @@
 // load makes the store reject writes of earlier terms, then reads their records.
 // Nothing is scheduled until it returns, so the latency of each of its calls to the
 // store delays the takeover.
-func (l *leadership) load(ctx context.Context, runs *jaystore.TermWriter) error {
-	if err := runs.FenceLowerTerms(ctx); err != nil {
+func (l *leadership) load(ctx context.Context, runs *jaystore.FailoverWriter) error {
+	var fenceErr, cellErr error
+	var before conc.WaitGroup
+	before.Go(func() { fenceErr = runs.Main.FenceLowerTerms(ctx) })
+	// Whether an earlier leader has used a standby topic is in the cell's topic.
+	before.Go(func() { cellErr = retryRead(ctx, func() error { return l.controller.cellTail.Refresh(ctx) }) })
+	before.Wait()
+	if err := errors.Join(fenceErr, cellErr); err != nil {
 		return err
 	}
 	// The job of every run is known: no run has been stored since the fence, and each job is
@@ -30,7 +36,7 @@
 	var wg conc.WaitGroup
 	wg.Go(func() {
 		runsErr = retryRead(ctx, func() (err error) {
-			records, err = jaystore.LoadAll(ctx, l.controller.storeClient, l.controller.Topics.Runs, l.controller.tailFailureLogger(l.controller.Topics.Runs))
+			records, err = l.loadRuns(ctx, runs)
 			return err
 		})
 	})
@@ -101,7 +107,7 @@
 
 // storeBatch writes a batch, in one append where it fits, then sends the orders that
 // depend on it.
-func (l *leadership) storeBatch(ctx context.Context, runs *jaystore.TermWriter, b *jaycell.Batch) {
+func (l *leadership) storeBatch(ctx context.Context, runs *jaystore.FailoverWriter, b *jaycell.Batch) {
 	l.mutex.Lock()
 	stateDeletions := l.stateDeletions
 	l.stateDeletions = nil
--- a/internal/process/jaycontroller/leaderrecords_test.go
+++ b/internal/process/jaycontroller/leaderrecords_test.go
@@ -22,7 +22,10 @@
 	client := &jaystore.Client{
 		Append: func(context.Context, jaystore.Append) (uint64, error) { return 0, nil },
 		Newest: func(ctx context.Context, topic, _ string) (jaystore.Page, error) {
-			if topic == "jobs" {
+			switch topic {
+			case "cell":
+				return jaystore.Page{}, nil
+			case "jobs":
 				close(jobsRead)
 				return jaystore.Page{}, nil
 			}
@@ -37,13 +40,14 @@
 			return jaystore.ReadResult{}, nil
 		},
 	}
-	c := &Controller{Topics: Topics{Jobs: "jobs", Runs: "runs"}, storeClient: client}
+	c := &Controller{Topics: Topics{Cell: "cell", Jobs: "jobs", Runs: "runs"}, storeClient: client, storeTransport: &jaystore.Transport{}}
+	c.cellTail = &jaystore.Tail{Client: client, Topic: "cell", Apply: c.applyCellRecord, OnError: func(error) {}}
 	c.jobs = newJobTable(c.Logger)
 	c.jobsTail = &jaystore.Tail{Client: client, Topic: "jobs", Replace: c.jobs.replace, OnError: func(error) {}}
 	l := newLeadership(c, 1)
 	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
 	defer cancel()
-	assert.NilError(t, l.load(ctx, jaystore.NewTermWriter(client, "runs", producer, 1)))
+	assert.NilError(t, l.load(ctx, l.newRunsWriter()))
 	assert.Assert(t, l.loaded)
 }
 
@@ -119,7 +123,7 @@
 			return jaystore.ReadResult{Next: 3, End: 3}, nil
 		},
 	}
-	assert.NilError(t, l.load(t.Context(), jaystore.NewTermWriter(c.storeClient, "runs", producer, 1)))
+	assert.NilError(t, l.load(t.Context(), l.newRunsWriter()))
 	assert.DeepEqual(t, l.stateDeletions, []jaycell.Record{{Key: jaycell.StateKey(id)}})
 	again := jobRecord(t, id)
 	c.jobs.apply(again.Key, again.Value)
--- a/internal/process/jaycontroller/leadership.go
+++ b/internal/process/jaycontroller/leadership.go
@@ -178,7 +178,7 @@
 		}
 	})
 	defer l.controller.clearLeadership(l)
-	runs := jaystore.NewTermWriter(l.controller.storeClient, l.controller.Topics.Runs, producer, l.term)
+	runs := l.newRunsWriter()
 	if err := l.load(ctx, runs); err != nil {
 		l.controller.Logger.Warn().Str("event", "term").Uint64("term", l.term).Err(err).Msg("cannot load the records of earlier terms")
 		return
@@ -217,7 +217,7 @@
 func (l *leadership) setCellTime() { l.cell.SetTime(jayclock.Elapsed(), time.Now()) }
 
 // tick makes the decisions that are due and starts to store them.
-func (l *leadership) tick(ctx context.Context, runs *jaystore.TermWriter) {
+func (l *leadership) tick(ctx context.Context, runs *jaystore.FailoverWriter) {
 	if jayclock.Elapsed()-l.contactCheckedAt >= tickInterval {
 		l.checkContact()
 	}
--- a/internal/process/jaycontroller/term.go
+++ b/internal/process/jaycontroller/term.go
@@ -273,6 +273,8 @@
 			return
 		}
 		c.setTerm(t)
+	case s.Key == standbyKey && s.Value != nil:
+		c.applyStandby(s.Value)
 	default:
 		name, address, cores, ok := DecodeEntry(s)
 		if !ok {
--- /dev/null
+++ b/internal/process/jaystore/failover.go
@@ -0,0 +1,235 @@
+package jaystore
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/jaystile/jaystile/internal/process/jayclock"
+)
+
+const (
+	// servedMargin is how long after an append began another call must have been served to
+	// show that the store is not away as a whole.
+	servedMargin = 100 * time.Millisecond
+	// standbyTimeout bounds the attempt to open a standby topic.
+	standbyTimeout = 1500 * time.Millisecond
+)
+
+// Standby is one use of a standby topic; Number rises with each. While it is open, its
+// records count in place of those of the main topic.
+type Standby struct {
+	Number uint64
+	Topic  string
+	Open   bool
+}
+
+// FailoverWriter stores the records of one term in a main topic. While that topic does not
+// answer although the store serves other calls, it stores them in a standby topic, and moves
+// them to the main topic once that answers again. Its exported fields are set before Write.
+type FailoverWriter struct {
+	Main *TermWriter
+	// Standbys are the names of the standby topics. Without any, records wait for the main
+	// topic.
+	Standbys []string
+	// NewWriter returns a writer of the same term for one use of a standby topic. Each use has
+	// a producer of its own, since a writer that has given up an append cannot go on.
+	NewWriter func(s Standby) *TermWriter
+	// Announce stores the newest Standby where the next leader reads it before all records. It
+	// returns an error if this term may be over.
+	Announce func(ctx context.Context, s Standby) error
+	// ServedAt returns when the store last served a call, as of jayclock.Elapsed.
+	ServedAt func() time.Duration
+	// Delay is how long the main topic may leave an append without an answer.
+	Delay time.Duration
+
+	// announced is the newest announcement.
+	announced Standby
+	// standby is the writer of the open standby topic, nil while there is none.
+	standby *TermWriter
+	// moved holds the records of the standby topic by key.
+	moved map[string][]byte
+	// mainDone receives the result of the main topic's unanswered append.
+	mainDone chan error
+}
+
+// Restore continues a failover of an earlier term, whose standby topic has been read. The
+// records are those that Overlay has returned.
+func (w *FailoverWriter) Restore(open Standby, writer *TermWriter, moved map[string][]byte) {
+	w.announced, w.standby, w.moved = open, writer, moved
+	w.mainDone = make(chan error, 1)
+	w.mainDone <- nil
+}
+
+// Announced sets the newest announcement of earlier terms.
+func (w *FailoverWriter) Announced(newest Standby) { w.announced = newest }
+
+// Write stores the records. It retries until they are stored, ctx ends, or a higher term has
+// written, which it reports as a FencedError.
+func (w *FailoverWriter) Write(ctx context.Context, records []Record) error {
+	if w.standby != nil {
+		select {
+		case err := <-w.mainDone:
+			if err != nil {
+				return err
+			}
+			if err := w.returnToMain(ctx); err != nil {
+				return err
+			}
+		default:
+			return w.writeStandby(ctx, records)
+		}
+	}
+	if w.announced.Open {
+		// An attempt to open the standby topic has failed, or the main topic answered first.
+		if err := w.announceClosed(ctx); err != nil {
+			return err
+		}
+	}
+	began := jayclock.Elapsed()
+	done := make(chan error, 1)
+	go func() { done <- w.Main.Write(ctx, records) }()
+	for {
+		timer := time.NewTimer(w.Delay)
+		select {
+		case err := <-done:
+			timer.Stop()
+			return err
+		case <-timer.C:
+		}
+		if len(w.Standbys) == 0 || w.ServedAt() < began+servedMargin {
+			continue
+		}
+		if w.open(ctx, records) {
+			w.mainDone = done
+			return nil
+		}
+	}
+}
+
+// open stores the records in the next standby topic and reports whether it has.
+func (w *FailoverWriter) open(ctx context.Context, records []Record) bool {
+	ctx, cancel := context.WithTimeout(ctx, standbyTimeout)
+	defer cancel()
+	number := w.announced.Number + 1
+	next := Standby{Number: number, Topic: w.Standbys[number%uint64(len(w.Standbys))], Open: true}
+	// A failed announcement may have been stored.
+	w.announced = next
+	if w.Announce(ctx, next) != nil {
+		return false
+	}
+	standby := w.NewWriter(next)
+	if standby.FenceLowerTerms(ctx) != nil {
+		return false
+	}
+	w.moved = map[string][]byte{}
+	w.standby = standby
+	if w.writeStandby(ctx, records) != nil {
+		w.standby = nil
+		return false
+	}
+	return true
+}
+
+// writeStandby stores the records in the standby topic.
+func (w *FailoverWriter) writeStandby(ctx context.Context, records []Record) error {
+	encoded := make([]Record, len(records))
+	for i, r := range records {
+		encoded[i] = Record{Key: w.announced.key(r.Key), Value: encodeStandby(r.Value)}
+	}
+	if err := w.standby.Write(ctx, encoded); err != nil {
+		return err
+	}
+	for _, r := range records {
+		w.moved[r.Key] = r.Value
+	}
+	return nil
+}
+
+// returnToMain moves the records of the standby topic to the main topic and closes the
+// standby topic. Until the closing is announced, the records of the standby topic count, so
+// nothing else is written to the main topic before.
+func (w *FailoverWriter) returnToMain(ctx context.Context) error {
+	var all []Record
+	for key, value := range w.moved {
+		all = append(all, Record{Key: key, Value: value})
+	}
+	if err := w.Main.Write(ctx, all); err != nil {
+		return err
+	}
+	used, standby := w.announced, w.standby
+	if err := w.announceClosed(ctx); err != nil {
+		return err
+	}
+	w.standby, w.moved = nil, nil
+	for i := range all {
+		all[i] = Record{Key: used.key(all[i].Key)}
+	}
+	// What stays if this fails is never read.
+	go func() { _ = standby.Write(ctx, all) }()
+	return nil
+}
+
+// announceClosed announces that the main topic has all records. It retries until ctx ends or the term
+// is over.
+func (w *FailoverWriter) announceClosed(ctx context.Context) error {
+	closed := w.announced
+	closed.Open = false
+	for tries := 0; ; tries++ {
+		err := w.Announce(ctx, closed)
+		var fenced *FencedError
+		if err == nil {
+			w.announced = closed
+			return nil
+		}
+		if errors.As(err, &fenced) || !sleepBackoff(ctx, tries) {
+			return err
+		}
+	}
+}
+
+// key returns the key of a record in the standby topic.
+func (s Standby) key(key string) string { return fmt.Sprintf("%d/%s", s.Number, key) }
+
+// standbyDeleted and standbyStored begin the values in a standby topic, where a deletion is a
+// record as well.
+const (
+	standbyDeleted = 0
+	standbyStored  = 1
+)
+
+func encodeStandby(value []byte) []byte {
+	if value == nil {
+		return []byte{standbyDeleted}
+	}
+	return append([]byte{standbyStored}, value...)
+}
+
+// Overlay returns the records of an open standby topic by key, with nil for deleted ones, and
+// the main topic's records with these in their place.
+func (s Standby) Overlay(main, standby []Record) (moved map[string][]byte, all []Record) {
+	moved = map[string][]byte{}
+	for _, r := range standby {
+		number, key, ok := strings.Cut(r.Key, "/")
+		if !ok || number != fmt.Sprint(s.Number) || len(r.Value) == 0 {
+			continue
+		}
+		moved[key] = nil
+		if r.Value[0] == standbyStored {
+			moved[key] = r.Value[1:]
+		}
+	}
+	for _, r := range main {
+		if _, replaced := moved[r.Key]; !replaced {
+			all = append(all, r)
+		}
+	}
+	for key, value := range moved {
+		if value != nil {
+			all = append(all, Record{Key: key, Value: value})
+		}
+	}
+	return moved, all
+}
--- a/internal/process/jaystore/store_test.go
+++ b/internal/process/jaystore/store_test.go
@@ -19,10 +19,7 @@
 	mutex       sync.Mutex
 	records     []Record
 	firstOffset uint64
-	term        uint64
-	sequence    uint64
-	// answers holds the end offset returned for each sequence number of the term.
-	answers map[uint64]uint64
+	producers   map[string]*fakeProducer
 	// loseAnswers and refuseNext count the next appends that get no answer or are
 	// refused. Appends without an answer take effect unless dropLost is set.
 	loseAnswers int
@@ -31,6 +28,24 @@
 	dropLost    bool
 }
 
+// fakeProducer holds what the log remembers of a producer. answers holds the end offset
+// returned for each sequence number of its term.
+type fakeProducer struct {
+	term     uint64
+	sequence uint64
+	answers  map[uint64]uint64
+}
+
+func (f *fakeLog) producer(name string) *fakeProducer {
+	if f.producers == nil {
+		f.producers = map[string]*fakeProducer{}
+	}
+	if f.producers[name] == nil {
+		f.producers[name] = &fakeProducer{answers: map[uint64]uint64{}}
+	}
+	return f.producers[name]
+}
+
 func (f *fakeLog) client() *Client {
 	return &Client{Append: f.append, Read: f.read, Newest: f.newest}
 }
@@ -61,23 +76,24 @@
 	if a.ExpectedEnd != nil && *a.ExpectedEnd != uint64(len(f.records)) {
 		return 0, &EndMismatchError{End: uint64(len(f.records))}
 	}
-	if a.Fence != nil {
-		switch {
-		case a.Fence.Term < f.term:
-			return 0, &FencedError{Term: a.Fence.Term}
-		case a.Fence.Term > f.term:
-			f.term, f.answers = a.Fence.Term, map[uint64]uint64{}
-		case f.answers[a.Fence.Sequence] > 0:
-			return f.answers[a.Fence.Sequence], nil
-		case a.Fence.Sequence != f.sequence+1:
-			return 0, &SequenceError{Expected: f.sequence + 1}
-		}
-		f.sequence = a.Fence.Sequence
+	if a.Fence == nil {
+		f.records = append(f.records, a.Records...)
+		return uint64(len(f.records)), nil
 	}
-	f.records = append(f.records, a.Records...)
-	if a.Fence != nil {
-		f.answers[a.Fence.Sequence] = uint64(len(f.records))
+	p := f.producer(a.Fence.Producer)
+	switch {
+	case a.Fence.Term < p.term:
+		return 0, &FencedError{Term: a.Fence.Term}
+	case a.Fence.Term > p.term:
+		p.term, p.answers = a.Fence.Term, map[uint64]uint64{}
+	case p.answers[a.Fence.Sequence] > 0:
+		return p.answers[a.Fence.Sequence], nil
+	case a.Fence.Sequence != p.sequence+1:
+		return 0, &SequenceError{Expected: p.sequence + 1}
 	}
+	p.sequence = a.Fence.Sequence
+	f.records = append(f.records, a.Records...)
+	p.answers[a.Fence.Sequence] = uint64(len(f.records))
 	return uint64(len(f.records)), nil
 }
 
