Keep a runner draining once it has said so

Cause, on the operators' list: after the restart of a runner's agent, a late heartbeat of the runner from before its notice could make it count as ready again, and it got work while it left.

Change: for the leader a runner that drains stays so until its next incarnation.

--- a/internal/process/jaycell/health_test.go
+++ b/internal/process/jaycell/health_test.go
@@ -119,3 +119,15 @@
 	}
 	assert.Assert(t, suspects <= 16/suspectShare, "%d runners on probation", suspects)
 }
+
+// The agent of a leaving runner may restart and take a late heartbeat for a new one.
+func TestLeavingRunnerGetsNoWorkAfterItsAgentRestarted(t *testing.T) {
+	h := newHarness(t, nil)
+	h.report("n1", "r1", func(p *Report) { p.Runner.Draining = true })
+	h.advance(100 * time.Millisecond)
+	h.report("n1", "r1", func(p *Report) { p.Connection = 2 })
+	h.submit("j", 0, "", step(1, 1))
+	assert.Equal(t, len(startedTasks(h.advance(100*time.Millisecond))), 0)
+	h.report("n1", "r2", func(p *Report) { p.Connection = 2 })
+	assert.Equal(t, len(startedTasks(h.advance(100*time.Millisecond))), 1, "the next incarnation serves")
+}
--- a/internal/process/jaycell/report.go
+++ b/internal/process/jaycell/report.go
@@ -65,6 +65,9 @@
 		// leader may still change the runs that it listed.
 		return true
 	}
+	// A runner that leaves does not stay after all: what says so is older, as a late heartbeat
+	// that a restarted agent takes for the first one.
+	p.Runner.Draining = p.Runner.Draining || r.info.Draining
 	if !r.reported || r.info.Draining != p.Runner.Draining {
 		c.reportDecision(Decision{Runner: r.id, Event: "runner", Outcome: runnerStateName(p.Runner.Draining), Reason: "reported by " + p.Node})
 	}
