Leave a term to the leader that has just claimed it

Cause: entries that miss the same leader claim one after the other.

Change: a claim is made for the term whose leader was missed; if the read finds a newer one, it is left. The offset of the claim is taken before that check. Test: TestClaimLeavesANewTermToItsLeader (claimed term 3 before).

--- a/internal/process/jaycontroller/failover_test.go
+++ b/internal/process/jaycontroller/failover_test.go
@@ -72,3 +72,40 @@
 		})
 	}
 }
+
+// Two entries miss the same leader. The one that reads the store later used to claim the
+// term after that of the other, which had just begun.
+func TestClaimLeavesANewTermToItsLeader(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		other   bool
+		claimed uint64
+	}{
+		{"nobody has claimed", false, 2},
+		{"another entry has claimed", true, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			entry, _ := newLeader(true)
+			entry.Name, entry.Incarnation, entry.leadership = "entry-3", 7, nil
+			topic := &cellTopic{}
+			topic.add(jaystore.Record{Key: TermKey, Value: Term{number: 1, leader: "entry-1"}.encode()})
+			*entry.storeClient = topic.client()
+			ctx, cancel := context.WithCancel(t.Context())
+			entry.ctx = ctx
+			t.Cleanup(func() { cancel(); entry.tasks.Wait() })
+			assert.NilError(t, entry.cellTail.Refresh(ctx))
+			missing := entry.Term()
+			if c.other {
+				topic.add(jaystore.Record{Key: TermKey, Value: Term{number: 2, leader: "entry-2"}.encode()})
+			}
+			entry.claimTerm(ctx, missing)
+			claimed := uint64(0)
+			for _, r := range topic.records {
+				if term, err := DecodeTerm(r.Value); err == nil && term.leader == entry.Name {
+					claimed = term.number
+				}
+			}
+			assert.Equal(t, claimed, c.claimed)
+		})
+	}
+}
--- a/internal/process/jaycontroller/term.go
+++ b/internal/process/jaycontroller/term.go
@@ -113,7 +113,7 @@
 		t := c.Term()
 		detector.deferral, detector.grace = c.electionDeferral(), c.newLeaderGrace()
 		if detector.observe(t, c.mayClaimTerm(), c.hasResigned(t.number), t.leader == c.Name || t.number == 0) {
-			c.claimTerm(ctx)
+			c.claimTerm(ctx, t)
 		}
 	}
 }
@@ -201,21 +201,22 @@
 	return loaded && !c.draining && c.leadership == nil && (c.leaderLink == nil || c.hasResigned(c.term.number))
 }
 
-// claimTerm appends the next term at the offset up to which this entry has read. Of
-// concurrent attempts one succeeds; a late one fails if anybody has written since.
-func (c *Controller) claimTerm(ctx context.Context) {
+// claimTerm appends the term after the given one, whose leader is missing, at the offset up
+// to which this entry has read. Of concurrent attempts one succeeds; a late one fails if
+// anybody has written since, and one that finds a newer term leaves it to its leader.
+func (c *Controller) claimTerm(ctx context.Context, missing Term) {
 	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
 	defer cancel()
 	if err := c.cellTail.Refresh(ctx); err != nil {
 		c.Logger.Warn().Str("event", "term").Err(err).Msg("cannot read the term")
 		return
 	}
-	if !c.mayClaimTerm() {
+	// Whatever is read after this offset makes the append fail.
+	at := c.cellTail.NextOffset()
+	if !c.mayClaimTerm() || c.Term().number != missing.number {
 		return
 	}
-	old := c.Term()
-	next := Term{number: old.number + 1, leader: c.Name, address: c.Address, incarnation: c.Incarnation}
-	at := c.cellTail.NextOffset()
+	next := Term{number: missing.number + 1, leader: c.Name, address: c.Address, incarnation: c.Incarnation}
 	_, err := c.storeClient.Append(ctx, jaystore.Append{Topic: c.Topics.Cell, Records: []jaystore.Record{{Key: TermKey, Value: next.encode()}}, ExpectedEnd: &at})
 	var mismatch *jaystore.EndMismatchError
 	switch {
