--- a/internal/process/jaystore/failover_test.go
+++ b/internal/process/jaystore/failover_test.go
@@ -23,13 +23,10 @@
 	standby Standby
 	// term is that of the newest leader; announcements of earlier ones fail.
 	term uint64
-	// now and servedAt are in virtual time.
-	start    time.Time
-	servedAt time.Duration
 }
 
 func newTopics() *topics {
-	return &topics{logs: map[string]*fakeLog{}, silent: map[string]bool{}, start: time.Now()}
+	return &topics{logs: map[string]*fakeLog{}, silent: map[string]bool{}}
 }
 
 func (s *topics) log(name string) *fakeLog {
