Store the records of all entries in the leader's appends

Cause: the store appends to a topic one call after the other.

Ways weighed: partitions by job (every entry reads all of them); longer hedge delays (an entry with its first job does not know that the store is slow); the leader's appender for all (chosen: one append in flight, whatever the rate; fewer calls to the store).

Change: an entry passes its records to the leader, which groups them with its own, and stores them itself if the leader refuses, its link ends, or after a second. A refusal counts as "not run" only if the leader's outcome is known.

--- a/internal/connection/jayframe/cell.go
+++ b/internal/connection/jayframe/cell.go
@@ -157,3 +157,24 @@
 
 // Kind implements Message.
 func (*StoreReply) Kind() Kind { return KindStoreReply }
+
+// PutRecords asks the leader to store records of jobs with its own, within WaitMillis.
+type PutRecords struct {
+	_          struct{} `cbor:",toarray"`
+	Records    []StoredRecord
+	WaitMillis int64
+}
+
+// Kind implements Message.
+func (*PutRecords) Kind() Kind { return KindPutRecords }
+
+// PutReply answers PutRecords. Unless all records are stored, the sender stores them itself;
+// those of Unknown outcome may be stored later.
+type PutReply struct {
+	_       struct{} `cbor:",toarray"`
+	Stored  bool
+	Unknown bool
+}
+
+// Kind implements Message.
+func (*PutReply) Kind() Kind { return KindPutReply }
--- a/internal/connection/jayframe/codec.go
+++ b/internal/connection/jayframe/codec.go
@@ -162,6 +162,8 @@
 	KindStoredRecords:  func() Message { return &StoredRecords{} },
 	KindStoreRelay:     func() Message { return &StoreRelay{} },
 	KindStoreReply:     func() Message { return &StoreReply{} },
+	KindPutRecords:     func() Message { return &PutRecords{} },
+	KindPutReply:       func() Message { return &PutReply{} },
 }
 
 func newMessage(k Kind) Message {
--- a/internal/connection/jayframe/message.go
+++ b/internal/connection/jayframe/message.go
@@ -55,6 +55,8 @@
 	KindStoredRecords  Kind = 33
 	KindStoreRelay     Kind = 34
 	KindStoreReply     Kind = 35
+	KindPutRecords     Kind = 36
+	KindPutReply       Kind = 37
 )
 
 // Message is one message between two processes.
--- a/internal/process/jaycontroller/controller.go
+++ b/internal/process/jaycontroller/controller.go
@@ -172,7 +172,8 @@
 	c.storeClient = c.NewStoreClient(c.storeTransport.Do)
 	c.jobs = newJobTable(c.Logger)
 	c.jobs.onChanged, c.jobs.recent = c.updateInCell, c.Timing.Retention/2
-	c.jobsAppender = jaystore.NewAppender(c.storeClient, c.Topics.Jobs)
+	c.jobsAppender = jaystore.NewAppender(&jaystore.Client{Append: c.appendJobs}, c.Topics.Jobs)
+	c.jobsAppender.SetMinHedgeDelay(c.minAppendDelay)
 	c.cellTail = &jaystore.Tail{Client: c.storeClient, Topic: c.Topics.Cell, Apply: c.applyCellRecord, Wait: termPollWait, OnError: c.tailFailureLogger(c.Topics.Cell)}
 	c.jobsTail = &jaystore.Tail{Client: c.storeClient, Topic: c.Topics.Jobs, Wait: jobsPollWait, BatchDelay: jobsPollDelay, OnError: c.tailFailureLogger(c.Topics.Jobs), Replace: c.jobs.replace, Apply: func(s jaystore.StoredRecord) { c.jobs.apply(s.Key, s.Value) }}
 	c.runsTail = &jaystore.Tail{Client: c.storeClient, Topic: c.Topics.Runs, Wait: jobsPollWait, BatchDelay: runsPollDelay, OnError: c.tailFailureLogger(c.Topics.Runs), Apply: func(s jaystore.StoredRecord) {
--- a/internal/process/jaycontroller/cutleader_test.go
+++ b/internal/process/jaycontroller/cutleader_test.go
@@ -24,7 +24,9 @@
 	served     atomic.Bool
 	// records is set while the store answers calls for records.
 	records atomic.Bool
-	link    *jaylink.Link
+	// append takes the place of the store's appends if it is set.
+	append atomic.Pointer[func() (uint64, error)]
+	link   *jaylink.Link
 	// sent is the number of the agent's latest report, granted that of the latest one that
 	// was granted a lease.
 	sent    int64
@@ -46,7 +48,12 @@
 	}
 	c.NewStoreClient = func(func(context.Context, jaystore.Request) (jaystore.Response, error)) *jaystore.Client {
 		return &jaystore.Client{
-			Append: func(context.Context, jaystore.Append) (uint64, error) { return 0, f.recordsError() },
+			Append: func(context.Context, jaystore.Append) (uint64, error) {
+				if serve := f.append.Load(); serve != nil {
+					return (*serve)()
+				}
+				return 0, f.recordsError()
+			},
 			Newest: func(context.Context, string, string) (jaystore.Page, error) {
 				return jaystore.Page{}, f.recordsError()
 			},
--- a/internal/process/jaycontroller/failover.go
+++ b/internal/process/jaycontroller/failover.go
@@ -16,8 +16,11 @@
 	// standbyKey names the record, in the cell's topic, of the newest use of a standby topic.
 	standbyKey = "standby"
 	// failoverDelay is how long the topic of runs may leave an append without an answer
-	// before a standby topic is used: longer than a slow store's answers take.
+	// before a standby topic is used.
 	failoverDelay = 500 * time.Millisecond
+	// slowStoreFactor makes that delay longer while the store is slow: a hedge delay is several
+	// of its answers, and an append may wait for others.
+	slowStoreFactor = 2
 )
 
 // standbyRecord is the stored form of a jaystore.Standby.
@@ -52,7 +55,10 @@
 		NewWriter: func(s jaystore.Standby) *jaystore.TermWriter {
 			return jaystore.NewTermWriter(client, s.Topic, fmt.Sprintf("%s-%d", producer, s.Number), l.term)
 		},
-		Announce: l.announceStandby, ServedAt: l.controller.storeTransport.ServedAt, Delay: failoverDelay,
+		Announce: l.announceStandby, ServedAt: l.controller.storeTransport.ServedAt,
+		Delay: func() time.Duration {
+			return max(failoverDelay, slowStoreFactor*l.controller.storeTransport.HedgeDelay())
+		},
 	}
 }
 
--- a/internal/process/jaystore/appender.go
+++ b/internal/process/jaystore/appender.go
@@ -35,6 +35,10 @@
 	wake    chan struct{}
 }
 
+// SetMinHedgeDelay makes the appender wait at least as long as f returns before it sends a
+// second try. It is called before Run.
+func (a *Appender) SetMinHedgeDelay(f func() time.Duration) { a.latency.minDelay = f }
+
 // NewAppender returns an appender, which stores records while Run is running.
 func NewAppender(client *Client, topic string) *Appender {
 	return &Appender{client: client, topic: topic, wake: make(chan struct{}, 1)}
--- a/internal/process/jaystore/failover.go
+++ b/internal/process/jaystore/failover.go
@@ -43,8 +43,9 @@
 	Announce func(ctx context.Context, s Standby) error
 	// ServedAt returns when the store last served a call, as of jayclock.Elapsed.
 	ServedAt func() time.Duration
-	// Delay is how long the main topic may leave an append without an answer.
-	Delay time.Duration
+	// Delay returns how long the main topic may leave an append without an answer, longer
+	// while the store is slow as a whole.
+	Delay func() time.Duration
 
 	// announced is the newest announcement.
 	announced Standby
@@ -89,18 +90,19 @@
 			return err
 		}
 	}
-	began := jayclock.Elapsed()
+	began, beganAt := jayclock.Elapsed(), time.Now()
 	done := make(chan error, 1)
 	go func() { done <- w.Main.Write(ctx, records) }()
 	for {
-		timer := time.NewTimer(w.Delay)
+		timer := time.NewTimer(w.Delay())
 		select {
 		case err := <-done:
 			timer.Stop()
 			return err
 		case <-timer.C:
 		}
-		if len(w.Standbys) == 0 || w.ServedAt() < began+servedMargin {
+		// The delay may have grown: the store has become slow.
+		if len(w.Standbys) == 0 || w.ServedAt() < began+servedMargin || time.Since(beganAt) < w.Delay() {
 			continue
 		}
 		for range w.Standbys {
--- a/internal/process/jaystore/failover_test.go
+++ b/internal/process/jaystore/failover_test.go
@@ -64,7 +64,7 @@
 
 // writer returns the writer of a term's leader.
 func (s *topics) writer(term uint64) *FailoverWriter {
-	w := &FailoverWriter{Main: NewTermWriter(s.client(), "main", "cell", term), Standbys: []string{"standby-1", "standby-2"}, Delay: 700 * time.Millisecond}
+	w := &FailoverWriter{Main: NewTermWriter(s.client(), "main", "cell", term), Standbys: []string{"standby-1", "standby-2"}, Delay: func() time.Duration { return 700 * time.Millisecond }}
 	w.NewWriter = func(n Standby) *TermWriter {
 		return NewTermWriter(s.client(), n.Topic, fmt.Sprint("cell-", n.Number), term)
 	}
@@ -170,6 +170,32 @@
 	})
 }
 
+// A slow store is slow for the standby topics too, and more appends would slow it down.
+func TestSlowStoreIsNoReasonToMove(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newTopics()
+		_, w := s.load(t, 1)
+		slow := false
+		w.Delay = func() time.Duration {
+			if slow {
+				return 5 * time.Second
+			}
+			return 700 * time.Millisecond
+		}
+		s.setSilent("main", true)
+		go func() {
+			// The first slow answer comes before the delay has passed.
+			time.Sleep(600 * time.Millisecond)
+			slow = true
+			time.Sleep(time.Second)
+			s.setSilent("main", false)
+		}()
+		assert.NilError(t, w.Write(t.Context(), []Record{{Key: "a", Value: []byte("1")}}))
+		assert.Equal(t, s.standby, Standby{})
+		s.settle()
+	})
+}
+
 // Leaders write, lose topics, pause and are replaced at any moment. Each finds exactly what
 // its predecessors have stored, and of the last write without an answer all or nothing.
 func TestLeadersFindAllRecordsOverFailovers(t *testing.T) {
--- a/internal/process/jaystore/hedge.go
+++ b/internal/process/jaystore/hedge.go
@@ -39,7 +39,12 @@
 )
 
 // latencyTracker keeps a decaying maximum of the latency of answers.
-type latencyTracker struct{ recentMax atomic.Int64 }
+type latencyTracker struct {
+	recentMax atomic.Int64
+	// minDelay returns the shortest hedge delay, if it is longer than minHedgeDelay; it may
+	// be nil.
+	minDelay func() time.Duration
+}
 
 // observe records the latency of one answer.
 func (l *latencyTracker) observe(latency time.Duration) {
@@ -48,7 +53,11 @@
 
 // hedgeDelay returns how long to wait for an answer before sending another try.
 func (l *latencyTracker) hedgeDelay() time.Duration {
-	return min(max(time.Duration(hedgeFactor*float64(l.recentMax.Load())), minHedgeDelay), maxHedgeDelay)
+	shortest := minHedgeDelay
+	if l.minDelay != nil {
+		shortest = max(shortest, l.minDelay())
+	}
+	return min(max(time.Duration(hedgeFactor*float64(l.recentMax.Load())), shortest), maxHedgeDelay)
 }
 
 // mayTryAgain reports whether an append that has been sent some times may be sent again.
