--- a/internal/process/jaycell/cell.go
+++ b/internal/process/jaycell/cell.go
@@ -426,7 +426,7 @@
 	if u.phase != phaseActive || len(u.placements) > 0 {
 		return
 	}
-	u.phase, u.stopping, u.paid = phaseWaiting, false, 0
+	u.phase, u.stopping = phaseWaiting, false
 	c.dirtyUnits[u] = true
 	if u.exhausted() {
 		u.phase = phaseFailed
--- a/internal/process/jaycell/preempt.go
+++ b/internal/process/jaycell/preempt.go
@@ -85,13 +85,12 @@
 }
 
 // preemptionCost returns the core-seconds of work lost by stopping a unit, plus the
-// unit's estimated work if the stop would make its job late, plus what was lost to make room
-// for it: a gang that has just begun would else be the cheapest victim, and stop as much again.
+// unit's estimated work if the stop would make its job late.
 func (c *Cell) preemptionCost(u *unit) float64 {
 	lost := stopOverhead
 	if u.spec().Daemon {
 		lost += daemonRestartTime
-		return u.paid + u.spec().Resources.CoreEquivalents()*float64(u.count)*lost.Seconds()
+		return u.spec().Resources.CoreEquivalents() * float64(u.count) * lost.Seconds()
 	}
 	onTime := true
 	elapsed := c.wall.Sub(u.job.spec.Accepted)
@@ -104,7 +103,7 @@
 	if onTime && c.slack(u) < c.settings.StopTimeout {
 		lost += c.estimate(u.job, u.step)
 	}
-	return u.paid + u.spec().Resources.CoreEquivalents()*float64(u.count)*lost.Seconds()
+	return u.spec().Resources.CoreEquivalents() * float64(u.count) * lost.Seconds()
 }
 
 // worthwhile reports whether the preemption cost is within the limit for n members like
@@ -184,7 +183,6 @@
 		r.cell.stopUnit(victim, "room for "+u.key())
 	}
 	r.forgetCosts(sel.victims)
-	u.paid += sel.cost
 	u.claims, u.claimedAt = map[string]jaytask.Resources{}, r.cell.now
 	for _, cand := range sel.runners {
 		request := u.spec().Allocation()
--- a/internal/process/jaycell/unit.go
+++ b/internal/process/jaycell/unit.go
@@ -51,8 +51,6 @@
 	claims map[string]jaytask.Resources
 	// claimedAt is when the preemption was ordered.
 	claimedAt time.Duration
-	// paid is the cost of what was stopped for the next or current run.
-	paid float64
 	// reason is why the unit's run was last stopped or refused.
 	reason string
 	// spansRacks caches whether the gang is larger than every rack, as of
