Doubt that a draining runner stays only after its agent has a new link

Change: what an agent says counts again at once over the same link, and 4 s after a new one, by when it has heard its runner's own heartbeats.

--- a/internal/process/jaycell/report.go
+++ b/internal/process/jaycell/report.go
@@ -13,6 +13,9 @@
 	// orderLossTimeout is the time after which an order that is missing from an
 	// agent's reports counts as lost: two report intervals.
 	orderLossTimeout = time.Second
+	// drainDoubt is how long a runner that was draining counts so after its agent's new link:
+	// its own heartbeats, 1.5 s apart, tell the agent by then.
+	drainDoubt = 4 * time.Second
 	// retryDelay keeps a refused start from being repeated at once: it is shorter than
 	// a report interval.
 	retryDelay = 300 * time.Millisecond
@@ -65,9 +68,12 @@
 		// leader may still change the runs that it listed.
 		return true
 	}
-	// A runner that leaves does not stay after all: what says so is older, as a late heartbeat
-	// that a restarted agent takes for the first one.
-	p.Runner.Draining = p.Runner.Draining || r.info.Draining
+	// A restarted agent may have taken a late heartbeat, from before the runner's notice, for
+	// its first one.
+	if r.info.Draining && !p.Runner.Draining && r.newConnection {
+		r.drainDoubtEnd = c.now + drainDoubt
+	}
+	p.Runner.Draining = p.Runner.Draining || c.now < r.drainDoubtEnd
 	if !r.reported || r.info.Draining != p.Runner.Draining {
 		c.reportDecision(Decision{Runner: r.id, Event: "runner", Outcome: runnerStateName(p.Runner.Draining), Reason: "reported by " + p.Node})
 	}
--- a/internal/process/jaycell/runner.go
+++ b/internal/process/jaycell/runner.go
@@ -136,8 +136,10 @@
 	reportedAt time.Duration
 	leaseEnd   time.Duration
 	drainEnd   time.Duration
-	placements map[string]*placement
-	used       jaytask.Resources
+	// drainDoubtEnd is until when the runner counts as draining whatever its agent says.
+	drainDoubtEnd time.Duration
+	placements    map[string]*placement
+	used          jaytask.Resources
 	// acked is the highest End.Number whose acknowledgement was ordered.
 	acked   uint64
 	ackedAt time.Duration
