--- a/internal/process/jaystore/failover_test.go
+++ b/internal/process/jaystore/failover_test.go
@@ -7,6 +7,7 @@
 	"maps"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -175,9 +176,9 @@
 	synctest.Test(t, func(t *testing.T) {
 		s := newTopics()
 		_, w := s.load(t, 1)
-		slow := false
+		var slow atomic.Bool
 		w.Delay = func() time.Duration {
-			if slow {
+			if slow.Load() {
 				return 5 * time.Second
 			}
 			return 700 * time.Millisecond
@@ -186,7 +187,7 @@
 		go func() {
 			// The first slow answer comes before the delay has passed.
 			time.Sleep(600 * time.Millisecond)
-			slow = true
+			slow.Store(true)
 			time.Sleep(time.Second)
 			s.setSilent("main", false)
 		}()
