Refuse records that come after the end of their appender

Cause: a record that was put after the appender's Run had returned waited for ever.

Change: the end of Run fails what is left and all that comes later, as not stored. Test: TestRecordAfterTheEndOfItsAppenderIsNotStored (hung before).

--- a/internal/process/jaystore/appender.go
+++ b/internal/process/jaystore/appender.go
@@ -33,6 +33,8 @@
 	mutex   sync.Mutex
 	queue   []*pendingRecord
 	wake    chan struct{}
+	// ended is set once Run has returned: nothing is stored any more.
+	ended bool
 }
 
 // SetMinHedgeDelay makes the appender wait at least as long as f returns before it sends a
@@ -48,9 +50,9 @@
 // the record is not known to be stored by the deadline.
 func (a *Appender) Put(r Record, deadline time.Time) error {
 	p := &pendingRecord{record: r, deadline: deadline, done: make(chan error, 1)}
-	a.mutex.Lock()
-	a.queue = append(a.queue, p)
-	a.mutex.Unlock()
+	if !a.enqueue(p) {
+		return &NotStoredError{Cause: context.Canceled}
+	}
 	select {
 	case a.wake <- struct{}{}:
 	default:
@@ -58,8 +60,20 @@
 	return <-p.done
 }
 
+// enqueue adds a record to the queue and reports whether it will be handled.
+func (a *Appender) enqueue(p *pendingRecord) bool {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	if a.ended {
+		return false
+	}
+	a.queue = append(a.queue, p)
+	return true
+}
+
 // Run stores records until ctx ends.
 func (a *Appender) Run(ctx context.Context) {
+	defer a.end()
 	tries := 0
 	var last error = &RefusedError{Operation: "append", Reason: "not tried"}
 	for {
@@ -154,6 +168,14 @@
 	a.queue = append(append([]*pendingRecord(nil), group...), a.queue...)
 }
 
+// end fails the records that are left, and all that come later.
+func (a *Appender) end() {
+	a.mutex.Lock()
+	a.ended = true
+	a.mutex.Unlock()
+	a.failAll(context.Canceled)
+}
+
 func (a *Appender) failAll(err error) {
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
--- a/internal/process/jaystore/store_test.go
+++ b/internal/process/jaystore/store_test.go
@@ -373,6 +373,16 @@
 	}
 }
 
+// A record that comes while a process shuts down used to wait for ever, and the process with it.
+func TestRecordAfterTheEndOfItsAppenderIsNotStored(t *testing.T) {
+	a := NewAppender((&fakeLog{}).client(), "topic")
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	a.Run(ctx)
+	var refused *NotStoredError
+	assert.Assert(t, errors.As(a.Put(Record{Key: "k"}, time.Now().Add(time.Minute)), &refused))
+}
+
 // A refused try does not prove that an unanswered one was not stored, so the caller
 // must get a NoAnswerError and not the refusal.
 func TestRefusalWithUnansweredTryIsNoAnswer(t *testing.T) {
