Log the crashes that an agent sees, with the runs that were on the runner

Callers see nothing of it. An agent now logs a crash: its runner answered, had announced nothing, and then nothing listened for a second or another incarnation answered. One that was silent before, as behind a cut or with a frozen agent, is logged as not counted.

No decision depends on it yet.

--- a/internal/process/jaysupervisor/heartbeats.go
+++ b/internal/process/jaysupervisor/heartbeats.go
@@ -60,6 +60,7 @@
 		return HeartbeatResponse{NextHeartbeat: nextHeartbeatDelay}
 	default:
 		s.candidate = candidate{}
+		s.recordCrash(now)
 		s.replaceRunner(h)
 	}
 	// The runner has read the response to its previous heartbeat, or given it up: no start
@@ -116,6 +117,7 @@
 			s.withdraw(o, ReasonNotStarted)
 		}
 		o.timesSent++
+		o.mayHaveBegun = o.mayHaveBegun || !o.stop
 		if o.stop {
 			r.Stops = append(r.Stops, Stop{Task: task, Run: o.Run})
 		} else {
--- a/internal/process/jaysupervisor/orders.go
+++ b/internal/process/jaysupervisor/orders.go
@@ -69,7 +69,7 @@
 		old.cancel()
 	}
 	ctx, cancel := context.WithCancel(s.ctx)
-	pending := &order{Order: o, term: s.term, stop: stop, receivedAt: s.Elapsed(), cancel: cancel}
+	pending := &order{Order: o, term: s.term, stop: stop, receivedAt: s.Elapsed(), cancel: cancel, mayHaveBegun: old != nil && old.Run == o.Run && old.mayHaveBegun}
 	s.orders[o.Task] = pending
 	if s.OrdersByHeartbeat {
 		return
@@ -137,6 +137,8 @@
 		}
 		o.calls++
 		err := s.tryStart(ctx, request)
+		s.noteCallError(o.Runner, err)
+		s.noteStartCall(o, err)
 		var refused *RefusedError
 		var replaced *ReplacedError
 		switch {
@@ -165,6 +167,16 @@
 	}
 }
 
+// noteStartCall notes whether a start call may have begun its run.
+func (s *Supervisor) noteStartCall(o *order, err error) {
+	var unanswered *NoAnswerError
+	if err == nil || errors.As(err, &unanswered) {
+		s.mutex.Lock()
+		o.mayHaveBegun = true
+		s.mutex.Unlock()
+	}
+}
+
 func (s *Supervisor) tryStart(ctx context.Context, request Start) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
@@ -228,6 +240,7 @@
 		call, cancel := context.WithTimeout(ctx, callTimeout)
 		err := s.Client.Stop(call, Stop{Incarnation: o.Runner, Task: o.Task, Run: o.Run, Fence: o.term})
 		cancel()
+		s.noteCallError(o.Runner, err)
 		var refused *RefusedError
 		var replaced *ReplacedError
 		if errors.As(err, &replaced) || errors.As(err, &refused) && refused.Reason == ReasonFence {
--- a/internal/process/jaysupervisor/supervisor.go
+++ b/internal/process/jaysupervisor/supervisor.go
@@ -53,6 +53,8 @@
 	// calls counts the start calls; unanswered is set once one of them has had no answer.
 	calls      int
 	unanswered bool
+	// mayHaveBegun is set once the run may have begun on the runner.
+	mayHaveBegun bool
 	// refusal is why a start is refused, while its run is being stopped.
 	refusal string
 	// timesSent counts the heartbeat responses that have carried the order.
@@ -103,6 +105,16 @@
 	// lastResponse is when the runner last answered, zero after another incarnation has
 	// answered instead.
 	lastResponse time.Duration
+	// lastAnswer is when the runner last answered under its ID. endSeenAt is when its end was
+	// first seen since, zero if it was not.
+	lastAnswer time.Duration
+	endSeenAt  time.Duration
+	// crashRecorded is set once the crash of this runner is in crashes, which holds those
+	// that the leader has not recorded.
+	crashRecorded bool
+	crashes       []jaycell.Crash
+	// observed holds what the listings have shown of the listed runs, by task.
+	observed map[string]observedRun
 	// runnerClock is the runner's own clock at runnerClockReadAt.
 	runnerClock       time.Duration
 	runnerClockReadAt time.Duration
@@ -215,6 +227,7 @@
 	if s.runner.ID == h.Runner.ID {
 		return
 	}
+	s.recordCrash(s.Elapsed())
 	s.replaceRunner(h)
 	s.applyListing(listing, s.Elapsed(), s.Elapsed(), fence)
 	jaycontroller.Signal(s.pollSignal)
@@ -239,6 +252,7 @@
 	}
 	s.runner, s.sequence, s.deregistered, s.ended, s.acknowledged, s.results, s.runnerClockKnown, s.confirmedFence, s.sentFence = h.Runner, h.Sequence, false, false, 0, nil, false, 0, 0
 	s.listing = Listing{}
+	s.lastAnswer, s.endSeenAt, s.crashRecorded, s.observed = 0, 0, false, nil
 	clear(s.excluded)
 	jaycontroller.Signal(s.reportSignal)
 }
@@ -299,6 +313,7 @@
 	defer cancel()
 	listing, err := s.Client.Renew(call, renewal)
 	answeredAt := s.Elapsed()
+	s.noteCallError(renewal.Incarnation, err)
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	if s.runner.ID != renewal.Incarnation {
@@ -349,6 +364,10 @@
 		s.Logger.Warn().Str("event", "listing").Str("runner", s.runner.ID).Int("unreadable", l.InvalidRows).Msg("skipped invalid rows of the runner's listing")
 	}
 	s.lastResponse = max(s.lastResponse, answeredAt)
+	s.lastAnswer = max(s.lastAnswer, answeredAt)
+	if answeredAt > s.endSeenAt {
+		s.endSeenAt = 0
+	}
 	if !s.runnerClockKnown || l.Clock > s.runnerClock {
 		s.runnerClock, s.runnerClockReadAt, s.runnerClockKnown = l.Clock, answeredAt, true
 	}
@@ -359,6 +378,7 @@
 	s.confirmedFence = max(s.confirmedFence, fence)
 	old := s.listing
 	s.listing = l
+	s.observeRuns(l, answeredAt)
 	// A listed run needs no start any more, and an ended one no order at all.
 	for _, e := range l.Finished {
 		if o := s.orders[e.Task]; o != nil && o.Run <= e.Run {
@@ -397,6 +417,7 @@
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	now := s.Elapsed()
+	s.checkCrash(now)
 	r := jaycell.Report{
 		Node: s.Node, Sequence: int64(now), Term: min(s.confirmedFence, s.term), Runner: s.runner, Ended: s.ended,
 		Responsive: !s.ended && s.lastResponse > 0 && now-s.lastResponse < max(responsiveTimeout, s.HeartbeatInterval*responsiveHeartbeats),
