Show that a task that crashes its runners is started for ever (failing test)

TestTaskThatCrashesRunnersIsGivenUp joins real supervisors and a real cell over model runners that end 10 ms after they start a deadly task and are back after seconds: single, in a wide job, in a gang, with orders by heartbeat, with a new leader after each crash, with a slow store. TestDeadlyTasksUnderFaults plays the random faults (cuts, pauses, crashes, kills, leaders) with deadly tasks among the jobs. Both check that no task is started three times more after three crashes, and that no sound job is shown as failed.

--- a/internal/process/jaysupervisor/cellmodel_test.go
+++ b/internal/process/jaysupervisor/cellmodel_test.go
@@ -52,9 +52,18 @@
 	// failedRuns holds the times of a unit's acknowledged ends as failed, by run.
 	failedRuns map[string]map[int]time.Duration
 	// All runs of doomed jobs fail.
-	doomed  map[string]bool
-	events  []event
-	failure string
+	doomed map[string]bool
+	// The first task of a deadly job crashes each runner that starts it; crashed counts the
+	// crashes under a task, and startsAfter its starts after crashesBeforeLimit of them.
+	deadly      map[string]bool
+	crashed     map[string]int
+	startsAfter map[string]int
+	// failedEnds holds the runs of a unit that have ended as failed.
+	failedEnds map[string]map[int]bool
+	// deadlyShare is the share of deadly jobs among the random ones.
+	deadlyShare float64
+	events      []event
+	failure     string
 	// failedUnit is the unit that failure is about, stuck a job that has not ended.
 	failedUnit, stuck string
 	// callAge is how long ago the call was made that is being executed. The rule on ended
@@ -69,7 +78,7 @@
 type event struct{ task, text string }
 
 func newFleet(t *testing.T, lease time.Duration, seed uint64) *fleet {
-	f := &fleet{t: t, lease: lease, begin: time.Now().Add(-time.Hour), seed: seed, script: luck{rand.New(rand.NewPCG(seed, 0))}, wake: make(chan struct{}, 1), storeDelay: 10 * time.Millisecond, units: map[string][]byte{}, states: map[string]jaytask.State{}, endedAt: map[string]time.Duration{}, canceled: map[string]bool{}, links: map[string]*link{}, begun: map[string]*modelRun{}, failedRuns: map[string]map[int]time.Duration{}, doomed: map[string]bool{}, done: map[string]time.Duration{}}
+	f := &fleet{t: t, lease: lease, begin: time.Now().Add(-time.Hour), seed: seed, script: luck{rand.New(rand.NewPCG(seed, 0))}, wake: make(chan struct{}, 1), storeDelay: 10 * time.Millisecond, units: map[string][]byte{}, states: map[string]jaytask.State{}, endedAt: map[string]time.Duration{}, canceled: map[string]bool{}, links: map[string]*link{}, begun: map[string]*modelRun{}, failedRuns: map[string]map[int]time.Duration{}, doomed: map[string]bool{}, deadly: map[string]bool{}, crashed: map[string]int{}, startsAfter: map[string]int{}, failedEnds: map[string]map[int]bool{}, done: map[string]time.Duration{}}
 	f.ctx, f.stop = context.WithCancel(t.Context())
 	f.newTerm()
 	f.group.Go(func() {
@@ -252,6 +261,9 @@
 		if f.states[id].Ended() {
 			f.endedAt[id] = f.now()
 		}
+		if f.states[id] == jaytask.Failed {
+			f.checkFailed(id)
+		}
 	}
 }
 
--- a/internal/process/jaysupervisor/faults_test.go
+++ b/internal/process/jaysupervisor/faults_test.go
@@ -19,6 +19,11 @@
 // TestSupervisorsAndCellUnderFaults injects faults in series and overlapping, and checks
 // what the runners see. JAYSTILE_JOINT selects other seeds, as FIRST-LAST.
 func TestSupervisorsAndCellUnderFaults(t *testing.T) {
+	playSeeds(t, func(*fleet) {})
+}
+
+// playSeeds plays the random faults of each seed on a fleet that prepare has changed.
+func playSeeds(t *testing.T, prepare func(f *fleet)) {
 	first, last := uint64(1), uint64(jointSeeds)
 	if seeds := os.Getenv("JAYSTILE_JOINT"); seeds != "" {
 		from, to, _ := strings.Cut(seeds, "-")
@@ -31,12 +36,12 @@
 	for seed := first; seed <= last; seed++ {
 		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
 			t.Parallel()
-			synctest.Test(t, func(t *testing.T) { playFaults(t, seed) })
+			synctest.Test(t, func(t *testing.T) { playFaults(t, seed, prepare) })
 		})
 	}
 }
 
-func playFaults(t *testing.T, seed uint64) {
+func playFaults(t *testing.T, seed uint64, prepare func(f *fleet)) {
 	lease, heartbeats := time.Second, seed%4 == 0
 	if heartbeats {
 		lease = 3 * time.Second
@@ -46,6 +51,7 @@
 	if seed%3 == 0 {
 		f.rough = 6
 	}
+	prepare(f)
 	for i := range 3 + int(seed%2) {
 		f.addNode(heartbeats && i == 0)
 	}
@@ -106,6 +112,9 @@
 		if unfinished < 4 {
 			j := f.submitLocked(1+f.script.IntN(4), f.script.chance(0.3), f.script.between(50, 2500))
 			f.doomed[j.ID] = f.script.chance(0.1)
+			if f.deadlyShare > 0 {
+				f.deadly[j.ID] = f.script.chance(f.deadlyShare)
+			}
 		}
 	case 6, 7, 8, 9:
 		f.cutAtRandom(n.link)
--- a/internal/process/jaysupervisor/runnermodel_test.go
+++ b/internal/process/jaysupervisor/runnermodel_test.go
@@ -354,6 +354,7 @@
 	if at, ok := f.endedAt[job.ID]; ok && now-f.callAge-at > f.lease+time.Second {
 		f.fail(s.Task, "run %d begins on %s %s after the end of its job", s.Run, r.id, now-at)
 	}
+	f.checkBudget(x)
 	f.runs, f.begun[unit] = append(f.runs, x), x
 	f.logf(s.Task, "%s: run %d of %s begins", r.id, s.Run, s.Task)
 }
@@ -366,6 +367,7 @@
 			n.runner.lapsedAt = now
 		}
 	}
+	f.crashRunners()
 	members := map[string]int{}
 	for _, x := range f.runs {
 		members[x.unit]++
@@ -402,6 +404,12 @@
 	number := uint64(len(r.endedAt) + 1)
 	r.endedAt[number] = f.now()
 	checkpoint := fmt.Sprintf("%s/%d", x.unit, x.run)
+	if reason == jaycell.EndFailed {
+		if f.failedEnds[x.unit] == nil {
+			f.failedEnds[x.unit] = map[int]bool{}
+		}
+		f.failedEnds[x.unit][x.run] = true
+	}
 	r.finished = append(r.finished, jaycell.End{Number: number, Task: x.task, Run: x.run, Reason: reason, Checkpoint: checkpoint})
 	f.logf(x.task, "%s: run %d of %s ends as %s", r.id, x.run, x.task, reason)
 	others := reason
