Give up tasks that crash the runners that start them

Cause: a run that is lost with its runner counted nowhere. It is neither a failure, which uses up an attempt, nor a mark on a runner, whose next incarnation begins without one.

An agent reports a crash that it has seen (its runner answered, had announced nothing, then nothing listened, or another incarnation answered) with the runs that were on the runner or may have begun there, until the leader has stored the resulting records. Silence, a cut, a lapsed lease, a drained or deregistered runner and an agent that was itself away are no crashes. The leader counts crashes by task and run number in the unit's record, once however often or late they come. A run that had worked for 0.3 s is a victim; the others are suspects. A suspect is tried with nothing beside it: on empty runners, a quarter of the pool at most, off the nodes where it has met a crash; after 1.5 s without one, on a runner whose tasks have all worked. Suspects of different crashes may be tried together once. Progress beyond the earlier crashes clears a task.

--- a/internal/connection/jayframe/cell.go
+++ b/internal/connection/jayframe/cell.go
@@ -31,6 +31,23 @@
 	Reason  string
 }
 
+// CellCrash is the wire form of a jaycell.Crash.
+type CellCrash struct {
+	_      struct{} `cbor:",toarray"`
+	Runner string
+	Runs   []CellCrashedRun
+}
+
+// CellCrashedRun is the wire form of a jaycell.CrashedRun.
+type CellCrashedRun struct {
+	_               struct{} `cbor:",toarray"`
+	Task            string
+	Run             int
+	Percent         int
+	WorkedForMillis int64
+	ListedForMillis int64
+}
+
 // CellReport is the wire form of a jaycell.Report, the state of an agent's runner. CPU
 // is in thousandths of a core and Memory in megabytes. PendingOrders are those that the
 // agent is executing.
@@ -54,6 +71,7 @@
 	Finished             []CellEnd
 	OrderResults         []CellOrderResult
 	PendingOrders        []CellOrder
+	Crashes              []CellCrash
 }
 
 // Kind implements Message.
--- a/internal/process/jaycell/cell.go
+++ b/internal/process/jaycell/cell.go
@@ -91,6 +91,8 @@
 	OrderStop
 	OrderAcknowledge
 	OrderThrottle
+	// OrderAcknowledgeCrash acknowledges the crash of Order.Runner.
+	OrderAcknowledgeCrash
 )
 
 // Order is an instruction to an agent.
@@ -255,15 +257,15 @@
 		c.orphanedKeys = append(c.orphanedKeys, name)
 		return nil
 	}
-	var record unitRecord
-	if err := cbor.Unmarshal(r.Value, &record); err != nil {
+	record, err := decodeUnitRecord(r.Value)
+	if err != nil {
 		return &jaytask.RecordError{What: "unit " + name, Cause: err}
 	}
 	u := j.unitFor(occurrence, step, index)
 	if u == nil {
 		return &jaytask.RecordError{What: "unit " + name, Cause: &jaytask.InvalidError{Field: "key", Cause: "no such task"}}
 	}
-	u.run, u.failedRuns, u.checkpoint = record.Run, record.FailedRuns, record.Checkpoint
+	u.run, u.failedRuns, u.checkpoint, u.crashes = record.Run, record.FailedRuns, record.Checkpoint, record.Crashes
 	switch phase(record.Phase) {
 	case phaseDone:
 		c.completeUnit(u)
--- a/internal/process/jaycell/progress.go
+++ b/internal/process/jaycell/progress.go
@@ -13,6 +13,7 @@
 		pl.percent, pl.progressAt = run.Percent, c.now
 	}
 	c.recordHealth(pl)
+	c.recordSurvival(pl)
 	if run.Percent < 100 && !pl.unit.spec().Daemon {
 		c.measureRun(pl)
 	}
--- a/internal/process/jaycell/report.go
+++ b/internal/process/jaycell/report.go
@@ -27,6 +27,7 @@
 	if p.Runner.ID == "" {
 		return false
 	}
+	c.applyCrashes(p)
 	r := c.runners[p.Runner.ID]
 	if r != nil && (r.replaced || p.Sequence <= r.sequence) || c.overEarlierLink(p) {
 		// A late report, or one about an incarnation that has ended.
--- a/internal/process/jaycell/runner.go
+++ b/internal/process/jaycell/runner.go
@@ -109,6 +109,8 @@
 	OrderResults []OrderResult
 	// PendingOrders lists the orders that the agent is executing.
 	PendingOrders []Order
+	// Crashes lists the crashes of the node's runners that were not acknowledged yet.
+	Crashes []Crash
 }
 
 // Runner is the cell's view of one incarnation of a runner.
@@ -131,6 +133,8 @@
 	abandoned map[string]int
 	// unknownStops holds the latest orders to stop runs without a placement, by task.
 	unknownStops map[string]unknownStop
+	// crashed is set once an agent has reported its crash.
+	crashed bool
 	// replaced reports that this incarnation has ended for good.
 	replaced   bool
 	reportedAt time.Duration
--- a/internal/process/jaycell/schedule.go
+++ b/internal/process/jaycell/schedule.go
@@ -19,6 +19,8 @@
 	runner *Runner
 	free   jaytask.Resources
 	rack   string
+	// tried holds the suspects that are being tried on the runner.
+	tried []*unit
 	// placements caches the runner's placements by name.
 	placements []*placement
 }
@@ -87,6 +89,9 @@
 	for _, t := range units {
 		r.tried[t] = true
 	}
+	if units = r.trySuspects(units); len(units) == 0 {
+		return
+	}
 	units = units[:r.startLimit(u, len(units))]
 	if len(units) == 0 {
 		return
@@ -167,7 +172,7 @@
 		if !runner.acceptsWork(c.now) {
 			continue
 		}
-		cand := &candidate{runner: runner, free: runner.available().Sub(claimed[runner.id]), rack: runner.rack()}
+		cand := &candidate{runner: runner, free: runner.available().Sub(claimed[runner.id]), rack: runner.rack(), tried: runner.triedUnits()}
 		r.candidates = append(r.candidates, cand)
 		if r.byRack[cand.rack] == nil {
 			r.racks = append(r.racks, cand.rack)
--- a/internal/process/jaycell/select.go
+++ b/internal/process/jaycell/select.go
@@ -103,7 +103,8 @@
 	return s.Allocation().CountIn(capacity, n)
 }
 
-// eligible returns the candidates of a rack, or of all racks, that may run the unit.
+// eligible returns the candidates of a rack, or of all racks, that may run the unit. A
+// suspect gets none of a node where a runner has crashed under it unless it needs it.
 // Runners on which the unit failed recently, slow ones and those on probation or on trial
 // are left out as long as the others could hold the unit.
 func (r *round) eligible(u *unit, rack string) []*candidate {
@@ -111,13 +112,14 @@
 	// slots counts the members that the preferred runners could hold when empty.
 	slots := 0
 	advice := r.cell.adviceFor(u)
+	shunsCrashes := u.isSuspect() && r.holdsElsewhere(u)
 	candidates := r.candidates
 	if rack != "" {
 		candidates = r.byRack[rack]
 	}
 	for _, cand := range candidates {
 		runner := cand.runner
-		if !runner.eligibleFor(u) || !advice.allows(runner.id) {
+		if !runner.eligibleFor(u) || !advice.allows(runner.id) || !r.keepsApart(u, cand) || shunsCrashes && u.hasCrashedOn(runner.node) {
 			continue
 		}
 		if r.cell.now < u.avoidUntil[runner.id] || r.cell.now < runner.avoidUntil || runner.isSlow(r.cell.now) || !runner.mayTry(u) {
--- a/internal/process/jaycell/unit.go
+++ b/internal/process/jaycell/unit.go
@@ -40,6 +40,13 @@
 	placements []*placement
 	// failedRuns lists the numbers of the runs that failed, each once.
 	failedRuns []int
+	// crashes holds the crashes of runners under the unit's tasks that nothing has made up
+	// for. clearedRuns holds, by task index, the highest run whose crash does not count.
+	crashes     []taskCrash
+	clearedRuns map[int]int
+	// trialWantedAt is since when a suspect waits for runners on which it may be tried,
+	// zero if it does not.
+	trialWantedAt time.Duration
 	// stopping reports that the current run is being stopped.
 	stopping bool
 	// notBefore delays the next start after a run that could not start.
@@ -135,13 +142,40 @@
 	Members    []memberRecord
 }
 
+// crashedUnitRecord is the record of a unit with crashes. Others keep the form that earlier
+// versions can read.
+type crashedUnitRecord struct {
+	_          struct{} `cbor:",toarray"`
+	Phase      uint8
+	Run        int
+	FailedRuns []int
+	Checkpoint string
+	Members    []memberRecord
+	Crashes    []taskCrash
+}
+
+// decodeUnitRecord decodes both forms of a unit's record.
+func decodeUnitRecord(b []byte) (crashedUnitRecord, error) {
+	var r crashedUnitRecord
+	if err := cbor.Unmarshal(b, &r); err == nil {
+		return r, nil
+	}
+	var plain unitRecord
+	err := cbor.Unmarshal(b, &plain)
+	return crashedUnitRecord{Phase: plain.Phase, Run: plain.Run, FailedRuns: plain.FailedRuns, Checkpoint: plain.Checkpoint, Members: plain.Members}, err
+}
+
 // record returns the record from which the next leader restores the unit.
 func (u *unit) record() Record {
 	r := unitRecord{Phase: uint8(u.phase), Run: u.run, FailedRuns: u.failedRuns, Checkpoint: u.checkpoint}
 	for _, pl := range u.placements {
 		r.Members = append(r.Members, memberRecord{Index: pl.index, Runner: pl.runner.id, Node: pl.runner.node})
 	}
-	b, err := cbor.Marshal(r)
+	var record any = r
+	if len(u.crashes) > 0 {
+		record = crashedUnitRecord{Phase: r.Phase, Run: r.Run, FailedRuns: r.FailedRuns, Checkpoint: r.Checkpoint, Members: r.Members, Crashes: u.crashes}
+	}
+	b, err := cbor.Marshal(record)
 	if err != nil {
 		panic(fmt.Errorf("encode unit %s: %w", u.key(), err))
 	}
--- a/internal/process/jaycontroller/leaderlinks.go
+++ b/internal/process/jaycontroller/leaderlinks.go
@@ -58,6 +58,13 @@
 	for _, x := range m.PendingOrders {
 		r.PendingOrders = append(r.PendingOrders, jaycell.Order{Kind: jaycell.OrderKind(x.Kind), Task: x.Task, Run: x.Run})
 	}
+	for _, x := range m.Crashes {
+		c := jaycell.Crash{Runner: x.Runner}
+		for _, y := range x.Runs {
+			c.Runs = append(c.Runs, jaycell.CrashedRun{Task: y.Task, Run: y.Run, Percent: y.Percent, WorkedFor: time.Duration(y.WorkedForMillis) * time.Millisecond, ListedFor: time.Duration(y.ListedForMillis) * time.Millisecond})
+		}
+		r.Crashes = append(r.Crashes, c)
+	}
 	return r
 }
 
--- a/internal/process/jaysupervisor/agent.go
+++ b/internal/process/jaysupervisor/agent.go
@@ -248,5 +248,12 @@
 	for _, x := range r.PendingOrders {
 		m.PendingOrders = append(m.PendingOrders, jayframe.CellOrder{Kind: uint8(x.Kind), Task: x.Task, Run: x.Run})
 	}
+	for _, x := range r.Crashes {
+		c := jayframe.CellCrash{Runner: x.Runner}
+		for _, y := range x.Runs {
+			c.Runs = append(c.Runs, jayframe.CellCrashedRun{Task: y.Task, Run: y.Run, Percent: y.Percent, WorkedForMillis: y.WorkedFor.Milliseconds(), ListedForMillis: y.ListedFor.Milliseconds()})
+		}
+		m.Crashes = append(m.Crashes, c)
+	}
 	return m
 }
--- a/internal/process/jaysupervisor/crash.go
+++ b/internal/process/jaysupervisor/crash.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -14,29 +15,82 @@
 
 const (
 	// crashConfirmation is how long nothing listens at a runner's address before its end
-	// counts as a crash, unless a new incarnation answers sooner.
-	crashConfirmation = time.Second
+	// counts as a crash, unless a new incarnation answers sooner: two refused connections.
+	crashConfirmation = retryDelay
 	// maxKeptCrashes bounds the crashes that are kept until the leader has recorded them;
 	// a runner takes seconds to come back, so that the oldest are minutes old.
 	maxKeptCrashes = 16
+	// lateStartWindow is how long after its call a start without an answer may begin: the
+	// exclusion of a run that is given up takes no longer.
+	lateStartWindow = 4 * time.Second
 	// maxCrashedRuns bounds the runs that the log line of a crash names.
 	maxCrashedRuns = 10
 )
 
-// observedRun is what the listings have shown of a run.
+// observedRun is what the listings have shown of a run. A run without a checkpoint counts as
+// seen at 0% when its start was answered.
 type observedRun struct {
-	run          int
-	firstPercent int
-	firstSeen    time.Duration
+	run       int
+	percent   int
+	firstSeen time.Duration
+	// progressAt is when percent last rose, lastSeen when the run was last listed.
+	progressAt time.Duration
+	lastSeen   time.Duration
+}
+
+// unlistedStart is a start that may have begun and that no listing has shown yet.
+type unlistedStart struct {
+	run      int
+	calledAt time.Duration
+	// accepted is set if the call was answered with success, fresh if it had no checkpoint.
+	accepted, fresh bool
+}
+
+// noteStartCall notes whether a start call may have begun its run.
+func (s *Supervisor) noteStartCall(o *order, err error) {
+	var unanswered *NoAnswerError
+	if err != nil && !errors.As(err, &unanswered) {
+		return
+	}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if s.runner.ID == o.Runner {
+		s.unlisted[o.Task] = unlistedStart{run: o.Run, calledAt: s.Elapsed(), accepted: err == nil, fresh: o.Checkpoint == ""}
+	}
+}
+
+// forgetUnlisted forgets the starts that a listing shows, or would show if they had begun.
+func (s *Supervisor) forgetUnlisted(l Listing, requestedAt time.Duration) {
+	for _, r := range l.Running {
+		if s.unlisted[r.Task].run == r.Run {
+			delete(s.unlisted, r.Task)
+		}
+	}
+	for _, e := range l.Finished {
+		if s.unlisted[e.Task].run <= e.Run {
+			delete(s.unlisted, e.Task)
+		}
+	}
+	maps.DeleteFunc(s.unlisted, func(_ string, u unlistedStart) bool {
+		return requestedAt > u.calledAt && (u.accepted || requestedAt > u.calledAt+lateStartWindow)
+	})
 }
 
 // observeRuns updates what is known about the listed runs.
-func (s *Supervisor) observeRuns(l Listing, now time.Duration) {
+func (s *Supervisor) observeRuns(l Listing, requestedAt, now time.Duration) {
+	defer s.forgetUnlisted(l, requestedAt)
 	listed := map[string]observedRun{}
 	for _, r := range l.Running {
 		o, known := s.observed[r.Task]
 		if !known || o.run != r.Run {
-			o = observedRun{run: r.Run, firstPercent: r.Percent, firstSeen: now}
+			o = observedRun{run: r.Run, percent: r.Percent, firstSeen: now, progressAt: now}
+			if start := s.unlisted[r.Task]; start.run == r.Run && start.accepted && start.fresh {
+				o.percent, o.firstSeen, o.progressAt = 0, start.calledAt, start.calledAt
+			}
+		}
+		o.lastSeen = now
+		if r.Percent > o.percent {
+			o.percent, o.progressAt = r.Percent, now
 		}
 		listed[r.Task] = o
 	}
@@ -53,8 +107,15 @@
 	}
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	if s.runner.ID == incarnation && s.endSeenAt == 0 {
-		s.endSeenAt = s.Elapsed()
+	if s.runner.ID != incarnation {
+		return
+	}
+	now := s.Elapsed()
+	if s.endSeenAt == 0 {
+		s.endSeenAt = now
+	}
+	if ended != nil && now-s.endSeenAt >= crashConfirmation {
+		s.recordCrash(now)
 	}
 }
 
@@ -75,7 +136,7 @@
 		return
 	}
 	s.crashRecorded = true
-	c := jaycell.Crash{Runner: s.runner.ID, Runs: s.exposedRuns(now)}
+	c := jaycell.Crash{Runner: s.runner.ID, Runs: s.exposedRuns()}
 	if len(s.crashes) == maxKeptCrashes {
 		s.Logger.Warn().Str("event", "crash").Str("runner", s.crashes[0].Runner).Str("outcome", "dropped").Msg("too many crashes that no leader has recorded")
 		s.crashes = s.crashes[1:]
@@ -83,32 +144,22 @@
 	s.crashes = append(s.crashes, c)
 	tasks := zerolog.Arr()
 	for _, r := range c.Runs[:min(len(c.Runs), maxCrashedRuns)] {
-		tasks = tasks.Dict(zerolog.Dict().Str("task", r.Task).Int("run", r.Run).Int("percent", r.Percent).Bool("progressed", r.Progressed))
+		tasks = tasks.Dict(zerolog.Dict().Str("task", r.Task).Int("run", r.Run).Int("percent", r.Percent).Int64("worked_ms", r.WorkedFor.Milliseconds()))
 	}
 	s.Logger.Warn().Str("event", "crash").Str("runner", c.Runner).Str("outcome", "counted").Int("runs", len(c.Runs)).Array("tasks", tasks).Msg("runner has crashed")
 	jaycontroller.Signal(s.reportSignal)
 }
 
 // exposedRuns returns the runs that were on the runner, or may have begun, when it ended.
-func (s *Supervisor) exposedRuns(now time.Duration) []jaycell.CrashedRun {
+func (s *Supervisor) exposedRuns() []jaycell.CrashedRun {
 	var runs []jaycell.CrashedRun
 	for _, r := range s.listing.Running {
 		o := s.observed[r.Task]
-		runs = append(runs, jaycell.CrashedRun{Task: r.Task, Run: r.Run, Percent: r.Percent, Progressed: r.Percent > o.firstPercent, Age: now - o.firstSeen})
+		runs = append(runs, jaycell.CrashedRun{Task: r.Task, Run: r.Run, Percent: r.Percent, WorkedFor: o.progressAt - o.firstSeen, ListedFor: o.lastSeen - o.firstSeen})
 	}
-	for task, o := range s.orders {
-		listed := slices.ContainsFunc(runs, func(r jaycell.CrashedRun) bool { return r.Task == task && r.Run == o.Run })
-		if o.mayHaveBegun && !listed {
-			runs = append(runs, jaycell.CrashedRun{Task: task, Run: o.Run})
-		}
+	for task, u := range s.unlisted {
+		runs = append(runs, jaycell.CrashedRun{Task: task, Run: u.run})
 	}
 	slices.SortFunc(runs, func(a, b jaycell.CrashedRun) int { return strings.Compare(a.Task, b.Task) })
 	return runs
 }
-
-// checkCrash counts a runner as crashed at whose address nothing has listened for a while.
-func (s *Supervisor) checkCrash(now time.Duration) {
-	if s.endSeenAt > 0 && now-s.endSeenAt >= crashConfirmation {
-		s.recordCrash(now)
-	}
-}
--- a/internal/process/jaysupervisor/heartbeats.go
+++ b/internal/process/jaysupervisor/heartbeats.go
@@ -117,10 +117,10 @@
 			s.withdraw(o, ReasonNotStarted)
 		}
 		o.timesSent++
-		o.mayHaveBegun = o.mayHaveBegun || !o.stop
 		if o.stop {
 			r.Stops = append(r.Stops, Stop{Task: task, Run: o.Run})
 		} else {
+			s.unlisted[task] = unlistedStart{run: o.Run, calledAt: s.Elapsed()}
 			r.Starts = append(r.Starts, Start{Task: task, Run: o.Run, Spec: o.Spec, Checkpoint: o.Checkpoint, Ticket: o.Ticket})
 		}
 	}
--- a/internal/process/jaysupervisor/nodemodel_test.go
+++ b/internal/process/jaysupervisor/nodemodel_test.go
@@ -79,6 +79,7 @@
 }
 
 func (l *link) cutLocked(directions []int) {
+	l.node.disturb()
 	for _, d := range directions {
 		l.cuts[d]++
 	}
@@ -87,6 +88,7 @@
 
 func (l *link) heal(directions ...int) {
 	l.node.fleet.locked(func() {
+		l.node.disturb()
 		for _, d := range directions {
 			l.cuts[d]--
 		}
@@ -109,8 +111,11 @@
 	// paused is closed when a pause of the agent process ends.
 	paused   chan struct{}
 	sequence uint64
-	elapsed  time.Duration
-	clock    sync.Mutex
+	// disturbedAt is when the last fault of the node, its links or its runner's calls began or
+	// ended.
+	disturbedAt time.Duration
+	elapsed     time.Duration
+	clock       sync.Mutex
 }
 
 func (f *fleet) addNode(heartbeats bool) *node {
@@ -143,6 +148,7 @@
 	if n.kill != nil {
 		n.kill()
 		n.fleet.logf("", "agent of %s killed", n.name)
+		n.disturb()
 	}
 	if n.paused != nil {
 		close(n.paused)
@@ -185,6 +191,7 @@
 }
 
 func (n *node) pauseLocked() {
+	n.disturb()
 	n.fleet.logf("", "agent of %s pauses", n.name)
 	n.paused = cmp.Or(n.paused, make(chan struct{}))
 }
@@ -197,6 +204,7 @@
 		n.fleet.logf("", "agent of %s goes on", n.name)
 		close(n.paused)
 		n.paused = nil
+		n.disturb()
 	}
 	n.fleet.mutex.Unlock()
 	l.flush(down)
--- a/internal/process/jaysupervisor/orders.go
+++ b/internal/process/jaysupervisor/orders.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -29,6 +30,10 @@
 	}
 	s.setTerm(term)
 	for _, o := range orders {
+		if o.Kind == jaycell.OrderAcknowledgeCrash {
+			s.crashes = slices.DeleteFunc(s.crashes, func(c jaycell.Crash) bool { return c.Runner == o.Runner })
+			continue
+		}
 		if o.Runner != s.runner.ID {
 			if o.Kind == jaycell.OrderStart {
 				s.addResult(o, true, ReasonReplaced)
@@ -69,7 +74,7 @@
 		old.cancel()
 	}
 	ctx, cancel := context.WithCancel(s.ctx)
-	pending := &order{Order: o, term: s.term, stop: stop, receivedAt: s.Elapsed(), cancel: cancel, mayHaveBegun: old != nil && old.Run == o.Run && old.mayHaveBegun}
+	pending := &order{Order: o, term: s.term, stop: stop, receivedAt: s.Elapsed(), cancel: cancel}
 	s.orders[o.Task] = pending
 	if s.OrdersByHeartbeat {
 		return
@@ -167,16 +172,6 @@
 	}
 }
 
-// noteStartCall notes whether a start call may have begun its run.
-func (s *Supervisor) noteStartCall(o *order, err error) {
-	var unanswered *NoAnswerError
-	if err == nil || errors.As(err, &unanswered) {
-		s.mutex.Lock()
-		o.mayHaveBegun = true
-		s.mutex.Unlock()
-	}
-}
-
 func (s *Supervisor) tryStart(ctx context.Context, request Start) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
--- a/internal/process/jaysupervisor/runnermodel_test.go
+++ b/internal/process/jaysupervisor/runnermodel_test.go
@@ -70,6 +70,7 @@
 func (n *node) endRunner() {
 	r := n.runner
 	r.alive = false
+	n.fleet.noteCrash(r)
 	for _, x := range slices.Clone(n.fleet.runs) {
 		if x.runner == r {
 			r.end(x, jaycell.EndLost)
--- a/internal/process/jaysupervisor/supervisor.go
+++ b/internal/process/jaysupervisor/supervisor.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -53,8 +54,6 @@
 	// calls counts the start calls; unanswered is set once one of them has had no answer.
 	calls      int
 	unanswered bool
-	// mayHaveBegun is set once the run may have begun on the runner.
-	mayHaveBegun bool
 	// refusal is why a start is refused, while its run is being stopped.
 	refusal string
 	// timesSent counts the heartbeat responses that have carried the order.
@@ -113,8 +112,10 @@
 	// that the leader has not recorded.
 	crashRecorded bool
 	crashes       []jaycell.Crash
-	// observed holds what the listings have shown of the listed runs, by task.
+	// observed holds what the listings have shown of the listed runs, by task; unlisted holds
+	// the starts that no listing has shown yet.
 	observed map[string]observedRun
+	unlisted map[string]unlistedStart
 	// runnerClock is the runner's own clock at runnerClockReadAt.
 	runnerClock       time.Duration
 	runnerClockReadAt time.Duration
@@ -147,7 +148,7 @@
 
 // New returns a supervisor without a runner.
 func New() *Supervisor {
-	return &Supervisor{Elapsed: jayclock.Elapsed, orders: map[string]*order{}, excluded: map[string]exclusion{}, reportSignal: make(chan struct{}, 1), pollSignal: make(chan struct{}, 1)}
+	return &Supervisor{Elapsed: jayclock.Elapsed, orders: map[string]*order{}, excluded: map[string]exclusion{}, unlisted: map[string]unlistedStart{}, reportSignal: make(chan struct{}, 1), pollSignal: make(chan struct{}, 1)}
 }
 
 // Run supervises the runner until ctx is done.
@@ -253,6 +254,7 @@
 	s.runner, s.sequence, s.deregistered, s.ended, s.acknowledged, s.results, s.runnerClockKnown, s.confirmedFence, s.sentFence = h.Runner, h.Sequence, false, false, 0, nil, false, 0, 0
 	s.listing = Listing{}
 	s.lastAnswer, s.endSeenAt, s.crashRecorded, s.observed = 0, 0, false, nil
+	clear(s.unlisted)
 	clear(s.excluded)
 	jaycontroller.Signal(s.reportSignal)
 }
@@ -378,7 +380,7 @@
 	s.confirmedFence = max(s.confirmedFence, fence)
 	old := s.listing
 	s.listing = l
-	s.observeRuns(l, answeredAt)
+	s.observeRuns(l, requestedAt, answeredAt)
 	// A listed run needs no start any more, and an ended one no order at all.
 	for _, e := range l.Finished {
 		if o := s.orders[e.Task]; o != nil && o.Run <= e.Run {
@@ -417,7 +419,6 @@
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	now := s.Elapsed()
-	s.checkCrash(now)
 	r := jaycell.Report{
 		Node: s.Node, Sequence: int64(now), Term: min(s.confirmedFence, s.term), Runner: s.runner, Ended: s.ended,
 		Responsive: !s.ended && s.lastResponse > 0 && now-s.lastResponse < max(responsiveTimeout, s.HeartbeatInterval*responsiveHeartbeats),
@@ -427,6 +428,7 @@
 	if s.confirmedFence < s.term {
 		r.Term = 0
 	}
+	r.Crashes = slices.Clone(s.crashes)
 	kept := s.results[:0]
 	for _, result := range s.results {
 		if now-result.recordedAt < resultRetention {
