Don't clear a daemon by the old listing of a crashed runner

A daemon task shows no progress and is cleared of suspicion once it has run for two seconds. The agent of a crashed runner repeats its last listing for up to three seconds, so that a daemon that crashes each runner at its start was cleared each time. Found by reading; TestOldListingDoesNotClearADaemon fails without the condition. Nothing on a runner is cleared any more once its crash is known.

--- a/internal/process/jaycell/crash.go
+++ b/internal/process/jaycell/crash.go
@@ -118,7 +118,8 @@
 // it is a daemon task, has outlived its start.
 func (c *Cell) recordSurvival(pl *placement) {
 	u := pl.unit
-	if len(u.crashes) == 0 {
+	if len(u.crashes) == 0 || pl.runner.crashed {
+		// The agent repeats its last listing of a runner that has crashed.
 		return
 	}
 	survived := pl.hasWorked() && pl.percent > u.crashPercent(pl.index)
--- a/internal/process/jaycell/crash_test.go
+++ b/internal/process/jaycell/crash_test.go
@@ -314,3 +314,23 @@
 	}
 	assert.Equal(t, c.jobStates["00000000000000ee"], jaytask.Running)
 }
+
+// The agent of a crashed runner repeats its last listing for some time.
+func TestOldListingDoesNotClearADaemon(t *testing.T) {
+	h := newHarness(t, nil)
+	daemon := wide(1)
+	daemon.Daemon = true
+	h.submit("00000000000000ee", 1, "", daemon)
+	h.report("n", "r", nil)
+	task := startedTasks(h.advance(100 * time.Millisecond))[0]
+	for i := range 30 {
+		h.report("n", "r", func(p *Report) {
+			p.Running = []Run{{Task: task, Run: 1, Percent: 100}}
+			if i == 2 {
+				p.Crashes = []Crash{{Runner: "r", Runs: []CrashedRun{{Task: task, Run: 1, Percent: 100}}}}
+			}
+		})
+		h.advance(100 * time.Millisecond)
+	}
+	assert.Equal(t, len(h.cell.jobs["00000000000000ee"].units[task].crashes), 1)
+}
