Blame no start that a later listing does not show

A start call without an answer was held against its task for four seconds if the runner crashed, although listings showed that it had not begun. Such a start now counts only until a listing that was requested after it.

--- a/internal/process/jaysupervisor/crash.go
+++ b/internal/process/jaysupervisor/crash.go
@@ -20,9 +20,6 @@
 	// maxKeptCrashes bounds the crashes that are kept until the leader has recorded them;
 	// a runner takes seconds to come back, so that the oldest are minutes old.
 	maxKeptCrashes = 16
-	// lateStartWindow is how long after its call a start without an answer may begin: the
-	// exclusion of a run that is given up takes no longer.
-	lateStartWindow = 4 * time.Second
 	// maxCrashedRuns bounds the runs that the log line of a crash names.
 	maxCrashedRuns = 10
 )
@@ -59,7 +56,8 @@
 	}
 }
 
-// forgetUnlisted forgets the starts that a listing shows, or would show if they had begun.
+// forgetUnlisted forgets the starts that a listing shows, or would show if they had begun. A
+// call without an answer may begin its run later; that it did so just before a crash is unlikely.
 func (s *Supervisor) forgetUnlisted(l Listing, requestedAt time.Duration) {
 	for _, r := range l.Running {
 		if s.unlisted[r.Task].run == r.Run {
@@ -71,9 +69,7 @@
 			delete(s.unlisted, e.Task)
 		}
 	}
-	maps.DeleteFunc(s.unlisted, func(_ string, u unlistedStart) bool {
-		return requestedAt > u.calledAt && (u.accepted || requestedAt > u.calledAt+lateStartWindow)
-	})
+	maps.DeleteFunc(s.unlisted, func(_ string, u unlistedStart) bool { return requestedAt > u.calledAt })
 }
 
 // observeRuns updates what is known about the listed runs.
