Don't fill runners that have shrunk

A runner's capacity may shrink while it runs, and not every runner refuses what does not fit. Callers would see their tasks slowed or killed by others. Cause: a start is decided on a report and carried out later, at worst after an outage of the store, with the next lease, or once the runner or a paused agent answers again; nothing asked for the capacity then.

The leader drops a start that was decided for a larger capacity and does not fit once it is stored, and stops those that were sent and have not begun, the latest first. Each start names the capacity that it was decided for; an agent refuses it if its runner has less, and starts nothing while the last heartbeat is more than two intervals old. What runs or is being stopped counts until its end is listed, as before.

Ways weighed: the agent adds up what its runner runs (it does not know what a run needs); the leader alone (a start that waits in the agent for a lease or an answer comes 5 s later). The model's runner now breaks a long poll off when it ends, as real ones do.

--- a/internal/connection/jayframe/cell.go
+++ b/internal/connection/jayframe/cell.go
@@ -101,6 +101,10 @@
 	Number     uint64
 	Percent    int
 	Repeated   bool
+	// CPU, Memory and Accelerators are the capacity for which a start was decided.
+	CPU          int
+	Memory       int
+	Accelerators int
 }
 
 // CellOrders sends the orders of a term's leader to an agent.
--- /dev/null
+++ b/internal/process/jaycell/capacity.go
@@ -0,0 +1,39 @@
+package jaycell
+
+import "sort"
+
+// Runners may be started on beyond their capacity: not all of them refuse what does not fit.
+// So a start that was decided for a larger capacity than the runner has now is not sent, and
+// one that was sent and has not begun is withdrawn. An agent refuses what reaches it later.
+
+// isOverfull reports whether what is on the runner needs more than its capacity.
+func (r *Runner) isOverfull() bool { return !r.used.FitsIn(r.info.Capacity) }
+
+// isOutdated reports whether a placement was decided for a larger capacity of its runner and
+// no longer fits.
+func (pl *placement) isOutdated() bool {
+	return pl.runner.reported && !pl.capacity.FitsIn(pl.runner.info.Capacity) && pl.runner.isOverfull()
+}
+
+// withdrawStarts stops the placements that have not begun on a runner that has shrunk, the
+// latest first, until the others fit.
+func (c *Cell) withdrawStarts(r *Runner) {
+	if !r.isOverfull() {
+		return
+	}
+	var pending []*placement
+	left := r.used
+	for _, pl := range sortedPlacements(r) {
+		if !pl.stopOrdered && !pl.confirmed && pl.isOutdated() {
+			pending = append(pending, pl)
+		}
+	}
+	sort.SliceStable(pending, func(i, j int) bool { return pending[i].orderSentAt > pending[j].orderSentAt })
+	for _, pl := range pending {
+		if left.FitsIn(r.info.Capacity) {
+			return
+		}
+		left = left.Sub(pl.resources)
+		c.stopUnit(pl.unit, "the capacity of its runner has shrunk")
+	}
+}
--- a/internal/process/jaycell/cell.go
+++ b/internal/process/jaycell/cell.go
@@ -110,6 +110,8 @@
 	Number uint64
 	// Percent is the CPU share to which a run is throttled.
 	Percent int
+	// Capacity is that of the runner for which a start was decided.
+	Capacity jaytask.Resources
 	// Repeated reports that the order was sent before, perhaps to an agent process that has
 	// ended.
 	Repeated bool
@@ -468,6 +470,11 @@
 // be sent. A start that was stopped in the meantime was never sent and ends here.
 func (c *Cell) ConfirmStored(b *Batch) []Order {
 	orders := b.Orders
+	for _, pl := range b.placements {
+		if pl.isOutdated() {
+			c.stopUnit(pl.unit, "the capacity of its runner has shrunk")
+		}
+	}
 	for _, pl := range b.placements {
 		pl.committed, pl.orderSentAt = true, c.now
 		if pl.runner.placements[pl.task()] != pl {
@@ -487,5 +494,5 @@
 }
 
 func (c *Cell) startOrder(pl *placement) Order {
-	return Order{Kind: OrderStart, Node: pl.runner.node, Runner: pl.runner.id, Task: pl.task(), Run: pl.run, Spec: pl.unit.job.spec.Spec, Checkpoint: pl.unit.checkpoint, Ticket: c.ticketFor(pl)}
+	return Order{Kind: OrderStart, Node: pl.runner.node, Runner: pl.runner.id, Task: pl.task(), Run: pl.run, Spec: pl.unit.job.spec.Spec, Checkpoint: pl.unit.checkpoint, Ticket: c.ticketFor(pl), Capacity: pl.capacity}
 }
--- a/internal/process/jaycell/report.go
+++ b/internal/process/jaycell/report.go
@@ -88,6 +88,7 @@
 	}
 	c.applyEnds(r, p)
 	c.reconcileRuns(r, p, firstReport)
+	c.withdrawStarts(r)
 	c.throttle(r)
 	return true
 }
--- a/internal/process/jaycell/unit.go
+++ b/internal/process/jaycell/unit.go
@@ -190,6 +190,8 @@
 	index     int
 	runner    *Runner
 	resources jaytask.Resources
+	// capacity is that of the runner when the placement was decided.
+	capacity jaytask.Resources
 	// committed reports that the run is stored, so that its start may be sent.
 	committed bool
 	// confirmed reports that the runner has started the run.
@@ -215,7 +217,7 @@
 
 // newPlacement returns a placement of a unit's current run.
 func newPlacement(u *unit, index int, r *Runner, now time.Duration) *placement {
-	return &placement{unit: u, name: TaskName(u.job.spec.ID, u.occurrence, u.step, index), run: u.run, index: index, runner: r, resources: u.spec().Allocation(), progressAt: now, share: fullShare}
+	return &placement{unit: u, name: TaskName(u.job.spec.ID, u.occurrence, u.step, index), run: u.run, index: index, runner: r, resources: u.spec().Allocation(), capacity: r.info.Capacity, progressAt: now, share: fullShare}
 }
 
 // fullShare is the CPU share of a run that is not throttled, in percent.
--- a/internal/process/jaycontroller/leaderlinks.go
+++ b/internal/process/jaycontroller/leaderlinks.go
@@ -35,7 +35,7 @@
 }
 
 func encodeOrder(o jaycell.Order) jayframe.CellOrder {
-	return jayframe.CellOrder{Kind: uint8(o.Kind), Runner: o.Runner, Task: o.Task, Run: o.Run, Spec: o.Spec, Checkpoint: o.Checkpoint, Ticket: o.Ticket, Number: o.Number, Percent: o.Percent, Repeated: o.Repeated}
+	return jayframe.CellOrder{Kind: uint8(o.Kind), Runner: o.Runner, Task: o.Task, Run: o.Run, Spec: o.Spec, Checkpoint: o.Checkpoint, Ticket: o.Ticket, Number: o.Number, Percent: o.Percent, Repeated: o.Repeated, CPU: o.Capacity.CPU, Memory: o.Capacity.Memory, Accelerators: o.Capacity.Accelerators}
 }
 
 func decodeReport(m *jayframe.CellReport) jaycell.Report {
--- a/internal/process/jaysupervisor/agent.go
+++ b/internal/process/jaysupervisor/agent.go
@@ -13,6 +13,7 @@
 	"github.com/jaystile/jaystile/internal/process/jaycell"
 	"github.com/jaystile/jaystile/internal/process/jaycontroller"
 	"github.com/jaystile/jaystile/internal/process/jaystore"
+	"github.com/jaystile/jaystile/internal/request/jaytask"
 )
 
 const (
@@ -187,7 +188,7 @@
 	case *jayframe.CellOrders:
 		orders := make([]jaycell.Order, len(m.Orders))
 		for i, o := range m.Orders {
-			orders[i] = jaycell.Order{Kind: jaycell.OrderKind(o.Kind), Runner: o.Runner, Task: o.Task, Run: o.Run, Spec: o.Spec, Checkpoint: o.Checkpoint, Ticket: o.Ticket, Number: o.Number, Percent: o.Percent, Repeated: o.Repeated}
+			orders[i] = jaycell.Order{Kind: jaycell.OrderKind(o.Kind), Runner: o.Runner, Task: o.Task, Run: o.Run, Spec: o.Spec, Checkpoint: o.Checkpoint, Ticket: o.Ticket, Number: o.Number, Percent: o.Percent, Repeated: o.Repeated, Capacity: jaytask.Resources{CPU: o.CPU, Memory: o.Memory, Accelerators: o.Accelerators}}
 		}
 		a.Supervisor.ApplyOrders(m.Term, orders)
 	case *jayframe.CellView:
--- a/internal/process/jaysupervisor/cellmodel_test.go
+++ b/internal/process/jaysupervisor/cellmodel_test.go
@@ -66,6 +66,8 @@
 	failedEnds map[string]map[int]bool
 	// deadlyShare is the share of deadly jobs among the random ones.
 	deadlyShare float64
+	// shrinking makes runners shrink and grow, and start what does not fit.
+	shrinking bool
 	// faultGap stretches the time between random faults, if it is not zero.
 	faultGap int
 	events   []event
--- a/internal/process/jaysupervisor/client.go
+++ b/internal/process/jaysupervisor/client.go
@@ -85,6 +85,9 @@
 	ReasonLeaseExpired = "late"
 	// ReasonDraining is the supervisor's own refusal while its runner drains.
 	ReasonDraining = "draining"
+	// ReasonShrunk is the supervisor's own refusal of a start that was decided for a larger
+	// capacity than its runner has.
+	ReasonShrunk = "capacity has shrunk"
 	// ReasonReplaced is the supervisor's own refusal of an order for an earlier
 	// incarnation.
 	ReasonReplaced = "replaced"
--- a/internal/process/jaysupervisor/faults_test.go
+++ b/internal/process/jaysupervisor/faults_test.go
@@ -64,6 +64,9 @@
 		})
 		time.Sleep(wait)
 	}
+	for _, n := range f.nodes {
+		f.locked(func() { n.setCapacity(modelSlots) })
+	}
 	// The last faults end.
 	time.Sleep(2 * maxFault)
 	f.until("end of all jobs", 60*time.Second, func() bool {
@@ -101,6 +104,9 @@
 func (f *fleet) injectFault() {
 	n := f.nodes[f.script.IntN(len(f.nodes))]
 	r := n.runner
+	if r.unguarded = f.shrinking; f.shrinking && f.script.chance(0.3) {
+		n.setCapacity(f.script.IntN(modelSlots + 1))
+	}
 	switch f.script.IntN(20 + f.rough) {
 	case 0, 1, 2, 3, 4, 5:
 		unfinished := 0
--- a/internal/process/jaysupervisor/heartbeats.go
+++ b/internal/process/jaysupervisor/heartbeats.go
@@ -111,6 +111,8 @@
 			continue
 		case !o.stop && s.runner.Draining && o.timesSent == 0:
 			s.withdraw(o, ReasonDraining)
+		case !o.stop && s.hasShrunk(o):
+			s.withdraw(o, ReasonShrunk)
 		case !o.stop && r.Lease < minLeaseLeft:
 			continue
 		case !o.stop && (s.runner.Draining || o.timesSent >= maxStartsSent):
--- a/internal/process/jaysupervisor/nodemodel_test.go
+++ b/internal/process/jaysupervisor/nodemodel_test.go
@@ -234,7 +234,7 @@
 		return
 	}
 	n.sequence++
-	h := Heartbeat{Sequence: n.sequence, Runner: jaycell.RunnerInfo{ID: r.id, Service: "s", Capacity: jaytask.Resources{CPU: modelSlots}, Draining: r.draining, DrainRemaining: 10 * time.Second}}
+	h := Heartbeat{Sequence: n.sequence, Runner: jaycell.RunnerInfo{ID: r.id, Service: "s", Capacity: jaytask.Resources{CPU: r.slots}, Draining: r.draining, DrainRemaining: 10 * time.Second}}
 	if n.heartbeats {
 		h.Listing = r.listing()
 	}
--- a/internal/process/jaysupervisor/orders.go
+++ b/internal/process/jaysupervisor/orders.go
@@ -129,14 +129,18 @@
 	for ctx.Err() == nil {
 		s.mutex.Lock()
 		request := Start{Incarnation: o.Runner, Task: o.Task, Run: o.Run, Spec: o.Spec, Checkpoint: o.Checkpoint, Ticket: o.Ticket, Deadline: s.leaseDeadline(), Fence: o.term}
-		draining := s.runner.Draining || s.deregistered
-		leased := s.grantedUntil-s.Elapsed() > minLeaseLeft && request.Deadline > 0
+		draining, shrunk := s.runner.Draining || s.deregistered, s.hasShrunk(o)
+		ready := s.grantedUntil-s.Elapsed() > minLeaseLeft && request.Deadline > 0 && s.knowsCapacity()
 		s.mutex.Unlock()
 		if draining {
 			s.refuse(ctx, o, ReasonDraining)
 			return
 		}
-		if !leased {
+		if shrunk {
+			s.refuse(ctx, o, ReasonShrunk)
+			return
+		}
+		if !ready {
 			jayclock.Sleep(ctx, retryDelay)
 			continue
 		}
--- a/internal/process/jaysupervisor/runnermodel_test.go
+++ b/internal/process/jaysupervisor/runnermodel_test.go
@@ -37,6 +37,11 @@
 	finished []jaycell.End
 	endedAt  map[uint64]time.Duration
 	draining bool
+	// slots is the capacity, which has shrunk at shrunkAt; unguarded runners start what does
+	// not fit.
+	slots     int
+	shrunkAt  time.Duration
+	unguarded bool
 	// leaving runners have deregistered and send no heartbeats.
 	leaving bool
 	// refusal is the reason for which all starts are refused.
@@ -84,7 +89,7 @@
 		n.endRunner()
 	}
 	n.sequence++
-	n.runner = &modelRunner{node: n, id: fmt.Sprintf("%s-r%d", n.name, n.sequence), alive: true, rate: 1 - 0.02*float64(n.sequence%2), lenient: n.fleet.script.chance(0.5), marks: map[string]int{}, endedAt: map[uint64]time.Duration{}}
+	n.runner = &modelRunner{node: n, id: fmt.Sprintf("%s-r%d", n.name, n.sequence), alive: true, rate: 1 - 0.02*float64(n.sequence%2), lenient: n.fleet.script.chance(0.5), slots: modelSlots, marks: map[string]int{}, endedAt: map[uint64]time.Duration{}}
 	n.fleet.logf("", "runner %s begins", n.runner.id)
 }
 
@@ -181,12 +186,15 @@
 		n.fleet.mutex.Lock()
 		r := n.runner
 		l, ready := r.listing(), len(r.finished) > 0 || n.fleet.now() >= until
-		silent := r.silent || !r.alive || r.id != q.Incarnation
+		silent, closed := r.silent || r.id != q.Incarnation, !r.alive && !r.silent
 		late, chances := time.Duration(0), n.fleet.luckOf(r.id)
 		if chances.chance(r.unreliable) {
 			late = chances.between(1, 300)
 		}
 		n.fleet.mutex.Unlock()
+		if closed {
+			return Listing{}, &NoAnswerError{Call: "renew", Cause: "connection closed"}
+		}
 		if ready && !silent {
 			if !jayclock.Sleep(ctx, late) {
 				return Listing{}, &NoAnswerError{Call: "renew", Cause: "timeout"}
@@ -229,7 +237,7 @@
 	if r.marks[s.Task] >= s.Run {
 		return &RefusedError{Call: "start", Reason: "old"}
 	}
-	if r.refusal != "" || used >= modelSlots {
+	if r.refusal != "" || used >= r.slots && !r.unguarded {
 		return &RefusedError{Call: "start", Reason: "room"}
 	}
 	f.beginRun(r, s)
@@ -356,6 +364,7 @@
 		f.fail(s.Task, "run %d begins on %s %s after the end of its job", s.Run, r.id, now-at)
 	}
 	f.checkBudget(x)
+	f.checkCapacity(x)
 	f.runs, f.begun[unit] = append(f.runs, x), x
 	f.logf(s.Task, "%s: run %d of %s begins", r.id, s.Run, s.Task)
 }
--- a/internal/process/jaysupervisor/supervisor.go
+++ b/internal/process/jaysupervisor/supervisor.go
@@ -97,7 +97,9 @@
 	mutex  sync.Mutex
 	runner jaycell.RunnerInfo
 	// sequence is that of the newest heartbeat.
-	sequence     uint64
+	sequence uint64
+	// heartbeatAt is when the newest heartbeat came.
+	heartbeatAt  time.Duration
 	deregistered bool
 	// ended is set once a deregistered runner no longer listens.
 	ended bool
@@ -236,14 +238,28 @@
 
 // updateRunner applies a newer heartbeat of the same incarnation.
 func (s *Supervisor) updateRunner(h Heartbeat) {
-	s.sequence = h.Sequence
+	s.sequence, s.heartbeatAt = h.Sequence, s.Elapsed()
 	if s.runner.Draining != h.Runner.Draining {
 		s.Logger.Info().Str("event", "runner").Str("runner", h.Runner.ID).Bool("draining", h.Runner.Draining).Dur("drain_left", h.Runner.DrainRemaining).Msg("runner changed its draining state")
 		jaycontroller.Signal(s.reportSignal)
 	}
+	if s.runner.Capacity != h.Runner.Capacity {
+		s.Logger.Info().Str("event", "runner").Str("runner", h.Runner.ID).Int("cpu", h.Runner.Capacity.CPU).Int("memory", h.Runner.Capacity.Memory).Int("accelerators", h.Runner.Capacity.Accelerators).Msg("runner changed its capacity")
+		jaycontroller.Signal(s.reportSignal)
+	}
 	s.runner = h.Runner
 }
 
+// knowsCapacity reports whether the runner's last heartbeat is recent. After a pause of this
+// process, its runner may have shrunk unnoticed.
+func (s *Supervisor) knowsCapacity() bool {
+	return s.HeartbeatInterval == 0 || s.Elapsed()-s.heartbeatAt <= responsiveHeartbeats*s.HeartbeatInterval
+}
+
+// hasShrunk reports whether the runner has less than the capacity for which a start was
+// decided. Not every runner refuses what does not fit.
+func (s *Supervisor) hasShrunk(o *order) bool { return !o.Capacity.FitsIn(s.runner.Capacity) }
+
 // replaceRunner resets the state for another incarnation of the runner.
 func (s *Supervisor) replaceRunner(h Heartbeat) {
 	s.Logger.Info().Str("event", "runner").Str("runner", h.Runner.ID).Str("was", s.runner.ID).Msg("runner has a new incarnation")
@@ -252,7 +268,7 @@
 		s.pastIncarnations = append(s.pastIncarnations[max(0, len(s.pastIncarnations)-maxPastIncarnations+1):], s.runner.ID)
 	}
 	s.runner, s.sequence, s.deregistered, s.ended, s.acknowledged, s.results, s.runnerClockKnown, s.confirmedFence, s.sentFence = h.Runner, h.Sequence, false, false, 0, nil, false, 0, 0
-	s.listing = Listing{}
+	s.listing, s.heartbeatAt = Listing{}, s.Elapsed()
 	s.lastAnswer, s.endSeenAt, s.crashRecorded, s.observed = 0, 0, false, nil
 	clear(s.unlisted)
 	clear(s.excluded)
