Count runs without a placement against their runner's capacity

A new leader does not know the jobs that ended before its term. Their runs that are still being stopped counted nowhere, so that it placed work beside them: on a runner that guards its capacity the start is refused and comes again, on another one the runner is overfilled.

A listed run without a placement now counts until a listing no longer shows it; if its job is not known, its runner gets no work until then, which is a stop long.

--- a/internal/process/jaycell/capacity.go
+++ b/internal/process/jaycell/capacity.go
@@ -7,7 +7,7 @@
 // one that was sent and has not begun is withdrawn. An agent refuses what reaches it later.
 
 // isOverfull reports whether what is on the runner needs more than its capacity.
-func (r *Runner) isOverfull() bool { return !r.used.FitsIn(r.info.Capacity) }
+func (r *Runner) isOverfull() bool { return !r.used.Add(r.stray).FitsIn(r.info.Capacity) }
 
 // isOutdated reports whether a placement was decided for a larger capacity of its runner and
 // no longer fits.
@@ -37,3 +37,15 @@
 		c.stopUnit(pl.unit, "the capacity of its runner has shrunk")
 	}
 }
+
+// chargeStray counts a listed run without a placement: it occupies its runner until it has
+// ended. Of a job that ended before this term nothing is known, so that its runner gets no work
+// until then.
+func (c *Cell) chargeStray(r *Runner, run Run) {
+	id, _, step, _, ok := parseTaskName(run.Task)
+	if j := c.jobs[id]; ok && j != nil && step < len(j.spec.Steps) {
+		r.stray = r.stray.Add(j.spec.Steps[step].Allocation())
+		return
+	}
+	r.hasUnknownStray = true
+}
--- a/internal/process/jaycell/capacity_test.go
+++ b/internal/process/jaycell/capacity_test.go
@@ -1,6 +1,7 @@
 package jaycell
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -107,3 +108,33 @@
 	})
 	assert.Equal(t, len(startedTasks(h.advance(100*time.Millisecond))), 1)
 }
+
+// A new leader finds runs of jobs that have ended, which it stops.
+func TestRunsWithoutAPlacementLeaveNoRoom(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		known bool
+		// want is how many of the eight tasks start beside the run.
+		want int
+	}{
+		{"unknown job", false, 0},
+		{"known job", true, 7},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			h := newHarness(t, nil)
+			stale := TaskName("00000000000000bb", 0, 0, 0)
+			if c.known {
+				h.submit("00000000000000bb", 2, "", step(1, 1))
+				h.cell.Cancel("00000000000000bb")
+				h.advance(0)
+			}
+			for range 8 {
+				h.submit(fmt.Sprintf("%016x", len(h.cell.jobs)+0xaa00), 1, "", step(1, 1))
+			}
+			h.report("n", "r", func(p *Report) { p.Running = []Run{{Task: stale, Run: 1}} })
+			assert.Equal(t, len(startedTasks(h.advance(100*time.Millisecond))), c.want)
+			h.report("n", "r", func(p *Report) { p.Finished = []End{{Number: 1, Task: stale, Run: 1, Reason: EndStopped}} })
+			assert.Equal(t, len(startedTasks(h.advance(100*time.Millisecond))), 8-c.want)
+		})
+	}
+}
--- a/internal/process/jaycell/report.go
+++ b/internal/process/jaycell/report.go
@@ -199,9 +199,11 @@
 // runner's first report in this term.
 func (c *Cell) reconcileRuns(r *Runner, p Report, firstReport bool) {
 	running := map[string]bool{}
+	r.stray, r.hasUnknownStray = jaytask.Resources{}, false
 	for _, run := range p.Running {
 		pl := r.placements[run.Task]
 		if pl == nil || pl.run != run.Run {
+			c.chargeStray(r, run)
 			c.stopUnknownRun(r, run.Task, run.Run, "run was not ordered")
 			continue
 		}
--- a/internal/process/jaycell/runner.go
+++ b/internal/process/jaycell/runner.go
@@ -144,6 +144,10 @@
 	drainDoubtEnd time.Duration
 	placements    map[string]*placement
 	used          jaytask.Resources
+	// stray is what the listed runs without a placement need, which are being stopped.
+	// hasUnknownStray is set while that is not known of all of them.
+	stray           jaytask.Resources
+	hasUnknownStray bool
 	// acked is the highest End.Number whose acknowledgement was ordered.
 	acked   uint64
 	ackedAt time.Duration
@@ -205,11 +209,11 @@
 	return r.info.Service == u.job.spec.Policy.Service && r.hasLabel(u.spec().Label)
 }
 
-func (r *Runner) available() jaytask.Resources { return r.info.Capacity.Sub(r.used) }
+func (r *Runner) available() jaytask.Resources { return r.info.Capacity.Sub(r.used).Sub(r.stray) }
 
 // acceptsWork reports whether new work may be placed on the runner.
 func (r *Runner) acceptsWork(now time.Duration) bool {
-	return r.reported && !r.lost && !r.info.Draining && now-r.reportedAt < maxReportAge
+	return r.reported && !r.lost && !r.hasUnknownStray && !r.info.Draining && now-r.reportedAt < maxReportAge
 }
 
 func (r *Runner) addPlacement(pl *placement) {
