--- a/internal/process/jaycell/crash.go
+++ b/internal/process/jaycell/crash.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/jaystile/jaystile/internal/request/jaytask"
@@ -100,13 +101,19 @@
 	}
 	c.reportDecision(Decision{Job: id, Task: run.Task, Run: run.Run, Runner: runner, Event: "crash", Outcome: outcome, Reason: fmt.Sprintf("at %d%%; crashes under the task: %d at its start, %d in all", run.Percent, atStart, all), AgeMS: c.jobAgeMS(j)})
 	if u.isDeadly() {
-		c.giveUp(u, run.Task)
+		c.giveUp(u, run.Task, index)
 	}
 }
 
 // giveUp fails the job of a unit that crashes its runners.
-func (c *Cell) giveUp(u *unit, task string) {
-	u.reason = fmt.Sprintf("%s has crashed %d runners", task, len(u.crashes))
+func (c *Cell) giveUp(u *unit, task string, index int) {
+	var runners []string
+	for _, x := range u.crashes {
+		if x.Index == index {
+			runners = append(runners, x.Runner)
+		}
+	}
+	u.reason = fmt.Sprintf("%s has crashed %d runners: %s", task, len(runners), strings.Join(runners, ", "))
 	c.reportDecision(Decision{Job: u.job.spec.ID, Task: task, Run: u.run, Event: "crash", Outcome: "given up", Reason: u.reason, AgeMS: c.jobAgeMS(u.job)})
 	if u.phase == phaseWaiting {
 		u.phase = phaseFailed
