Don't repeat the start of a gang that is done

Cause, one of two: a gang is done with the first of its members that is. The placements of the others stay until their ends are listed, and when a report showed neither run nor end of one, the leader took its start order for lost and sent it again. A runner that remembers the run refuses that; one that has restarted begins it.

Once a unit is not active, a placement that is not listed is stopped instead, which makes its runner refuse the start.

--- a/internal/process/jaycell/report.go
+++ b/internal/process/jaycell/report.go
@@ -245,6 +245,9 @@
 			// The latest order may still be in transit.
 		case pl.stopOrdered && !(inProgress && o.Kind == OrderStop):
 			c.repeatOrder(pl, stopOrder(pl), "stop")
+		case !pl.stopOrdered && !running[pl.task()] && pl.unit.phase != phaseActive:
+			// Another member has completed the gang: this one must not begin again.
+			c.stopPlacement(pl)
 		case !pl.stopOrdered && !running[pl.task()] && !inProgress:
 			c.repeatOrder(pl, c.startOrder(pl), "start")
 		}
