Tell the lives of a runner that keeps its id apart

The platform's term has changed: a runner may be back under its id, knowing nothing, and says in born when its life began. Its empty listing then read as an order that had got lost, and the start was sent again to a runner that no longer knew the run.

The adapter makes one incarnation ID of id and born; all tables, records, orders, reports and logs are keyed by that already.

Ways weighed: a second key beside the id in all tables (each place must be found); the counts that start anew as the sign (a late answer looks the same).

--- a/internal/process/jaycell/runner.go
+++ b/internal/process/jaycell/runner.go
@@ -1,6 +1,7 @@
 package jaycell
 
 import (
+	"strconv"
 	"strings"
 	"time"
 
@@ -20,6 +21,25 @@
 	DrainRemaining time.Duration
 }
 
+// lifeSeparator separates the parts of an incarnation ID. Names cannot contain it.
+const lifeSeparator = "/"
+
+// IncarnationID returns the ID of a runner's life that began at the given Unix time in
+// milliseconds. A runner may begin several lives under one name.
+func IncarnationID(name string, bornMillis int64) string {
+	return name + lifeSeparator + strconv.FormatInt(bornMillis, 10)
+}
+
+// RunnerName returns the name of the runner of an incarnation. It is the whole ID of a runner
+// that does not tell when its life began: each of its lives has a name of its own.
+func RunnerName(id string) string {
+	name, _, _ := strings.Cut(id, lifeSeparator)
+	return name
+}
+
+// TellsLife reports whether an incarnation ID contains when the life began.
+func TellsLife(id string) bool { return strings.Contains(id, lifeSeparator) }
+
 // Run is a run in progress as listed by its runner.
 type Run struct {
 	Task       string
--- a/internal/process/jaysupervisor/heartbeats.go
+++ b/internal/process/jaysupervisor/heartbeats.go
@@ -48,7 +48,7 @@
 func (s *Supervisor) ExchangeHeartbeat(h Heartbeat) HeartbeatResponse {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	if slices.Contains(s.pastIncarnations, h.Runner.ID) || s.runner.ID == h.Runner.ID && (s.deregistered || h.Sequence <= s.sequence) {
+	if !s.isWhole(h) || slices.Contains(s.pastIncarnations, h.Runner.ID) || s.runner.ID == h.Runner.ID && (s.deregistered || h.Sequence <= s.sequence) {
 		return HeartbeatResponse{}
 	}
 	now := s.Elapsed()
--- a/internal/process/jaysupervisor/heartbeats_test.go
+++ b/internal/process/jaysupervisor/heartbeats_test.go
@@ -1,6 +1,7 @@
 package jaysupervisor
 
 import (
+	"context"
 	"testing"
 	"time"
 
@@ -163,3 +164,31 @@
 	assert.Equal(t, h.supervisor.Report().Runner.ID, "r1")
 	assert.Assert(t, h.heartbeat("r1", Listing{}).Lease > 0)
 }
+
+// A heartbeat that does not tell the life of a runner that has told it identifies none.
+func TestHeartbeatWithoutItsLifeIsIgnored(t *testing.T) {
+	for _, byHeartbeat := range []bool{false, true} {
+		s := New()
+		s.OrdersByHeartbeat = byHeartbeat
+		s.Client = RunnerClient{Renew: func(context.Context, Renewal) (Listing, error) { return Listing{}, nil }}
+		send := func(id string, sequence uint64) {
+			h := Heartbeat{Sequence: sequence, Runner: jaycell.RunnerInfo{ID: id}}
+			if byHeartbeat {
+				s.ExchangeHeartbeat(h)
+				return
+			}
+			s.HandleHeartbeat(t.Context(), h)
+		}
+		known := jaycell.IncarnationID("r", 7)
+		for n := range uint64(3) {
+			send(known, n+1)
+			time.Sleep(minCandidateAge)
+		}
+		assert.Equal(t, s.Report().Runner.ID, known)
+		for n := range uint64(5) {
+			send("r", n+10)
+			time.Sleep(minCandidateAge)
+		}
+		assert.Equal(t, s.Report().Runner.ID, known)
+	}
+}
--- a/internal/process/jaysupervisor/supervisor.go
+++ b/internal/process/jaysupervisor/supervisor.go
@@ -209,6 +209,10 @@
 // that has ended.
 func (s *Supervisor) HandleHeartbeat(ctx context.Context, h Heartbeat) {
 	s.mutex.Lock()
+	if !s.isWhole(h) {
+		s.mutex.Unlock()
+		return
+	}
 	if s.runner.ID == h.Runner.ID {
 		if h.Sequence > s.sequence {
 			s.updateRunner(h)
@@ -236,6 +240,16 @@
 	jaycontroller.Signal(s.pollSignal)
 }
 
+// isWhole reports whether a heartbeat tells which life of the runner it is about. One that does
+// not, of a runner that has told before, identifies none.
+func (s *Supervisor) isWhole(h Heartbeat) bool {
+	whole := jaycell.TellsLife(h.Runner.ID) || !jaycell.TellsLife(s.runner.ID)
+	if !whole {
+		s.Logger.Warn().Str("event", "runner").Str("runner", h.Runner.ID).Str("known", s.runner.ID).Msg("ignoring a heartbeat that does not tell the runner's life")
+	}
+	return whole
+}
+
 // updateRunner applies a newer heartbeat of the same incarnation.
 func (s *Supervisor) updateRunner(h Heartbeat) {
 	s.sequence, s.heartbeatAt = h.Sequence, s.Elapsed()
