Exclude calls for the former life of a runner that keeps its id

Cause: a call names the id only, so that the next life takes it for its own: a start without an answer that comes late, a start or an acknowledgement that the agent sends before it has heard of the new life, a lease on the clock of the former one. The first listing of the new life then told the leader that the former one had ended, and the next run was placed while such a start could still begin.

The leader remembers the starts that it sent to each life for 15 s. The next life under the same id gets no lease, and nothing is concluded from the end of the former one, before those starts are stopped on it, also runs that had ended; the way of lapsed leases (lapse.go). An agent whose call failed, or whose last listing was requested over 1.2 s ago, sends no starts, acknowledgements or deadlines before a listing has told that the life is the same.

Ways weighed: the agent stops what it has called itself (its successor does not know); leaving each restarted runner out for a lease (costs a runner 6 s at each crash).

--- a/internal/process/jaycell/cell.go
+++ b/internal/process/jaycell/cell.go
@@ -494,5 +494,6 @@
 }
 
 func (c *Cell) startOrder(pl *placement) Order {
+	pl.runner.sentStarts[pl.task()] = sentStart{run: pl.run, sentAt: c.now}
 	return Order{Kind: OrderStart, Node: pl.runner.node, Runner: pl.runner.id, Task: pl.task(), Run: pl.run, Spec: pl.unit.job.spec.Spec, Checkpoint: pl.unit.checkpoint, Ticket: c.ticketFor(pl), Capacity: pl.capacity}
 }
--- a/internal/process/jaycell/report.go
+++ b/internal/process/jaycell/report.go
@@ -46,23 +46,22 @@
 	}
 	if r == nil {
 		r = newRunner(p.Runner.ID, p.Node)
-		r.lost, r.leaseEnd = hasPendingStart(p), c.now
+		c.abandonFormerLives(r, p.Node)
+		r.lost, r.leaseEnd = hasPendingStart(p) || len(r.abandoned) > 0, c.now
 		c.runners[r.id] = r
 	}
 	r.node, r.sequence = p.Node, p.Sequence
 	r.newConnection, r.connection = p.Connection > r.connection, p.Connection
 	maps.DeleteFunc(r.unknownStops, func(_ string, s unknownStop) bool { return c.orderLost(r, s.sentAt) })
 	// Only one incarnation can answer at a node's address: all others have ended,
-	// including those known only from records of earlier terms.
-	for _, old := range c.sortedRunners() {
-		if old.node == p.Node && old != r && !old.replaced {
-			c.markLost(old, "a new runner took its place")
-			old.replaced = true
-		}
-	}
+	// including those known only from records of earlier terms. Runs of a former life are
+	// given up once this one refuses them.
+	c.replaceRunners(r, func(old *Runner) bool { return RunnerName(old.id) != RunnerName(r.id) })
 	if r.lost && !c.takeBack(r, p) {
 		return false
 	}
+	c.replaceRunners(r, func(*Runner) bool { return true })
+	maps.DeleteFunc(r.sentStarts, func(_ string, s sentStart) bool { return c.now-s.sentAt > lateCallWindow })
 	r.leaseEnd = c.latestLeaseEnd()
 	if p.Term != c.settings.Term {
 		// The runner has not confirmed this term's fence, so that orders of an earlier
--- a/internal/process/jaycell/runner.go
+++ b/internal/process/jaycell/runner.go
@@ -151,6 +151,8 @@
 	// abandoned holds the runs, by task, that were given up although their starts may
 	// still reach the runner.
 	abandoned map[string]int
+	// sentStarts holds the latest start that was sent for each task, for lateCallWindow.
+	sentStarts map[string]sentStart
 	// unknownStops holds the latest orders to stop runs without a placement, by task.
 	unknownStops map[string]unknownStop
 	// crashed is set once an agent has reported its crash.
@@ -182,6 +184,12 @@
 	speedAt time.Duration
 }
 
+// sentStart is an order to start a run.
+type sentStart struct {
+	run    int
+	sentAt time.Duration
+}
+
 // unknownStop is an order to stop a run that has no placement.
 type unknownStop struct {
 	run    int
@@ -189,7 +197,7 @@
 }
 
 func newRunner(id, node string) *Runner {
-	return &Runner{id: id, node: node, placements: map[string]*placement{}, abandoned: map[string]int{}, unknownStops: map[string]unknownStop{}, speed: 1}
+	return &Runner{id: id, node: node, placements: map[string]*placement{}, abandoned: map[string]int{}, sentStarts: map[string]sentStart{}, unknownStops: map[string]unknownStop{}, speed: 1}
 }
 
 // isSlow reports whether the runner was recently seen to be slow.
--- a/internal/process/jaysupervisor/cellmodel_test.go
+++ b/internal/process/jaysupervisor/cellmodel_test.go
@@ -66,6 +66,10 @@
 	failedEnds map[string]map[int]bool
 	// deadlyShare is the share of deadly jobs among the random ones.
 	deadlyShare float64
+	// sameName makes runners begin each life under the name that they had.
+	sameName bool
+	// lateOverLives makes runners carry out calls for their former lives.
+	lateOverLives bool
 	// shrinking makes runners shrink and grow, and start what does not fit.
 	shrinking bool
 	// faultGap stretches the time between random faults, if it is not zero.
@@ -116,6 +120,9 @@
 	do()
 }
 
+// lockedFunc returns a function that calls do with the mutex held.
+func (f *fleet) lockedFunc(do func()) func() { return func() { f.locked(do) } }
+
 func (f *fleet) now() time.Duration { return time.Since(f.begin) }
 
 // luck is a source of random numbers.
--- a/internal/process/jaysupervisor/crash.go
+++ b/internal/process/jaysupervisor/crash.go
@@ -93,12 +93,14 @@
 	s.observed = listed
 }
 
-// noteCallError notes that nothing listens at the runner's address any more, or that
-// another incarnation does. Silence tells neither.
+// noteCallError notes that a call has failed, and whether nothing listens at the runner's
+// address any more or another incarnation does. Silence tells neither.
 func (s *Supervisor) noteCallError(incarnation string, err error) {
 	var ended *EndedError
 	var replaced *ReplacedError
-	if !errors.As(err, &ended) && !errors.As(err, &replaced) {
+	var unanswered *NoAnswerError
+	hasEnded := errors.As(err, &ended) || errors.As(err, &replaced)
+	if !hasEnded && !errors.As(err, &unanswered) {
 		return
 	}
 	s.mutex.Lock()
@@ -107,6 +109,11 @@
 		return
 	}
 	now := s.Elapsed()
+	s.doubtedAt = now
+	jaycontroller.Signal(s.pollSignal)
+	if !hasEnded {
+		return
+	}
 	if s.endSeenAt == 0 {
 		s.endSeenAt = now
 	}
--- a/internal/process/jaysupervisor/faults_test.go
+++ b/internal/process/jaysupervisor/faults_test.go
@@ -100,6 +100,19 @@
 	time.AfterFunc(delay, do)
 }
 
+// minDowntime is the least time after which a runner is back under its name: some seconds.
+const minDowntime = 1300 * time.Millisecond
+
+// restartLater begins a new runner in place of r after a while, or after some seconds if it
+// keeps its name.
+func (f *fleet) restartLater(n *node, r *modelRunner) {
+	if f.sameName {
+		time.AfterFunc(f.luckOf(n.name).between(int(minDowntime.Milliseconds()), 3000), f.lockedFunc(n.replaceRunner(r)))
+		return
+	}
+	f.later(func() { f.locked(n.replaceRunner(r)) })
+}
+
 // injectFault submits or cancels a job or begins a fault. The mutex is held.
 func (f *fleet) injectFault() {
 	n := f.nodes[f.script.IntN(len(f.nodes))]
@@ -150,7 +163,7 @@
 	case 25:
 		if r.alive && !f.crashesFromTasksOnly {
 			n.endRunner()
-			f.later(func() { f.locked(n.replaceRunner(r)) })
+			f.restartLater(n, r)
 		}
 	case 23:
 		// A planned end, soon if the agent's confirmation arrives.
@@ -158,7 +171,7 @@
 			r.leaving = true
 			f.logf("", "%s deregisters", r.id)
 			n.supervisor.Deregister(r.id)
-			f.later(func() { f.locked(n.replaceRunner(r)) })
+			f.restartLater(n, r)
 		}
 	case 24:
 		f.newTerm()
@@ -188,7 +201,12 @@
 // one.
 func (n *node) replaceRunner(r *modelRunner) func() {
 	return func() {
-		if n.runner == r {
+		down := n.fleet.now() - r.diedAt
+		switch {
+		case n.runner != r:
+		case n.fleet.sameName && !r.alive && down < minDowntime:
+			time.AfterFunc(minDowntime-down, n.fleet.lockedFunc(n.replaceRunner(r)))
+		default:
 			n.newRunner()
 		}
 	}
--- a/internal/process/jaysupervisor/nodemodel_test.go
+++ b/internal/process/jaysupervisor/nodemodel_test.go
@@ -109,8 +109,9 @@
 	link       *link
 	kill       context.CancelFunc
 	// paused is closed when a pause of the agent process ends.
-	paused   chan struct{}
-	sequence uint64
+	paused        chan struct{}
+	runnerAtPause *modelRunner
+	sequence      uint64
 	// disturbedAt is when the last fault of the node, its links or its runner's calls began or
 	// ended.
 	disturbedAt time.Duration
@@ -193,6 +194,9 @@
 func (n *node) pauseLocked() {
 	n.disturb()
 	n.fleet.logf("", "agent of %s pauses", n.name)
+	if n.paused == nil {
+		n.runnerAtPause = n.runner
+	}
 	n.paused = cmp.Or(n.paused, make(chan struct{}))
 }
 
--- a/internal/process/jaysupervisor/orders.go
+++ b/internal/process/jaysupervisor/orders.go
@@ -130,7 +130,7 @@
 		s.mutex.Lock()
 		request := Start{Incarnation: o.Runner, Task: o.Task, Run: o.Run, Spec: o.Spec, Checkpoint: o.Checkpoint, Ticket: o.Ticket, Deadline: s.leaseDeadline(), Fence: o.term}
 		draining, shrunk := s.runner.Draining || s.deregistered, s.hasShrunk(o)
-		ready := s.grantedUntil-s.Elapsed() > minLeaseLeft && request.Deadline > 0 && s.knowsCapacity()
+		ready := s.grantedUntil-s.Elapsed() > minLeaseLeft && request.Deadline > 0 && s.knowsCapacity() && !s.isDoubted()
 		s.mutex.Unlock()
 		if draining {
 			s.refuse(ctx, o, ReasonDraining)
--- a/internal/process/jaysupervisor/runnermodel_test.go
+++ b/internal/process/jaysupervisor/runnermodel_test.go
@@ -26,6 +26,8 @@
 	node  *node
 	id    string
 	alive bool
+	// bornAt is when the life began, diedAt when it ended.
+	bornAt, diedAt time.Duration
 	// rate is the speed of its clock; lenient runners check only their own lease, not the
 	// deadline of the start.
 	rate     float64
@@ -74,7 +76,7 @@
 // endRunner ends the runner. Until there is a new one, nothing listens at its address.
 func (n *node) endRunner() {
 	r := n.runner
-	r.alive = false
+	r.alive, r.diedAt = false, n.fleet.now()
 	n.fleet.noteCrash(r)
 	for _, x := range slices.Clone(n.fleet.runs) {
 		if x.runner == r {
@@ -87,14 +89,38 @@
 func (n *node) newRunner() {
 	if n.runner != nil && n.runner.alive {
 		n.endRunner()
+		if n.fleet.sameName {
+			// Runners are back after some seconds.
+			time.AfterFunc(n.fleet.luckOf(n.name).between(int(minDowntime.Milliseconds()), 3000), n.fleet.lockedFunc(n.replaceRunner(n.runner)))
+			return
+		}
 	}
 	n.sequence++
-	n.runner = &modelRunner{node: n, id: fmt.Sprintf("%s-r%d", n.name, n.sequence), alive: true, rate: 1 - 0.02*float64(n.sequence%2), lenient: n.fleet.script.chance(0.5), slots: modelSlots, marks: map[string]int{}, endedAt: map[uint64]time.Duration{}}
+	n.runner = &modelRunner{node: n, id: n.nextID(), alive: true, bornAt: n.fleet.now(), rate: 1 - 0.02*float64(n.sequence%2), lenient: n.fleet.script.chance(0.5), slots: modelSlots, marks: map[string]int{}, endedAt: map[uint64]time.Duration{}}
 	n.fleet.logf("", "runner %s begins", n.runner.id)
 }
 
+// nextID returns the ID of the next life of the node's runner.
+func (n *node) nextID() string {
+	if n.fleet.sameName {
+		return jaycell.IncarnationID(n.name+"-r", int64(n.sequence))
+	}
+	return fmt.Sprintf("%s-r%d", n.name, n.sequence)
+}
+
+// isMeant reports whether the runner takes a call for an incarnation as its own. It cannot tell
+// its lives apart.
+func (r *modelRunner) isMeant(incarnation string) bool {
+	return jaycell.RunnerName(incarnation) == jaycell.RunnerName(r.id)
+}
+
 func (r *modelRunner) clock() time.Duration {
-	return time.Duration(float64(r.node.fleet.now()) * r.rate)
+	f := r.node.fleet
+	if f.sameName {
+		// The clock starts anew.
+		return time.Second + time.Duration(float64(f.now()-r.bornAt)*r.rate)
+	}
+	return time.Duration(float64(f.now()) * r.rate)
 }
 
 // fateOf draws what happens to a call that is made now.
@@ -123,11 +149,24 @@
 
 // call makes a call, which may be executed after the caller has given it up.
 func (n *node) call(ctx, process context.Context, what, task string, execute func(r *modelRunner) error) error {
+	f := n.fleet
+	f.mutex.Lock()
+	called := n.runner
+	if n.paused != nil {
+		// A process that stands still makes no calls: this one is from before.
+		called = n.runnerAtPause
+	}
+	f.mutex.Unlock()
 	n.awaitResume(process)
 	if process.Err() != nil {
 		return &NoAnswerError{Call: what, Cause: "process ended"}
 	}
-	f := n.fleet
+	f.mutex.Lock()
+	restarted := called != n.runner
+	f.mutex.Unlock()
+	if restarted {
+		return &NoAnswerError{Call: what, Cause: "connection closed"}
+	}
 	answer := make(chan error, 1)
 	f.mutex.Lock()
 	x := n.runner.fateOf(what)
@@ -137,6 +176,10 @@
 			f.mutex.Lock()
 			defer f.mutex.Unlock()
 			f.advance()
+			if n.runner != called && !f.lateOverLives {
+				// It was lost with its connection.
+				return
+			}
 			err := error(&EndedError{Call: what})
 			if n.runner.alive {
 				f.callAge = x.delay
@@ -173,20 +216,26 @@
 			if err := n.call(ctx, process, "renew", "", func(r *modelRunner) error { return r.renew(q) }); err != nil {
 				return Listing{}, err
 			}
-			return n.list(ctx, process, q)
+			n.fleet.mutex.Lock()
+			r := n.runner
+			n.fleet.mutex.Unlock()
+			if r.id != q.Incarnation {
+				// The listing tells its life.
+				return Listing{}, &ReplacedError{Incarnation: r.id}
+			}
+			return n.list(ctx, process, q, r)
 		},
 		Throttle: func(context.Context, Throttle) error { return nil },
 	}
 }
 
 // list answers a renewal once a run has ended or its time is over. The answer may be late.
-func (n *node) list(ctx, process context.Context, q Renewal) (Listing, error) {
+func (n *node) list(ctx, process context.Context, q Renewal, r *modelRunner) (Listing, error) {
 	until := n.fleet.now() + q.Wait
 	for {
 		n.fleet.mutex.Lock()
-		r := n.runner
 		l, ready := r.listing(), len(r.finished) > 0 || n.fleet.now() >= until
-		silent, closed := r.silent || r.id != q.Incarnation, !r.alive && !r.silent
+		silent, closed := r.silent, !r.alive && !r.silent
 		late, chances := time.Duration(0), n.fleet.luckOf(r.id)
 		if chances.chance(r.unreliable) {
 			late = chances.between(1, 300)
@@ -213,7 +262,7 @@
 func (r *modelRunner) start(s Start) error {
 	f := r.node.fleet
 	switch {
-	case s.Incarnation != r.id:
+	case !r.isMeant(s.Incarnation):
 		return &ReplacedError{Incarnation: r.id}
 	case r.refusal == jaycell.ReasonUnhealthy:
 		return &RefusedError{Call: "start", Reason: r.refusal}
@@ -247,7 +296,7 @@
 func (r *modelRunner) stop(s Stop) error {
 	f := r.node.fleet
 	switch {
-	case s.Incarnation != r.id:
+	case !r.isMeant(s.Incarnation):
 		return &ReplacedError{Incarnation: r.id}
 	case s.Fence < r.fence:
 		return &RefusedError{Call: "stop", Reason: ReasonFence}
@@ -264,7 +313,7 @@
 
 func (r *modelRunner) renew(q Renewal) error {
 	switch {
-	case q.Incarnation != r.id:
+	case !r.isMeant(q.Incarnation):
 		return &ReplacedError{Incarnation: r.id}
 	case q.Fence < r.fence:
 		return &RefusedError{Call: "renew", Reason: ReasonFence}
@@ -279,6 +328,9 @@
 // lapsed after them.
 func (r *modelRunner) acknowledge(number uint64) {
 	f := r.node.fleet
+	if number > uint64(len(r.endedAt)) {
+		f.fail("", "end %d of %s is acknowledged, which has ended %d runs", number, r.id, len(r.endedAt))
+	}
 	for len(r.finished) > 0 && r.finished[0].Number <= number {
 		e := r.finished[0]
 		r.finished = r.finished[1:]
--- a/internal/process/jaysupervisor/supervisor.go
+++ b/internal/process/jaysupervisor/supervisor.go
@@ -110,6 +110,11 @@
 	// first seen since, zero if it was not.
 	lastAnswer time.Duration
 	endSeenAt  time.Duration
+	// doubtedAt is when a call last failed, after which the runner may have restarted under
+	// its name. It is zero once a listing has told that it has not. confirmedAt is when the
+	// newest listing was requested: its answer may have waited while this process stood still.
+	doubtedAt   time.Duration
+	confirmedAt time.Duration
 	// crashRecorded is set once the crash of this runner is in crashes, which holds those
 	// that the leader has not recorded.
 	crashRecorded bool
@@ -264,6 +269,12 @@
 	s.runner = h.Runner
 }
 
+// isDoubted reports whether the runner may have restarted under its name: a call has failed, or
+// this process has stood still, and no listing has told since that it has not.
+func (s *Supervisor) isDoubted() bool {
+	return s.doubtedAt > 0 || s.Elapsed()-s.confirmedAt > responsiveTimeout
+}
+
 // knowsCapacity reports whether the runner's last heartbeat is recent. After a pause of this
 // process, its runner may have shrunk unnoticed.
 func (s *Supervisor) knowsCapacity() bool {
@@ -283,7 +294,7 @@
 	}
 	s.runner, s.sequence, s.deregistered, s.ended, s.acknowledged, s.results, s.runnerClockKnown, s.confirmedFence, s.sentFence = h.Runner, h.Sequence, false, false, 0, nil, false, 0, 0
 	s.listing, s.heartbeatAt = Listing{}, s.Elapsed()
-	s.lastAnswer, s.endSeenAt, s.crashRecorded, s.observed = 0, 0, false, nil
+	s.lastAnswer, s.endSeenAt, s.crashRecorded, s.observed, s.doubtedAt, s.confirmedAt = 0, 0, false, nil, 0, 0
 	clear(s.unlisted)
 	clear(s.excluded)
 	jaycontroller.Signal(s.reportSignal)
@@ -335,6 +346,11 @@
 func (s *Supervisor) poll(ctx context.Context, wait time.Duration) bool {
 	s.mutex.Lock()
 	renewal := Renewal{Incarnation: s.runner.ID, Deadline: s.leaseDeadline(), Fence: s.term, Acknowledged: s.acknowledged, Wait: wait}
+	if s.isDoubted() {
+		// A new life would take the acknowledgement for its own ends, and the deadline for
+		// one on its own clock.
+		renewal.Acknowledged, renewal.Deadline = 0, 0
+	}
 	idle := s.runner.ID == "" || s.ended
 	s.mutex.Unlock()
 	if idle {
@@ -400,6 +416,10 @@
 	if answeredAt > s.endSeenAt {
 		s.endSeenAt = 0
 	}
+	s.confirmedAt = max(s.confirmedAt, requestedAt)
+	if requestedAt > s.doubtedAt {
+		s.doubtedAt = 0
+	}
 	if !s.runnerClockKnown || l.Clock > s.runnerClock {
 		s.runnerClock, s.runnerClockReadAt, s.runnerClockKnown = l.Clock, answeredAt, true
 	}
