Don't poll a runner that is down in a busy loop

Each failed call asked for a listing at once, and so did a failed listing: while nothing listened at a runner's address, its agent polled without a pause, 2,020 times in two seconds at a millisecond a call. TestRunnerThatIsDownIsNotPolledInABusyLoop failed before.

--- a/internal/process/jaysupervisor/crash.go
+++ b/internal/process/jaysupervisor/crash.go
@@ -110,7 +110,6 @@
 	}
 	now := s.Elapsed()
 	s.doubtedAt = now
-	jaycontroller.Signal(s.pollSignal)
 	if !hasEnded {
 		return
 	}
--- a/internal/process/jaysupervisor/orders.go
+++ b/internal/process/jaysupervisor/orders.go
@@ -148,6 +148,9 @@
 		err := s.tryStart(ctx, request)
 		s.noteCallError(o.Runner, err)
 		s.noteStartCall(o, err)
+		if err != nil {
+			jaycontroller.Signal(s.pollSignal)
+		}
 		var refused *RefusedError
 		var replaced *ReplacedError
 		switch {
--- a/internal/process/jaysupervisor/restart_test.go
+++ b/internal/process/jaysupervisor/restart_test.go
@@ -1,9 +1,15 @@
 package jaysupervisor
 
 import (
+	"context"
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/jaystile/jaystile/internal/process/jaycell"
+	"github.com/jaystile/jaystile/internal/process/jayclock"
 )
 
 // newRestartFleet returns a fleet whose runners begin each life under the name that they had.
@@ -66,3 +72,25 @@
 		})
 	}
 }
+
+// A failed poll used to ask for the next one at once.
+func TestRunnerThatIsDownIsNotPolledInABusyLoop(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		calls := 0
+		s := New()
+		s.SendReport = func(jaycell.Report) {}
+		s.Client = RunnerClient{Renew: func(ctx context.Context, _ Renewal) (Listing, error) {
+			calls++
+			jayclock.Sleep(ctx, time.Millisecond)
+			return Listing{}, &EndedError{Call: "renew"}
+		}}
+		s.replaceRunner(Heartbeat{Runner: jaycell.RunnerInfo{ID: "r"}})
+		done := make(chan struct{})
+		go func() { defer close(done); s.Run(ctx) }()
+		time.Sleep(2 * time.Second)
+		cancel()
+		<-done
+		assert.Assert(t, calls <= 2+int(2*time.Second/retryDelay), "%d polls in two seconds", calls)
+	})
+}
