Start no tasks in data centres that operators take out of service

Agents are the last gate: each lease grant tells whether the data centre is evacuated and how old that knowledge is, and agents refuse starts by it or hold them back while it is too old. Cold runners are taken after warm ones. All of it acts only where the setting evacuation_ms is set.

--- a/cmd/jaystile/cellside.go
+++ b/cmd/jaystile/cellside.go
@@ -41,6 +41,7 @@
 	}
 	supervisor := jaysupervisor.New()
 	supervisor.Node, supervisor.Client, supervisor.Lease, supervisor.Logger = s.Name+"@"+s.Runner, jayadapter.RunnerClient(s.Runner), s.Lease(), logger
+	supervisor.EvacuationBound = s.EvacuationBound
 	if s.Orders == jaysettings.OrdersByHeartbeat {
 		supervisor.OrdersByHeartbeat, supervisor.HeartbeatInterval = true, s.HeartbeatInterval
 	}
--- a/internal/connection/jayframe/cell.go
+++ b/internal/connection/jayframe/cell.go
@@ -65,6 +65,7 @@
 	Accelerators         int
 	Draining             bool
 	DrainRemainingMillis int64
+	ColdLeftMillis       int64
 	Responsive           bool
 	Ended                bool
 	Running              []CellRun
@@ -78,11 +79,16 @@
 func (*CellReport) Kind() Kind { return KindCellReport }
 
 // CellLeaseGrant answers a CellReport. It extends the lease, counted from when the
-// report with this sequence number was sent; Sequence zero does not extend it.
+// report with this sequence number was sent; Sequence zero does not extend it. If
+// EvacuationKnown is set, it tells whether the runner's data centre is evacuated, by a view that
+// was complete ViewAgeMillis ago.
 type CellLeaseGrant struct {
-	_        struct{} `cbor:",toarray"`
-	Term     uint64
-	Sequence int64
+	_               struct{} `cbor:",toarray"`
+	Term            uint64
+	Sequence        int64
+	EvacuationKnown bool
+	Evacuated       bool
+	ViewAgeMillis   int64
 }
 
 // Kind implements Message.
--- a/internal/process/jaycell/cell.go
+++ b/internal/process/jaycell/cell.go
@@ -56,6 +56,9 @@
 	// NeedsTicket reports whether starts of a route need an admission ticket; nil
 	// means never.
 	NeedsTicket func(route string) bool
+	// Evacuated reports whether operators have taken a data centre out of service; nil means
+	// that they take none.
+	Evacuated func(dataCentre string) bool
 	// OnDecision is called with each decision.
 	OnDecision func(Decision)
 	// OnInvariantViolation is called with each violated invariant; the cell skips the
--- a/internal/process/jaycell/estimate.go
+++ b/internal/process/jaycell/estimate.go
@@ -155,7 +155,7 @@
 	fits := map[string]int{}
 	u.spansRacks, u.spansRacksAt = true, c.now
 	for _, r := range c.runners {
-		if r.lost || !r.reported || !r.eligibleFor(u) {
+		if !r.inPool() || !r.eligibleFor(u) {
 			continue
 		}
 		rack := r.rack()
--- a/internal/process/jaycell/report.go
+++ b/internal/process/jaycell/report.go
@@ -81,7 +81,7 @@
 		r.drainEnd = c.now + p.Runner.DrainRemaining
 	}
 	firstReport := !r.reported
-	r.reported, r.reportedAt, r.info = true, c.now, p.Runner
+	r.reported, r.reportedAt, r.info, r.coldUntil = true, c.now, p.Runner, c.now+p.Runner.ColdLeft
 	for _, pl := range r.placements {
 		pl.resources = pl.unit.spec().Allocation()
 	}
@@ -282,6 +282,7 @@
 
 // Tick expires leases, drains runners and schedules waiting units.
 func (c *Cell) Tick() {
+	c.evacuate()
 	for _, r := range c.sortedRunners() {
 		if !r.lost && c.now > r.leaseEnd {
 			c.abandonUnseenRuns(r)
--- a/internal/process/jaycell/runner.go
+++ b/internal/process/jaycell/runner.go
@@ -19,6 +19,8 @@
 	Draining   bool
 	// DrainRemaining is the minimum time until a draining runner shuts down.
 	DrainRemaining time.Duration
+	// ColdLeft is for how much longer the runner is slow after its start.
+	ColdLeft time.Duration
 }
 
 // lifeSeparator separates the parts of an incarnation ID. Names cannot contain it.
@@ -173,6 +175,11 @@
 	reportedAt time.Duration
 	leaseEnd   time.Duration
 	drainEnd   time.Duration
+	// evacuated is set while the runner's data centre is out of service, since evacuatedAt.
+	evacuated   bool
+	evacuatedAt time.Duration
+	// coldUntil is until when the runner is slow after its start.
+	coldUntil time.Duration
 	// drainDoubtEnd is until when the runner counts as draining whatever its agent says.
 	drainDoubtEnd time.Duration
 	placements    map[string]*placement
@@ -250,9 +257,12 @@
 
 func (r *Runner) available() jaytask.Resources { return r.info.Capacity.Sub(r.used).Sub(r.stray) }
 
+// inPool reports whether the runner counts as a part of the pool.
+func (r *Runner) inPool() bool { return r.reported && !r.lost && !r.evacuated }
+
 // acceptsWork reports whether new work may be placed on the runner.
 func (r *Runner) acceptsWork(now time.Duration) bool {
-	return r.reported && !r.lost && !r.hasUnknownStray && !r.info.Draining && now-r.reportedAt < maxReportAge
+	return r.inPool() && !r.hasUnknownStray && !r.info.Draining && now-r.reportedAt < maxReportAge
 }
 
 func (r *Runner) addPlacement(pl *placement) {
--- a/internal/process/jaycell/select.go
+++ b/internal/process/jaycell/select.go
@@ -191,6 +191,9 @@
 			if urgent {
 				left -= int(fastRunnerRank * cand.runner.speed)
 			}
+			if r.cell.isCold(cand.runner) {
+				left += coldRunnerRank
+			}
 			if best < 0 || newCost < cost || newCost == cost && left < bestLeftover {
 				best, victims, cost, bestLeftover = i, newVictims, newCost, left
 			}
--- a/internal/process/jaycell/startlimit.go
+++ b/internal/process/jaycell/startlimit.go
@@ -28,7 +28,7 @@
 		return n
 	}
 	for _, r := range c.runners {
-		if !r.lost && r.reported && r.info.Service == k.service {
+		if r.inPool() && r.info.Service == k.service {
 			n += k.request.CountIn(r.info.Capacity, jaytask.MaxTasks)
 		}
 	}
--- a/internal/process/jaycontroller/controller.go
+++ b/internal/process/jaycontroller/controller.go
@@ -22,6 +22,7 @@
 	"github.com/jaystile/jaystile/internal/process/jayassert"
 	"github.com/jaystile/jaystile/internal/process/jaycell"
 	"github.com/jaystile/jaystile/internal/process/jayclock"
+	"github.com/jaystile/jaystile/internal/process/jayevacuation"
 	"github.com/jaystile/jaystile/internal/process/jaystore"
 	"github.com/jaystile/jaystile/internal/version/jayconfig"
 )
@@ -69,6 +70,9 @@
 	// RunsStandby are topics for records of Runs while that topic does not answer.
 	RunsStandby []string
 	ConfigKey   string
+	// EvacuationPrefix begins the keys in Operator that name the data centres that operators
+	// take out of service.
+	EvacuationPrefix string
 }
 
 // Timing holds the deployment's values of the fields of the same names in
@@ -80,6 +84,9 @@
 	GangTimeout     time.Duration
 	ReclaimDeadline time.Duration
 	RemoteSlowdown  float64
+	// Evacuation is the time within which no more tasks start in a data centre that operators
+	// take out of service; zero means that they take none.
+	Evacuation time.Duration
 }
 
 // Controller runs one entry. Its exported fields are set before Prepare.
@@ -119,6 +126,7 @@
 	runsTail       *jaystore.Tail
 	operatorTail   *jaystore.Tail
 	config         atomic.Pointer[jayconfig.Config]
+	evacuations    evacuations
 	tasks          jayassert.Group
 	ctx            context.Context
 	// leaderResigned is signaled when the leader resigns.
@@ -170,6 +178,7 @@
 		c.Logger.Warn().Str("event", "dependency").Str("dependency", "store").Bool("through_peer", through).Str("cause", cause).Msg("route to the store changed")
 	}}
 	c.storeClient = c.NewStoreClient(c.storeTransport.Do)
+	c.evacuations.requests = jayevacuation.NewRequests(c.Topics.EvacuationPrefix)
 	c.jobs = newJobTable(c.Logger)
 	c.jobs.onChanged, c.jobs.recent = c.updateInCell, c.Timing.Retention/2
 	c.jobsAppender = jaystore.NewAppender(&jaystore.Client{Append: c.appendJobs}, c.Topics.Jobs)
@@ -181,7 +190,7 @@
 			c.jobs.apply(s.Key, s.Value)
 		}
 	}}
-	c.operatorTail = &jaystore.Tail{Client: c.storeClient, Topic: c.Topics.Operator, Wait: configPollWait, OnError: c.tailFailureLogger(c.Topics.Operator), Apply: c.applyOperatorRecord}
+	c.operatorTail = &jaystore.Tail{Client: c.storeClient, Topic: c.Topics.Operator, Wait: configPollWait, OnError: c.tailFailureLogger(c.Topics.Operator), Apply: c.applyOperatorRecord, Replace: c.replaceOperatorRecords}
 	c.endpoint = &jaylink.Endpoint{
 		Name: c.Name, Incarnation: c.Incarnation, Timing: jaylink.Timing{HeartbeatInterval: heartbeatInterval, SilenceTimeout: silenceTimeout}, MaxLinks: maxLinks,
 		Handler: c.handleMessage, MakeHeartbeat: func() jayframe.Heartbeat { return jayframe.Heartbeat{} },
@@ -249,7 +258,11 @@
 }
 
 func (c *Controller) applyOperatorRecord(s jaystore.StoredRecord) {
-	if s.Key != c.Topics.ConfigKey || s.Value == nil {
+	if s.Key != c.Topics.ConfigKey {
+		c.applyEvacuation(s.Key, s.Value == nil)
+		return
+	}
+	if s.Value == nil {
 		return
 	}
 	config, errs := c.DecodeConfig(s.Value)
--- a/internal/process/jaycontroller/leaderlinks.go
+++ b/internal/process/jaycontroller/leaderlinks.go
@@ -42,7 +42,7 @@
 	r := jaycell.Report{
 		Node: m.Node, Sequence: m.Sequence, Term: m.Term, Responsive: m.Responsive, Ended: m.Ended,
 		Runner: jaycell.RunnerInfo{
-			ID: m.Runner, Service: m.Service, DataCentre: m.DataCentre, Labels: m.Labels, Draining: m.Draining, DrainRemaining: time.Duration(m.DrainRemainingMillis) * time.Millisecond,
+			ID: m.Runner, Service: m.Service, DataCentre: m.DataCentre, Labels: m.Labels, Draining: m.Draining, DrainRemaining: time.Duration(m.DrainRemainingMillis) * time.Millisecond, ColdLeft: time.Duration(m.ColdLeftMillis) * time.Millisecond,
 			Capacity: jaytask.Resources{CPU: m.CPU, Memory: m.Memory, Accelerators: m.Accelerators},
 		},
 	}
--- a/internal/process/jaycontroller/leadership.go
+++ b/internal/process/jaycontroller/leadership.go
@@ -94,6 +94,7 @@
 			_, needed := config.Advice(route)
 			return needed
 		},
+		Evacuated:            c.evacuated(),
 		ReclaimDeadline:      c.Timing.ReclaimDeadline,
 		OnDecision:           l.recordDecision,
 		OnInvariantViolation: l.recordInvariantViolation,
@@ -220,6 +221,7 @@
 func (l *leadership) tick(ctx context.Context, runs *jaystore.FailoverWriter) {
 	if jayclock.Elapsed()-l.contactCheckedAt >= tickInterval {
 		l.checkContact()
+		l.controller.refreshEvacuations(ctx)
 	}
 	batch, immediate := l.decide(ctx)
 	l.sendOrders(immediate)
@@ -232,6 +234,8 @@
 // decide makes the decisions that are due. It returns the batch to be stored, which is nil
 // if there is none or another one is being stored, and the orders to be sent at once.
 func (l *leadership) decide(ctx context.Context) (*jaycell.Batch, []jaycell.Order) {
+	// It takes the lock of a tail, which comes before that of a leadership.
+	knowsEvacuations := l.controller.knowsEvacuations()
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	l.setCellTime()
@@ -248,7 +252,7 @@
 	}
 	var batch *jaycell.Batch
 	if !l.resigned && !l.termUnverified {
-		l.cell.SetStarting(!l.writing || now-l.writingSince < maxStartDelay)
+		l.cell.SetStarting((!l.writing || now-l.writingSince < maxStartDelay) && knowsEvacuations)
 		l.cell.Tick()
 		if !l.writing {
 			batch = l.cell.TakeBatch()
--- a/internal/process/jaycontroller/reports.go
+++ b/internal/process/jaycontroller/reports.go
@@ -103,6 +103,7 @@
 	grant := &jayframe.CellLeaseGrant{Term: l.term}
 	if granted {
 		grant.Sequence = r.message.Sequence
+		l.controller.tellEvacuation(grant, r.message.DataCentre)
 	}
 	if err := r.link.Send(grant); err != nil {
 		l.controller.Logger.Debug().Str("event", "link").Str("peer", r.link.Peer()).Err(err).Msg("cannot send a lease grant")
--- a/internal/process/jaystore/tail.go
+++ b/internal/process/jaystore/tail.go
@@ -40,6 +40,14 @@
 	return jayclock.Elapsed() - t.freshAt, t.loaded
 }
 
+// CompleteAge returns the time since the tail is known to have had all records of the topic, and
+// false if it does not have them all.
+func (t *Tail) CompleteAge() (time.Duration, bool) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	return jayclock.Elapsed() - t.freshAt, t.loaded && t.next >= t.end
+}
+
 // Run follows the topic until ctx ends.
 func (t *Tail) Run(ctx context.Context) {
 	for tries := 0; ctx.Err() == nil; {
--- a/internal/process/jaysupervisor/agent.go
+++ b/internal/process/jaysupervisor/agent.go
@@ -12,6 +12,7 @@
 	"github.com/jaystile/jaystile/internal/process/jayassert"
 	"github.com/jaystile/jaystile/internal/process/jaycell"
 	"github.com/jaystile/jaystile/internal/process/jaycontroller"
+	"github.com/jaystile/jaystile/internal/process/jayevacuation"
 	"github.com/jaystile/jaystile/internal/process/jaystore"
 	"github.com/jaystile/jaystile/internal/request/jaytask"
 )
@@ -183,6 +184,9 @@
 	case *jayframe.CellLeaseGrant:
 		if m.Sequence > 0 {
 			a.recordGrant(l)
+			if m.EvacuationKnown {
+				a.Supervisor.RecordEvacuation(jayevacuation.Statement{Evacuated: m.Evacuated, ViewAge: time.Duration(m.ViewAgeMillis) * time.Millisecond}, m.Sequence)
+			}
 			a.Supervisor.GrantLease(m.Term, m.Sequence)
 		}
 	case *jayframe.CellOrders:
@@ -235,7 +239,7 @@
 	m := &jayframe.CellReport{
 		Node: r.Node, Sequence: r.Sequence, Term: r.Term, Runner: r.Runner.ID, Service: r.Runner.Service, DataCentre: r.Runner.DataCentre, Labels: r.Runner.Labels,
 		CPU: r.Runner.Capacity.CPU, Memory: r.Runner.Capacity.Memory, Accelerators: r.Runner.Capacity.Accelerators,
-		Draining: r.Runner.Draining, DrainRemainingMillis: r.Runner.DrainRemaining.Milliseconds(), Responsive: r.Responsive, Ended: r.Ended,
+		Draining: r.Runner.Draining, DrainRemainingMillis: r.Runner.DrainRemaining.Milliseconds(), ColdLeftMillis: r.Runner.ColdLeft.Milliseconds(), Responsive: r.Responsive, Ended: r.Ended,
 	}
 	for _, x := range r.Running {
 		m.Running = append(m.Running, jayframe.CellRun{Task: x.Task, Run: x.Run, Checkpoint: x.Checkpoint, Percent: x.Percent, Load: x.Load})
--- a/internal/process/jaysupervisor/client.go
+++ b/internal/process/jaysupervisor/client.go
@@ -88,6 +88,9 @@
 	// ReasonShrunk is the supervisor's own refusal of a start that was decided for a larger
 	// capacity than its runner has.
 	ReasonShrunk = "capacity has shrunk"
+	// ReasonEvacuated is the agent's own refusal of a start in a data centre that operators have
+	// taken out of service.
+	ReasonEvacuated = jaycell.ReasonEvacuated
 	// ReasonReplaced is the supervisor's own refusal of an order for an earlier
 	// incarnation.
 	ReasonReplaced = "replaced"
--- a/internal/process/jaysupervisor/heartbeats.go
+++ b/internal/process/jaysupervisor/heartbeats.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/jaystile/jaystile/internal/process/jaycell"
+	"github.com/jaystile/jaystile/internal/process/jayevacuation"
 )
 
 const (
@@ -102,6 +103,7 @@
 		tasks = append(tasks, task)
 	}
 	slices.Sort(tasks)
+	evacuation := s.evacuation.Check(s.Elapsed())
 	for _, task := range tasks {
 		o := s.orders[task]
 		switch {
@@ -113,7 +115,9 @@
 			s.withdraw(o, ReasonDraining)
 		case !o.stop && s.hasShrunk(o):
 			s.withdraw(o, ReasonShrunk)
-		case !o.stop && r.Lease < minLeaseLeft:
+		case !o.stop && evacuation == jayevacuation.Refuse:
+			s.withdraw(o, ReasonEvacuated)
+		case !o.stop && (r.Lease < minLeaseLeft || evacuation == jayevacuation.Wait):
 			continue
 		case !o.stop && (s.runner.Draining || o.timesSent >= maxStartsSent):
 			s.withdraw(o, ReasonNotStarted)
--- a/internal/process/jaysupervisor/orders.go
+++ b/internal/process/jaysupervisor/orders.go
@@ -13,6 +13,7 @@
 	"github.com/jaystile/jaystile/internal/process/jaycell"
 	"github.com/jaystile/jaystile/internal/process/jayclock"
 	"github.com/jaystile/jaystile/internal/process/jaycontroller"
+	"github.com/jaystile/jaystile/internal/process/jayevacuation"
 )
 
 // Metrics of the start calls to the runner; every attempt counts.
@@ -129,8 +130,8 @@
 	for ctx.Err() == nil {
 		s.mutex.Lock()
 		request := Start{Incarnation: o.Runner, Task: o.Task, Run: o.Run, Spec: o.Spec, Checkpoint: o.Checkpoint, Ticket: o.Ticket, Deadline: s.leaseDeadline(), Fence: o.term}
-		draining, shrunk := s.runner.Draining || s.deregistered, s.hasShrunk(o)
-		ready := s.grantedUntil-s.Elapsed() > minLeaseLeft && request.Deadline > 0 && s.knowsCapacity() && !s.isDoubted()
+		draining, shrunk, evacuation := s.runner.Draining || s.deregistered, s.hasShrunk(o), s.evacuation.Check(s.Elapsed())
+		ready := evacuation == jayevacuation.Start && s.grantedUntil-s.Elapsed() > minLeaseLeft && request.Deadline > 0 && s.knowsCapacity() && !s.isDoubted()
 		s.mutex.Unlock()
 		if draining {
 			s.refuse(ctx, o, ReasonDraining)
@@ -140,6 +141,10 @@
 			s.refuse(ctx, o, ReasonShrunk)
 			return
 		}
+		if evacuation == jayevacuation.Refuse {
+			s.refuse(ctx, o, ReasonEvacuated)
+			return
+		}
 		if !ready {
 			jayclock.Sleep(ctx, retryDelay)
 			continue
--- a/internal/process/jaysupervisor/supervisor.go
+++ b/internal/process/jaysupervisor/supervisor.go
@@ -14,6 +14,7 @@
 	"github.com/jaystile/jaystile/internal/process/jaycell"
 	"github.com/jaystile/jaystile/internal/process/jayclock"
 	"github.com/jaystile/jaystile/internal/process/jaycontroller"
+	"github.com/jaystile/jaystile/internal/process/jayevacuation"
 )
 
 const (
@@ -85,7 +86,10 @@
 	OrdersByHeartbeat bool
 	// HeartbeatInterval is the time between two heartbeats of the runner.
 	HeartbeatInterval time.Duration
-	Logger            zerolog.Logger
+	// EvacuationBound is the time within which no more tasks start in a data centre that
+	// operators take out of service; zero means that they take none.
+	EvacuationBound time.Duration
+	Logger          zerolog.Logger
 	// SendReport sends a report to the leader.
 	SendReport func(r jaycell.Report)
 	// Elapsed returns the time that leases are measured by.
@@ -133,6 +137,8 @@
 	confirmedFence uint64
 	// grantedUntil is when the last grant ends, on this machine's clock.
 	grantedUntil time.Duration
+	// evacuation allows starts by what the leader has last told of the data centre.
+	evacuation jayevacuation.Gate
 	// acknowledged is the highest number of an ended run that the leader has recorded.
 	acknowledged uint64
 	orders       map[string]*order
@@ -161,7 +167,7 @@
 // Run supervises the runner until ctx is done.
 func (s *Supervisor) Run(ctx context.Context) {
 	s.mutex.Lock()
-	s.ctx = ctx
+	s.ctx, s.evacuation.Bound = ctx, s.EvacuationBound
 	s.mutex.Unlock()
 	var wg jayassert.Group
 	if !s.OrdersByHeartbeat {
@@ -209,6 +215,18 @@
 	}
 }
 
+// RecordEvacuation records what the leader has told of the runner's data centre in answer to the
+// report with this sequence number.
+func (s *Supervisor) RecordEvacuation(told jayevacuation.Statement, sequence int64) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	before := s.evacuation.Check(s.Elapsed())
+	s.evacuation.Record(told, time.Duration(sequence))
+	if after := s.evacuation.Check(s.Elapsed()); after != before {
+		s.Logger.Info().Str("event", "evacuation").Bool("evacuated", told.Evacuated).Int64("view_age_ms", told.ViewAge.Milliseconds()).Bool("starts_allowed", after == jayevacuation.Start).Msg("what may start here has changed")
+	}
+}
+
 // HandleHeartbeat applies a heartbeat. A heartbeat of another incarnation counts only
 // if the runner answers calls under that ID: it may be a late one of an incarnation
 // that has ended.
@@ -481,6 +499,7 @@
 		Running:    append([]jaycell.Run(nil), s.listing.Running...), Finished: append([]jaycell.End(nil), s.listing.Finished...),
 	}
 	r.Runner.Draining = r.Runner.Draining || s.deregistered
+	r.Runner.ColdLeft = max(0, r.Runner.ColdLeft-(now-s.heartbeatAt))
 	if s.confirmedFence < s.term {
 		r.Term = 0
 	}
--- a/internal/version/jaysettings/cell.go
+++ b/internal/version/jaysettings/cell.go
@@ -42,7 +42,9 @@
 	StopTimeout       time.Duration
 	GangTimeout       time.Duration
 	ReclaimDeadline   time.Duration
-	Retention         time.Duration
+	// EvacuationBound is zero where operators take no data centre out of service.
+	EvacuationBound time.Duration
+	Retention       time.Duration
 	// Cores is the number of CPU cores that the process may use; zero means unknown.
 	Cores float64
 	// RemoteSlowdown is the factor by which work away from its rack or data runs
@@ -76,6 +78,7 @@
 		scaledDuration("bounds", "stop_ms", "longest time that a runner takes to stop a run, in milliseconds", time.Millisecond, &c.StopTimeout),
 		scaledDuration("bounds", "gang_ms", "time for which members of a gang wait for each other, in milliseconds", time.Millisecond, &c.GangTimeout),
 		scaledDuration("bounds", "reclaim_ms", "time within which a guaranteed job starts, in milliseconds", time.Millisecond, &c.ReclaimDeadline),
+		scaledDuration("bounds", "evacuation_ms", "time within which no more tasks start in a data centre that operators take out of service, in milliseconds; 0 means that they take none", time.Millisecond, &c.EvacuationBound),
 		scaledDuration("bounds", "retention_s", "time for which an ended job can be queried, in seconds", time.Second, &c.Retention),
 		floatNumber("process", "cores", "CPU cores of this process", 0, &c.Cores),
 		floatNumber("bounds", "far_factor", "factor by which work away from its rack or data takes longer", 1, &c.RemoteSlowdown),
