Log when the view of the evacuations is too old to place tasks

Cause: a leader that holds starts back for this could not be told from one that has nothing to start.

--- a/internal/process/jaycontroller/evacuation.go
+++ b/internal/process/jaycontroller/evacuation.go
@@ -89,6 +89,17 @@
 	return complete && age <= jayevacuation.MaxDecisionAge(c.Timing.Evacuation)
 }
 
+// knowsEvacuations is Controller.knowsEvacuations, logged when it changes.
+func (l *leadership) knowsEvacuations() bool {
+	known := l.controller.knowsEvacuations()
+	if known == l.evacuationsUnknown {
+		l.evacuationsUnknown = !known
+		age, _ := l.controller.operatorTail.CompleteAge()
+		l.controller.Logger.Warn().Str("event", "evacuation").Uint64("term", l.term).Bool("known", known).Int64("view_age_ms", age.Milliseconds()).Msg("tasks are placed only while the evacuations are known")
+	}
+	return known
+}
+
 // refreshEvacuations reads the operator's topic again if the view of the evacuations is about to
 // become too old.
 func (c *Controller) refreshEvacuations(ctx context.Context) {
--- a/internal/process/jaycontroller/leadership.go
+++ b/internal/process/jaycontroller/leadership.go
@@ -73,6 +73,9 @@
 	// been deleted.
 	stateDeletions []jaycell.Record
 	lastExpiry     time.Duration
+	// evacuationsUnknown is set while the view of the evacuations is too old to place tasks. It
+	// is used by tick only.
+	evacuationsUnknown bool
 }
 
 func newLeadership(c *Controller, term uint64) *leadership {
@@ -235,7 +238,7 @@
 // if there is none or another one is being stored, and the orders to be sent at once.
 func (l *leadership) decide(ctx context.Context) (*jaycell.Batch, []jaycell.Order) {
 	// It takes the lock of a tail, which comes before that of a leadership.
-	knowsEvacuations := l.controller.knowsEvacuations()
+	knowsEvacuations := l.knowsEvacuations()
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	l.setCellTime()
