--- a/internal/version/jayconfig/config.go
+++ b/internal/version/jayconfig/config.go
@@ -80,7 +80,13 @@
 
 // Config is one immutable version of the configuration, indexed for lookups.
 type Config struct {
-	version    uint64
+	version uint64
+	// The lists are as decoded. The indexes hold the last of several entries with the
+	// same key.
+	routeList     []Route
+	serviceList   []Service
+	workspaceList []Workspace
+
 	hosts      map[string]*hostRoutes
 	services   map[string]Service
 	workspaces map[string]Workspace
@@ -91,7 +97,7 @@
 
 // NewConfig builds the indexes of one version.
 func NewConfig(version uint64, routes []Route, services []Service, workspaces []Workspace, limits Limits) *Config {
-	c := &Config{version: version, hosts: map[string]*hostRoutes{}, services: map[string]Service{}, workspaces: map[string]Workspace{}, keys: map[[sha256.Size]byte]string{}, advice: map[string]Advice{}, limits: limits}
+	c := &Config{version: version, routeList: routes, serviceList: services, workspaceList: workspaces, hosts: map[string]*hostRoutes{}, services: map[string]Service{}, workspaces: map[string]Workspace{}, keys: map[[sha256.Size]byte]string{}, advice: map[string]Advice{}, limits: limits}
 	for _, r := range routes {
 		if c.hosts[r.Host] == nil {
 			c.hosts[r.Host] = &hostRoutes{byPrefix: map[string]Route{}}
@@ -119,6 +125,16 @@
 // Version returns the version number, which increases with every change.
 func (c *Config) Version() uint64 { return c.version }
 
+// Routes returns the routes as decoded, including those that a later one replaces.
+func (c *Config) Routes() []Route { return c.routeList }
+
+// Services returns the services as decoded.
+func (c *Config) Services() []Service { return c.serviceList }
+
+// Workspaces returns the workspaces as decoded, including those that a later one
+// replaces.
+func (c *Config) Workspaces() []Workspace { return c.workspaceList }
+
 // Limits returns the limits of a request.
 func (c *Config) Limits() Limits { return c.limits }
 
