Add the command check

Cause: an operator of the users' platform has no way to check a configuration before it is sent. Change: jaystile check CONFIGURATION [--against FILE] [--accelerators N] [--json] prints findings and differences and exits with 3 if there is an error, as manifest check does.

--- a/cmd/jaystile/main.go
+++ b/cmd/jaystile/main.go
@@ -55,7 +55,7 @@
 
 // commands holds the functions that add the subcommands to the parser.
 var commands = []func(*flags.Parser){
-	addEntry, addSide, addCellEntry, addCellSide, addStandin, addDemo, addSettings, addManifest, addJob, addWhy, addStatus, addTimeline, addLoad, addPolicy, addPlay, addLosses, addVersion,
+	addEntry, addSide, addCellEntry, addCellSide, addStandin, addDemo, addSettings, addManifest, addJob, addWhy, addStatus, addTimeline, addLoad, addPolicy, addPlay, addLosses, addCheck, addVersion,
 }
 
 // exitStatus prints the error to stderr and returns the exit status.
