Describe the cell's backlog for admission control

Cause: only the leader knows what work goes before a new job. Change: Cell.Backlog lists runners, the runs that nothing in the backlog stops, the waiting tasks that are sure to go before lower priorities, and what has been seen of routes. Run times keep their shortest and longest value. Placements of earlier terms are marked: they may have run for long. The order puts late jobs of the same priority behind a new one, and expired ones last.

--- a/internal/process/jaycell/cell.go
+++ b/internal/process/jaycell/cell.go
@@ -15,6 +15,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"github.com/jaystile/jaystile/internal/process/jayadmission"
 	"github.com/jaystile/jaystile/internal/request/jaytask"
 )
 
@@ -147,7 +148,9 @@
 	runners  map[string]*Runner
 
 	meanRunTimes map[string]*runTimeMean
-	shareLimits  map[imagePair]int
+	// routes holds what has been seen of the jobs of each route.
+	routes      map[string]*jayadmission.Route
+	shareLimits map[imagePair]int
 	// slots caches poolSlots, as of slotsComputedAt.
 	slots           map[poolShape]int
 	slotsComputedAt time.Duration
@@ -170,7 +173,7 @@
 
 // New returns an empty cell for one term.
 func New(s Settings, now time.Duration, wall time.Time) *Cell {
-	return &Cell{settings: s, now: now, wall: wall, jobs: map[string]*job{}, runners: map[string]*Runner{}, meanRunTimes: map[string]*runTimeMean{}, shareLimits: map[imagePair]int{}, slots: map[poolShape]int{}, demand: map[string]*demand{}, dirtyUnits: map[*unit]bool{}}
+	return &Cell{settings: s, now: now, wall: wall, jobs: map[string]*job{}, runners: map[string]*Runner{}, meanRunTimes: map[string]*runTimeMean{}, routes: map[string]*jayadmission.Route{}, shareLimits: map[imagePair]int{}, slots: map[poolShape]int{}, demand: map[string]*demand{}, dirtyUnits: map[*unit]bool{}}
 }
 
 // SetTime sets the time for the calls that follow: now is monotonic, wall is the
@@ -232,6 +235,7 @@
 		return
 	}
 	c.jobs[spec.ID] = newJob(spec)
+	c.recordRoute(spec)
 }
 
 // MarkStarted records at the start of a term that a job has started in an earlier
@@ -294,7 +298,7 @@
 		c.runners[m.Runner] = r
 	}
 	pl := newPlacement(u, m.Index, r, c.now)
-	pl.committed = true
+	pl.committed, pl.restored = true, true
 	u.placements = append(u.placements, pl)
 	r.addPlacement(pl)
 }
--- a/internal/process/jaycell/estimate.go
+++ b/internal/process/jaycell/estimate.go
@@ -3,6 +3,8 @@
 import (
 	"strconv"
 	"time"
+
+	"github.com/jaystile/jaystile/internal/process/jayadmission"
 )
 
 const (
@@ -13,10 +15,13 @@
 	minMeanWeight = 0.15
 )
 
-// runTimeMean is the moving average of the run time of one step of a route.
+// runTimeMean is the moving average of the run time of one step of a route, with the
+// bounds of all its run times in this term.
 type runTimeMean struct {
-	runs int
-	mean time.Duration
+	runs     int
+	mean     time.Duration
+	shortest time.Duration
+	longest  time.Duration
 }
 
 func runTimeKey(route string, step int) string { return route + "/" + strconv.Itoa(step) }
@@ -30,10 +35,11 @@
 	k := runTimeKey(pl.unit.job.spec.Policy.Route, pl.unit.step)
 	m := c.meanRunTimes[k]
 	if m == nil {
-		c.meanRunTimes[k] = &runTimeMean{runs: 1, mean: runTime}
+		c.meanRunTimes[k] = &runTimeMean{runs: 1, mean: runTime, shortest: runTime, longest: runTime}
 		return
 	}
 	m.runs++
+	m.shortest, m.longest = min(m.shortest, runTime), max(m.longest, runTime)
 	weight := max(minMeanWeight, 1/float64(m.runs))
 	m.mean += time.Duration(weight * float64(runTime-m.mean))
 }
@@ -104,11 +110,8 @@
 	return longest
 }
 
-// wavesPerPool is the number of waves that the pool holds at once, where a wave is the
-// tasks of one step that run at the same time: the objective assumes that a step uses
-// 1/wavesPerPool of the pool and that a wider step runs in several waves, one after the
-// other.
-const wavesPerPool = 4
+// wavesPerPool is the number of waves that the pool holds at once.
+const wavesPerPool = jayadmission.WavesPerPool
 
 // waves returns the number of waves assumed for a step.
 func (c *Cell) waves(j *job, step int) int {
--- a/internal/process/jaycell/priority.go
+++ b/internal/process/jaycell/priority.go
@@ -3,6 +3,8 @@
 import (
 	"cmp"
 	"sort"
+
+	"github.com/jaystile/jaystile/internal/process/jayadmission"
 )
 
 const (
@@ -12,7 +14,7 @@
 	latePenalty = 0.5
 	// expiryFactor is the age, in multiples of the objective, after which completing a
 	// job no longer counts.
-	expiryFactor = 3
+	expiryFactor = jayadmission.ExpiryFactor
 )
 
 // guaranteedJobs returns the jobs covered by the guaranteed accelerators of their
--- a/internal/process/jaycell/unit.go
+++ b/internal/process/jaycell/unit.go
@@ -194,6 +194,9 @@
 	capacity jaytask.Resources
 	// committed reports that the run is stored, so that its start may be sent.
 	committed bool
+	// restored reports that an earlier term has placed the run, so that it may have run
+	// for long when it is confirmed.
+	restored bool
 	// confirmed reports that the runner has started the run.
 	confirmed   bool
 	confirmedAt time.Duration
