Refuse jobs that certainly cannot be completed in time

Cause: callers of such jobs wait for what cannot succeed. Change: with [overload] admission = on, the leader sends an account of the backlog to the linked entries, at most every 500 ms while a route has no room and an empty one at its end. An entry judges submissions by the newest account of the present term, up to 1.5 s old, and answers not_now with a delay until there may be room. Not measured under load. Conclusion: a failure of the leader or of its links ends refusals within 1.5 s.

--- a/cmd/jaystile/cellentry.go
+++ b/cmd/jaystile/cellentry.go
@@ -62,7 +62,7 @@
 	}
 	controller := jaycontroller.New(listeners[0])
 	controller.Name, controller.DataCentre, controller.Address, controller.Incarnation = s.Name, s.DataCentre, cmp.Or(s.LinkAnnounced, s.Link), uint64(time.Now().UnixNano())
-	controller.Cores = s.Cores
+	controller.Cores, controller.Admission = s.Cores, s.Admission == jaysettings.AdmissionOn
 	controller.Timing = jaycontroller.Timing{Lease: s.Lease(), Retention: s.Retention, StopTimeout: s.StopTimeout, GangTimeout: s.GangTimeout, ReclaimDeadline: s.ReclaimDeadline, RemoteSlowdown: s.RemoteSlowdown}
 	controller.Topics = jaycontroller.Topics{Operator: jayadapter.TopicOperator, Cell: jayadapter.TopicCell, Jobs: jayadapter.TopicJobs, Runs: jayadapter.TopicRuns, RunsStandby: jayadapter.RunsStandbys(), ConfigKey: jayadapter.ConfigKey}
 	controller.Logger = logger
--- a/internal/connection/jayframe/cell.go
+++ b/internal/connection/jayframe/cell.go
@@ -200,3 +200,43 @@
 
 // Kind implements Message.
 func (*PutReply) Kind() Kind { return KindPutReply }
+
+// CellRunTimes is the wire form of a jayadmission.RunTimes.
+type CellRunTimes struct {
+	_              struct{} `cbor:",toarray"`
+	ShortestMillis int64
+	LongestMillis  int64
+}
+
+// CellResources is the wire form of a jaytask.Resources.
+type CellResources struct {
+	_            struct{} `cbor:",toarray"`
+	CPU          int
+	Memory       int
+	Accelerators int
+}
+
+// CellRouteAccount is the wire form of a jayadmission.RouteAccount.
+type CellRouteAccount struct {
+	_          struct{} `cbor:",toarray"`
+	Route      string
+	Service    string
+	Priority   int
+	Smallest   CellResources
+	Largest    CellResources
+	RunTimes   []CellRunTimes
+	WaitMillis int64
+	Slots      int
+}
+
+// CellAccount sends the account of the backlog from the leader of a term to entries.
+// Sequence increases with each account of a term.
+type CellAccount struct {
+	_        struct{} `cbor:",toarray"`
+	Term     uint64
+	Sequence uint64
+	Routes   []CellRouteAccount
+}
+
+// Kind implements Message.
+func (*CellAccount) Kind() Kind { return KindCellAccount }
--- a/internal/connection/jayframe/codec.go
+++ b/internal/connection/jayframe/codec.go
@@ -164,6 +164,7 @@
 	KindStoreReply:     func() Message { return &StoreReply{} },
 	KindPutRecords:     func() Message { return &PutRecords{} },
 	KindPutReply:       func() Message { return &PutReply{} },
+	KindCellAccount:    func() Message { return &CellAccount{} },
 }
 
 func newMessage(k Kind) Message {
--- a/internal/connection/jayframe/codec_test.go
+++ b/internal/connection/jayframe/codec_test.go
@@ -54,7 +54,7 @@
 func FuzzDecode(f *testing.F) {
 	for _, m := range []Message{&Hello{Name: "a"}, &Reserve{Job: "j"}, &Report{Reservations: []Reservation{{Job: "j"}}},
 		&CellReport{Node: "n", Running: []CellRun{{Task: "t"}}, Finished: []CellEnd{{Number: 1}}}, &CellLeaseGrant{Term: 1}, &CellOrders{Orders: []CellOrder{{Task: "t", Ticket: "x"}}},
-		&CellView{Entries: []string{"e"}}, &CellResign{Term: 1}, &StoredRecords{Records: []StoredRecord{{Key: "k"}}}, &StoreRelay{Method: "GET"}, &StoreReply{Status: 200}, &PutRecords{Records: []StoredRecord{{Key: "k"}}}, &PutReply{Stored: true}} {
+		&CellView{Entries: []string{"e"}}, &CellResign{Term: 1}, &StoredRecords{Records: []StoredRecord{{Key: "k"}}}, &StoreRelay{Method: "GET"}, &StoreReply{Status: 200}, &PutRecords{Records: []StoredRecord{{Key: "k"}}}, &PutReply{Stored: true}, &CellAccount{Term: 1, Routes: []CellRouteAccount{{Route: "r"}}}} {
 		b, err := Encode(NewFrame(m))
 		assert.NilError(f, err)
 		f.Add(b)
--- a/internal/connection/jayframe/message.go
+++ b/internal/connection/jayframe/message.go
@@ -57,6 +57,7 @@
 	KindStoreReply     Kind = 35
 	KindPutRecords     Kind = 36
 	KindPutReply       Kind = 37
+	KindCellAccount    Kind = 38
 )
 
 // Message is one message between two processes.
--- a/internal/process/jaycontroller/controller.go
+++ b/internal/process/jaycontroller/controller.go
@@ -91,10 +91,12 @@
 	// Incarnation differs between two starts of a process with the same name.
 	Incarnation uint64
 	// Cores is the number of CPU cores that this process may use, zero if unknown.
-	Cores  float64
-	Timing Timing
-	Topics Topics
-	Logger zerolog.Logger
+	Cores float64
+	// Admission is set if jobs that certainly cannot be completed in time are refused.
+	Admission bool
+	Timing    Timing
+	Topics    Topics
+	Logger    zerolog.Logger
 	// CallStore sends a request directly to the store.
 	CallStore func(ctx context.Context, req jaystore.Request) (jaystore.Response, error)
 	// NewStoreClient returns a client that sends its requests with do.
@@ -112,6 +114,7 @@
 	storeTransport *jaystore.Transport
 	storeClient    *jaystore.Client
 	relays         *relayHistory
+	admission      *admission
 	jobs           *jobTable
 	jobsAppender   *jaystore.Appender
 	cellTail       *jaystore.Tail
@@ -157,7 +160,7 @@
 
 // New returns a controller that accepts links on the listener.
 func New(listener net.Listener) *Controller {
-	return &Controller{listener: listener, relays: newRelayHistory(), entryAddresses: map[string]string{}, entryCores: map[string]float64{}, peers: map[*jaylink.Link]string{}, agents: map[string]*jaylink.Link{}, linkNumbers: map[*jaylink.Link]uint64{}, leaderResigned: make(chan struct{}, 1)}
+	return &Controller{listener: listener, relays: newRelayHistory(), admission: newAdmission(), entryAddresses: map[string]string{}, entryCores: map[string]float64{}, peers: map[*jaylink.Link]string{}, agents: map[string]*jaylink.Link{}, linkNumbers: map[*jaylink.Link]uint64{}, leaderResigned: make(chan struct{}, 1)}
 }
 
 // Prepare builds the internal components. It is called once, after the exported
--- a/internal/process/jaycontroller/leadership.go
+++ b/internal/process/jaycontroller/leadership.go
@@ -51,7 +51,12 @@
 	endOnce      sync.Once
 	// contactCheckedAt is used by tick only.
 	contactCheckedAt time.Duration
-	reports          *reportQueue
+	// accountMadeAt, accountSequence and accountEmpty are of the latest account of the
+	// backlog, and used by tick only.
+	accountMadeAt   time.Duration
+	accountSequence uint64
+	accountEmpty    bool
+	reports         *reportQueue
 
 	mutex sync.Mutex
 	cell  *jaycell.Cell
@@ -76,7 +81,7 @@
 }
 
 func newLeadership(c *Controller, term uint64) *leadership {
-	l := &leadership{controller: c, term: term, wake: make(chan struct{}, 1), adviceWanted: make(chan struct{}, 1), done: make(chan struct{}), reports: newReportQueue(), lastTick: jayclock.Elapsed()}
+	l := &leadership{controller: c, term: term, wake: make(chan struct{}, 1), adviceWanted: make(chan struct{}, 1), done: make(chan struct{}), accountEmpty: true, reports: newReportQueue(), lastTick: jayclock.Elapsed()}
 	l.cell = jaycell.New(jaycell.Settings{
 		Term: term, Lease: c.Timing.Lease, HandoverDelay: handoverDelay, Retention: c.Timing.Retention, StopTimeout: c.Timing.StopTimeout, GangTimeout: c.Timing.GangTimeout, RemoteSlowdown: c.Timing.RemoteSlowdown,
 		Guaranteed: func(workspace string) int {
@@ -223,6 +228,7 @@
 	}
 	batch, immediate := l.decide(ctx)
 	l.sendOrders(immediate)
+	l.publishAccount()
 	Signal(l.adviceWanted)
 	if batch != nil {
 		l.spawn(func() { l.storeBatch(ctx, runs, batch) })
--- a/internal/process/jaycontroller/links.go
+++ b/internal/process/jaycontroller/links.go
@@ -184,6 +184,8 @@
 		if m.Leader != c.Name {
 			c.setTerm(Term{number: m.Term, leader: m.Leader, address: m.Address})
 		}
+	case *jayframe.CellAccount:
+		c.keepAccount(m)
 	case *jayframe.PutRecords:
 		c.tasks.Go(func() { c.servePut(l, call, m) })
 	case *jayframe.StoreRelay:
--- a/internal/process/jaycontroller/requests.go
+++ b/internal/process/jaycontroller/requests.go
@@ -184,6 +184,9 @@
 		Route: r.route.Name, Service: r.route.Service, Workspace: r.workspace, Priority: r.route.Priority,
 		MaxAttempts: r.route.MaxAttempts, Stretch: r.route.Stretch, Objective: r.route.Objective,
 	}
+	if refusal := c.refuseForCapacity(spec); refusal != nil {
+		return c.recordResponse("submit", r.id, *refusal)
+	}
 	value, err := jaytask.EncodeJob(spec)
 	if err != nil {
 		return c.recordResponse("submit", r.id, Response{Outcome: Malformed, Reason: err.Error()})
--- a/internal/version/jaysettings/cell.go
+++ b/internal/version/jaysettings/cell.go
@@ -49,6 +49,9 @@
 	// longer.
 	RemoteSlowdown float64
 	GracePeriod    time.Duration
+	// Admission is whether an entry refuses jobs for lack of capacity: AdmissionOn or
+	// AdmissionOff.
+	Admission string
 }
 
 // How a runner receives orders.
@@ -57,11 +60,17 @@
 	OrdersByHeartbeat = "heartbeat"
 )
 
+// Whether an entry refuses jobs that certainly cannot be completed in time.
+const (
+	AdmissionOn  = "on"
+	AdmissionOff = "off"
+)
+
 func defaultCell() Cell {
 	return Cell{
 		Orders: OrdersByCall, HeartbeatInterval: 1500 * time.Millisecond,
 		MaxLease: 10 * time.Second, StopTimeout: 900 * time.Millisecond, GangTimeout: 3 * time.Second, ReclaimDeadline: 3400 * time.Millisecond,
-		Retention: 120 * time.Second, RemoteSlowdown: 3, GracePeriod: 6 * time.Second,
+		Retention: 120 * time.Second, RemoteSlowdown: 3, GracePeriod: 6 * time.Second, Admission: AdmissionOff,
 	}
 }
 
@@ -91,6 +100,7 @@
 		address("listen", "link", "address for links of sides and entries", "127.0.0.1:7000", true, &c.Link),
 		address("listen", "link_announced", "link address that is announced to other processes; empty means the listen address", "127.0.0.1:7000", false, &c.LinkAnnounced),
 		address("advice", "address", "address of the service that decides which runners may run a step; empty for none", "127.0.0.1:8525", false, &c.Advice),
+		choice("overload", "admission", "whether jobs that certainly cannot be completed in time are refused; empty means off", AdmissionOff, &c.Admission, AdmissionOn, AdmissionOff),
 	)
 }
 
