Test evacuations without a network

Cause: the evacuation of data centres had no tests. The harness of the cell's tests can give runners a data centre.

--- a/internal/process/jaycell/cell_test.go
+++ b/internal/process/jaycell/cell_test.go
@@ -13,11 +13,13 @@
 
 // harness drives a cell on a virtual clock. Records are stored at once.
 type harness struct {
-	t           *testing.T
-	cell        *Cell
-	now         time.Duration
-	wall        time.Time
-	racks       map[string]string
+	t     *testing.T
+	cell  *Cell
+	now   time.Duration
+	wall  time.Time
+	racks map[string]string
+	// dataCentres holds the runners' data centres.
+	dataCentres map[string]string
 	unitRecords map[string][]byte
 	jobStates   map[string]jaytask.State
 	orders      []Order
@@ -72,6 +74,7 @@
 	if rack := h.racks[runner]; rack != "" {
 		p.Runner.Labels[1] = rack
 	}
+	p.Runner.DataCentre = h.dataCentres[runner]
 	if modify != nil {
 		modify(&p)
 	}
