Play evacuations beside the joint test's faults

Cause: the joint test of supervisors and cell knew no evacuations. No start may happen later than the bound, but by calls that a runner executes late and after a pause of the agent. The requests have random numbers of their own; the other tests draw as before. The soak in platform has no evacuations.

--- a/internal/process/jaysupervisor/cellmodel_test.go
+++ b/internal/process/jaysupervisor/cellmodel_test.go
@@ -72,6 +72,8 @@
 	lateOverLives bool
 	// shrinking makes runners shrink and grow, and start what does not fit.
 	shrinking bool
+	// evacuations is set if operators take data centres out of service.
+	evacuations *modelEvacuations
 	// faultGap stretches the time between random faults, if it is not zero.
 	faultGap int
 	events   []event
@@ -190,8 +192,14 @@
 	f.term++
 	f.batch, f.links = nil, map[string]*link{}
 	f.logf("", "leader of term %d", f.term)
+	var evacuated func(string) bool
+	if e := f.evacuations; e != nil {
+		e.known, e.view = false, nil
+		evacuated = e.isEvacuated
+	}
 	f.cell = jaycell.New(jaycell.Settings{
-		Term: f.term, Lease: f.lease, Retention: time.Hour, StopTimeout: modelStopTime, GangTimeout: modelGangTime, RemoteSlowdown: 1, Guaranteed: func(string) int { return 0 },
+		Evacuated: evacuated,
+		Term:      f.term, Lease: f.lease, Retention: time.Hour, StopTimeout: modelStopTime, GangTimeout: modelGangTime, RemoteSlowdown: 1, Guaranteed: func(string) int { return 0 },
 		OnDecision: func(d jaycell.Decision) {
 			f.logf(cmp.Or(d.Task, d.Job), "leader: %s run %d %s %s %s %s", d.Task, d.Run, d.Event, d.Outcome, d.Runner, d.Reason)
 		},
@@ -240,6 +248,7 @@
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	f.cell.SetTime(f.now(), time.Now())
+	f.cell.SetStarting(f.mayPlace())
 	f.cell.Tick()
 	f.sendOrders(f.cell.TakeImmediateOrders())
 	if f.batch != nil {
@@ -330,7 +339,13 @@
 	}
 	if f.cell.ApplyReport(r) {
 		term := f.term
-		l.send(down, func() { l.supervisor.GrantLease(term, r.Sequence) })
+		told, known := f.statementFor(r)
+		l.send(down, func() {
+			if known {
+				l.supervisor.RecordEvacuation(told, r.Sequence)
+			}
+			l.supervisor.GrantLease(term, r.Sequence)
+		})
 	}
 	jaycontroller.Signal(f.wake)
 }
--- a/internal/process/jaysupervisor/nodemodel_test.go
+++ b/internal/process/jaysupervisor/nodemodel_test.go
@@ -115,8 +115,10 @@
 	// disturbedAt is when the last fault of the node, its links or its runner's calls began or
 	// ended.
 	disturbedAt time.Duration
-	elapsed     time.Duration
-	clock       sync.Mutex
+	// resumedAt is when the last pause of the agent process ended.
+	resumedAt time.Duration
+	elapsed   time.Duration
+	clock     sync.Mutex
 }
 
 func (f *fleet) addNode(heartbeats bool) *node {
@@ -158,6 +160,9 @@
 	ctx, cancel := context.WithCancel(n.fleet.ctx)
 	s := New()
 	s.Node, s.Lease, s.Elapsed, s.Logger, s.OrdersByHeartbeat, s.HeartbeatInterval = n.name, n.fleet.lease, n.now, zerolog.Nop(), n.heartbeats, 200*time.Millisecond
+	if n.fleet.evacuations != nil {
+		s.EvacuationBound = modelEvacuationBound
+	}
 	s.Client = n.client(ctx)
 	s.SendReport = func(r jaycell.Report) {
 		n.awaitResume(ctx)
@@ -208,6 +213,7 @@
 		n.fleet.logf("", "agent of %s goes on", n.name)
 		close(n.paused)
 		n.paused = nil
+		n.resumedAt = n.fleet.now()
 		n.disturb()
 	}
 	n.fleet.mutex.Unlock()
@@ -238,7 +244,7 @@
 		return
 	}
 	n.sequence++
-	h := Heartbeat{Sequence: n.sequence, Runner: jaycell.RunnerInfo{ID: r.id, Service: "s", Capacity: jaytask.Resources{CPU: r.slots}, Draining: r.draining, DrainRemaining: 10 * time.Second}}
+	h := Heartbeat{Sequence: n.sequence, Runner: jaycell.RunnerInfo{ID: r.id, Service: "s", DataCentre: n.dataCentre(), Capacity: jaytask.Resources{CPU: r.slots}, Draining: r.draining, DrainRemaining: 10 * time.Second}}
 	if n.heartbeats {
 		h.Listing = r.listing()
 	}
--- a/internal/process/jaysupervisor/runnermodel_test.go
+++ b/internal/process/jaysupervisor/runnermodel_test.go
@@ -416,6 +416,7 @@
 		f.fail(s.Task, "run %d begins on %s %s after the end of its job", s.Run, r.id, now-at)
 	}
 	f.checkBudget(x)
+	f.checkEvacuation(x)
 	f.checkCapacity(x)
 	f.runs, f.begun[unit] = append(f.runs, x), x
 	f.logf(s.Task, "%s: run %d of %s begins", r.id, s.Run, s.Task)
