Log what an evacuation leaves of the pool

Cause: after an evacuation the guarantees of the workspaces may no longer fit what is left, and no operator was told. Change: when an evacuation is requested, the leader logs the accelerators left and those guaranteed (event `evacuation`), as a warning if the guarantees no longer fit. jayconfig.Config has GuaranteedAccelerators. Conclusion: it is logged once for each request, after the round of decisions that has applied it.

--- a/internal/process/jaycontroller/evacuation.go
+++ b/internal/process/jaycontroller/evacuation.go
@@ -46,10 +46,29 @@
 	}
 	line.Msg("an evacuation was requested or ended")
 	if l := c.currentLeadership(); l != nil {
+		l.evacuationRequested.Store(l.evacuationRequested.Load() || !removed)
 		Signal(l.wake)
 	}
 }
 
+// logRemainingPool logs what an evacuation leaves of the pool, for operators to see whether the
+// guarantees still fit. The leadership's mutex is held, and the cell has applied the evacuation.
+func (l *leadership) logRemainingPool() {
+	if !l.evacuationRequested.CompareAndSwap(true, false) {
+		return
+	}
+	config := l.controller.config.Load()
+	if config == nil {
+		return
+	}
+	left, guaranteed := l.cell.PoolAccelerators(), config.GuaranteedAccelerators()
+	line := l.controller.Logger.Info()
+	if guaranteed > left {
+		line = l.controller.Logger.Warn()
+	}
+	line.Str("event", "evacuation").Int("accelerators_left", left).Int("accelerators_guaranteed", guaranteed).Bool("guarantees_fit", guaranteed <= left).Msg("what is left of the pool")
+}
+
 // replaceOperatorRecords applies the newest records of all keys of the operator's topic. The
 // requests that are not among them have been removed.
 func (c *Controller) replaceOperatorRecords(all []jaystore.StoredRecord) {
--- a/internal/process/jaycontroller/evacuation_test.go
+++ b/internal/process/jaycontroller/evacuation_test.go
@@ -1,12 +1,16 @@
 package jaycontroller
 
 import (
+	"bytes"
 	"context"
 	"errors"
+	"fmt"
+	"strings"
 	"sync"
 	"testing"
 	"time"
 
+	"github.com/rs/zerolog"
 	"gotest.tools/v3/assert"
 
 	"github.com/jaystile/jaystile/internal/connection/jayframe"
@@ -197,6 +201,46 @@
 	assert.Assert(t, controller.isEvacuated("a"))
 }
 
+// An operator must be told when the guarantees no longer fit what an evacuation leaves, as of the
+// pool without the data centre.
+func TestRequestLogsWhatIsLeftOfThePool(t *testing.T) {
+	for _, c := range []struct {
+		name       string
+		guaranteed int
+		level, fit string
+	}{
+		{"guarantees fit", 8, "info", "true"},
+		{"guarantees do not fit", 9, "warn", "false"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			controller, o := newEvacuationController(time.Minute)
+			var log bytes.Buffer
+			controller.Logger = zerolog.New(&log)
+			controller.config.Store(jayconfig.NewConfig(2, nil, nil, []jayconfig.Workspace{{Name: "v", Guaranteed: 1}, {Name: "w", Guaranteed: c.guaranteed - 1}}, jayconfig.Limits{}))
+			assert.NilError(t, controller.operatorTail.Refresh(t.Context()))
+			l := controller.leadership
+			l.setCellTime()
+			for _, id := range []string{"a", "b"} {
+				l.cell.ApplyReport(jaycell.Report{Node: id, Sequence: 1, Term: 1, Responsive: true, Runner: jaycell.RunnerInfo{ID: id, Service: "s", DataCentre: id, Capacity: jaytask.Resources{CPU: 1000, Accelerators: 8}}})
+			}
+			decide := func() string {
+				log.Reset()
+				assert.NilError(t, controller.operatorTail.Refresh(t.Context()))
+				l.decide(t.Context())
+				_, line, _ := strings.Cut(log.String(), "accelerators_left")
+				return line
+			}
+			assert.Equal(t, decide(), "", "logged without a request")
+			o.request("a")
+			assert.Equal(t, decide(), fmt.Sprintf("\":8,\"accelerators_guaranteed\":%d,\"guarantees_fit\":%s,\"message\":\"what is left of the pool\"}\n", c.guaranteed, c.fit))
+			assert.Assert(t, strings.Contains(log.String(), `"level":"`+c.level+`","event":"evacuation","accelerators_left"`), log.String())
+			assert.Equal(t, decide(), "", "logged twice")
+			o.remove("a")
+			assert.Equal(t, decide(), "", "logged at a removal")
+		})
+	}
+}
+
 // An agent that is told too little, or too low an age, would start tasks in an evacuated data
 // centre.
 func TestGrantsCarryTheStatement(t *testing.T) {
--- a/internal/process/jaycontroller/leadership.go
+++ b/internal/process/jaycontroller/leadership.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -49,6 +50,8 @@
 	// adviceWanted is signaled when there may be a query for the advice service.
 	adviceWanted chan struct{}
 	endOnce      sync.Once
+	// evacuationRequested is set until the next decisions have applied the request.
+	evacuationRequested atomic.Bool
 	// contactCheckedAt is used by tick only.
 	contactCheckedAt time.Duration
 	reports          *reportQueue
@@ -254,6 +257,7 @@
 	if !l.resigned && !l.termUnverified {
 		l.cell.SetStarting((!l.writing || now-l.writingSince < maxStartDelay) && knowsEvacuations)
 		l.cell.Tick()
+		l.logRemainingPool()
 		if !l.writing {
 			batch = l.cell.TakeBatch()
 		}
--- a/internal/version/jayconfig/config.go
+++ b/internal/version/jayconfig/config.go
@@ -149,6 +149,15 @@
 // Guaranteed returns the number of accelerators guaranteed to a workspace.
 func (c *Config) Guaranteed(workspace string) int { return c.workspaces[workspace].Guaranteed }
 
+// GuaranteedAccelerators returns the sum of the accelerators guaranteed to all workspaces.
+func (c *Config) GuaranteedAccelerators() int {
+	n := 0
+	for _, w := range c.workspaces {
+		n += w.Guaranteed
+	}
+	return n
+}
+
 // Advice returns the advice settings of a route. False means that its steps need
 // no admission ticket.
 func (c *Config) Advice(route string) (Advice, bool) {
--- a/internal/version/jayconfig/config_test.go
+++ b/internal/version/jayconfig/config_test.go
@@ -45,5 +45,6 @@
 	}
 	assert.Equal(t, c.Guaranteed("w"), 8)
 	assert.Equal(t, c.Guaranteed("x"), 0)
+	assert.Equal(t, c.GuaranteedAccelerators(), 8)
 	assert.Equal(t, NormalizeHost("A.example:80"), "a.example")
 }
