Measure the scheduling round with a data centre evacuated

Cause: a round now asks for each runner whether its data centre is evacuated, and its cost was not measured. Change: BenchmarkRoundWithEvacuation plays rounds over a full pool in three data centres, with 100 tasks and 20 gangs waiting: without evacuations (Settings.Evacuated nil), and with a third of the pool evacuated afterwards.

--- a/internal/process/jaycell/round_bench_test.go
+++ b/internal/process/jaycell/round_bench_test.go
@@ -55,3 +55,60 @@
 		})
 	}
 }
+
+// BenchmarkRoundWithEvacuation measures one round of decisions on a pool of three data centres
+// that is full of small tasks, while more of them and gangs wait: without evacuations, and with
+// one of the data centres evacuated.
+func BenchmarkRoundWithEvacuation(b *testing.B) {
+	const accelerators, rackSize, dataCentres, gangs, waiting = 8, 8, 3, 20, 100
+	for _, workers := range []int{80, 300, 1000} {
+		for _, evacuated := range []bool{false, true} {
+			b.Run(fmt.Sprintf("%d/evacuated=%v", workers, evacuated), func(b *testing.B) {
+				now, wall := time.Hour, time.UnixMilli(1_700_000_000_000)
+				settings, requested := testSettings(1, nil), false
+				if evacuated {
+					settings.Evacuated = func(dataCentre string) bool { return requested && dataCentre == "0" }
+				}
+				c := New(settings, now, wall)
+				submit := func(id string, priority int, s jaytask.Step) {
+					c.Submit(&jaytask.Job{ID: id, Steps: []jaytask.Step{s}, Accepted: wall, Policy: jaytask.Policy{Service: "s", Priority: priority, MaxAttempts: 2, Stretch: 3, Objective: time.Second}})
+				}
+				report := func() {
+					for i := range workers {
+						rack := i / rackSize
+						p := Report{Node: fmt.Sprint("n", i), Sequence: int64(now), Term: 1, Responsive: true, Runner: RunnerInfo{ID: fmt.Sprint("r", i), Service: "s", DataCentre: fmt.Sprint(rack % dataCentres), Labels: []string{fmt.Sprint("r-", rack)}, Capacity: jaytask.Resources{CPU: 32000, Memory: 131072, Accelerators: accelerators}}}
+						if r := c.runners[p.Runner.ID]; r != nil {
+							for _, pl := range r.placements {
+								p.Running = append(p.Running, Run{Task: pl.name, Run: pl.run, Percent: 1})
+							}
+						}
+						c.ApplyReport(p)
+					}
+				}
+				report()
+				for i := range workers*accelerators + waiting {
+					submit(fmt.Sprintf("small%05d", i), 2, step(1, 1))
+				}
+				c.Tick()
+				c.ConfirmStored(c.TakeBatch())
+				requested = true
+				now, wall = now+2*withdrawalDelay, wall.Add(2*withdrawalDelay)
+				c.SetTime(now, wall)
+				report()
+				for i := range gangs {
+					// Their own work is too short to stop that of others.
+					s := step(2+i%6, accelerators)
+					s.Gang, s.SameRack, s.Estimate = true, i%2 == 0, 10*time.Millisecond
+					submit(fmt.Sprintf("gang%02d", i), i%2, s)
+				}
+				b.ReportAllocs()
+				for b.Loop() {
+					c.Tick()
+				}
+				if n := len(c.TakeImmediateOrders()); n > 0 {
+					b.Fatalf("%d tasks were stopped", n)
+				}
+			})
+		}
+	}
+}
