Withdraw starts only by a report from after the evacuation

Cause: a start in an evacuated data centre was withdrawn a second later also if its agent was cut off. Its run had perhaps begun meanwhile, and the stop ended it once the agent was back, although what runs there is to go on. Change: starts are withdrawn by the first report from a second after the evacuation that does not show them. Figures: TestRunThatBeganWhileItsAgentWasCutOffGoesOn fails without the change (a stop is ordered), and with starts withdrawn at once. Conclusion: agents in contact get the stop up to a report interval (0.5 s) later than before; those cut off could not have got one earlier.

--- a/internal/process/jaycell/evacuate.go
+++ b/internal/process/jaycell/evacuate.go
@@ -3,8 +3,8 @@
 import "time"
 
 const (
-	// withdrawalDelay is how long after an evacuation the starts there are withdrawn that no
-	// report has shown to have begun: two report intervals. Stopping those that have begun would
+	// withdrawalDelay is how long after an evacuation a report must come that withdraws the starts
+	// there that it does not show: two report intervals. Stopping those that have begun would
 	// waste their work.
 	withdrawalDelay = time.Second
 	// coldRunnerRank is the leftover for which a unit takes a warm runner rather than a cold one,
@@ -28,7 +28,8 @@
 			// The sizes of the pool and of racks have changed.
 			c.slotsComputedAt = 0
 		}
-		if r.evacuated && c.now-r.evacuatedAt >= withdrawalDelay {
+		// An agent that is cut off has not told what has begun.
+		if r.evacuated && r.reportedAt-r.evacuatedAt >= withdrawalDelay {
 			c.withdrawUnstarted(r)
 		}
 	}
--- a/internal/process/jaycell/evacuate_test.go
+++ b/internal/process/jaycell/evacuate_test.go
@@ -150,6 +150,21 @@
 	}
 }
 
+// A run may begin while its agent is cut off. A stop that was ordered meanwhile would end it once
+// the agent is back.
+func TestRunThatBeganWhileItsAgentWasCutOffGoesOn(t *testing.T) {
+	e, evacuated := newEvacuationEnvironment(t, nil, "a1")
+	e.tick(0)
+	e.submit("x", 1, "w", step(1, 8))
+	assert.DeepEqual(t, startedOn(e.advance(0)), []string{"a1"})
+	evacuated["a"] = true
+	for range 20 {
+		assert.Equal(t, e.countStops(e.advance(100*time.Millisecond)), 0)
+	}
+	e.report("node-a1", "a1", func(p *Report) { p.Running = []Run{{Task: "x.0.0.0", Run: 1, Percent: 1}} })
+	assert.Equal(t, e.countStops(e.advance(100*time.Millisecond)), 0)
+}
+
 // A start that is being stored when its data centre is evacuated was never sent, and must not be.
 func TestStartThatIsBeingStoredIsNotSent(t *testing.T) {
 	e, evacuated := newEvacuationEnvironment(t, nil, "a1")
