--- a/cmd/jaystile/play.go
+++ b/cmd/jaystile/play.go
@@ -21,7 +21,7 @@
 
 type playCommand struct {
 	outputOption
-	Load  string  `long:"load" default:"salish" description:"kjaergaard, kjaergaard-large, salish, kastrinakis or kastrinakis-grown"`
+	Load  string  `long:"load" default:"salish" description:"kjaergaard, kjaergaard-large, salish, kastrinakis, kastrinakis-grown, tampere or swansea"`
 	Seeds int     `long:"seeds" default:"20" description:"number of days"`
 	First uint64  `long:"first" default:"1" description:"the first seed"`
 	Slow  float64 `long:"slow" description:"share of workers that run four times slower for a third of the day"`
--- a/internal/process/jaysimulation/load.go
+++ b/internal/process/jaysimulation/load.go
@@ -57,8 +57,15 @@
 	// whose data is on one rack, that are canceled, that always fail. sameRack is the
 	// share of gangs that want one rack.
 	gang, sameRack, checkpointing, dataBound, canceled, failing float64
+	// longShare is the share of tasks that run longFactor times as long, up to
+	// longTaskLimit.
+	longShare, longFactor float64
 }
 
+// longTaskLimit bounds the run time of long tasks, in seconds, so that their jobs can be
+// done before the day ends.
+const longTaskLimit = 25
+
 // Burst multiplies the arrival rate of a class for a time.
 type Burst struct {
 	Class    string
@@ -94,6 +101,16 @@
 	// accelerators equally. GuaranteedShare is their share of all accelerators.
 	Workspaces      int
 	GuaranteedShare float64
+	// WorkspaceSkew makes workspaces differ in size: the n-th one submits jobs in
+	// proportion to 1/n^WorkspaceSkew. Zero means equally many.
+	WorkspaceSkew float64
+	// WaveAmplitude is the relative amplitude by which arrival rates oscillate with
+	// WavePeriod in each of the DataCentres, which arrivals are divided among. Data
+	// centres follow each other by waveShift of the period; data that a job is bound to is
+	// on a rack of its own one.
+	WaveAmplitude float64
+	WavePeriod    time.Duration
+	DataCentres   int
 	// SlowShare is the share of workers that run SlowFactor times slower in the
 	// middle third of the arrival period, LostShare that of workers that are lost
 	// after its first third.
@@ -117,7 +134,7 @@
 
 // Error implements error.
 func (e *UnknownLoadError) Error() string {
-	return fmt.Sprintf("unknown load %q: want kjaergaard, kjaergaard-large, salish, kastrinakis or kastrinakis-grown", e.Given)
+	return fmt.Sprintf("unknown load %q: want kjaergaard, kjaergaard-large, salish, kastrinakis, kastrinakis-grown, tampere or swansea", e.Given)
 }
 
 // newLoad returns a load that exceeds the deployment's resources at times.
@@ -156,6 +173,10 @@
 		return newDispatchLoad(name), nil
 	case "kastrinakis-grown":
 		return newDispatchLoad(name).grow(), nil
+	case "tampere":
+		return newScarceLoad(name), nil
+	case "swansea":
+		return newUnevenLoad(name), nil
 	}
 	return Load{}, &UnknownLoadError{Given: name}
 }
@@ -204,6 +225,41 @@
 	return l
 }
 
+// unevenSpeeds are the speeds of workers that differ by a factor of almost three.
+var unevenSpeeds = []float64{1, 0.8, 1.2, 0.55, 1, 1.5, 0.9, 1.1}
+
+// newScarceLoad returns the load of callers that compete for too few workers at times. A
+// job with a second step counts as a second job.
+func newScarceLoad(name string) Load {
+	mixed := []int{1, 2, 4, 8}
+	return Load{
+		Name: name, ArrivalPeriod: 45 * time.Second, Runners: 67, Worker: jaytask.Resources{CPU: 128000, Memory: 262144, Accelerators: 8}, RackSize: 8, Speeds: unevenSpeeds, WholeWorkerGangs: true,
+		StopTimeout: 400 * time.Millisecond, RemoteSlowdown: 3, Workspaces: 10, GuaranteedShare: 0.3, WorkspaceSkew: 1,
+		WaveAmplitude: 0.55, WavePeriod: 15 * time.Second, DataCentres: 3,
+		ScoreWeights: ScoreWeights{Overall: 0.35, WorstWindows: 0.5, WorstClass: 0.15, WorstWorkspace: 0.2, WasteCost: 0.001},
+		Classes: []Class{
+			{Name: "courier", Priority: 0, ArrivalsPerSecond: 1.37, OnTimeValue: 4, LateValue: 0.8, Stretch: 1.5, Objective: 250 * time.Millisecond, MaxAttempts: 3, resources: jaytask.Resources{CPU: 15000, Memory: 39000}, accelerators: mixed, taskCount: logNormal{5, 0.8, 30}, taskSeconds: logNormal{2.5, 0.5, 8}, taskVariation: 0.15, estimateError: 0.9, gang: 1, sameRack: 0.6, longShare: 0.03, longFactor: 7},
+			{Name: "route", Priority: 1, ArrivalsPerSecond: 0.6, OnTimeValue: 3, LateValue: 0.3, Stretch: 3, Objective: time.Second, MaxAttempts: 3, resources: jaytask.Resources{CPU: 52000, Memory: 75000}, accelerators: mixed, taskCount: logNormal{7, 0.8, 42}, taskSeconds: logNormal{8.5, 0.3, 11}, taskVariation: 0.15, estimateError: 0.9, dataBound: 0.3, canceled: 0.05, checkpointing: 0.45, failing: 0.01, longShare: 0.03, longFactor: 7, initial: 5},
+			{Name: "invoice", Priority: 2, ArrivalsPerSecond: 0.42, OnTimeValue: 1, LateValue: 0.1, Stretch: 3, Objective: 3 * time.Second, MaxAttempts: 3, resources: jaytask.Resources{CPU: 11000, Memory: 16000}, accelerators: []int{1}, taskCount: logNormal{39, 0.8, 230}, taskSeconds: logNormal{7.6, 0.3, 11}, taskVariation: 0.15, estimateError: 0.9, dataBound: 0.12, canceled: 0.15, checkpointing: 0.45, failing: 0.01, longShare: 0.03, longFactor: 7, initial: 4},
+		},
+		Bursts: []Burst{{Class: "courier", Start: 5 * time.Second, Duration: 6 * time.Second, Factor: 2.2}, {Class: "route", Start: 14 * time.Second, Duration: 6 * time.Second, Factor: 2}, {Class: "courier", Start: 27 * time.Second, Duration: 6 * time.Second, Factor: 2.2}},
+	}
+}
+
+// newUnevenLoad returns the load of callers whose demand rises and falls in waves and for
+// whose tasks memory is scarcer than accelerators.
+func newUnevenLoad(name string) Load {
+	l := newScarceLoad(name)
+	l.Runners, l.Worker.Memory, l.StopTimeout = 51, 524288, 900*time.Millisecond
+	l.ScoreWeights = ScoreWeights{Overall: 0.6, WorstWindows: 0.25, WorstClass: 0.15, WorstWorkspace: 0.2, WasteCost: 0.001}
+	urgent, large, small := &l.Classes[0], &l.Classes[1], &l.Classes[2]
+	urgent.ArrivalsPerSecond, large.ArrivalsPerSecond, small.ArrivalsPerSecond = 1.13, 0.82, 0.43
+	urgent.taskSeconds.mean, large.taskSeconds.mean, small.taskSeconds.mean = 2.1, 5.8, 5.2
+	large.taskCount, large.resources.Memory = logNormal{5, 0.8, 30}, 270000
+	large.LateValue, small.LateValue = 0.9, 0.3
+	return l
+}
+
 // request is a submitted job with what only the simulation knows of it.
 type request struct {
 	spec    *jaytask.Job
@@ -256,7 +312,7 @@
 	for at := time.Duration(0); at < l.ArrivalPeriod; at += tick {
 		for i := range l.Classes {
 			c := &l.Classes[i]
-			rate := c.ArrivalsPerSecond
+			rate := c.ArrivalsPerSecond * l.wave(at)
 			for _, b := range l.Bursts {
 				if b.Class == c.Name && at >= b.Start && at < b.Start+b.Duration {
 					rate *= b.Factor
@@ -270,6 +326,63 @@
 	return all
 }
 
+// waveShift is the delay of a data centre's wave after that of the one before it, as a
+// share of the period. Three data centres shifted by a third would cancel each other out
+// in a pool that they share.
+const waveShift = 0.125
+
+// wave returns the factor of the arrival rates at a time, the mean of the data centres.
+func (l *Load) wave(at time.Duration) float64 {
+	if l.DataCentres == 0 {
+		return 1
+	}
+	sum := 0.0
+	for i := range l.DataCentres {
+		sum += l.waveIn(i, at)
+	}
+	return sum / float64(l.DataCentres)
+}
+
+// waveIn returns the factor of the arrival rates of a data centre at a time.
+func (l *Load) waveIn(dataCentre int, at time.Duration) float64 {
+	phase := at.Seconds()/l.WavePeriod.Seconds() - waveShift*float64(dataCentre)
+	return 1 + l.WaveAmplitude*math.Sin(2*math.Pi*phase)
+}
+
+// pick returns an index below n, with a probability in proportion to its weight.
+func pick(r *rand.Rand, n int, weight func(int) float64) int {
+	sum := 0.0
+	for i := range n {
+		sum += weight(i)
+	}
+	v := r.Float64() * sum
+	for i := range n - 1 {
+		if v -= weight(i); v < 0 {
+			return i
+		}
+	}
+	return n - 1
+}
+
+// pickRack returns the rack that a job's data is on, in the data centre that it arrives in.
+func (l *Load) pickRack(r *rand.Rand, at time.Duration) int {
+	racks := (l.Runners + l.RackSize - 1) / l.RackSize
+	if l.DataCentres == 0 {
+		return r.IntN(racks)
+	}
+	dataCentre := pick(r, l.DataCentres, func(i int) float64 { return l.waveIn(i, at) })
+	first, end := dataCentre*racks/l.DataCentres, (dataCentre+1)*racks/l.DataCentres
+	return first + r.IntN(end-first)
+}
+
+// pickWorkspace returns the workspace of a job.
+func (l *Load) pickWorkspace(r *rand.Rand) int {
+	if l.WorkspaceSkew == 0 {
+		return r.IntN(l.Workspaces)
+	}
+	return pick(r, l.Workspaces, func(i int) float64 { return math.Pow(float64(i+1), -l.WorkspaceSkew) })
+}
+
 func (l *Load) generateOne(r *rand.Rand, c *Class, at time.Duration, start time.Time, n int) *request {
 	resources := c.resources
 	resources.Accelerators = c.accelerators[r.IntN(len(c.accelerators))]
@@ -284,21 +397,25 @@
 	poolTasks := l.Runners * l.tasksPerWorker(resources)
 	q.waves = max(1, (wavesPerPool*count+poolTasks-1)/poolTasks)
 	for range count {
-		q.taskSeconds = append(q.taskSeconds, mean*(1+c.taskVariation*(2*r.Float64()-1)))
+		seconds := mean * (1 + c.taskVariation*(2*r.Float64()-1))
+		if c.longShare > 0 && r.Float64() < c.longShare {
+			seconds = max(seconds, min(c.longFactor*seconds, longTaskLimit))
+		}
+		q.taskSeconds = append(q.taskSeconds, seconds)
 	}
 	s := jaytask.Step{Count: count, Resources: resources, Estimate: time.Duration(mean * (1 + c.estimateError*(2*r.Float64()-1)) * float64(time.Second))}
 	s.Gang = gang && count > 1
 	s.SameRack = s.Gang && (sameRack || !l.WholeWorkerGangs && r.Float64() < c.sameRack)
 	s.Checkpoint = r.Float64() < c.checkpointing
 	if r.Float64() < c.dataBound {
-		s.DataRack = rackName(r.IntN((l.Runners + l.RackSize - 1) / l.RackSize))
+		s.DataRack = rackName(l.pickRack(r, at))
 	}
 	if r.Float64() < c.canceled {
 		q.cancelAt = at + time.Duration(r.Float64()*8*float64(time.Second))
 	}
 	q.spec = &jaytask.Job{
 		ID: fmt.Sprintf("%016x", n+1), Steps: []jaytask.Step{s}, Accepted: start.Add(at),
-		Policy: jaytask.Policy{Route: c.Name, Service: service, Workspace: fmt.Sprintf("w%d", r.IntN(l.Workspaces)), Priority: c.Priority, MaxAttempts: c.MaxAttempts, Stretch: c.Stretch, Objective: c.Objective},
+		Policy: jaytask.Policy{Route: c.Name, Service: service, Workspace: fmt.Sprintf("w%d", l.pickWorkspace(r)), Priority: c.Priority, MaxAttempts: c.MaxAttempts, Stretch: c.Stretch, Objective: c.Objective},
 	}
 	return q
 }
