Wait for runs that end before their stop would make room

Cause: a claim stopped runs although they would have ended before the stop freed their resources, which loses their work and gains nothing. A claimant without a guarantee also waits for runs that it may not stop. If nothing is stopped, the claims are made anew in each round, so that a more urgent unit gets the room. Cell.remainingTime takes the age of the reported progress into account.

--- a/internal/process/jaycell/preempt.go
+++ b/internal/process/jaycell/preempt.go
@@ -1,6 +1,7 @@
 package jaycell
 
 import (
+	"slices"
 	"sort"
 	"time"
 
@@ -34,17 +35,33 @@
 type claimant struct {
 	guaranteed bool
 	priority   int
+	// patient reports whether runs that end soon are awaited.
+	patient bool
 }
 
-// preemptionCosts returns the units that may be preempted for u with the cost of
-// preempting each, in core-seconds of lost work. Units of guaranteed jobs are never
-// preempted; a job without a guarantee preempts only jobs of lower priority and no
-// daemon tasks.
-func (r *round) preemptionCosts(u *unit) map[*unit]float64 {
-	k := claimant{guaranteed: r.isGuaranteed(u.job), priority: u.job.spec.Policy.Priority}
+func (r *round) claimantOf(u *unit) claimant {
+	k := claimant{guaranteed: r.isGuaranteed(u.job), priority: u.job.spec.Policy.Priority, patient: r.cell.mayAwait(u)}
 	if k.guaranteed {
 		k.priority = 0
 	}
+	return k
+}
+
+// mayPreempt reports whether a claimant may have a unit stopped. Units of guaranteed jobs
+// are never preempted; a job without a guarantee preempts only jobs of lower priority and
+// no daemon tasks.
+func (r *round) mayPreempt(k claimant, victim *unit) bool {
+	if r.isGuaranteed(victim.job) {
+		return false
+	}
+	return k.guaranteed || !victim.spec().Daemon && victim.job.spec.Policy.Priority > k.priority
+}
+
+// preemptionCosts returns the units that may be preempted for u with the cost of
+// preempting each, in core-seconds of lost work. Those that end before they would be
+// stopped cost nothing.
+func (r *round) preemptionCosts(u *unit) map[*unit]float64 {
+	k := r.claimantOf(u)
 	costs := r.costs[k]
 	if costs != nil {
 		return costs
@@ -55,10 +72,14 @@
 	for _, cand := range r.candidates {
 		for _, pl := range cand.runner.placements {
 			victim := pl.unit
-			if victim.phase != phaseActive || victim.stopping || victim.spec().Daemon && !k.guaranteed {
+			if victim.phase != phaseActive || victim.stopping || k.guaranteed && !r.mayPreempt(k, victim) {
+				continue
+			}
+			if k.patient && r.cell.endsBeforeStop(victim) {
+				costs[victim] = 0
 				continue
 			}
-			if r.isGuaranteed(victim.job) || !k.guaranteed && victim.job.spec.Policy.Priority <= k.priority {
+			if !r.mayPreempt(k, victim) {
 				continue
 			}
 			if _, known := costs[victim]; known || !r.cell.mayInterrupt(victim, interrupted) {
@@ -109,7 +130,7 @@
 // worthwhile reports whether the preemption cost is within the limit for n members like
 // those of u.
 func (r *round) worthwhile(u *unit, n int, sel selection) bool {
-	if r.isGuaranteed(u.job) {
+	if r.isGuaranteed(u.job) || sel.cost == 0 {
 		return true
 	}
 	limit := maxLossLate
@@ -176,14 +197,25 @@
 	return units, cost, true
 }
 
-// preempt stops the victims and claims their resources for u.
+// preempt stops the victims, except those that end soon, and claims their resources for u.
 func (r *round) preempt(u *unit, sel selection) {
+	c := r.cell
+	patient := c.mayAwait(u)
+	var stopped []*unit
 	for _, victim := range sel.victims {
-		r.cell.reportDecision(Decision{Job: victim.job.spec.ID, Event: "preempt", Outcome: "stopping", Reason: "room for " + u.key(), AgeMS: r.cell.jobAgeMS(victim.job)})
-		r.cell.stopUnit(victim, "room for "+u.key())
+		if patient && c.endsBeforeStop(victim) {
+			c.awaitEnd(u, victim)
+			continue
+		}
+		c.reportDecision(Decision{Job: victim.job.spec.ID, Event: "preempt", Outcome: "stopping", Reason: "room for " + u.key(), AgeMS: c.jobAgeMS(victim.job)})
+		c.stopUnit(victim, "room for "+u.key())
+		stopped = append(stopped, victim)
+	}
+	r.forgetCosts(stopped)
+	if len(stopped) > 0 {
+		u.awaited = slices.DeleteFunc(u.awaited, func(a awaitedRun) bool { return !slices.Contains(sel.victims, a.unit) })
 	}
-	r.forgetCosts(sel.victims)
-	u.claims, u.claimedAt = map[string]jaytask.Resources{}, r.cell.now
+	u.claims, u.claimedAt, u.yields = map[string]jaytask.Resources{}, c.now, len(stopped) == 0
 	for _, cand := range sel.runners {
 		request := u.spec().Allocation()
 		u.claims[cand.runner.id] = u.claims[cand.runner.id].Add(request)
--- a/internal/process/jaycell/progress.go
+++ b/internal/process/jaycell/progress.go
@@ -41,5 +41,11 @@
 		// Too little progress to extrapolate from.
 		return max(estimate-(c.now-pl.confirmedAt), estimate/10)
 	}
+	// The progress is as old as its report. If the run should have ended since, it goes on at
+	// a lower speed.
+	atReport := time.Duration(float64(pl.progressAt-pl.confirmedAt) * float64(100-pl.percent) / float64(gained))
+	if since := c.now - pl.progressAt; since < atReport {
+		return atReport - since
+	}
 	return time.Duration(float64(c.now-pl.confirmedAt) * float64(100-pl.percent) / float64(gained))
 }
--- a/internal/process/jaycell/schedule.go
+++ b/internal/process/jaycell/schedule.go
@@ -74,6 +74,7 @@
 		return
 	}
 	r := c.newRound()
+	r.stopOverdueRuns(waiting)
 	for _, u := range r.sortByUrgency(waiting) {
 		r.scheduleStep(u)
 	}
@@ -193,7 +194,7 @@
 			if u.claims == nil {
 				continue
 			}
-			if u.phase != phaseWaiting || c.now-u.claimedAt > c.settings.StopTimeout+claimGrace {
+			if u.phase != phaseWaiting || u.yields || c.now-u.claimedAt > c.settings.StopTimeout+claimGrace {
 				u.claims = nil
 				continue
 			}
@@ -299,7 +300,7 @@
 	if !r.checkStart(u, runners) {
 		return
 	}
-	u.claims = nil
+	u.claims, u.awaited, u.awaitingSince = nil, nil, 0
 	u.phase, u.stopping = phaseActive, false
 	u.run++
 	u.reason = ""
--- a/internal/process/jaycell/unit.go
+++ b/internal/process/jaycell/unit.go
@@ -58,6 +58,13 @@
 	claims map[string]jaytask.Resources
 	// claimedAt is when the preemption was ordered.
 	claimedAt time.Duration
+	// yields reports that nothing was stopped for the claims, so that they are made anew in
+	// each round and units before this one may take the room.
+	yields bool
+	// awaited holds the runs that the unit waits for without having them stopped,
+	// awaitingSince is when it began to, zero if it does not.
+	awaited       []awaitedRun
+	awaitingSince time.Duration
 	// reason is why the unit's run was last stopped or refused.
 	reason string
 	// spansRacks caches whether the gang is larger than every rack, as of
