Keep headroom for more urgent work than patient jobs

Change: patient work (priority 2 and below) leaves free what more urgent work of its service wanted in the last 10 s, in accelerators and memory, up to half of the pool, unless it has no slack left.

--- a/internal/process/jaycell/cell.go
+++ b/internal/process/jaycell/cell.go
@@ -161,6 +161,8 @@
 	holdingStarts bool
 	// demand is the demand of urgent work, by service.
 	demand map[string]*demand
+	// peaks is the recent demand of the work that patient work leaves headroom for.
+	peaks map[level]*peakUse
 	// dirtyUnits, orphanedKeys (of units without a job), jobRecords and pendingStarts
 	// are what the next batch stores.
 	dirtyUnits    map[*unit]bool
@@ -176,7 +178,7 @@
 
 // New returns an empty cell for one term.
 func New(s Settings, now time.Duration, wall time.Time) *Cell {
-	return &Cell{settings: s, now: now, wall: wall, jobs: map[string]*job{}, runners: map[string]*Runner{}, meanRunTimes: map[string]*runTimeMean{}, routes: map[string]*jayadmission.Route{}, shareLimits: map[imagePair]int{}, slots: map[poolShape]int{}, demand: map[string]*demand{}, dirtyUnits: map[*unit]bool{}}
+	return &Cell{settings: s, now: now, wall: wall, jobs: map[string]*job{}, runners: map[string]*Runner{}, meanRunTimes: map[string]*runTimeMean{}, routes: map[string]*jayadmission.Route{}, shareLimits: map[imagePair]int{}, slots: map[poolShape]int{}, demand: map[string]*demand{}, peaks: map[level]*peakUse{}, dirtyUnits: map[*unit]bool{}}
 }
 
 // SetTime sets the time for the calls that follow: now is monotonic, wall is the
--- a/internal/process/jaycell/reserve.go
+++ b/internal/process/jaycell/reserve.go
@@ -1,6 +1,10 @@
 package jaycell
 
-import "time"
+import (
+	"time"
+
+	"github.com/jaystile/jaystile/internal/request/jaytask"
+)
 
 const (
 	// demandRetention is how long the peak of urgent demand is remembered.
@@ -30,7 +34,12 @@
 // reserve returns the number of accelerators to keep free, given those that urgent
 // work has and the size of the pool.
 func (d *demand) reserve(allocated, pool int) int {
-	return min(max(d.peak-allocated, 0), int(reserveShare*float64(pool)))
+	return d.reserveWithin(allocated, int(reserveShare*float64(pool)))
+}
+
+// reserveWithin returns how much to keep free, at most limit, given what is allocated.
+func (d *demand) reserveWithin(allocated, limit int) int {
+	return min(max(d.peak-allocated, 0), limit)
 }
 
 // urgentUse holds the accelerators allocated to the urgent work of a service, and those
@@ -67,12 +76,13 @@
 // urgent work.
 func (r *round) reserveForUrgent() {
 	c := r.cell
-	total, free := map[string]int{}, map[string]int{}
+	total, free := map[string]jaytask.Resources{}, map[string]jaytask.Resources{}
 	for _, cand := range r.candidates {
 		service := cand.runner.info.Service
-		total[service] += cand.runner.info.Capacity.Accelerators
-		free[service] += max(cand.free.Accelerators, 0)
+		total[service] = total[service].Add(cand.runner.info.Capacity)
+		free[service] = free[service].Add(cand.free.Max(jaytask.Resources{}))
 	}
+	r.keepHeadroom(total, free)
 	uses := c.urgentUse()
 	for service := range total {
 		d := c.demand[service]
@@ -81,7 +91,7 @@
 			c.demand[service] = d
 		}
 		d.record(c.now, uses[service].wanted)
-		r.unreserved[service] = free[service] - d.reserve(uses[service].allocated, total[service])
+		r.unreserved[service] = free[service].Accelerators - d.reserve(uses[service].allocated, total[service].Accelerators)
 	}
 }
 
--- a/internal/process/jaycell/schedule.go
+++ b/internal/process/jaycell/schedule.go
@@ -45,6 +45,8 @@
 	// unreserved is the number of free accelerators not reserved for urgent work, by
 	// service.
 	unreserved map[string]int
+	// patientRoom holds the free resources beside the headroom, by level.
+	patientRoom map[level]jaytask.Resources
 	// tried holds the units that were tried in this round.
 	tried map[*unit]bool
 	// costs caches preemptionCosts.
@@ -167,7 +169,7 @@
 }
 
 func (c *Cell) newRound() *round {
-	r := &round{cell: c, guaranteed: c.guaranteedJobs(), byRack: map[string][]*candidate{}, unreserved: map[string]int{}, tried: map[*unit]bool{}, costs: map[claimant]map[*unit]float64{}, unplaceable: map[shape]bool{}}
+	r := &round{cell: c, guaranteed: c.guaranteedJobs(), byRack: map[string][]*candidate{}, unreserved: map[string]int{}, patientRoom: map[level]jaytask.Resources{}, tried: map[*unit]bool{}, costs: map[claimant]map[*unit]float64{}, unplaceable: map[shape]bool{}}
 	claimed := c.claimedResources()
 	for _, runner := range c.sortedRunners() {
 		if !runner.acceptsWork(c.now) {
@@ -218,7 +220,7 @@
 	n := len(units) * u.count
 	k := r.shapeOf(u)
 	k.count = n
-	if !r.mayUseReserve(u) {
+	if !r.mayUseReserve(u) || !r.mayUseHeadroom(u) {
 		return
 	}
 	// Failures for reasons of this unit, such as avoided runners, are not cached.
@@ -312,6 +314,7 @@
 		cand.placements = nil
 		cand.free = cand.free.Sub(pl.resources)
 		r.unreserved[u.job.spec.Policy.Service] -= pl.resources.Accelerators
+		r.takePatientRoom(u.job.spec.Policy.Service, pl.resources)
 		c.pendingStarts = append(c.pendingStarts, pl)
 		c.reportDecision(Decision{Job: u.job.spec.ID, Task: pl.task(), Run: u.run, Runner: cand.runner.id, Event: "place", Outcome: "start", Reason: reason, AgeMS: c.jobAgeMS(u.job)})
 	}
--- a/internal/request/jaytask/job.go
+++ b/internal/request/jaytask/job.go
@@ -49,6 +49,16 @@
 	return Resources{CPU: r.CPU - o.CPU, Memory: r.Memory - o.Memory, Accelerators: r.Accelerators - o.Accelerators}
 }
 
+// Times returns r n times.
+func (r Resources) Times(n int) Resources {
+	return Resources{CPU: n * r.CPU, Memory: n * r.Memory, Accelerators: n * r.Accelerators}
+}
+
+// Max returns the larger amount of each resource.
+func (r Resources) Max(o Resources) Resources {
+	return Resources{CPU: max(r.CPU, o.CPU), Memory: max(r.Memory, o.Memory), Accelerators: max(r.Accelerators, o.Accelerators)}
+}
+
 // CountIn returns how many times r fits into free, at most limit.
 func (r Resources) CountIn(free Resources, limit int) int {
 	for _, p := range [][2]int{{r.CPU, free.CPU}, {r.Memory, free.Memory}, {r.Accelerators, free.Accelerators}} {
