Show how many units wait for headroom

Cause: an operator could not tell units that the headroom keeps waiting from units without room. Conclusion: no change of decisions.

--- a/internal/process/jaycell/cell.go
+++ b/internal/process/jaycell/cell.go
@@ -163,6 +163,8 @@
 	demand map[string]*demand
 	// peaks is the recent demand of the work that patient work leaves headroom for.
 	peaks map[level]*peakUse
+	// waitingForHeadroom counts the units that the headroom kept waiting in the last round.
+	waitingForHeadroom int
 	// dirtyUnits, orphanedKeys (of units without a job), jobRecords and pendingStarts
 	// are what the next batch stores.
 	dirtyUnits    map[*unit]bool
--- a/internal/process/jaycell/headroom.go
+++ b/internal/process/jaycell/headroom.go
@@ -128,3 +128,6 @@
 		}
 	}
 }
+
+// WaitingForHeadroom returns how many units the headroom kept waiting in the last round.
+func (c *Cell) WaitingForHeadroom() int { return c.waitingForHeadroom }
--- a/internal/process/jaycell/schedule.go
+++ b/internal/process/jaycell/schedule.go
@@ -70,7 +70,7 @@
 
 // schedule starts the units that fit, the most urgent first.
 func (c *Cell) schedule() {
-	c.queries = nil
+	c.queries, c.waitingForHeadroom = nil, 0
 	waiting := c.startableUnits()
 	if len(waiting) == 0 {
 		return
@@ -220,7 +220,11 @@
 	n := len(units) * u.count
 	k := r.shapeOf(u)
 	k.count = n
-	if !r.mayUseReserve(u) || !r.mayUseHeadroom(u) {
+	if !r.mayUseReserve(u) {
+		return
+	}
+	if !r.mayUseHeadroom(u) {
+		r.cell.waitingForHeadroom += len(units)
 		return
 	}
 	// Failures for reasons of this unit, such as avoided runners, are not cached.
--- a/internal/process/jaycontroller/leadership.go
+++ b/internal/process/jaycontroller/leadership.go
@@ -116,6 +116,10 @@
 // startWaitSeconds is how long jobs wait for each of their starts.
 var startWaitSeconds = metrics.NewHistogram("jaystile_start_wait_seconds")
 
+// waitingForHeadroom is how many units wait although resources are free, for more urgent work
+// that may come.
+var waitingForHeadroom = metrics.NewGauge("jaystile_units_waiting_for_headroom", nil)
+
 // tickSeconds is how long the leader takes to decide once.
 var tickSeconds = metrics.NewHistogram("jaystile_tick_seconds")
 
@@ -266,6 +270,7 @@
 	if !l.resigned && !l.termUnverified {
 		l.cell.SetStarting((!l.writing || now-l.writingSince < maxStartDelay) && knowsEvacuations)
 		l.cell.Tick()
+		waitingForHeadroom.Set(float64(l.cell.WaitingForHeadroom()))
 		l.logRemainingPool()
 		if !l.writing {
 			batch = l.cell.TakeBatch()
