Compute the use of resources once a round

Cause: the reserve and the headroom each walked all units of all jobs in every round, with the same loop twice. Change: usesByLevel gives the urgent work as well; urgentUse goes.

--- a/internal/process/jaycell/headroom.go
+++ b/internal/process/jaycell/headroom.go
@@ -13,6 +13,8 @@
 	// firstPatientPriority is the first priority that leaves headroom. Priority 1 leaves the
 	// reserve for urgent work only (reserve.go).
 	firstPatientPriority = 2
+	// urgentLevel is the level of the urgent work, for the reserve.
+	urgentLevel = 1
 )
 
 // Patient work has the longest objectives, so that a delay costs its callers least. Started into
@@ -67,7 +69,8 @@
 	return x
 }
 
-// usesByLevel returns the use of resources by the levels that leave headroom.
+// usesByLevel returns the use of resources by the urgent work and by the levels that patient
+// work leaves headroom for.
 func (c *Cell) usesByLevel() map[level]use {
 	uses, least := map[level]use{}, map[string]int{}
 	for _, j := range c.jobs {
@@ -77,7 +80,12 @@
 		p := j.spec.Policy
 		least[p.Service] = max(least[p.Service], p.Priority)
 		k := level{service: p.Service, below: max(p.Priority+1, firstPatientPriority)}
-		uses[k] = uses[k].add(c.useOf(j))
+		x := c.useOf(j)
+		uses[k] = uses[k].add(x)
+		if p.Priority == 0 {
+			k.below = urgentLevel
+			uses[k] = uses[k].add(x)
+		}
 	}
 	for service, last := range least {
 		for below := firstPatientPriority + 1; below <= last; below++ {
@@ -90,9 +98,12 @@
 
 // keepHeadroom sets the resources that patient work may use, by level. total and free are those
 // of the candidates, by service.
-func (r *round) keepHeadroom(total, free map[string]jaytask.Resources) {
+func (r *round) keepHeadroom(uses map[level]use, total, free map[string]jaytask.Resources) {
 	c := r.cell
-	for k, x := range c.usesByLevel() {
+	for k, x := range uses {
+		if k.below < firstPatientPriority {
+			continue
+		}
 		p := c.peaks[k]
 		if p == nil {
 			p = &peakUse{}
--- a/internal/process/jaycell/reserve.go
+++ b/internal/process/jaycell/reserve.go
@@ -42,36 +42,6 @@
 	return min(max(d.peak-allocated, 0), limit)
 }
 
-// urgentUse holds the accelerators allocated to the urgent work of a service, and those
-// that it wants including the allocated ones.
-type urgentUse struct{ allocated, wanted int }
-
-// urgentUse returns the use of accelerators by urgent work, by service. What does not
-// fit the present pool wants none.
-func (c *Cell) urgentUse() map[string]urgentUse {
-	uses := map[string]urgentUse{}
-	for _, j := range c.jobs {
-		if j.state.Ended() || j.spec.Policy.Priority != 0 {
-			continue
-		}
-		use := uses[j.spec.Policy.Service]
-		for _, u := range j.units {
-			n := u.count * u.spec().Resources.Accelerators
-			switch u.phase {
-			case phaseActive:
-				use.allocated += n
-				use.wanted += n
-			case phaseWaiting:
-				if c.poolSlots(j, u.step) >= u.count {
-					use.wanted += n
-				}
-			}
-		}
-		uses[j.spec.Policy.Service] = use
-	}
-	return uses
-}
-
 // reserveForUrgent sets the accelerators of each service that are not reserved for its
 // urgent work.
 func (r *round) reserveForUrgent() {
@@ -82,16 +52,17 @@
 		total[service] = total[service].Add(cand.runner.info.Capacity)
 		free[service] = free[service].Add(cand.free.Max(jaytask.Resources{}))
 	}
-	r.keepHeadroom(total, free)
-	uses := c.urgentUse()
+	uses := c.usesByLevel()
+	r.keepHeadroom(uses, total, free)
 	for service := range total {
 		d := c.demand[service]
 		if d == nil {
 			d = &demand{}
 			c.demand[service] = d
 		}
-		d.record(c.now, uses[service].wanted)
-		r.unreserved[service] = free[service].Accelerators - d.reserve(uses[service].allocated, total[service].Accelerators)
+		urgent := uses[level{service: service, below: urgentLevel}]
+		d.record(c.now, urgent.wanted.Accelerators)
+		r.unreserved[service] = free[service].Accelerators - d.reserve(urgent.allocated.Accelerators, total[service].Accelerators)
 	}
 }
 
