--- a/internal/process/jaycell/backlog.go
+++ b/internal/process/jaycell/backlog.go
@@ -133,9 +133,8 @@
 	if u.checkpoint == "" && !pl.restored {
 		left = c.runTimes(u.job.spec.Policy.Route, u.step).Least() - (c.now - pl.confirmedAt)
 	}
-	if gained := pl.percent - pl.firstPercent; gained >= minMeasuredProgress {
-		rest := float64(pl.progressAt-pl.confirmedAt) * float64(100-pl.percent) / float64(gained)
-		left = max(left, time.Duration(certainShare*rest)-(c.now-pl.progressAt))
+	if pl.percent-pl.firstPercent >= minMeasuredProgress {
+		left = max(left, time.Duration(certainShare*pl.restAtReport())-(c.now-pl.progressAt))
 	}
 	return max(left-maxReportAge, 0)
 }
--- a/internal/process/jaycell/progress.go
+++ b/internal/process/jaycell/progress.go
@@ -43,9 +43,15 @@
 	}
 	// The progress is as old as its report. If the run should have ended since, it goes on at
 	// a lower speed.
-	atReport := time.Duration(float64(pl.progressAt-pl.confirmedAt) * float64(100-pl.percent) / float64(gained))
+	atReport := time.Duration(pl.restAtReport())
 	if since := c.now - pl.progressAt; since < atReport {
 		return atReport - since
 	}
 	return time.Duration(float64(c.now-pl.confirmedAt) * float64(100-pl.percent) / float64(gained))
 }
+
+// restAtReport returns the remaining run time when the progress was reported, in nanoseconds, if
+// the run goes on at its mean speed so far. It must have made progress.
+func (pl *placement) restAtReport() float64 {
+	return float64(pl.progressAt-pl.confirmedAt) * float64(100-pl.percent) / float64(pl.percent-pl.firstPercent)
+}
