Review case 1: completed jobs run again after the store forgot its history

Cause: a job that is handed in again while it is being stored has two records with different times of acceptance. The job table keeps the first, the store the newest; a reload of the table takes the difference for a new job under the same ID and forgets that it has ended.

The case resets the channels of 12 consumers while their jobs are stored, kills the leader after the jobs are completed, and lets the store forget its history while jobs come in. The stand-in runners see starts of subtasks whose done ends had been taken note of (rule TWICE).

--- /dev/null
+++ b/review/standins/journal.go
@@ -0,0 +1,107 @@
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"os"
+	"sync"
+	"time"
+)
+
+// journal writes record.txt and keeps what the rules need of it.
+type journal struct {
+	began time.Time
+	file  *os.File
+	out   *bufio.Writer
+
+	mutex sync.Mutex
+	// done holds the done ends by subtask, noted those that were taken note of.
+	done  map[string]string
+	noted map[string]string
+	// lapsed holds the runners whose leases have lapsed.
+	lapsed map[string]bool
+	starts map[string]int
+	broken []string
+}
+
+func newJournal(path string) (*journal, error) {
+	f, err := os.Create(path)
+	if err != nil {
+		return nil, fmt.Errorf("record: %w", err)
+	}
+	return &journal{began: time.Now(), file: f, out: bufio.NewWriter(f), done: map[string]string{}, noted: map[string]string{}, lapsed: map[string]bool{}, starts: map[string]int{}}, nil
+}
+
+// write adds a line. The mutex is held.
+func (j *journal) write(format string, args ...any) {
+	_, _ = fmt.Fprintf(j.out, "%8.3f  %s\n", time.Since(j.began).Seconds(), fmt.Sprintf(format, args...))
+}
+
+func (j *journal) add(format string, args ...any) {
+	j.mutex.Lock()
+	defer j.mutex.Unlock()
+	j.write(format, args...)
+}
+
+// violate notes that a rule is broken.
+func (j *journal) violate(format string, args ...any) {
+	j.mutex.Lock()
+	defer j.mutex.Unlock()
+	j.violated(format, args...)
+}
+
+// violated is violate while the mutex is held.
+func (j *journal) violated(format string, args ...any) {
+	text := fmt.Sprintf(format, args...)
+	j.broken = append(j.broken, text)
+	j.write("BROKEN %s", text)
+}
+
+// started checks TWICE: no start after a run has ended done, if that end was taken note of.
+func (j *journal) started(runner, task string, run int, fence uint64) {
+	j.mutex.Lock()
+	defer j.mutex.Unlock()
+	j.starts[task]++
+	j.write("start  %s run %d on %s, fence %d", task, run, runner, fence)
+	if how, ok := j.noted[task]; ok {
+		j.violated("TWICE: %s starts again as run %d on %s: %s", task, run, runner, how)
+	}
+}
+
+func (j *journal) ended(runner, task string, run int, how string) {
+	j.mutex.Lock()
+	defer j.mutex.Unlock()
+	j.write("end    %s run %d on %s: %s", task, run, runner, how)
+	switch how {
+	case "done":
+		j.done[task] = fmt.Sprintf("run %d had ended done on %s", run, runner)
+	case "lapsed":
+		j.lapsed[runner] = true
+	}
+}
+
+func (j *journal) acknowledged(runner string, e end) {
+	j.mutex.Lock()
+	defer j.mutex.Unlock()
+	j.write("noted  %s run %d on %s: %s", e.task, e.run, runner, e.how)
+	if e.how == "done" && !j.lapsed[runner] {
+		j.noted[e.task] = j.done[e.task] + ", and AckCursor had reached that end"
+	}
+}
+
+// startsOf returns how often a subtask was started.
+func (j *journal) startsOf(task string) int {
+	j.mutex.Lock()
+	defer j.mutex.Unlock()
+	return j.starts[task]
+}
+
+// close writes the rest and returns the broken rules.
+func (j *journal) close() []string {
+	j.mutex.Lock()
+	defer j.mutex.Unlock()
+	j.write("%d breaks", len(j.broken))
+	_ = j.out.Flush()
+	_ = j.file.Close()
+	return j.broken
+}
