--- a/review/standins/forgotten.go
+++ b/review/standins/forgotten.go
@@ -51,7 +51,6 @@
 	survivor := 0
 	if trouble {
 		old := c.leader()
-		survivor = (old + 1) % entries
 		record.add("kill   edge-%d, which leads; it starts again after 1 s", old+1)
 		c.processes[old].kill()
 		time.Sleep(time.Second)
