Review case 3: ends of a runner's next life are acknowledged unheard

Cause: a runner that restarts under its ID without born, and is silent rather than refusing meanwhile, is taken for its former life. Acknowledgements of that life reach beyond the ends of the next one, which are forgotten before anybody has heard of them.

--- a/review/standins/runner.go
+++ b/review/standins/runner.go
@@ -45,10 +45,13 @@
 	record   *journal
 	// kind is the first of its labels.
 	kind string
-	born time.Time
+	// hidesBorn leaves born out of all that the runner says.
+	hidesBorn bool
 
 	mutex     sync.Mutex
 	changed   *sync.Cond
+	born      time.Time
+	silent    bool
 	fence     uint64
 	deadline  int64
 	running   map[string]*run
@@ -67,6 +70,37 @@
 // clock returns the runner's clock in milliseconds.
 func (r *runner) clock() int64 { return time.Since(r.born).Milliseconds() }
 
+// restartSilently ends the runner's life without a word. It answers nothing for a while, and is
+// back under its id, where it knows nothing of before.
+func (r *runner) restartSilently(pause time.Duration) {
+	r.mutex.Lock()
+	for _, x := range r.running {
+		r.record.ended(r.id, x.task, x.number, "gone")
+	}
+	r.silent, r.running = true, map[string]*run{}
+	r.changed.Broadcast()
+	r.mutex.Unlock()
+	time.Sleep(pause)
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.born, r.silent, r.fence, r.deadline, r.highest, r.ends, r.lastEnd, r.heartbeat = time.Now(), false, 0, 0, map[string]int{}, nil, 0, 0
+}
+
+// isSilent reports whether the runner answers nothing.
+func (r *runner) isSilent() bool {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return r.silent
+}
+
+// withBorn adds born to what the runner says.
+func (r *runner) withBorn(body map[string]any) map[string]any {
+	if !r.hidesBorn {
+		body["born"] = r.born.UnixMilli()
+	}
+	return body
+}
+
 // work ends the subtasks that are done or whose lease has expired, until done is closed.
 func (r *runner) work(done <-chan struct{}) {
 	for {
@@ -101,7 +135,9 @@
 // sendHeartbeats reports to the control address of the side until done is closed.
 func (r *runner) sendHeartbeats(control string, done <-chan struct{}) {
 	for {
-		r.sendHeartbeat(control, r.report())
+		if !r.isSilent() {
+			r.sendHeartbeat(control, r.report())
+		}
 		select {
 		case <-done:
 			return
@@ -115,10 +151,10 @@
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	r.heartbeat++
-	return map[string]any{
+	return r.withBorn(map[string]any{
 		"Service": "ordrevagt", "Addr": r.address, "Zone": "fryserum-a", "Version": "v1", "Slots": 8, "State": "ready", "ColdLeftMs": 0,
-		"Capacity": map[string]int{"Cpu": 64000, "MemMb": 131072, "Gpu": 8}, "Labels": []string{r.kind, "r1-1"}, "ClockMs": r.clock(), "Seq": r.heartbeat, "born": r.born.UnixMilli(),
-	}
+		"Capacity": map[string]int{"Cpu": 64000, "MemMb": 131072, "Gpu": 8}, "Labels": []string{r.kind, "r1-1"}, "ClockMs": r.clock(), "Seq": r.heartbeat,
+	})
 }
 
 // sendHeartbeat sends a status report and returns the status of the answer, zero without one.
@@ -154,6 +190,14 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
+	for r.isSilent() {
+		time.Sleep(workStep)
+		if r.isSilent() {
+			continue
+		}
+		// The call has waited for a life that has ended.
+		panic(http.ErrAbortHandler)
+	}
 	if q.Header.Get("Expect-Instance") != r.id {
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
@@ -184,7 +228,7 @@
 }
 
 func (r *runner) answer(w http.ResponseWriter, status int, reason string) {
-	body := map[string]any{"ClockMs": r.clock(), "born": r.born.UnixMilli()}
+	body := r.withBorn(map[string]any{"ClockMs": r.clock()})
 	if reason != "" {
 		body["Reason"] = reason
 	}
@@ -232,7 +276,7 @@
 	deadline := time.Now().Add(time.Duration(o.WaitMs) * time.Millisecond)
 	stop := time.AfterFunc(time.Until(deadline), r.changed.Broadcast)
 	defer stop.Stop()
-	for len(r.ends) == 0 && time.Now().Before(deadline) {
+	for len(r.ends) == 0 && time.Now().Before(deadline) && !r.silent {
 		r.changed.Wait()
 	}
 	running, finished := [][]any{}, [][]any{}
@@ -243,5 +287,8 @@
 	for _, e := range r.ends[:min(len(r.ends), maxListedEnds)] {
 		finished = append(finished, []any{e.number, e.task, e.run, e.how, ""})
 	}
-	reply(w, http.StatusOK, map[string]any{"ClockMs": r.clock(), "born": r.born.UnixMilli(), "Running": running, "Finished": finished})
+	if r.silent {
+		panic(http.ErrAbortHandler)
+	}
+	reply(w, http.StatusOK, r.withBorn(map[string]any{"ClockMs": r.clock(), "Running": running, "Finished": finished}))
 }
