--- a/review/standins/journal.go
+++ b/review/standins/journal.go
@@ -8,6 +8,10 @@
 	"time"
 )
 
+// crashLimit is how many runners may crash under a subtask, and how often it may be started then
+// before BUDGET is broken.
+const crashLimit = 3
+
 // journal writes record.txt and keeps what the rules need of it.
 type journal struct {
 	began time.Time
@@ -21,7 +25,11 @@
 	// lapsed holds the runners whose leases have lapsed.
 	lapsed map[string]bool
 	starts map[string]int
-	broken []string
+	// crashes counts the runners that have crashed under a subtask (a runner is one life of a
+	// machine), startsAfter how often it was started after three of them had.
+	crashes     map[string]int
+	startsAfter map[string]int
+	broken      []string
 }
 
 func newJournal(path string) (*journal, error) {
@@ -29,7 +37,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("record: %w", err)
 	}
-	return &journal{began: time.Now(), file: f, out: bufio.NewWriter(f), done: map[string]string{}, noted: map[string]string{}, lapsed: map[string]bool{}, starts: map[string]int{}}, nil
+	return &journal{began: time.Now(), file: f, out: bufio.NewWriter(f), done: map[string]string{}, noted: map[string]string{}, lapsed: map[string]bool{}, starts: map[string]int{}, crashes: map[string]int{}, startsAfter: map[string]int{}}, nil
 }
 
 // write adds a line. The mutex is held.
@@ -63,11 +71,25 @@
 	defer j.mutex.Unlock()
 	j.starts[task]++
 	j.write("start  %s run %d on %s, fence %d", task, run, runner, fence)
+	if j.crashes[task] >= crashLimit {
+		j.startsAfter[task]++
+		if j.startsAfter[task] >= crashLimit {
+			j.violated("BUDGET: %s starts as run %d on %s, the start number %d since %d runners had crashed under it", task, run, runner, j.startsAfter[task], crashLimit)
+		}
+	}
 	if how, ok := j.noted[task]; ok {
 		j.violated("TWICE: %s starts again as run %d on %s: %s", task, run, runner, how)
 	}
 }
 
+// crashed notes that a runner crashes under a subtask.
+func (j *journal) crashed(runner, task string, run int) {
+	j.mutex.Lock()
+	defer j.mutex.Unlock()
+	j.crashes[task]++
+	j.write("crash  %s under %s run %d", runner, task, run)
+}
+
 func (j *journal) ended(runner, task string, run int, how string) {
 	j.mutex.Lock()
 	defer j.mutex.Unlock()
--- a/review/standins/main.go
+++ b/review/standins/main.go
@@ -22,6 +22,7 @@
 	"forgotten-history": playForgottenHistory,
 	"foreign-report":    playForeignReport,
 	"silent-restart":    playSilentRestart,
+	"deadly-progress":   playDeadlyProgress,
 }
 
 func main() { os.Exit(play(os.Args[1], os.Args[2], os.Getenv("TROUBLE") != "0")) }
--- a/review/standins/runner.go
+++ b/review/standins/runner.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net/http"
 	"sort"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -19,6 +20,13 @@
 	workStep = 10 * time.Millisecond
 	// maxListedEnds is how many ends a listing has at most.
 	maxListedEnds = 500
+	// saveInterval is SaveS of the deployment.
+	saveInterval = 500 * time.Millisecond
+	// deadlySpec marks the subtasks that crash their runners deadlyAfter after their start; the
+	// runner is back after crashPause.
+	deadlySpec  = "deadly"
+	deadlyAfter = 1200 * time.Millisecond
+	crashPause  = 2 * time.Second
 )
 
 // run is a subtask that a runner has started.
@@ -26,6 +34,21 @@
 	task      string
 	number    int
 	startedAt time.Time
+	// resumed is the work that the run has from Saved.
+	resumed time.Duration
+	deadly  bool
+}
+
+// worked returns the work of the run so far, with what it has resumed.
+func (x *run) worked() time.Duration { return x.resumed + time.Since(x.startedAt) }
+
+// saved returns the run's saved work as a string, empty if there is none.
+func (x *run) saved() string {
+	steps := x.resumed/saveInterval + time.Since(x.startedAt)/saveInterval
+	if steps == 0 {
+		return ""
+	}
+	return strconv.FormatInt(int64(steps), 10)
 }
 
 // end is a row of a runner's list of ends.
@@ -45,6 +68,11 @@
 	record   *journal
 	// kind is the first of its labels.
 	kind string
+	// saves is set if all subtasks save their progress.
+	saves bool
+	// close stops listening and closes all connections; listen listens again.
+	close  func()
+	listen func() error
 	// hidesBorn leaves born out of all that the runner says.
 	hidesBorn bool
 
@@ -86,6 +114,15 @@
 	r.born, r.silent, r.fence, r.deadline, r.highest, r.ends, r.lastEnd, r.heartbeat = time.Now(), false, 0, 0, map[string]int{}, nil, 0, 0
 }
 
+// crash ends the runner's life: nothing listens at its address until it is back.
+func (r *runner) crash() {
+	r.close()
+	r.restartSilently(crashPause)
+	if err := r.listen(); err != nil {
+		r.record.add("%s cannot listen again: %v", r.id, err)
+	}
+}
+
 // isSilent reports whether the runner answers nothing.
 func (r *runner) isSilent() bool {
 	r.mutex.Lock()
@@ -112,10 +149,17 @@
 		r.mutex.Lock()
 		lapsed := r.clock() > r.deadline
 		for _, x := range r.running {
+			if x.deadly && !lapsed && time.Since(x.startedAt) >= deadlyAfter {
+				r.record.crashed(r.id, x.task, x.number)
+				r.mutex.Unlock()
+				r.crash()
+				r.mutex.Lock()
+				break
+			}
 			switch {
 			case lapsed:
 				r.finish(x, "lapsed")
-			case time.Since(x.startedAt) >= r.workTime:
+			case x.worked() >= r.workTime:
 				r.finish(x, "done")
 			}
 		}
@@ -252,7 +296,8 @@
 		r.answer(w, http.StatusConflict, "late")
 	default:
 		r.extend(o.DeadlineMs)
-		r.running[o.Task] = &run{task: o.Task, number: o.Run, startedAt: time.Now()}
+		steps, _ := strconv.ParseInt(o.Saved, 10, 64)
+		r.running[o.Task] = &run{task: o.Task, number: o.Run, startedAt: time.Now(), resumed: time.Duration(steps) * saveInterval, deadly: o.Spec == deadlySpec}
 		r.highest[o.Task] = o.Run
 		r.record.started(r.id, o.Task, o.Run, o.Fence)
 		r.changed.Broadcast()
@@ -281,7 +326,11 @@
 	}
 	running, finished := [][]any{}, [][]any{}
 	for _, x := range r.running {
-		running = append(running, []any{x.task, x.number, "", min(99, 100*time.Since(x.startedAt)/r.workTime), 0})
+		saved := ""
+		if r.saves {
+			saved = x.saved()
+		}
+		running = append(running, []any{x.task, x.number, saved, min(99, 100*x.worked()/r.workTime), 0})
 	}
 	sort.Slice(running, func(i, j int) bool { return strings.Compare(fmt.Sprint(running[i]...), fmt.Sprint(running[j]...)) < 0 })
 	for _, e := range r.ends[:min(len(r.ends), maxListedEnds)] {
