--- a/review/standins/main.go
+++ b/review/platform/main.go
@@ -1,4 +1,4 @@
-// Command standins plays one case of the review: it starts the system's own processes and
+// Command platform plays one case of the review: it starts the system's own processes and
 // stand-ins for the store, the runners and the consumers on loopback addresses, brings the
 // disruption about and checks one rule.
 //
