--- a/review/platform/forgotten.go
+++ b/review/platform/forgotten.go
@@ -6,8 +6,8 @@
 )
 
 const (
-	// repeatedJobs is how many jobs are handed in twice, resetDelay when the first channel of
-	// each is reset: while the store, which takes 4 ms, stores the job.
+	// repeatedJobs is how many jobs come at one entry, where every second channel is reset
+	// resetDelay after its request: while the store, which takes 4 ms, stores the job.
 	repeatedJobs = 12
 	resetDelay   = 2 * time.Millisecond
 	// jobsMeanwhile is how many jobs come in the second before the store forgets its history.
@@ -16,8 +16,8 @@
 	settleTime = 12 * time.Second
 )
 
-// playForgottenHistory checks TWICE: the channels of consumers are reset while their jobs are
-// being stored, so that they hand them in again. The jobs are completed. Then the leader is
+// playForgottenHistory checks TWICE: half of the channels to one entry are reset while the jobs are
+// being stored, so that consumers hand them in again. The jobs are completed. Then the leader is
 // killed, and the store forgets its history.
 func playForgottenHistory(record *journal, trouble bool) string {
 	c, err := newCluster(record, 5, 2500*time.Millisecond)
@@ -33,12 +33,16 @@
 	}
 	var ids []string
 	for i := range repeatedJobs {
-		id, first := fmt.Sprintf("a%015x", i), i%entries
+		id, at := fmt.Sprintf("a%015x", i), 0
 		ids = append(ids, id)
-		if trouble {
-			c.submitCut(first, id, jobBody(1, 1), resetDelay)
+		if i%2 == 0 {
+			// Every second job is handed in at the next entry after its channel was reset.
+			if trouble {
+				c.submitCut(0, id, jobBody(1, 1), resetDelay)
+			}
+			at = 1
 		}
-		if !c.submit((first+1)%entries, id, jobBody(1, 1)) {
+		if !c.submit(at, id, jobBody(1, 1)) {
 			return "a job was not accepted"
 		}
 	}
