Let a leader grant leases without the store only as long as its successor waits

Tasks ran at two places at once, or were started again after they were done. Cause: a leader that the store did not serve stopped granting leases only when it had lost more than half of the entries that were linked when the store last served it. An entry that was cut off at that moment did not count, yet may lead the next term: it takes the leases of the former leader's runners for lapsed while that extends them. Nothing told the former leader of the next term. Ruled out: a lease that lasts longer than the successor counts on, and an end that was reported and dropped. Change: entries tell the leader whom they follow. Electors are stored in the cell's topic. Without the newest term a leader needs a majority of them and stops after 20 s; its successor takes no lease for lapsed before half of the electors follow it, or 20 s. It announces its term to the entries that do not follow it. TestIsolatedLeader is made anew, since the measure that it tested is the fault; its rows keep their outcomes, but for a leader without other entries, which stops after 20 s as all do. The store of newCutLeader waits for records as long as a read asks, and TestLeaderGrantsUntilItIsCutOff has it serve reads while it serves calls: what counts now is when the leader read the newest term. Conclusion: two leaders no longer count on different ends of the same lease.

--- a/internal/connection/jayframe/message.go
+++ b/internal/connection/jayframe/message.go
@@ -87,6 +87,8 @@
 const (
 	RoleEntry Role = iota + 1
 	RoleAgent
+	// RoleObserver is that of an entry that only exchanges views of the newest term.
+	RoleObserver
 )
 
 // Hello is the first message on a link, sent by the process that dialed. Proof is an
--- a/internal/process/jaycell/cell.go
+++ b/internal/process/jaycell/cell.go
@@ -37,8 +37,8 @@
 	// Lease is how long a runner keeps its runs after the last lease grant to its
 	// agent.
 	Lease time.Duration
-	// HandoverDelay is how long an earlier leader may grant leases after this term has
-	// begun.
+	// HandoverDelay is how long earlier leaders may grant leases after this term has
+	// begun, unless EndHandover tells otherwise.
 	HandoverDelay time.Duration
 	// Retention is how long an ended job can be queried.
 	Retention time.Duration
@@ -149,6 +149,10 @@
 	wall     time.Time
 	jobs     map[string]*job
 	runners  map[string]*Runner
+	// startedAt is when the term began. handoverEnd is until when earlier leaders may grant
+	// leases, zero until EndHandover has told.
+	startedAt   time.Duration
+	handoverEnd time.Duration
 
 	meanRunTimes map[string]*runTimeMean
 	// routes holds what has been seen of the jobs of each route.
@@ -180,13 +184,16 @@
 
 // New returns an empty cell for one term.
 func New(s Settings, now time.Duration, wall time.Time) *Cell {
-	return &Cell{settings: s, now: now, wall: wall, jobs: map[string]*job{}, runners: map[string]*Runner{}, meanRunTimes: map[string]*runTimeMean{}, routes: map[string]*jayadmission.Route{}, shareLimits: map[imagePair]int{}, slots: map[poolShape]int{}, demand: map[string]*demand{}, peaks: map[level]*peakUse{}, dirtyUnits: map[*unit]bool{}}
+	return &Cell{settings: s, startedAt: now, now: now, wall: wall, jobs: map[string]*job{}, runners: map[string]*Runner{}, meanRunTimes: map[string]*runTimeMean{}, routes: map[string]*jayadmission.Route{}, shareLimits: map[imagePair]int{}, slots: map[poolShape]int{}, demand: map[string]*demand{}, peaks: map[level]*peakUse{}, dirtyUnits: map[*unit]bool{}}
 }
 
 // SetTime sets the time for the calls that follow: now is monotonic, wall is the
 // wall clock.
 func (c *Cell) SetTime(now time.Duration, wall time.Time) { c.now, c.wall = now, wall }
 
+// EndHandover sets until when earlier leaders may grant leases.
+func (c *Cell) EndHandover(at time.Duration) { c.handoverEnd = at }
+
 // SetStarting allows or forbids placements and preemptions, which are of no use while no
 // start can be stored.
 func (c *Cell) SetStarting(allowed bool) { c.holdingStarts = !allowed }
@@ -301,7 +308,7 @@
 	r := c.runners[m.Runner]
 	if r == nil {
 		r = newRunner(m.Runner, m.Node)
-		r.leaseEnd = c.latestLeaseEnd() + c.settings.HandoverDelay
+		r.leaseEnd = c.latestLeaseEnd(c.now)
 		c.runners[m.Runner] = r
 	}
 	pl := newPlacement(u, m.Index, r, c.now)
@@ -310,9 +317,9 @@
 	r.addPlacement(pl)
 }
 
-// latestLeaseEnd returns the latest time at which a lease granted now may end.
-func (c *Cell) latestLeaseEnd() time.Duration {
-	return c.now + c.settings.Lease + time.Duration(float64(c.settings.Lease)*clockDrift) + clockSlack
+// latestLeaseEnd returns the latest time at which a lease granted at a given time may end.
+func (c *Cell) latestLeaseEnd(granted time.Duration) time.Duration {
+	return granted + c.settings.Lease + time.Duration(float64(c.settings.Lease)*clockDrift) + clockSlack
 }
 
 // Cancel cancels a job that has not ended and stops its runs.
--- a/internal/process/jaycell/lapse.go
+++ b/internal/process/jaycell/lapse.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"slices"
+	"time"
 )
 
 // The lapse of a lease ends the runs that have begun. It does not exclude a start that is
@@ -10,6 +11,19 @@
 // would begin a run whose successor runs elsewhere, and its fence is still valid. So the
 // runner gets no lease before it has confirmed that it will refuse these starts.
 
+// leaseBound returns the latest time at which a runner's lease may end. An agent that has not
+// confirmed this term may have got it from an earlier leader.
+func (c *Cell) leaseBound(r *Runner) time.Duration {
+	if r.follows {
+		return r.leaseEnd
+	}
+	handoverEnd := c.handoverEnd
+	if handoverEnd == 0 {
+		handoverEnd = c.startedAt + c.settings.HandoverDelay
+	}
+	return max(r.leaseEnd, c.latestLeaseEnd(handoverEnd))
+}
+
 // abandonUnseenRuns notes the runs on a runner whose lease has lapsed that it has not
 // listed yet.
 func (c *Cell) abandonUnseenRuns(r *Runner) {
--- a/internal/process/jaycell/lapse_test.go
+++ b/internal/process/jaycell/lapse_test.go
@@ -142,3 +142,52 @@
 	}
 	t.Fatal("not started again")
 }
+
+// Guards against a successor that takes leases for lapsed while an earlier leader may extend
+// them: until the handover has ended, and where a report of an earlier term came meanwhile.
+func TestLeasesDoNotLapseBeforeTheHandoverEnds(t *testing.T) {
+	const handover, ended = 20 * time.Second, 10 * time.Second
+	for _, c := range []struct {
+		name  string
+		ended bool
+		// reportedIn is the term that the runner has confirmed in a report of the
+		// beginning, zero without a report.
+		reportedIn uint64
+		from       time.Duration
+	}{
+		{"handover that does not end", false, 0, handover},
+		{"handover that ends", true, 0, ended},
+		{"report of an earlier term", true, 1, ended},
+		{"report of this term", false, 2, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			first := newHarness(t, nil)
+			first.report("n1", "r1", nil)
+			first.submit("j", 0, "", step(1, 1))
+			first.advance(0)
+			h := newHarness(t, nil)
+			h.cell.settings.Term, h.cell.settings.HandoverDelay = 2, handover
+			h.submit("j", 0, "", step(1, 1))
+			for key, value := range first.unitRecords {
+				assert.NilError(t, h.cell.RestoreUnit(Record{Key: key, Value: value}))
+			}
+			if c.reportedIn > 0 {
+				h.report("n1", "r1", func(p *Report) {
+					p.Term, p.Running = c.reportedIn, []Run{{Task: "j.0.0.0", Run: 1}}
+				})
+			}
+			latest := h.cell.latestLeaseEnd(c.from)
+			for waited := time.Duration(0); waited < time.Minute; waited += 100 * time.Millisecond {
+				if c.ended && waited == ended/2 {
+					h.cell.EndHandover(h.now + ended/2)
+				}
+				h.report("n2", "r2", func(p *Report) { p.Term = 2 })
+				if countKinds(h.advance(100 * time.Millisecond))[OrderStart] > 0 {
+					assert.Assert(t, waited >= latest-100*time.Millisecond && waited < latest+time.Second, "started again after %s, not %s", waited, latest)
+					return
+				}
+			}
+			t.Fatal("not started again")
+		})
+	}
+}
--- a/internal/process/jaycell/report.go
+++ b/internal/process/jaycell/report.go
@@ -62,12 +62,13 @@
 	}
 	c.replaceRunners(r, func(*Runner) bool { return true })
 	maps.DeleteFunc(r.sentStarts, func(_ string, s sentStart) bool { return c.now-s.sentAt > lateCallWindow })
-	r.leaseEnd = c.latestLeaseEnd()
+	r.leaseEnd = c.latestLeaseEnd(c.now)
 	if p.Term != c.settings.Term {
 		// The runner has not confirmed this term's fence, so that orders of an earlier
 		// leader may still change the runs that it listed.
 		return true
 	}
+	r.follows = true
 	// A restarted agent may have taken a late heartbeat, from before the runner's notice, for
 	// its first one.
 	if r.info.Draining && !p.Runner.Draining && r.newConnection {
@@ -284,7 +285,7 @@
 func (c *Cell) Tick() {
 	c.evacuate()
 	for _, r := range c.sortedRunners() {
-		if !r.lost && c.now > r.leaseEnd {
+		if !r.lost && c.now > c.leaseBound(r) {
 			c.abandonUnseenRuns(r)
 			c.markLost(r, "its lease has lapsed")
 		}
--- a/internal/process/jaycell/runner.go
+++ b/internal/process/jaycell/runner.go
@@ -173,8 +173,11 @@
 	// replaced reports that this incarnation has ended for good.
 	replaced   bool
 	reportedAt time.Duration
-	leaseEnd   time.Duration
-	drainEnd   time.Duration
+	// leaseEnd is the latest end of a lease that this leader has granted. follows is set once
+	// the runner has confirmed this term, so that its agent takes no other leader's grant.
+	leaseEnd time.Duration
+	follows  bool
+	drainEnd time.Duration
 	// evacuated is set while the runner's data centre is out of service, since evacuatedAt.
 	evacuated   bool
 	evacuatedAt time.Duration
--- a/internal/process/jaycontroller/controller.go
+++ b/internal/process/jaycontroller/controller.go
@@ -36,7 +36,10 @@
 	// broadcast jobs and their states, so these reads only recover what was missed. At
 	// one second each, the reads of all entries would be half of all calls to the store.
 	termPollWait = 1500 * time.Millisecond
-	jobsPollWait = 2 * time.Second
+	// leaderTermPollWait lets a leader know within isolationTimeout whether its term is still
+	// the newest.
+	leaderTermPollWait = 300 * time.Millisecond
+	jobsPollWait       = 2 * time.Second
 	// jobsPollDelay is the pause between reads of the jobs' topic: peers broadcast its
 	// records sooner.
 	jobsPollDelay = 400 * time.Millisecond
@@ -152,8 +155,13 @@
 	// entryAddresses and entryCores are keyed by the entry's name.
 	entryAddresses map[string]string
 	entryCores     map[string]float64
-	// peers holds the names of the entries that have opened a link to this one.
-	peers map[*jaylink.Link]string
+	// peers holds the names of the entries that have opened a link to this one,
+	// followedTerms the terms in which they have told to follow it.
+	peers         map[*jaylink.Link]string
+	followedTerms map[*jaylink.Link]uint64
+	// electors are the names of the entries of which more than half must follow a leader
+	// that the store does not serve.
+	electors []string
 	// agents holds the links of agents by node.
 	agents map[string]*jaylink.Link
 	// linkNumbers holds the accepted links, numbered in the order of their opening up to
@@ -168,7 +176,7 @@
 
 // New returns a controller that accepts links on the listener.
 func New(listener net.Listener) *Controller {
-	return &Controller{listener: listener, relays: newRelayHistory(), admission: newAdmission(), entryAddresses: map[string]string{}, entryCores: map[string]float64{}, peers: map[*jaylink.Link]string{}, agents: map[string]*jaylink.Link{}, linkNumbers: map[*jaylink.Link]uint64{}, leaderResigned: make(chan struct{}, 1)}
+	return &Controller{listener: listener, relays: newRelayHistory(), admission: newAdmission(), entryAddresses: map[string]string{}, entryCores: map[string]float64{}, peers: map[*jaylink.Link]string{}, followedTerms: map[*jaylink.Link]uint64{}, agents: map[string]*jaylink.Link{}, linkNumbers: map[*jaylink.Link]uint64{}, leaderResigned: make(chan struct{}, 1)}
 }
 
 // Prepare builds the internal components. It is called once, after the exported
@@ -186,7 +194,7 @@
 	c.jobs.onChanged, c.jobs.recent = c.updateInCell, c.Timing.Retention/2
 	c.jobsAppender = jaystore.NewAppender(&jaystore.Client{Append: c.appendJobs}, c.Topics.Jobs)
 	c.jobsAppender.SetMinHedgeDelay(c.minAppendDelay)
-	c.cellTail = &jaystore.Tail{Client: c.storeClient, Topic: c.Topics.Cell, Apply: c.applyCellRecord, Wait: termPollWait, OnError: c.tailFailureLogger(c.Topics.Cell)}
+	c.cellTail = &jaystore.Tail{Client: c.storeClient, Topic: c.Topics.Cell, Apply: c.applyCellRecord, Wait: termPollWait, MaxWait: c.maxTermPollWait, OnError: c.tailFailureLogger(c.Topics.Cell)}
 	c.jobsTail = &jaystore.Tail{Client: c.storeClient, Topic: c.Topics.Jobs, Wait: jobsPollWait, BatchDelay: jobsPollDelay, OnError: c.tailFailureLogger(c.Topics.Jobs), Replace: c.jobs.replace, Apply: func(s jaystore.StoredRecord) { c.jobs.apply(s.Key, s.Value) }}
 	c.runsTail = &jaystore.Tail{Client: c.storeClient, Topic: c.Topics.Runs, Wait: jobsPollWait, BatchDelay: runsPollDelay, OnError: c.tailFailureLogger(c.Topics.Runs), Apply: func(s jaystore.StoredRecord) {
 		if jaycell.IsStateKey(s.Key) {
@@ -293,6 +301,14 @@
 	return c.leadership
 }
 
+// maxTermPollWait returns how long a read of the cell's topic may wait for records.
+func (c *Controller) maxTermPollWait() time.Duration {
+	if c.currentLeadership() != nil {
+		return leaderTermPollWait
+	}
+	return termPollWait
+}
+
 // Drain stops taking part in elections. If this entry leads and has peers, it resigns
 // and waits until a newer term has begun or the timeout has passed.
 func (c *Controller) Drain(timeout time.Duration) {
--- a/internal/process/jaycontroller/cutleader_test.go
+++ b/internal/process/jaycontroller/cutleader_test.go
@@ -57,7 +57,8 @@
 			Newest: func(context.Context, string, string) (jaystore.Page, error) {
 				return jaystore.Page{}, f.recordsError()
 			},
-			Read: func(context.Context, string, uint64, time.Duration) (jaystore.ReadResult, error) {
+			Read: func(_ context.Context, _ string, _ uint64, wait time.Duration) (jaystore.ReadResult, error) {
+				time.Sleep(min(wait, 50*time.Millisecond))
 				return jaystore.ReadResult{}, f.recordsError()
 			},
 		}
@@ -121,9 +122,11 @@
 func TestLeaderGrantsUntilItIsCutOff(t *testing.T) {
 	f := newCutLeader(t)
 	f.served.Store(true)
+	f.records.Store(true)
 	f.report(20)
 	assert.Assert(t, f.granted.Load() > 0, "no lease was granted")
 	f.served.Store(false)
+	f.records.Store(false)
 	cutAt := f.sent
 	f.report(50)
 	// One report is sent each 100 ms or later.
@@ -145,22 +148,31 @@
 }
 
 func TestIsolatedLeader(t *testing.T) {
-	const at = time.Minute
+	five := []string{"entry-1", "entry-2", "entry-3", "entry-4", "entry-5"}
 	for _, c := range []struct {
 		name          string
-		before, now   contact
-		others        int
+		electors      []string
+		followers     int
+		termAge       time.Duration
 		wantsIsolated bool
 	}{
-		{"store serves", contact{entries: 4}, contact{entries: 0, servedAt: at - 100*time.Millisecond}, 4, false},
-		{"store away, all entries linked", contact{entries: 4}, contact{entries: 4, servedAt: at - 10*time.Second}, 4, false},
-		{"store away, half of the entries linked", contact{entries: 4}, contact{entries: 2, servedAt: at - 10*time.Second}, 4, false},
-		{"store away, fewer entries linked", contact{entries: 5}, contact{entries: 2, servedAt: at - isolationTimeout}, 5, true},
-		{"store away, no entry linked", contact{}, contact{servedAt: at - isolationTimeout}, 1, true},
-		{"store away, the only entry", contact{}, contact{servedAt: at - time.Minute}, 0, false},
+		{"store serves", five, 1, 100 * time.Millisecond, false},
+		{"store away, all entries follow", five, 5, 10 * time.Second, false},
+		{"store away, more than half follow", five, 3, 10 * time.Second, false},
+		{"store away, fewer follow", five, 2, isolationTimeout, true},
+		{"store away, half follow", five[:4], 2, isolationTimeout, true},
+		{"store away, no entry follows", five[:2], 1, isolationTimeout, true},
+		{"store away, the only entry", five[:1], 1, 10 * time.Second, false},
+		{"store away, no electors stored", nil, 5, isolationTimeout, true},
+		{"store away for longer than a successor waits", five, 5, maxOutage, true},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			assert.Equal(t, c.now.isolated(c.before, c.others, at), c.wantsIsolated)
+			followers := map[string]bool{}
+			for _, name := range five[:c.followers] {
+				followers[name] = true
+			}
+			s := standing{termAge: c.termAge, majority: majority(c.electors, followers)}
+			assert.Equal(t, s.isolated(), c.wantsIsolated)
 		})
 	}
 }
--- a/internal/process/jaycontroller/isolation.go
+++ b/internal/process/jaycontroller/isolation.go
@@ -7,41 +7,31 @@
 )
 
 const (
-	// isolationTimeout is how long the store may have served nothing before a leader that
-	// has lost entries counts as cut off from the deployment.
+	// isolationTimeout is how long ago a leader may have known that its term is the newest
+	// before it needs a majority of the electors to grant leases.
 	isolationTimeout = time.Second
-	// handoverDelay is how long a leader may grant leases after its successor has begun:
-	// until it has noticed that it is cut off, or that it stood still.
+	// handoverDelay is how long a leader may grant leases after its successor has begun and
+	// more than half of the electors have ceased to follow it: until it has noticed both, or
+	// that it stood still.
 	handoverDelay = isolationTimeout + heartbeatInterval
+	// maxOutage is how long a leader may grant leases without knowing that its term is the
+	// newest. A successor that half of the electors do not follow waits as long.
+	maxOutage = 20 * time.Second
 )
 
-// contact is what an entry can reach: the entries that are linked to it while it leads, and
-// the store, which last served it at servedAt.
-type contact struct {
-	entries  int
-	servedAt time.Duration
+// standing is what a leader knows about its own term.
+type standing struct {
+	// termAge is the time since this term was known to be the newest one.
+	termAge time.Duration
+	// majority is set while more than half of the electors follow this leader.
+	majority bool
 }
 
-// contact returns what this entry can reach now.
-func (c *Controller) contact() contact {
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	names := map[string]bool{}
-	for _, name := range c.peers {
-		names[name] = true
-	}
-	return contact{entries: len(names), servedAt: c.storeTransport.ServedAt()}
-}
-
-// isolated reports whether a leader that could reach before, when the store served it, may
-// be cut off from the deployment at the given time, so that another entry may lead. While
-// the store is away for all there is no other leader: one that has kept half of its entries
-// goes on, so that an outage ends no work.
-func (now contact) isolated(before contact, others int, at time.Duration) bool {
-	if others == 0 || at-now.servedAt < isolationTimeout {
-		return false
-	}
-	return now.entries == 0 || 2*now.entries < before.entries
+// isolated reports whether a successor may count on the end of this leader's grants. While the
+// store is away for all there is none: a leader with a majority goes on, so that an outage of
+// up to maxOutage ends no work.
+func (s standing) isolated() bool {
+	return s.termAge >= isolationTimeout && (!s.majority || s.termAge >= maxOutage)
 }
 
 // mayGrant reports whether the leader may extend leases: its successor counts on the end of
@@ -55,19 +45,35 @@
 	return !l.isolated
 }
 
-// checkContact notes whether this entry may be cut off.
-func (l *leadership) checkContact() {
-	now, others, at := l.controller.contact(), len(l.controller.otherEntries()), jayclock.Elapsed()
-	l.contactCheckedAt = at
+// hasMajority reports whether more than half of the electors follow this leader, also of those
+// that may be in force by now. The mutex is held.
+func (l *leadership) hasMajority(electors []string, followers map[string]bool) bool {
+	return majority(electors, followers) && (l.nextElectors == nil || majority(l.nextElectors, followers))
+}
+
+// checkStanding notes whether this leader may have a successor, and whether earlier leaders may
+// still grant leases. It returns the entries that follow this one.
+func (l *leadership) checkStanding() (followers map[string]bool, at time.Duration) {
+	c := l.controller
+	followers, electors := c.followers(l.term), c.knownElectors()
+	age, complete := c.cellTail.CompleteAge()
+	at = jayclock.Elapsed()
+	l.standingCheckedAt = at
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	isolated := now.isolated(l.contact, others, at)
-	if at-now.servedAt < isolationTimeout {
-		l.contact = now
+	if complete {
+		l.termKnownAt = max(l.termKnownAt, at-age)
 	}
-	if isolated != l.isolated {
+	now := standing{termAge: at - l.termKnownAt, majority: l.hasMajority(electors, followers)}
+	if isolated := now.isolated(); isolated != l.isolated {
 		l.isolated = isolated
-		l.controller.Logger.Warn().Str("event", "isolation").Uint64("term", l.term).Bool("isolated", isolated).Int("entries", now.entries).Int("entries_before", l.contact.entries).
-			Int64("store_age_ms", (at - now.servedAt).Milliseconds()).Msg("leases are granted only while the store or other entries are in reach")
+		c.Logger.Warn().Str("event", "isolation").Uint64("term", l.term).Bool("isolated", isolated).Int("followers", len(followers)).Int("electors", len(electors)).
+			Int64("term_age_ms", now.termAge.Milliseconds()).Msg("leases are granted only while the store or a majority of the electors is in reach")
+	}
+	if !l.handoverEnded && (excludesMajority(electors, followers) || at-l.beganAt > maxOutage) {
+		l.handoverEnded = true
+		l.cell.EndHandover(at + handoverDelay)
+		c.Logger.Info().Str("event", "handover").Uint64("term", l.term).Int("followers", len(followers)).Int("electors", len(electors)).Int64("took_ms", (at - l.beganAt).Milliseconds()).Msg("earlier leaders grant no more leases")
 	}
+	return followers, at
 }
--- a/internal/process/jaycontroller/leadership.go
+++ b/internal/process/jaycontroller/leadership.go
@@ -52,8 +52,13 @@
 	endOnce      sync.Once
 	// evacuationRequested is set until the next decisions have applied the request.
 	evacuationRequested atomic.Bool
-	// contactCheckedAt is used by tick only.
-	contactCheckedAt time.Duration
+	// beganAt is when the term began here.
+	beganAt time.Duration
+	// standingCheckedAt, electorsCheckedAt and followedAt, which holds by name when an entry
+	// followed this leader last, are used by tick only.
+	standingCheckedAt time.Duration
+	electorsCheckedAt time.Duration
+	followedAt        map[string]time.Duration
 	// accountMadeAt, accountSequence and accountEmpty are of the latest account of the
 	// backlog, and used by tick only.
 	accountMadeAt   time.Duration
@@ -73,10 +78,16 @@
 	// until the store confirms that the term still lasts.
 	termUnverified bool
 	lastTick       time.Duration
-	// contact is what this entry could reach when the store last served it; isolated is
-	// set while it may be cut off from the deployment.
-	contact  contact
-	isolated bool
+	// termKnownAt is when this term was last known to be the newest; isolated is set while
+	// there may be a successor that counts on the end of this leader's grants.
+	termKnownAt time.Duration
+	isolated    bool
+	// handoverEnded is set once no earlier leader grants leases, but for handoverDelay.
+	handoverEnded bool
+	// nextElectors are the electors that may have been stored, nil if it is known which ones
+	// are; storingElectors is set while they are being stored.
+	nextElectors    []string
+	storingElectors bool
 	// stateDeletions are the state records to delete, of jobs whose other records have
 	// been deleted.
 	stateDeletions []jaycell.Record
@@ -87,9 +98,10 @@
 }
 
 func newLeadership(c *Controller, term uint64) *leadership {
-	l := &leadership{controller: c, term: term, wake: make(chan struct{}, 1), adviceWanted: make(chan struct{}, 1), done: make(chan struct{}), accountEmpty: true, reports: newReportQueue(), lastTick: jayclock.Elapsed()}
+	now := jayclock.Elapsed()
+	l := &leadership{controller: c, term: term, wake: make(chan struct{}, 1), adviceWanted: make(chan struct{}, 1), done: make(chan struct{}), accountEmpty: true, reports: newReportQueue(), lastTick: now, beganAt: now, followedAt: map[string]time.Duration{}}
 	l.cell = jaycell.New(jaycell.Settings{
-		Term: term, Lease: c.Timing.Lease, HandoverDelay: handoverDelay, Retention: c.Timing.Retention, StopTimeout: c.Timing.StopTimeout, GangTimeout: c.Timing.GangTimeout, RemoteSlowdown: c.Timing.RemoteSlowdown,
+		Term: term, Lease: c.Timing.Lease, HandoverDelay: maxOutage + handoverDelay, Retention: c.Timing.Retention, StopTimeout: c.Timing.StopTimeout, GangTimeout: c.Timing.GangTimeout, RemoteSlowdown: c.Timing.RemoteSlowdown,
 		Guaranteed: func(workspace string) int {
 			if config := c.config.Load(); config != nil {
 				return config.Guaranteed(workspace)
@@ -109,7 +121,7 @@
 		ReclaimDeadline:      c.Timing.ReclaimDeadline,
 		OnDecision:           l.recordDecision,
 		OnInvariantViolation: l.recordInvariantViolation,
-	}, jayclock.Elapsed(), time.Now())
+	}, now, time.Now())
 	return l
 }
 
@@ -194,6 +206,7 @@
 		}
 	})
 	defer l.controller.clearLeadership(l)
+	l.spawn(func() { l.informEntries(ctx) })
 	runs := l.newRunsWriter()
 	if err := l.load(ctx, runs); err != nil {
 		l.controller.Logger.Warn().Str("event", "term").Uint64("term", l.term).Err(err).Msg("cannot load the records of earlier terms")
@@ -234,8 +247,9 @@
 
 // tick makes the decisions that are due and starts to store them.
 func (l *leadership) tick(ctx context.Context, runs *jaystore.FailoverWriter) {
-	if jayclock.Elapsed()-l.contactCheckedAt >= tickInterval {
-		l.checkContact()
+	if jayclock.Elapsed()-l.standingCheckedAt >= tickInterval {
+		followers, at := l.checkStanding()
+		l.updateElectors(ctx, followers, at)
 		l.controller.refreshEvacuations(ctx)
 	}
 	batch, immediate := l.decide(ctx)
--- a/internal/process/jaycontroller/links.go
+++ b/internal/process/jaycontroller/links.go
@@ -9,10 +9,18 @@
 
 	"github.com/jaystile/jaystile/internal/connection/jayframe"
 	"github.com/jaystile/jaystile/internal/connection/jaylink"
+	"github.com/jaystile/jaystile/internal/process/jayassert"
+	"github.com/jaystile/jaystile/internal/process/jayclock"
 )
 
-// viewTimeout is how long another entry may take to tell the term that it knows.
-const viewTimeout = 200 * time.Millisecond
+const (
+	// viewTimeout is how long another entry may take to tell the term that it knows.
+	viewTimeout = 200 * time.Millisecond
+	// informInterval is the time between two announcements of a leader's term to entries that
+	// do not follow it, and maxInformed to how many of them each goes.
+	informInterval = 250 * time.Millisecond
+	maxInformed    = 4
+)
 
 // followLeader keeps a link to the leader while that is another entry. Whenever it cannot
 // reach the leader, it asks the next other entry for a newer term: an entry that does not
@@ -40,29 +48,68 @@
 	}
 }
 
-// askForTerm opens a link to the n-th other entry, in turn, which announces the newest
-// term that it knows. It returns when the term has changed or after viewTimeout.
+// askForTerm exchanges views with the n-th other entry, in turn.
 func (c *Controller) askForTerm(ctx context.Context, n int, changed <-chan struct{}) {
-	others := c.otherEntries()
-	if len(others) == 0 {
-		return
+	if others := c.otherEntries(); len(others) > 0 {
+		c.exchangeViews(ctx, others[n%len(others)], changed)
 	}
-	address := others[n%len(others)]
-	ask, cancel := context.WithTimeout(ctx, viewTimeout)
+}
+
+// exchangeViews opens a link to another entry: each announces the newest term that it knows.
+// It returns when the term has changed or after viewTimeout.
+func (c *Controller) exchangeViews(ctx context.Context, address string, changed <-chan struct{}) {
+	exchange, cancel := context.WithTimeout(ctx, viewTimeout)
 	defer cancel()
-	l, err := c.dialEntry(ask, address)
+	l, err := c.dialEntry(exchange, address, jayframe.RoleObserver)
 	if err != nil {
-		c.Logger.Debug().Str("event", "link").Str("address", address).Err(err).Msg("cannot ask another entry for the term")
+		c.Logger.Debug().Str("event", "link").Str("address", address).Err(err).Msg("cannot exchange views of the term with another entry")
 		return
 	}
+	c.sendView(l)
 	c.tasks.Go(func() {
 		select {
-		case <-ask.Done():
+		case <-exchange.Done():
 		case <-changed:
 		}
-		l.Close("the term has been asked for")
+		l.Close("the views of the term have been exchanged")
 	})
-	l.Run(ask)
+	l.Run(exchange)
+}
+
+// informEntries announces the term to the entries that do not follow this leader. One that
+// does not reach the store, such as an earlier leader, may learn of it in no other way.
+func (l *leadership) informEntries(ctx context.Context) {
+	c := l.controller
+	for n := 0; jayclock.Sleep(ctx, informInterval); {
+		// A leader that may have a successor itself must not win back entries.
+		if age, complete := c.cellTail.CompleteAge(); !complete || age >= isolationTimeout {
+			continue
+		}
+		addresses := c.entriesNotFollowing(l.term)
+		var wg jayassert.Group
+		for range min(maxInformed, len(addresses)) {
+			address := addresses[n%len(addresses)]
+			n++
+			wg.Go(func() { c.exchangeViews(ctx, address, l.done) })
+		}
+		wg.Wait()
+	}
+}
+
+// entriesNotFollowing returns the sorted addresses of the known entries that do not follow
+// this one in a term.
+func (c *Controller) entriesNotFollowing(term uint64) []string {
+	followers := c.followers(term)
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	var all []string
+	for name, address := range c.entryAddresses {
+		if !followers[name] {
+			all = append(all, address)
+		}
+	}
+	slices.Sort(all)
+	return all
 }
 
 // otherEntries returns the sorted addresses of the known entries other than this one and
@@ -84,7 +131,7 @@
 // whether there was one.
 func (c *Controller) serveLeaderLink(ctx context.Context, t Term) bool {
 	dial, cancel := context.WithTimeout(ctx, dialTimeout)
-	l, err := c.dialEntry(dial, t.address)
+	l, err := c.dialEntry(dial, t.address, jayframe.RoleEntry)
 	cancel()
 	if err != nil {
 		c.Logger.Debug().Str("event", "link").Str("peer", t.leader).Err(err).Msg("cannot reach the leader")
@@ -104,6 +151,7 @@
 	c.leaderLink, c.linkedTerm = l, t.number
 	c.mutex.Unlock()
 	c.Logger.Info().Str("event", "link").Str("peer", l.Peer()).Uint64("term", t.number).Msg("linked to the leader")
+	c.sendView(l)
 	l.Run(ctx)
 	c.mutex.Lock()
 	if c.leaderLink == l {
@@ -114,8 +162,8 @@
 	return true
 }
 
-func (c *Controller) dialEntry(ctx context.Context, address string) (*jaylink.Link, error) {
-	l, _, err := c.endpoint.Dial(ctx, address, &jayframe.Hello{Role: jayframe.RoleEntry, Address: c.Address, DataCentre: c.DataCentre})
+func (c *Controller) dialEntry(ctx context.Context, address string, role jayframe.Role) (*jaylink.Link, error) {
+	l, _, err := c.endpoint.Dial(ctx, address, &jayframe.Hello{Role: role, Address: c.Address, DataCentre: c.DataCentre})
 	return l, err
 }
 
@@ -127,6 +175,13 @@
 	}
 	c.lastLink++
 	c.linkNumbers[l] = c.lastLink
+	c.mutex.Unlock()
+	c.sendView(l)
+}
+
+// sendView announces the newest term and the known entries.
+func (c *Controller) sendView(l *jaylink.Link) {
+	c.mutex.Lock()
 	view := c.cellView()
 	c.mutex.Unlock()
 	if err := l.Send(view); err != nil {
@@ -140,6 +195,7 @@
 		c.relays.forget(name)
 	}
 	delete(c.peers, l)
+	delete(c.followedTerms, l)
 	delete(c.linkNumbers, l)
 	for node, link := range c.agents {
 		if link == l {
@@ -181,7 +237,9 @@
 		c.handleResignation(m.Term)
 	case *jayframe.CellView:
 		// Only the store can tell this entry that it leads.
-		if m.Leader != c.Name {
+		if m.Leader == c.Name {
+			c.recordFollower(l, m)
+		} else {
 			c.setTerm(Term{number: m.Term, leader: m.Leader, address: m.Address})
 		}
 	case *jayframe.CellAccount:
@@ -216,12 +274,7 @@
 func (c *Controller) handleReport(l *jaylink.Link, m *jayframe.CellReport) {
 	leadership := c.currentLeadership()
 	if leadership == nil {
-		c.mutex.Lock()
-		view := c.cellView()
-		c.mutex.Unlock()
-		if err := l.Send(view); err != nil {
-			c.Logger.Debug().Str("event", "link").Str("peer", l.Peer()).Err(err).Msg("cannot send the leader's address to an agent")
-		}
+		c.sendView(l)
 		return
 	}
 	c.mutex.Lock()
--- a/internal/process/jaycontroller/term.go
+++ b/internal/process/jaycontroller/term.go
@@ -276,6 +276,8 @@
 		c.setTerm(t)
 	case s.Key == standbyKey && s.Value != nil:
 		c.applyStandby(s.Value)
+	case s.Key == electorsKey && s.Value != nil:
+		c.applyElectors(s.Value)
 	default:
 		name, address, cores, ok := DecodeEntry(s)
 		if !ok {
--- a/internal/process/jaystore/tail.go
+++ b/internal/process/jaystore/tail.go
@@ -22,6 +22,8 @@
 	// that returned records.
 	Wait       time.Duration
 	BatchDelay time.Duration
+	// MaxWait returns an upper bound of Wait for the next read; nil means none.
+	MaxWait func() time.Duration
 	// OnError is called with each failed read and with each UnreadableError.
 	OnError func(err error)
 
@@ -54,6 +56,9 @@
 		// After a failure reads do not wait for records, so that a store that is back
 		// is noticed at once.
 		wait := t.Wait
+		if t.MaxWait != nil {
+			wait = min(wait, t.MaxWait())
+		}
 		if tries > 0 {
 			wait = 0
 		}
