Believe a report of another writer only until the runner contradicts it

Jobs that only one runner can run were accepted and never ran, after one report about that runner with a number far ahead and a service that nobody names. Cause: a report counted as late or as the newest; that it might be someone else's was not considered. The runner's own reports were ignored until their numbers reached the foreign one's. Ruled out: an odd body that ends a process (15 bodies, with orders by call and by heartbeat; fuzzing of all decoders, 50,000 inputs each). Change: two reports in a row with rising numbers, half a second apart, replace the newest one.

--- a/cmd/jaystile/cellside.go
+++ b/cmd/jaystile/cellside.go
@@ -41,7 +41,7 @@
 	}
 	supervisor := jaysupervisor.New()
 	supervisor.Node, supervisor.Client, supervisor.Lease, supervisor.Logger = s.Name+"@"+s.Runner, jayadapter.RunnerClient(s.Runner), s.Lease(), logger
-	supervisor.EvacuationBound = s.EvacuationBound
+	supervisor.Service, supervisor.EvacuationBound = s.Service, s.EvacuationBound
 	if s.Orders == jaysettings.OrdersByHeartbeat {
 		supervisor.OrdersByHeartbeat, supervisor.HeartbeatInterval = true, s.HeartbeatInterval
 	}
--- /dev/null
+++ b/internal/process/jaysupervisor/foreign.go
@@ -0,0 +1,47 @@
+package jaysupervisor
+
+import "time"
+
+// minEarlierAge is how long heartbeats with lower numbers must go on before they are taken for
+// the newest ones. Late ones that a cut has held back come at the same time.
+const minEarlierAge = 500 * time.Millisecond
+
+// earlierHeartbeats are heartbeats of the runner whose numbers are not above that of the newest
+// one. A late one comes by itself. If they go on, with rising numbers, the runner sends them, and
+// another process has sent the one that counts as the newest.
+type earlierHeartbeats struct {
+	highest uint64
+	// firstAt is when the first of them came, zero if none has.
+	firstAt time.Duration
+}
+
+// goOn records a heartbeat and reports whether they go on.
+func (e *earlierHeartbeats) goOn(sequence uint64, now time.Duration) bool {
+	if e.firstAt == 0 || sequence <= e.highest {
+		*e = earlierHeartbeats{highest: sequence, firstAt: now}
+		return false
+	}
+	e.highest = sequence
+	return now-e.firstAt >= minEarlierAge
+}
+
+// isOwn reports whether a heartbeat is about a runner of this service.
+func (s *Supervisor) isOwn(h Heartbeat) bool {
+	own := s.Service == "" || h.Runner.Service == s.Service
+	if !own {
+		s.Logger.Warn().Str("event", "runner").Str("runner", h.Runner.ID).Str("service", h.Runner.Service).Msg("ignoring a heartbeat of another service")
+	}
+	return own
+}
+
+// isNewest reports whether a heartbeat of the runner tells more than the newest one so far.
+func (s *Supervisor) isNewest(h Heartbeat) bool {
+	if h.Sequence > s.sequence {
+		return true
+	}
+	if !s.earlier.goOn(h.Sequence, s.Elapsed()) {
+		return false
+	}
+	s.Logger.Warn().Str("event", "runner").Str("runner", h.Runner.ID).Uint64("sequence", h.Sequence).Uint64("was", s.sequence).Msg("the newest heartbeat was not the runner's")
+	return true
+}
--- a/internal/process/jaysupervisor/heartbeats.go
+++ b/internal/process/jaysupervisor/heartbeats.go
@@ -49,7 +49,7 @@
 func (s *Supervisor) ExchangeHeartbeat(h Heartbeat) HeartbeatResponse {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	if !s.isWhole(h) || slices.Contains(s.pastIncarnations, h.Runner.ID) || s.runner.ID == h.Runner.ID && (s.deregistered || h.Sequence <= s.sequence) {
+	if !s.isWhole(h) || !s.isOwn(h) || slices.Contains(s.pastIncarnations, h.Runner.ID) || s.runner.ID == h.Runner.ID && (s.deregistered || !s.isNewest(h)) {
 		return HeartbeatResponse{}
 	}
 	now := s.Elapsed()
--- a/internal/process/jaysupervisor/supervisor.go
+++ b/internal/process/jaysupervisor/supervisor.go
@@ -79,6 +79,9 @@
 	// Node names the agent's machine and the runner's address in reports.
 	Node   string
 	Client RunnerClient
+	// Service is that of the runner; empty if it is unknown. What is said of a runner of
+	// another service is not about this one.
+	Service string
 	// Lease is how long a run may continue after the last granted report was sent.
 	Lease time.Duration
 	// OrdersByHeartbeat is set if the runner accepts no calls: its heartbeats carry its
@@ -100,8 +103,9 @@
 
 	mutex  sync.Mutex
 	runner jaycell.RunnerInfo
-	// sequence is that of the newest heartbeat.
+	// sequence is that of the newest heartbeat, earlier what came since with lower ones.
 	sequence uint64
+	earlier  earlierHeartbeats
 	// heartbeatAt is when the newest heartbeat came.
 	heartbeatAt  time.Duration
 	deregistered bool
@@ -232,13 +236,13 @@
 // that has ended.
 func (s *Supervisor) HandleHeartbeat(ctx context.Context, h Heartbeat) {
 	s.mutex.Lock()
-	if !s.isWhole(h) {
+	if !s.isWhole(h) || !s.isOwn(h) {
 		s.mutex.Unlock()
 		return
 	}
 	h.Runner.ID = s.presentLife(h.Runner.ID)
 	if s.runner.ID == h.Runner.ID {
-		if h.Sequence > s.sequence {
+		if s.isNewest(h) {
 			s.updateRunner(h)
 		}
 		s.mutex.Unlock()
@@ -276,7 +280,7 @@
 
 // updateRunner applies a newer heartbeat of the same incarnation.
 func (s *Supervisor) updateRunner(h Heartbeat) {
-	s.sequence, s.heartbeatAt = h.Sequence, s.Elapsed()
+	s.sequence, s.heartbeatAt, s.earlier = h.Sequence, s.Elapsed(), earlierHeartbeats{}
 	if s.runner.Draining != h.Runner.Draining {
 		s.Logger.Info().Str("event", "runner").Str("runner", h.Runner.ID).Bool("draining", h.Runner.Draining).Dur("drain_left", h.Runner.DrainRemaining).Msg("runner changed its draining state")
 		jaycontroller.Signal(s.reportSignal)
@@ -312,7 +316,7 @@
 		s.pastIncarnations = append(s.pastIncarnations[max(0, len(s.pastIncarnations)-maxPastIncarnations+1):], s.runner.ID)
 	}
 	s.runner, s.sequence, s.deregistered, s.ended, s.acknowledged, s.results, s.runnerClockKnown, s.confirmedFence, s.sentFence = h.Runner, h.Sequence, false, false, 0, nil, false, 0, 0
-	s.listing, s.heartbeatAt = Listing{}, s.Elapsed()
+	s.listing, s.heartbeatAt, s.earlier = Listing{}, s.Elapsed(), earlierHeartbeats{}
 	s.lastAnswer, s.endSeenAt, s.crashRecorded, s.observed, s.doubtedAt, s.confirmedAt = 0, 0, false, nil, 0, 0
 	clear(s.unlisted)
 	clear(s.excluded)
