Keep a job that was stored twice when the history of its topic is lost

Cause: a repeated request stores a job again, with another time of acceptance. The table kept the first record, the store the newest; the reload took the difference for a new job under the ID of a deleted one and forgot the state. A cell whose term began after the job's end ran it. Evidence: TestReplaceKeepsAJobThatWasStoredTwice failed before in all 15 rows. Ruled out: states that are lost in the reload. Conclusion: what is new no longer depends on which record a reader kept.

--- a/internal/process/jaycontroller/jobtable.go
+++ b/internal/process/jaycontroller/jobtable.go
@@ -73,6 +73,13 @@
 	return time.Since(newest) < t.recent
 }
 
+// isReused reports whether a job was accepted under the ID of another one that has been deleted,
+// long after its end. A request that is repeated while the job is being stored stores it again,
+// with another time: that is the same job.
+func (t *jobTable) isReused(old *jobRow, spec *jaytask.Job) bool {
+	return old.state.Ended() && spec.Accepted.Sub(old.stateAt) > t.recent
+}
+
 // replace replaces the jobs and cancellations with the store's newest records of all of
 // them. States are kept, since they are stored in another topic, and so are rows and
 // cancellations that may be newer than the read. Jobs that have ended are not reported
@@ -86,8 +93,7 @@
 	t.mutex.Lock()
 	for id, row := range newest.jobs {
 		old := t.jobs[id]
-		if old != nil && old.spec != nil && row.spec != nil && !old.spec.Accepted.Equal(row.spec.Accepted) {
-			// The old job has been deleted, and a new one accepted under its ID.
+		if old != nil && row.spec != nil && t.isReused(old, row.spec) {
 			old = nil
 		}
 		if old != nil {
--- a/internal/process/jaycontroller/jobtable_test.go
+++ b/internal/process/jaycontroller/jobtable_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"time"
 
@@ -202,6 +203,51 @@
 	assert.Equal(t, row.callerState(), jaytask.Queued)
 }
 
+// Guards against completed jobs that run again: a job that was stored twice was taken for another
+// one when the history of the topic was lost.
+func TestReplaceKeepsAJobThatWasStoredTwice(t *testing.T) {
+	now := time.Now()
+	for _, c := range []struct {
+		name string
+		// kept is the record that the table has, which came before its state.
+		kept  time.Time
+		state jaytask.State
+		want  jaytask.State
+		// begun is set if the cell knows the job.
+		begun bool
+	}{
+		{"first record kept, completed", now.Add(-8 * time.Second), jaytask.Completed, jaytask.Completed, false},
+		{"second record kept, completed", now.Add(-6 * time.Second), jaytask.Completed, jaytask.Completed, false},
+		{"stored again after its end", now.Add(-8 * time.Second), jaytask.Failed, jaytask.Failed, false},
+		{"running", now.Add(-8 * time.Second), jaytask.Running, jaytask.Running, true},
+		{"queued", now.Add(-8 * time.Second), 0, jaytask.Queued, true},
+	} {
+		for _, newest := range []time.Duration{-7 * time.Second, -time.Second, 0} {
+			t.Run(fmt.Sprintf("%s, newest record %s", c.name, newest), func(t *testing.T) {
+				controller, l := newLeader(true)
+				job := jobRecordAt(t, id, c.kept)
+				if !c.begun {
+					// The term began after the job's end.
+					controller.leadership = nil
+				}
+				controller.jobs.apply(job.Key, job.Value)
+				if c.state > 0 {
+					controller.jobs.apply(jaycell.StateKey(id), jaycell.EncodeState(c.state, now.Add(-2*time.Second)))
+				}
+				controller.leadership = l
+				reports := 0
+				update := controller.jobs.onChanged
+				controller.jobs.onChanged = func(id string) { reports++; update(id) }
+				controller.jobs.replace([]jaystore.StoredRecord{jobRecordAt(t, id, now.Add(newest))})
+				row, ok := controller.jobs.get(id)
+				assert.Assert(t, ok)
+				assert.Equal(t, row.callerState(), c.want)
+				assert.Equal(t, reports, 0, "reported as a new job")
+			})
+		}
+	}
+}
+
 // A peer that stood still after it had stored a record sends its copy late.
 func TestLateCopyFromAPeerRevivesNoExpiredJob(t *testing.T) {
 	now := time.Now()
