Give up a task that saves its progress and crashes runner after runner

A subtask that crashes its runner 1.2 s after each start was started without end. Cause: progress beyond the last crash cleared a task of all crashes before. A task with checkpoints gets further in every run. Evidence: TestTaskThatSavesItsProgressAndCrashesRunnersIsGivenUp, before: "running != failed". Ruled out: crashes that are not counted. Change: progress clears a task of being suspect at its start only; crashes stay counted, and the fifth is the last. From the third on it is tried apart, outside the share of trials, which lasts for starts only. Daemon tasks as before. TestLateCrashCountsOnce checked that a cleared crash is forgotten. That is the fault; it checks now that it makes no suspect and counts once. Conclusion: a bound on crashes holds whatever was saved.

--- a/internal/process/jaycell/crash.go
+++ b/internal/process/jaycell/crash.go
@@ -13,9 +13,12 @@
 	// maxCrashesAtStart is how many runners may crash under a task before it has
 	// progressed; then its job fails.
 	maxCrashesAtStart = 3
-	// maxCrashes is the same for a task that progresses, but never beyond the point at
-	// which a runner has crashed under it before.
+	// maxCrashes is how many runners may crash under a task at all, however far it has come
+	// or has saved; then its job fails.
 	maxCrashes = 5
+	// maxCrashesBeside is after how many crashes a task is tried apart whatever its progress:
+	// what crashes runners late is found out, and what ran beside it is spared.
+	maxCrashesBeside = 3
 	// trialShare bounds the runners on which suspects are tried at the same time, as a
 	// fraction of the runners of their service.
 	trialShare = 4
@@ -53,9 +56,10 @@
 	Index int
 	Run   int
 	// Runner is the incarnation that crashed, on Node.
-	Runner     string
-	Node       string
-	Percent    int
+	Runner  string
+	Node    string
+	Percent int
+	// Progressed is set if the task had worked beyond its start, or has come further since.
 	Progressed bool
 }
 
@@ -149,16 +153,26 @@
 	return slices.ContainsFunc(u.crashes, func(x taskCrash) bool { return x.Index == index && x.Run == run })
 }
 
-// clearCrashes forgets the crashes under a task up to a run, of which late reports do not
-// count either. It reports whether there were any.
+// clearCrashes clears a task of the suspicion that it crashes runners as it starts, up to a run
+// of which late reports do not count either. A daemon task's crashes are forgotten: it outlives
+// many runners. It reports whether anything has changed.
 func (u *unit) clearCrashes(index, run int) bool {
 	if u.clearedRuns == nil {
 		u.clearedRuns = map[int]int{}
 	}
 	u.clearedRuns[index] = max(u.clearedRuns[index], run-1)
-	n := len(u.crashes)
-	u.crashes = slices.DeleteFunc(u.crashes, func(x taskCrash) bool { return x.Index == index })
-	return len(u.crashes) < n
+	if u.spec().Daemon {
+		n := len(u.crashes)
+		u.crashes = slices.DeleteFunc(u.crashes, func(x taskCrash) bool { return x.Index == index })
+		return len(u.crashes) < n
+	}
+	changed := false
+	for i, x := range u.crashes {
+		if x.Index == index && !x.Progressed {
+			u.crashes[i].Progressed, changed = true, true
+		}
+	}
+	return changed
 }
 
 // crashPercent returns the furthest progress at which a runner crashed under a task.
@@ -172,7 +186,7 @@
 	return percent
 }
 
-// countCrashes counts the crashes under a task before it had progressed, and all.
+// countCrashes counts the crashes under a task beyond which it has not progressed, and all.
 func (u *unit) countCrashes(index int) (atStart, all int) {
 	for _, x := range u.crashes {
 		if x.Index == index {
@@ -195,8 +209,12 @@
 	return false
 }
 
-// isSuspect reports whether the unit may crash the runners that start it.
+// isSuspect reports whether the unit may crash the runners that start it, at once or later.
 func (u *unit) isSuspect() bool {
+	return u.isSuspectAtStart() || u.maxCrashesOfTask() >= maxCrashesBeside
+}
+
+func (u *unit) isSuspectAtStart() bool {
 	return slices.ContainsFunc(u.crashes, func(x taskCrash) bool { return !x.Progressed })
 }
 
@@ -273,8 +291,11 @@
 }
 
 // mayAddTrials reports whether suspects may be tried on more runners. A single unit always
-// may.
+// may, and so may one that would crash them later: such a trial lasts as long as its work.
 func (r *round) mayAddTrials(u *unit, runners []*candidate) bool {
+	if !u.isSuspectAtStart() {
+		return true
+	}
 	trials, pool, added := 0, 0, map[*candidate]bool{}
 	for _, cand := range runners {
 		if len(cand.tried) == 0 {
@@ -286,7 +307,7 @@
 			continue
 		}
 		pool++
-		if len(cand.tried) > 0 {
+		if slices.ContainsFunc(cand.tried, (*unit).isSuspectAtStart) {
 			trials++
 		}
 	}
--- a/internal/process/jaycell/crash_test.go
+++ b/internal/process/jaycell/crash_test.go
@@ -20,14 +20,16 @@
 	lives   map[string]int
 	running map[string][]Run
 	startAt map[string]time.Duration
-	// deadly tasks crash their runner at a progress in percent.
+	// deadly tasks crash their runner at a progress in percent, counted from what they have
+	// saved. saved holds the progress of tasks with checkpoints.
 	deadly map[string]int
+	saved  map[string]int
 	starts map[string]int
 	crash  map[string][]Crash
 }
 
 func newCrashing(t *testing.T, runners int) *crashing {
-	c := &crashing{harness: newHarness(t, nil), lives: map[string]int{}, running: map[string][]Run{}, startAt: map[string]time.Duration{}, deadly: map[string]int{}, starts: map[string]int{}, crash: map[string][]Crash{}}
+	c := &crashing{harness: newHarness(t, nil), lives: map[string]int{}, running: map[string][]Run{}, startAt: map[string]time.Duration{}, deadly: map[string]int{}, saved: map[string]int{}, starts: map[string]int{}, crash: map[string][]Crash{}}
 	for i := range runners {
 		c.runners = append(c.runners, fmt.Sprintf("n%02d", i))
 	}
@@ -41,6 +43,9 @@
 	if seen {
 		x := Crash{Runner: c.id(node)}
 		for _, r := range c.running[node] {
+			if _, saves := c.saved[r.Task]; saves {
+				c.saved[r.Task] = r.Percent
+			}
 			worked := c.now - c.startAt[r.Task]
 			x.Runs = append(x.Runs, CrashedRun{Task: r.Task, Run: r.Run, Percent: r.Percent, WorkedFor: worked, ListedFor: worked})
 		}
@@ -57,7 +62,7 @@
 			c.running[node][i].Percent++
 		}
 		for _, r := range c.running[node] {
-			if percent, deadly := c.deadly[r.Task]; deadly && r.Percent > percent {
+			if percent, deadly := c.deadly[r.Task]; deadly && r.Percent-c.saved[r.Task] > percent {
 				if percent == 0 {
 					c.startAt[r.Task] = c.now
 				}
@@ -73,7 +78,7 @@
 		case OrderStart:
 			c.starts[o.Task]++
 			c.startAt[o.Task] = c.now
-			c.running[o.Node] = append(c.running[o.Node], Run{Task: o.Task, Run: o.Run})
+			c.running[o.Node] = append(c.running[o.Node], Run{Task: o.Task, Run: o.Run, Percent: c.saved[o.Task]})
 		case OrderStop:
 			c.running[o.Node] = slices.DeleteFunc(c.running[o.Node], func(x Run) bool { return x.Task == o.Task })
 		case OrderAcknowledgeCrash:
@@ -147,6 +152,23 @@
 	assert.Equal(t, c.starts[deadlyTask], maxCrashes)
 }
 
+// Guards against a task that saves its progress, comes further each time and crashes runner after
+// runner: each crash cleared it of those before.
+func TestTaskThatSavesItsProgressAndCrashesRunnersIsGivenUp(t *testing.T) {
+	c := newCrashing(t, 6)
+	c.saved["00000000000000aa.0.0.0"] = 0
+	c.submit("00000000000000aa", 1, "", wide(1))
+	c.steps(5)
+	c.deadly[deadlyTask], c.saved[deadlyTask] = 8, 0
+	c.submit("00000000000000dd", 1, "", wide(1))
+	c.steps(100)
+	assert.Equal(t, c.jobStates["00000000000000dd"], jaytask.Failed)
+	assert.Equal(t, c.starts[deadlyTask], maxCrashes)
+	// The sound task beside it met the first crashes only.
+	assert.Equal(t, c.jobStates["00000000000000aa"], jaytask.Running)
+	assert.Assert(t, c.starts["00000000000000aa.0.0.0"] <= maxCrashesBeside+1, "%d starts", c.starts["00000000000000aa.0.0.0"])
+}
+
 // Hundreds of runners that vanish with their agents say nothing about what ran there.
 func TestLostRunnersBlameNoTask(t *testing.T) {
 	c := newCrashing(t, 200)
@@ -234,12 +256,14 @@
 	}
 	u := c.cell.jobs["00000000000000dd"].units[deadlyTask]
 	assert.Equal(t, len(u.crashes), 1)
+	assert.DeepEqual(t, c.suspects(), []string{deadlyTask})
 	c.steps(5)
-	assert.Equal(t, len(u.crashes), 0)
+	assert.Equal(t, len(c.suspects()), 0)
 	// The second run has worked since: what is told of the first one changes nothing.
 	c.crash[node] = []Crash{crash}
 	c.steps(1)
-	assert.Equal(t, len(u.crashes), 0)
+	assert.Equal(t, len(u.crashes), 1)
+	assert.Equal(t, len(c.suspects()), 0)
 }
 
 func TestCrashIsAcknowledgedOnceItIsStored(t *testing.T) {
