Tell a runner's restart by its clock when it does not tell its lives

Ends of a runner's next life were acknowledged unheard, so that done subtasks ran again. Cause: a restart under the same id without born was inferred only if a connection had been refused meanwhile. After silence the first listing of the next life cleared the doubt, and the acknowledgement of the former life was sent. Change: a listing whose clock is below one that was heard before it was asked for comes from another life. Conclusion: left open, in the postmortem: a next life whose clock begins above that of the former one.

--- a/internal/process/jaysupervisor/restart.go
+++ b/internal/process/jaysupervisor/restart.go
@@ -17,10 +17,16 @@
 }
 
 // hasRestarted reports whether a listing comes from another life than the one that is known,
-// of a runner that does not tell its lives: nothing listened at its address meanwhile, and it
-// lists none of the runs that it had.
+// of a runner that does not tell its lives: its clock has gone back, or nothing listened at its
+// address meanwhile and it lists none of the runs that it had.
 func (s *Supervisor) hasRestarted(l Listing, requestedAt time.Duration) bool {
-	if jaycell.TellsLife(s.runner.ID) || s.endSeenAt == 0 || requestedAt < s.endSeenAt || s.deregistered {
+	if jaycell.TellsLife(s.runner.ID) || s.deregistered {
+		return false
+	}
+	if s.runnerClockKnown && requestedAt >= s.runnerClockReadAt && l.Clock > 0 && l.Clock < s.runnerClock {
+		return true
+	}
+	if s.endSeenAt == 0 || requestedAt < s.endSeenAt {
 		return false
 	}
 	for _, r := range l.Running {
--- a/internal/process/jaysupervisor/restart_test.go
+++ b/internal/process/jaysupervisor/restart_test.go
@@ -94,3 +94,51 @@
 		assert.Assert(t, calls <= 2+int(2*time.Second/retryDelay), "%d polls in two seconds", calls)
 	})
 }
+
+// Guards against acknowledgements, deadlines and clocks of a runner's former life that reach the
+// next one, of a runner that was silent meanwhile and does not tell its lives.
+func TestClockThatStartsAnewTellsAnotherLife(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		// clocks are those of the listings, zero for a call without an answer.
+		clocks []time.Duration
+		// restarted is the listing that begins another life, -1 if none does.
+		restarted int
+	}{
+		{"silent, then a lower clock", []time.Duration{50 * time.Second, 51 * time.Second, 0, 0, time.Second, 2 * time.Second}, 4},
+		{"a lower clock at once", []time.Duration{50 * time.Second, time.Second, 2 * time.Second}, 1},
+		{"silent, then the clock has gone on", []time.Duration{50 * time.Second, 0, 0, 53 * time.Second, 54 * time.Second}, -1},
+		{"the same clock", []time.Duration{50 * time.Second, 50 * time.Second}, -1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s, now := New(), time.Hour
+			s.Elapsed, s.Lease = func() time.Duration { return now }, time.Minute
+			s.runner.ID, s.term, s.grantedUntil, s.acknowledged, s.confirmedAt = "r1", 1, 2*time.Hour, 9, now
+			lives := 0
+			for i, clock := range c.clocks {
+				var sent Renewal
+				s.Client.Renew = func(_ context.Context, r Renewal) (Listing, error) {
+					sent = r
+					if clock == 0 {
+						return Listing{}, &NoAnswerError{Call: "hold", Cause: "silent"}
+					}
+					return Listing{Clock: clock}, nil
+				}
+				id := s.runner.ID
+				s.poll(t.Context(), 0)
+				if s.runner.ID != id {
+					assert.Equal(t, i, c.restarted)
+					lives++
+				}
+				if lives > 0 {
+					assert.Equal(t, s.acknowledged, uint64(0))
+					// The next call names no end and no deadline before the new clock is known.
+					assert.Assert(t, i == c.restarted || sent.Acknowledged == 0 && sent.Deadline < time.Hour)
+				}
+				now += time.Second
+			}
+			assert.Equal(t, lives > 0, c.restarted >= 0)
+			assert.Assert(t, lives <= 1)
+		})
+	}
+}
