Count the header limit from the beginning of a request that came with the one before

What callers saw: TestLimitsCloseConnections failed once beside other work on this machine: a half header kept its connection open. Cause: the first bytes of a request that are read together with the end of the one before it were not seen as a header's beginning, so that the idle limit applied in place of the header's. The test's two writes are read at once if the server is late. Change: what follows a request's header and body starts the next one. Rows that send both in one write failed before, each time. Conclusion: left open are first bytes that come with the rest of a body whose beginning came earlier.

--- a/internal/connection/jayhttp/limits.go
+++ b/internal/connection/jayhttp/limits.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"net"
+	"strconv"
 	"time"
 )
 
@@ -34,8 +35,8 @@
 var headerEnd = []byte("\r\n\r\n")
 
 // limitedConn tracks whether the connection is idle, in a header or in a body. The
-// first bytes after a response start a request. The server's own deadlines, which
-// bound the body, still apply.
+// first bytes after a response, or after the end of the request before it, start a request. The
+// server's own deadlines, which bound the body, still apply.
 type limitedConn struct {
 	net.Conn
 	limits func() Limits
@@ -44,8 +45,11 @@
 	headerStart time.Time
 	// headerDone is set when the header has ended.
 	headerDone bool
-	// tail holds the last bytes of the header, in which headerEnd may have begun.
-	tail []byte
+	// header holds what has been read of the header, and what came after it together with
+	// its end.
+	header []byte
+	// next holds what has come of the next request.
+	next []byte
 	// serverDeadline is the deadline that the server has set.
 	serverDeadline time.Time
 }
@@ -69,16 +73,51 @@
 	}
 	n, err := c.Conn.Read(b)
 	if n > 0 && !c.headerDone {
-		if c.headerStart.IsZero() {
-			c.headerStart = time.Now()
-		}
-		c.tail = append(c.tail, b[:n]...)
-		c.headerDone = bytes.Contains(c.tail, headerEnd)
-		c.tail = append([]byte(nil), c.tail[max(0, len(c.tail)-len(headerEnd)+1):]...)
+		c.readHeader(b[:n])
 	}
 	return n, err
 }
 
+// readHeader adds to the header of the request. It reports whether the whole request has come.
+func (c *limitedConn) readHeader(b []byte) bool {
+	if c.headerStart.IsZero() {
+		c.headerStart = time.Now()
+	}
+	c.header = append(c.header, b...)
+	end := bytes.Index(c.header, headerEnd)
+	if c.headerDone = end >= 0; !c.headerDone {
+		return false
+	}
+	end += len(headerEnd)
+	length, known := bodyLength(c.header[:end])
+	whole := known && len(c.header)-end >= length
+	if whole {
+		c.next = c.header[end+length:]
+	}
+	c.header = nil
+	return whole
+}
+
+// bodyLength returns the length of the body that follows a header, and false if the header
+// does not tell it.
+func bodyLength(header []byte) (int, bool) {
+	length := 0
+	for line := range bytes.Lines(header) {
+		name, value, _ := bytes.Cut(line, []byte(":"))
+		switch {
+		case bytes.EqualFold(name, []byte("Transfer-Encoding")):
+			return 0, false
+		case bytes.EqualFold(name, []byte("Content-Length")):
+			n, err := strconv.Atoi(string(bytes.TrimSpace(value)))
+			if err != nil || n < 0 {
+				return 0, false
+			}
+			length = n
+		}
+	}
+	return length, true
+}
+
 // deadline returns the deadline of the next read.
 func (c *limitedConn) deadline() time.Time {
 	limits, at := c.limits(), c.serverDeadline
@@ -100,8 +139,13 @@
 	return a
 }
 
-// Write implements net.Conn. A response ends the request.
+// Write implements net.Conn. A response ends the request; the next one may have begun. The server
+// reads on only when it has answered all whole requests that have come.
 func (c *limitedConn) Write(b []byte) (int, error) {
-	c.headerStart, c.headerDone, c.tail = time.Time{}, false, nil
+	for whole := true; whole; {
+		next := c.next
+		c.headerStart, c.headerDone, c.header, c.next = time.Time{}, false, nil, nil
+		whole = len(next) > 0 && c.readHeader(next)
+	}
 	return c.Conn.Write(b)
 }
--- a/internal/connection/jayhttp/limits_test.go
+++ b/internal/connection/jayhttp/limits_test.go
@@ -55,6 +55,10 @@
 		{"header byte by byte", Limits{Idle: slow, Header: short}, []string{"G", "E", "T", " ", "/"}},
 		{"idle after an answer", Limits{Idle: short, Header: slow}, []string{"GET / HTTP/1.1\r\nHost: h\r\n\r\n"}},
 		{"half a header after an answer", Limits{Idle: slow, Header: short}, []string{"GET / HTTP/1.1\r\nHost: h\r\n\r\n", "GET / HT"}},
+		// Guards against a header that never times out because its beginning came with the request before.
+		{"half a header with the request before", Limits{Idle: slow, Header: short}, []string{"GET / HTTP/1.1\r\nHost: h\r\n\r\nGET / HT"}},
+		{"half a header with the body before", Limits{Idle: slow, Header: short}, []string{"POST / HTTP/1.1\r\nHost: h\r\ncontent-length: 2\r\n\r\nabGET / HT"}},
+		{"half a header after two requests", Limits{Idle: slow, Header: short}, []string{"GET / HTTP/1.1\r\nHost: h\r\n\r\nGET / HTTP/1.1\r\nHost: h\r\n\r\nGET / HT"}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
