Ask an agent over the link that the decision was made on

What callers saw: nothing yet. Cause: the background call read the field when it ran. The handler that drains an agent did the same. Change: both take the link while they hold the lock. Test: TestLinkThatClosesBeforeItsAgentIsAsked, before: "panic: invalid memory address or nil pointer dereference".

--- a/internal/process/jayentry/operator.go
+++ b/internal/process/jayentry/operator.go
@@ -283,15 +283,18 @@
 }
 
 func (e *Entry) handleDrain(c *fiber.Ctx) error {
+	var link *jaylink.Link
 	e.mutex.Lock()
-	agent := e.agents[c.Params("side")]
+	if agent := e.agents[c.Params("side")]; agent != nil {
+		link = agent.link
+	}
 	e.mutex.Unlock()
-	if agent == nil || agent.link == nil {
+	if link == nil {
 		return jayrefusal.New(jayrefusal.NotFound, jayrefusal.NotRun, "no link to such a side")
 	}
 	ctx, cancel := context.WithTimeout(e.ctx, queryTimeout)
 	defer cancel()
-	if _, err := agent.link.Call(ctx, &jayframe.Drain{On: c.QueryBool("on", true)}); err != nil {
+	if _, err := link.Call(ctx, &jayframe.Drain{On: c.QueryBool("on", true)}); err != nil {
 		return jayrefusal.New(jayrefusal.OwnerLost, jayrefusal.Unknown, "%v", err)
 	}
 	return c.SendStatus(fiber.StatusNoContent)
--- a/internal/process/jayentry/outcome.go
+++ b/internal/process/jayentry/outcome.go
@@ -248,7 +248,8 @@
 		stale := now-a.lastHeard >= resolveDelay
 		if a.state.State() == jayattempt.Unknown || (stale && (a.routed || len(a.workers) == 1 || a.committed)) {
 			a.resolving = true
-			e.background.Spawn(func() { e.resolve(a, agent.link) })
+			link := agent.link
+			e.background.Spawn(func() { e.resolve(a, link) })
 		}
 	}
 }
