Keep a next life apart from the runner when its heartbeats carry orders

Cause: "Believe a report of another writer only until the runner contradicts it" takes lower numbers that go on for the runner's own. They are also those of its next life, if it does not tell its lives; with orders by heartbeat the response acknowledged the former life's ends. Change: such runners keep the former rule: lower numbers are late. Test: TestNextLifeIsNotTakenForTheRunnerAfterAnotherWriter, before: "9 != 0: heartbeat 4".

--- a/internal/process/jaysupervisor/foreign.go
+++ b/internal/process/jaysupervisor/foreign.go
@@ -1,6 +1,10 @@
 package jaysupervisor
 
-import "time"
+import (
+	"time"
+
+	"github.com/jaystile/jaystile/internal/process/jaycell"
+)
 
 // minEarlierAge is how long heartbeats with lower numbers must go on before they are taken for
 // the newest ones. Late ones that a cut has held back come at the same time.
@@ -39,6 +43,10 @@
 	if h.Sequence > s.sequence {
 		return true
 	}
+	if s.OrdersByHeartbeat && !jaycell.TellsLife(s.runner.ID) {
+		// They may be of another life, for which the response must not acknowledge ends.
+		return false
+	}
 	if !s.earlier.goOn(h.Sequence, s.Elapsed()) {
 		return false
 	}
--- a/internal/process/jaysupervisor/foreign_test.go
+++ b/internal/process/jaysupervisor/foreign_test.go
@@ -36,10 +36,10 @@
 				s, now := New(), time.Minute
 				s.Client, s.OrdersByHeartbeat = newFakeRunner().client(), byHeartbeat
 				s.Elapsed = func() time.Duration { return now }
-				s.runner.ID = "r1"
+				s.runner.ID = jaycell.IncarnationID("r1", 7)
 				for i, sent := range c.sent {
 					now = time.Minute + sent.at
-					h := Heartbeat{Sequence: sent.sequence, Runner: jaycell.RunnerInfo{ID: "r1", Capacity: jaytask.Resources{CPU: i + 1}}}
+					h := Heartbeat{Sequence: sent.sequence, Runner: jaycell.RunnerInfo{ID: s.runner.ID, Capacity: jaytask.Resources{CPU: i + 1}}}
 					if byHeartbeat {
 						s.ExchangeHeartbeat(h)
 					} else {
@@ -51,3 +51,16 @@
 		}
 	}
 }
+
+// Guards against an acknowledgement of a former life in the response to a heartbeat of the next
+// one, of a runner that does not tell its lives: its numbers start anew.
+func TestNextLifeIsNotTakenForTheRunnerAfterAnotherWriter(t *testing.T) {
+	s, now := New(), time.Minute
+	s.OrdersByHeartbeat, s.Elapsed = true, func() time.Duration { return now }
+	s.runner.ID, s.sequence, s.acknowledged = "r1", 40, 9
+	for sequence := range uint64(20) {
+		now += 200 * time.Millisecond
+		r := s.ExchangeHeartbeat(Heartbeat{Sequence: sequence + 1, Runner: jaycell.RunnerInfo{ID: "r1"}})
+		assert.Equal(t, r.Acknowledged, uint64(0), "heartbeat %d", sequence+1)
+	}
+}
