Store records of the cell's topic in one place

Change: appendToCell serves the electors and the standby topics, whose conditional appends were the same loop twice. The end of the handover is computed when a cell is made, in place of a second field and a zero that meant "not told".

--- a/internal/process/jaycell/cell.go
+++ b/internal/process/jaycell/cell.go
@@ -149,9 +149,7 @@
 	wall     time.Time
 	jobs     map[string]*job
 	runners  map[string]*Runner
-	// startedAt is when the term began. handoverEnd is until when earlier leaders may grant
-	// leases, zero until EndHandover has told.
-	startedAt   time.Duration
+	// handoverEnd is until when earlier leaders may grant leases.
 	handoverEnd time.Duration
 
 	meanRunTimes map[string]*runTimeMean
@@ -184,7 +182,7 @@
 
 // New returns an empty cell for one term.
 func New(s Settings, now time.Duration, wall time.Time) *Cell {
-	return &Cell{settings: s, startedAt: now, now: now, wall: wall, jobs: map[string]*job{}, runners: map[string]*Runner{}, meanRunTimes: map[string]*runTimeMean{}, routes: map[string]*jayadmission.Route{}, shareLimits: map[imagePair]int{}, slots: map[poolShape]int{}, demand: map[string]*demand{}, peaks: map[level]*peakUse{}, dirtyUnits: map[*unit]bool{}}
+	return &Cell{settings: s, handoverEnd: now + s.HandoverDelay, now: now, wall: wall, jobs: map[string]*job{}, runners: map[string]*Runner{}, meanRunTimes: map[string]*runTimeMean{}, routes: map[string]*jayadmission.Route{}, shareLimits: map[imagePair]int{}, slots: map[poolShape]int{}, demand: map[string]*demand{}, peaks: map[level]*peakUse{}, dirtyUnits: map[*unit]bool{}}
 }
 
 // SetTime sets the time for the calls that follow: now is monotonic, wall is the
--- a/internal/process/jaycell/lapse.go
+++ b/internal/process/jaycell/lapse.go
@@ -17,11 +17,7 @@
 	if r.follows {
 		return r.leaseEnd
 	}
-	handoverEnd := c.handoverEnd
-	if handoverEnd == 0 {
-		handoverEnd = c.startedAt + c.settings.HandoverDelay
-	}
-	return max(r.leaseEnd, c.latestLeaseEnd(handoverEnd))
+	return max(r.leaseEnd, c.latestLeaseEnd(c.handoverEnd))
 }
 
 // abandonUnseenRuns notes the runs on a runner whose lease has lapsed that it has not
--- a/internal/process/jaycell/lapse_test.go
+++ b/internal/process/jaycell/lapse_test.go
@@ -116,21 +116,29 @@
 	assert.Equal(t, stops, 2, "in 1.5 s")
 }
 
-// A leader that has been cut off grants leases until it notices. Its successor waits for
-// the end of these too before it starts the runs of silent runners again.
-func TestSuccessorWaitsForLeasesGrantedAfterItsBeginning(t *testing.T) {
-	const handover = 1500 * time.Millisecond
+// newSuccessor returns the leader of term 2, for which job j runs on r1 since the term before.
+func newSuccessor(t *testing.T, handover time.Duration) *harness {
 	first := newHarness(t, nil)
 	first.report("n1", "r1", nil)
 	first.submit("j", 0, "", step(1, 1))
 	first.advance(0)
 
 	h := newHarness(t, nil)
-	h.cell.settings.Term, h.cell.settings.HandoverDelay = 2, handover
+	settings := h.cell.settings
+	settings.Term, settings.HandoverDelay = 2, handover
+	h.cell = New(settings, h.now, h.wall)
 	h.submit("j", 0, "", step(1, 1))
 	for key, value := range first.unitRecords {
 		assert.NilError(t, h.cell.RestoreUnit(Record{Key: key, Value: value}))
 	}
+	return h
+}
+
+// A leader that has been cut off grants leases until it notices. Its successor waits for
+// the end of these too before it starts the runs of silent runners again.
+func TestSuccessorWaitsForLeasesGrantedAfterItsBeginning(t *testing.T) {
+	const handover = 1500 * time.Millisecond
+	h := newSuccessor(t, handover)
 	lease := h.cell.settings.Lease
 	latest := lease + time.Duration(float64(lease)*clockDrift) + clockSlack
 	for waited := time.Duration(0); waited < time.Minute; waited += 100 * time.Millisecond {
@@ -161,16 +169,7 @@
 		{"report of this term", false, 2, 0},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			first := newHarness(t, nil)
-			first.report("n1", "r1", nil)
-			first.submit("j", 0, "", step(1, 1))
-			first.advance(0)
-			h := newHarness(t, nil)
-			h.cell.settings.Term, h.cell.settings.HandoverDelay = 2, handover
-			h.submit("j", 0, "", step(1, 1))
-			for key, value := range first.unitRecords {
-				assert.NilError(t, h.cell.RestoreUnit(Record{Key: key, Value: value}))
-			}
+			h := newSuccessor(t, handover)
 			if c.reportedIn > 0 {
 				h.report("n1", "r1", func(p *Report) {
 					p.Term, p.Running = c.reportedIn, []Run{{Task: "j.0.0.0", Run: 1}}
--- a/internal/process/jaycontroller/electors.go
+++ b/internal/process/jaycontroller/electors.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"maps"
 	"slices"
 	"time"
@@ -178,28 +177,12 @@
 	l.controller.Logger.Info().Str("event", "electors").Uint64("term", l.term).Int("entries", len(names)).Msg("stored the electors")
 }
 
+// appendElectors stores the electors. An earlier try without an answer may have stored them.
 func (c *Controller) appendElectors(ctx context.Context, term uint64, names []string) error {
-	for {
-		if err := c.cellTail.Refresh(ctx); err != nil {
-			return err
-		}
-		// Whatever is read after this offset makes the append fail.
-		at := c.cellTail.NextOffset()
-		if c.Term().number != term {
-			return &jaystore.FencedError{Term: term}
-		}
-		if slices.Equal(c.knownElectors(), names) {
-			// An earlier try without an answer has stored them.
-			return nil
-		}
-		_, err := c.storeClient.Append(ctx, jaystore.Append{Topic: c.Topics.Cell, Records: []jaystore.Record{{Key: electorsKey, Value: encodeElectors(names)}}, ExpectedEnd: &at})
-		var mismatch *jaystore.EndMismatchError
-		if errors.As(err, &mismatch) {
-			continue
-		}
-		if err == nil {
-			c.setElectors(names)
-		}
-		return err
+	record := jaystore.Record{Key: electorsKey, Value: encodeElectors(names)}
+	sent, err := c.appendToCell(ctx, term, record, func() bool { return slices.Equal(c.knownElectors(), names) })
+	if sent && err == nil {
+		c.setElectors(names)
 	}
+	return err
 }
