Log which leader extends a lease, and when a leader last granted one

What is missing in the users' record: nothing tells which leader extended a runner's lease, and until when a former leader went on. Change: an agent logs when the leases come from another term and when none has come in time; a leader logs the age of its last grant when its leadership ends; jaystile_leases_total counts grants and refusals. One line for each change, none for each grant. No logic changes. Tests of jaysupervisor and jaycontroller pass. Conclusion: an overlap of two leaders' grants shows as a last grant that is younger than the next term by more than the handover's delay.

--- a/internal/process/jaycontroller/leadership.go
+++ b/internal/process/jaycontroller/leadership.go
@@ -50,6 +50,8 @@
 	// adviceWanted is signaled when there may be a query for the advice service.
 	adviceWanted chan struct{}
 	endOnce      sync.Once
+	// lastGrantAt is when a lease was last granted, as of jayclock.Elapsed.
+	lastGrantAt atomic.Int64
 	// evacuationRequested is set until the next decisions have applied the request.
 	evacuationRequested atomic.Bool
 	// beganAt is when the term began here.
@@ -162,7 +164,11 @@
 // end stops leading. The first cause is logged.
 func (l *leadership) end(cause string) {
 	l.endOnce.Do(func() {
-		l.controller.Logger.Info().Str("event", "term").Uint64("term", l.term).Str("cause", cause).Msg("leadership ended")
+		e := l.controller.Logger.Info().Str("event", "term").Uint64("term", l.term).Str("cause", cause)
+		if at := time.Duration(l.lastGrantAt.Load()); at > 0 {
+			e = e.Int64("last_grant_ms_ago", (jayclock.Elapsed() - at).Milliseconds())
+		}
+		e.Msg("leadership ended")
 		close(l.done)
 	})
 }
--- a/internal/process/jaycontroller/reports.go
+++ b/internal/process/jaycontroller/reports.go
@@ -3,8 +3,11 @@
 import (
 	"sync"
 
+	"github.com/VictoriaMetrics/metrics"
+
 	"github.com/jaystile/jaystile/internal/connection/jayframe"
 	"github.com/jaystile/jaystile/internal/connection/jaylink"
+	"github.com/jaystile/jaystile/internal/process/jayclock"
 )
 
 // receivedReport is an agent's report that waits to be applied. connection is the number
@@ -126,5 +129,22 @@
 	l.setCellTime()
 	report := decodeReport(r.message)
 	report.Connection = r.connection
-	return r, l.cell.ApplyReport(report) && l.mayGrant(), true
+	return r, l.cell.ApplyReport(report) && l.grant(), true
+}
+
+// Counters of reports that asked for a lease.
+var (
+	leasesGranted = metrics.NewCounter(`jaystile_leases_total{outcome="granted"}`)
+	leasesRefused = metrics.NewCounter(`jaystile_leases_total{outcome="not_permitted"}`)
+)
+
+// grant reports whether a lease is extended now. The mutex is held.
+func (l *leadership) grant() bool {
+	if !l.mayGrant() {
+		leasesRefused.Inc()
+		return false
+	}
+	leasesGranted.Inc()
+	l.lastGrantAt.Store(int64(jayclock.Elapsed()))
+	return true
 }
--- a/internal/process/jaysupervisor/supervisor.go
+++ b/internal/process/jaysupervisor/supervisor.go
@@ -139,8 +139,11 @@
 	// confirmedFence is the highest fence that the runner had seen when it listed its
 	// runs.
 	confirmedFence uint64
-	// grantedUntil is when the last grant ends, on this machine's clock.
+	// grantedUntil is when the last grant ends, on this machine's clock, grantedIn the term of
+	// that grant. lapseLogged is set once its end has been logged.
 	grantedUntil time.Duration
+	grantedIn    uint64
+	lapseLogged  bool
 	// evacuation allows starts by what the leader has last told of the data centre.
 	evacuation jayevacuation.Gate
 	// acknowledged is the highest number of an ended run that the leader has recorded.
@@ -214,8 +217,20 @@
 func (s *Supervisor) GrantLease(term uint64, sequence int64) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	if term == s.term {
-		s.grantedUntil = max(s.grantedUntil, time.Duration(sequence)+s.Lease)
+	if term != s.term {
+		return
+	}
+	if term != s.grantedIn || s.lapseLogged {
+		s.Logger.Info().Str("event", "lease").Uint64("term", term).Uint64("was", s.grantedIn).Str("runner", s.runner.ID).Int64("left_ms", (s.grantedUntil - s.Elapsed()).Milliseconds()).Msg("a leader extends the lease")
+	}
+	s.grantedUntil, s.grantedIn, s.lapseLogged = max(s.grantedUntil, time.Duration(sequence)+s.Lease), term, false
+}
+
+// logLapse logs once that the last grant has ended.
+func (s *Supervisor) logLapse(now time.Duration) {
+	if s.grantedIn > 0 && now > s.grantedUntil && !s.lapseLogged {
+		s.lapseLogged = true
+		s.Logger.Warn().Str("event", "lease").Uint64("term", s.grantedIn).Str("runner", s.runner.ID).Int64("ended_ms_ago", (now - s.grantedUntil).Milliseconds()).Msg("no leader has extended the lease")
 	}
 }
 
@@ -497,6 +512,7 @@
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	now := s.Elapsed()
+	s.logLapse(now)
 	r := jaycell.Report{
 		Node: s.Node, Sequence: int64(now), Term: min(s.confirmedFence, s.term), Runner: s.runner, Ended: s.ended,
 		Responsive: !s.ended && s.lastResponse > 0 && now-s.lastResponse < max(responsiveTimeout, s.HeartbeatInterval*responsiveHeartbeats),
