Count an entry as a follower by its own dated answers, and only for its present life

Cause: a leader that the store does not serve counted an entry as its follower for as long as the entry's link was open. Silence of a link leaves out time in which the leader itself stands still, so that a follower that had left counted for up to 2.8 s; the successor waited 1.75 s. An entry counted by its name, so that one that had restarted, and had forgotten whom it follows, could follow the former leader again. Change: the leader asks each linked entry whom it follows, with the time on its own clock; an answer counts for 1 s after the question. The permission to grant leases is a deadline that is computed from such times, not a flag that a loop keeps. Electors are lives of entries (address and incarnation); a successor also excludes an elector at whose address another life has answered. An answer that was never asked for is ignored, counted and logged once a link. handoverDelay is derived: 1 s and a margin for clocks of different speed, in place of 1.75 s. TestIsolatedLeader keeps its rows and gets three more; the tests of electors without an answer and of reports that wait are set up by the new measure. TestReportThatWaitedInAPauseIsGrantedNoLease passed without granting any lease before; now one is granted first. Compatibility: electors stay a list of texts under the same key. An entry of the version before does not answer and is not counted; one of this version sends no view to the leader that it follows, so that a leader of the version before does not count it. Each waits 20 s for the other's leaders. Conclusion: stalls of the leader's reader, its loop or a socket only shorten its permission.

--- a/internal/connection/jayframe/cell.go
+++ b/internal/connection/jayframe/cell.go
@@ -135,6 +135,25 @@
 // Kind implements Message.
 func (*CellView) Kind() Kind { return KindCellView }
 
+// CellAsk asks an entry whom it follows. AskedNanos is the time on the sender's own clock.
+type CellAsk struct {
+	_          struct{} `cbor:",toarray"`
+	AskedNanos int64
+}
+
+// Kind implements Message.
+func (*CellAsk) Kind() Kind { return KindCellAsk }
+
+// CellFollow answers CellAsk with the term that the entry follows, and returns AskedNanos.
+type CellFollow struct {
+	_          struct{} `cbor:",toarray"`
+	Term       uint64
+	AskedNanos int64
+}
+
+// Kind implements Message.
+func (*CellFollow) Kind() Kind { return KindCellFollow }
+
 // CellResign announces that the leader of a term resigns.
 type CellResign struct {
 	_    struct{} `cbor:",toarray"`
--- a/internal/connection/jayframe/codec.go
+++ b/internal/connection/jayframe/codec.go
@@ -165,6 +165,8 @@
 	KindPutRecords:     func() Message { return &PutRecords{} },
 	KindPutReply:       func() Message { return &PutReply{} },
 	KindCellAccount:    func() Message { return &CellAccount{} },
+	KindCellAsk:        func() Message { return &CellAsk{} },
+	KindCellFollow:     func() Message { return &CellFollow{} },
 }
 
 func newMessage(k Kind) Message {
--- a/internal/connection/jayframe/message.go
+++ b/internal/connection/jayframe/message.go
@@ -58,6 +58,8 @@
 	KindPutRecords     Kind = 36
 	KindPutReply       Kind = 37
 	KindCellAccount    Kind = 38
+	KindCellAsk        Kind = 39
+	KindCellFollow     Kind = 40
 )
 
 // Message is one message between two processes.
--- a/internal/process/jaycontroller/controller.go
+++ b/internal/process/jaycontroller/controller.go
@@ -155,12 +155,10 @@
 	// entryAddresses and entryCores are keyed by the entry's name.
 	entryAddresses map[string]string
 	entryCores     map[string]float64
-	// peers holds the names of the entries that have opened a link to this one,
-	// followedTerms the terms in which they have told to follow it.
-	peers         map[*jaylink.Link]string
-	followedTerms map[*jaylink.Link]uint64
-	// electors are the names of the entries of which more than half must follow a leader
-	// that the store does not serve.
+	// peers holds the entries that have opened a link to this one.
+	peers map[*jaylink.Link]*follower
+	// electors are the entries of which more than half must follow a leader that the store does
+	// not serve, nil without a record of them.
 	electors []string
 	// agents holds the links of agents by node.
 	agents map[string]*jaylink.Link
@@ -176,7 +174,7 @@
 
 // New returns a controller that accepts links on the listener.
 func New(listener net.Listener) *Controller {
-	return &Controller{listener: listener, relays: newRelayHistory(), admission: newAdmission(), entryAddresses: map[string]string{}, entryCores: map[string]float64{}, peers: map[*jaylink.Link]string{}, followedTerms: map[*jaylink.Link]uint64{}, agents: map[string]*jaylink.Link{}, linkNumbers: map[*jaylink.Link]uint64{}, leaderResigned: make(chan struct{}, 1)}
+	return &Controller{listener: listener, relays: newRelayHistory(), admission: newAdmission(), entryAddresses: map[string]string{}, entryCores: map[string]float64{}, peers: map[*jaylink.Link]*follower{}, agents: map[string]*jaylink.Link{}, linkNumbers: map[*jaylink.Link]uint64{}, leaderResigned: make(chan struct{}, 1)}
 }
 
 // Prepare builds the internal components. It is called once, after the exported
--- a/internal/process/jaycontroller/cutleader_test.go
+++ b/internal/process/jaycontroller/cutleader_test.go
@@ -137,7 +137,9 @@
 func TestReportThatWaitedInAPauseIsGrantedNoLease(t *testing.T) {
 	f := newCutLeader(t)
 	f.served.Store(true)
+	f.records.Store(true)
 	f.report(5)
+	await(t, "leases are granted", func() bool { f.report(1); return f.granted.Load() > 0 })
 	f.leadership.mutex.Lock()
 	f.leadership.lastTick -= maxTickGap + time.Millisecond
 	f.leadership.mutex.Unlock()
@@ -148,31 +150,38 @@
 }
 
 func TestIsolatedLeader(t *testing.T) {
-	five := []string{"entry-1", "entry-2", "entry-3", "entry-4", "entry-5"}
+	const now = time.Hour
+	five := []string{"a:1/1", "b:1/1", "c:1/1", "d:1/1", "e:1/1"}
 	for _, c := range []struct {
-		name          string
-		electors      []string
-		followers     int
+		name      string
+		electors  []string
+		followers int
+		// answerAge is how long ago the followers were asked, termAge the newest term read.
+		answerAge     time.Duration
 		termAge       time.Duration
 		wantsIsolated bool
 	}{
-		{"store serves", five, 1, 100 * time.Millisecond, false},
-		{"store away, all entries follow", five, 5, 10 * time.Second, false},
-		{"store away, more than half follow", five, 3, 10 * time.Second, false},
-		{"store away, fewer follow", five, 2, isolationTimeout, true},
-		{"store away, half follow", five[:4], 2, isolationTimeout, true},
-		{"store away, no entry follows", five[:2], 1, isolationTimeout, true},
-		{"store away, the only entry", five[:1], 1, 10 * time.Second, false},
-		{"store away, no electors stored", nil, 5, isolationTimeout, true},
-		{"store away for longer than a successor waits", five, 5, maxOutage, true},
+		{"store serves", five, 1, 0, 100 * time.Millisecond, false},
+		{"store away, all entries follow", five, 5, 0, 10 * time.Second, false},
+		{"store away, more than half follow", five, 3, 0, 10 * time.Second, false},
+		{"store away, fewer follow", five, 2, 0, isolationTimeout, true},
+		{"store away, half follow", five[:4], 2, 0, isolationTimeout, true},
+		{"store away, no entry follows", five[:2], 1, 0, isolationTimeout, true},
+		{"store away, the only entry", five[:1], 1, 0, 10 * time.Second, false},
+		{"store away, no electors stored", nil, 5, 0, isolationTimeout, true},
+		{"store away for longer than a successor waits", five, 5, 0, maxOutage, true},
+		{"store away, answers just in time", five, 5, followTimeout - 1, 10 * time.Second, false},
+		{"store away, answers too old", five, 5, followTimeout, 10 * time.Second, true},
+		{"store serves, answers too old", five, 5, followTimeout, isolationTimeout - 1, false},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			followers := map[string]bool{}
-			for _, name := range five[:c.followers] {
-				followers[name] = true
+			answeredAt := map[string]time.Duration{}
+			for _, e := range five[:c.followers] {
+				answeredAt[e] = now - c.answerAge
 			}
-			s := standing{termAge: c.termAge, majority: majority(c.electors, followers)}
-			assert.Equal(t, s.isolated(), c.wantsIsolated)
+			s := standing{termKnownAt: now - c.termAge}
+			s.followedSince, s.followed = followedSince(c.electors, answeredAt)
+			assert.Equal(t, now >= s.grantsUntil(), c.wantsIsolated)
 		})
 	}
 }
--- a/internal/process/jaycontroller/electors.go
+++ b/internal/process/jaycontroller/electors.go
@@ -4,21 +4,23 @@
 	"context"
 	"maps"
 	"slices"
+	"strconv"
+	"strings"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
 
-	"github.com/jaystile/jaystile/internal/connection/jayframe"
-	"github.com/jaystile/jaystile/internal/connection/jaylink"
 	"github.com/jaystile/jaystile/internal/process/jaystore"
 	"github.com/jaystile/jaystile/internal/request/jaytask"
 )
 
 // The electors are the entries of which more than half must follow a leader while the store
-// does not serve it. Their names are in the cell's topic. An entry follows one leader at a
+// does not serve it. Their record is in the cell's topic. An entry follows one leader at a
 // time and never one of a lower term again, so that a leader that is followed by half of the
-// electors knows that no earlier one is by more than half. Only a leader that knows that
-// changes the electors, under the condition that its term is the newest.
+// electors knows that no earlier one is by more than half. A process does not remember after a
+// restart whom it has followed, so that an elector is one life of an entry: the restarted entry is
+// another one. Only a leader whose predecessors have ceased to grant leases changes the electors, under the
+// condition that its term is the newest.
 
 const (
 	// electorsKey names the record of the electors.
@@ -29,16 +31,20 @@
 	// electorTimeout is how long an elector may not follow the leader before it is removed:
 	// longer than a restart takes.
 	electorTimeout = 10 * time.Second
+	// lifeSeparator separates an entry's address from its incarnation.
+	lifeSeparator = "/"
 )
 
-// electorsRecord is the stored form of the electors.
+// electorsRecord is the stored form of the electors. Earlier versions keep names of entries in
+// it, which are no electors for this one and the reverse: each waits for the other's leaders as
+// long as for those that it knows nothing of.
 type electorsRecord struct {
-	_     struct{} `cbor:",toarray"`
-	Names []string
+	_        struct{} `cbor:",toarray"`
+	Electors []string
 }
 
-func encodeElectors(names []string) []byte {
-	b, err := cbor.Marshal(electorsRecord{Names: names})
+func encodeElectors(electors []string) []byte {
+	b, err := cbor.Marshal(electorsRecord{Electors: electors})
 	if err != nil {
 		panic(err)
 	}
@@ -50,43 +56,66 @@
 	if err := cbor.Unmarshal(b, &r); err != nil {
 		return nil, &jaytask.RecordError{What: "electors", Cause: err}
 	}
-	return r.Names, nil
+	return r.Electors, nil
 }
 
-// majority reports whether more than half of the electors are among the followers.
-func majority(electors []string, followers map[string]bool) bool {
-	return 2*countFollowing(electors, followers) > len(electors)
+// electorID identifies a life of the entry that accepts links at an address.
+func electorID(address string, incarnation uint64) string {
+	return address + lifeSeparator + strconv.FormatUint(incarnation, 16)
 }
 
-// excludesMajority reports whether the electors that are not among the followers cannot be
-// more than half of them.
-func excludesMajority(electors []string, followers map[string]bool) bool {
-	return 2*countFollowing(electors, followers) >= len(electors)
+// electorAddress returns the address of an elector.
+func electorAddress(elector string) string {
+	address, _, _ := strings.Cut(elector, lifeSeparator)
+	return address
 }
 
-func countFollowing(electors []string, followers map[string]bool) int {
+// elector returns the present life of this entry.
+func (c *Controller) elector() string { return electorID(c.Address, c.Incarnation) }
+
+// followedSince returns the latest time at or after which more than half of the electors have been
+// asked and have answered that they follow a leader, by the times of the questions that they have
+// answered last.
+func followedSince(electors []string, answeredAt map[string]time.Duration) (time.Duration, bool) {
+	var all []time.Duration
+	for _, e := range electors {
+		if at, ok := answeredAt[e]; ok {
+			all = append(all, at)
+		}
+	}
+	needed := len(electors)/2 + 1
+	if len(all) < needed {
+		return 0, false
+	}
+	slices.Sort(all)
+	return all[len(all)-needed], true
+}
+
+// excludesMajority reports whether the electors that are not excluded cannot be more than half
+// of them.
+func excludesMajority(electors []string, excluded func(elector string) bool) bool {
 	n := 0
-	for _, name := range electors {
-		if followers[name] {
+	for _, e := range electors {
+		if excluded(e) {
 			n++
 		}
 	}
-	return n
+	return 2*n >= len(electors)
 }
 
 func (c *Controller) applyElectors(value []byte) {
-	names, err := decodeElectors(value)
+	electors, err := decodeElectors(value)
 	if err != nil {
 		c.Logger.Error().Str("event", "record").Err(err).Msg("skipping an invalid electors record")
 		return
 	}
-	c.setElectors(names)
+	c.setElectors(electors)
 }
 
-func (c *Controller) setElectors(names []string) {
+func (c *Controller) setElectors(electors []string) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	c.electors = names
+	c.electors = electors
 }
 
 func (c *Controller) knownElectors() []string {
@@ -95,77 +124,62 @@
 	return c.electors
 }
 
-// knownNames returns the names of the known entries.
-func (c *Controller) knownNames() []string {
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	return slices.Collect(maps.Keys(c.entryAddresses))
-}
-
-// recordFollower notes the term in which a linked entry follows this one.
-func (c *Controller) recordFollower(l *jaylink.Link, m *jayframe.CellView) {
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	if _, ok := c.peers[l]; ok {
-		c.followedTerms[l] = m.Term
-	}
-}
+// unknownIncarnation stands for that of an entry that is known by its address only.
+const unknownIncarnation = 0
 
-// followers returns the names of the entries that follow this one in a term, its own included.
-func (c *Controller) followers(term uint64) map[string]bool {
+// expectedElectors returns the known entries, of which none may have followed this one yet.
+func (c *Controller) expectedElectors() []string {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	names := map[string]bool{c.Name: true}
-	for l, followed := range c.followedTerms {
-		if followed == term {
-			names[c.peers[l]] = true
+	var all []string
+	for _, address := range c.entryAddresses {
+		if address != c.Address {
+			all = append(all, electorID(address, unknownIncarnation))
 		}
 	}
-	return names
+	return all
 }
 
-// updateElectors begins to store the entries that follow this leader as the electors. It is
-// called by tick only.
-func (l *leadership) updateElectors(ctx context.Context, followers map[string]bool, at time.Duration) {
-	for name := range followers {
-		l.followedAt[name] = at
-	}
-	if !l.handoverEnded || at-l.electorsCheckedAt < electorsInterval {
+// updateElectors begins to store the entries that follow this leader as the electors. Those that
+// do not are kept for electorTimeout, unless another life has taken their address. It is called
+// by tick only.
+func (l *leadership) updateElectors(ctx context.Context, now time.Duration) {
+	if !l.handoverEnded || now-l.electorsCheckedAt < electorsInterval {
 		return
 	}
-	l.electorsCheckedAt = at
-	wanted := maps.Clone(followers)
+	l.electorsCheckedAt = now
 	electors := l.controller.knownElectors()
+	wanted := map[string]bool{l.controller.elector(): true}
 	kept := electors
-	if kept == nil {
-		kept = l.controller.knownNames()
+	if len(kept) == 0 {
+		kept = l.controller.expectedElectors()
 	}
-	for _, name := range kept {
-		if at-max(l.followedAt[name], l.beganAt) < electorTimeout {
-			wanted[name] = true
+	for _, e := range slices.Concat(kept, slices.Collect(maps.Keys(l.followedAt))) {
+		if now-max(l.followedAt[e], l.beganAt) < electorTimeout && !l.isReplaced(e) {
+			wanted[e] = true
 		}
 	}
-	names := slices.Sorted(maps.Keys(wanted))
+	next := slices.Sorted(maps.Keys(wanted))
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	if l.storingElectors || l.nextElectors == nil && slices.Equal(names, electors) {
+	if l.storingElectors || l.nextElectors == nil && slices.Equal(next, electors) {
 		return
 	}
-	// An append without an answer may be executed later, so its names are sent again until
+	// An append without an answer may be executed later, so its electors are sent again until
 	// it is known whether they are stored.
 	if l.nextElectors == nil {
-		l.nextElectors = names
+		l.nextElectors = next
 	}
 	l.storingElectors = true
-	names = l.nextElectors
-	l.spawn(func() { l.storeElectors(ctx, names) })
+	next = l.nextElectors
+	l.spawn(func() { l.storeElectors(ctx, next) })
 }
 
 // storeElectors stores the electors unless a higher term has begun.
-func (l *leadership) storeElectors(ctx context.Context, names []string) {
+func (l *leadership) storeElectors(ctx context.Context, electors []string) {
 	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
 	defer cancel()
-	err := l.controller.appendElectors(ctx, l.term, names)
+	err := l.controller.appendElectors(ctx, l.term, electors)
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	l.storingElectors = false
@@ -174,15 +188,15 @@
 		return
 	}
 	l.nextElectors = nil
-	l.controller.Logger.Info().Str("event", "electors").Uint64("term", l.term).Int("entries", len(names)).Msg("stored the electors")
+	l.controller.Logger.Info().Str("event", "electors").Uint64("term", l.term).Int("entries", len(electors)).Msg("stored the electors")
 }
 
 // appendElectors stores the electors. An earlier try without an answer may have stored them.
-func (c *Controller) appendElectors(ctx context.Context, term uint64, names []string) error {
-	record := jaystore.Record{Key: electorsKey, Value: encodeElectors(names)}
-	sent, err := c.appendToCell(ctx, term, record, func() bool { return slices.Equal(c.knownElectors(), names) })
+func (c *Controller) appendElectors(ctx context.Context, term uint64, electors []string) error {
+	record := jaystore.Record{Key: electorsKey, Value: encodeElectors(electors)}
+	sent, err := c.appendToCell(ctx, term, record, func() bool { return slices.Equal(c.knownElectors(), electors) })
 	if sent && err == nil {
-		c.setElectors(names)
+		c.setElectors(electors)
 	}
 	return err
 }
--- a/internal/process/jaycontroller/electors_test.go
+++ b/internal/process/jaycontroller/electors_test.go
@@ -169,10 +169,11 @@
 // have stored them, or may store them later.
 func TestElectorsWithoutAnAnswerCountUntilTheyAreKnown(t *testing.T) {
 	entry, l := newLeader(true)
-	entry.Name, entry.term = "entry-1", Term{number: 1, leader: "entry-1"}
+	entry.Name, entry.Address, entry.Incarnation, entry.term = "entry-1", "a:1", 1, Term{number: 1, leader: "entry-1"}
+	three := []string{electorID("a:1", 1), electorID("b:1", 1), electorID("c:1", 1)}
 	topic := &cellTopic{}
 	topic.add(jaystore.Record{Key: TermKey, Value: entry.term.encode()})
-	topic.add(jaystore.Record{Key: electorsKey, Value: encodeElectors([]string{"entry-1"})})
+	topic.add(jaystore.Record{Key: electorsKey, Value: encodeElectors(three[:1])})
 	*entry.storeClient = topic.client()
 	assert.NilError(t, entry.cellTail.Refresh(t.Context()))
 	served := entry.storeClient.Append
@@ -183,15 +184,21 @@
 		return 0, errors.New("no answer")
 	}
 	l.handoverEnded = true
-	alone := map[string]bool{"entry-1": true}
-	assert.Assert(t, l.hasMajority(entry.knownElectors(), alone))
-	l.updateElectors(t.Context(), map[string]bool{"entry-1": true, "entry-2": true, "entry-3": true}, time.Hour)
+	hasMajority := func() bool {
+		_, ok := l.majorityFollowsSince(entry.knownElectors())
+		return ok
+	}
+	l.followedAt = map[string]time.Duration{three[0]: time.Hour}
+	assert.Assert(t, hasMajority())
+	l.followedAt = map[string]time.Duration{three[0]: time.Hour, three[1]: time.Hour, three[2]: time.Hour}
+	l.updateElectors(t.Context(), time.Hour)
 	entry.tasks.Wait()
-	assert.Assert(t, !l.hasMajority(entry.knownElectors(), alone), "the new electors may be in force")
+	l.followedAt = map[string]time.Duration{three[0]: 2 * time.Hour}
+	assert.Assert(t, !hasMajority(), "the new electors may be in force")
 	// The next try finds that the first one has stored them.
-	l.updateElectors(t.Context(), alone, 2*time.Hour)
+	l.updateElectors(t.Context(), 2*time.Hour)
 	entry.tasks.Wait()
-	assert.DeepEqual(t, entry.knownElectors(), []string{"entry-1", "entry-2", "entry-3"})
+	assert.DeepEqual(t, entry.knownElectors(), three)
 	assert.Assert(t, l.nextElectors == nil)
 	assert.Equal(t, len(topic.records), 3)
 }
@@ -217,7 +224,7 @@
 			assert.NilError(t, entry.cellTail.Refresh(t.Context()))
 			topic.add(jaystore.Record{Key: TermKey, Value: Term{number: c.next, leader: "entry-2"}.encode()})
 			l.handoverEnded = c.handoverEnded
-			l.updateElectors(t.Context(), map[string]bool{"entry-1": true}, time.Hour)
+			l.updateElectors(t.Context(), time.Hour)
 			entry.tasks.Wait()
 			assert.Equal(t, len(entry.knownElectors()) > 0, c.changed)
 		})
--- a/internal/process/jaycontroller/electorsmodel_test.go
+++ b/internal/process/jaycontroller/electorsmodel_test.go
@@ -14,27 +14,40 @@
 	modelStep = 100 * time.Millisecond
 	// modelLag bounds how late an entry notices that a link is dead, or reads the store.
 	modelLag = silenceTimeout + heartbeatInterval
+	// modelLookInterval is how late a leader looks at its standing.
+	modelLookInterval = maxTickGap
 )
 
 // modelEntry is an entry of the model. What it knows is lost when it restarts.
 type modelEntry struct {
 	name     string
+	life     uint64
 	store    bool
 	term     uint64
 	leader   *modelEntry
 	electors []string
 	// contactAt is when it last heard of its leader, readAt when it last read the store.
 	contactAt, readAt time.Duration
-	// The rest is of its leadership of term, if any: followers holds when each was last heard of.
-	// checkedAt is when it last looked whether it is isolated.
-	leads     bool
-	beganAt   time.Duration
-	checkedAt time.Duration
-	isolated  bool
-	followers map[*modelEntry]time.Duration
-	seen      map[string]time.Duration
-	ended     bool
-	next      []string
+	// The rest is of its leadership of term, if any: followedAt holds by elector when it answered
+	// last that it follows this leader, alive by name the elector that answered last. checkedAt is
+	// when the leader last looked at its standing.
+	leads      bool
+	beganAt    time.Duration
+	checkedAt  time.Duration
+	standing   standing
+	followedAt map[string]time.Duration
+	alive      map[string]string
+	ended      bool
+	next       []string
+}
+
+func (e *modelEntry) elector() string { return electorID(e.name, e.life) }
+
+// excludes reports whether an elector follows no earlier leader than this one.
+func (e *modelEntry) excludes(elector string) bool {
+	_, follows := e.followedAt[elector]
+	newest, ok := e.alive[electorAddress(elector)]
+	return follows || ok && newest != elector
 }
 
 // electorsModel is a store, entries, and links between those that are not cut.
@@ -77,7 +90,7 @@
 			e.store = !e.store
 		}
 		if m.chance(0.02 * m.rate) {
-			*e = modelEntry{name: e.name, store: e.store}
+			*e = modelEntry{name: e.name, life: e.life + 1, store: e.store}
 		}
 		for _, other := range m.entries {
 			if other != e && m.chance(0.05*m.rate) {
@@ -101,53 +114,36 @@
 		return
 	}
 	if l := e.leader; l != nil && l.leads && l.term == e.term && m.reach(e, l) {
-		e.contactAt, l.followers[e] = m.now, m.now
+		e.contactAt, l.followedAt[e.elector()], l.alive[e.name] = m.now, m.now, e.elector()
 		return
 	}
 	if e.store && e.readAt > 0 && m.now-e.contactAt > modelLag+minMisses*electionInterval && m.chance(3) && e.term == m.term {
 		m.term, m.leader, m.version = m.term+1, e, m.version+1
-		*e = modelEntry{name: e.name, store: true, term: m.term, leader: e, electors: m.electors, readAt: m.now, leads: true, beganAt: m.now, followers: map[*modelEntry]time.Duration{}, seen: map[string]time.Duration{}}
+		*e = modelEntry{name: e.name, life: e.life, store: true, term: m.term, leader: e, electors: m.electors, readAt: m.now, leads: true, beganAt: m.now, followedAt: map[string]time.Duration{}, alive: map[string]string{}}
 	}
 }
 
 func (m *electorsModel) lead(e *modelEntry) {
-	if !e.isolated {
+	if m.now < e.standing.grantsUntil() {
 		for term, end := range m.grantsEnd {
 			if term > e.term && m.now > end {
 				m.overlaps = append(m.overlaps, fmt.Sprintf("%s grants leases of term %d at %s, term %d counts on their end at %s", e.name, e.term, m.now, term, end))
 			}
 		}
 	}
-	if m.now-e.checkedAt < maxTickGap && !m.chance(3) {
+	if m.now-e.checkedAt < modelLookInterval && !m.chance(3) {
 		return
 	}
-	e.checkedAt = m.now
-	followers := map[string]bool{e.name: true}
-	for f, at := range e.followers {
-		// An entry that leaves closes its link, unless it is cut off.
-		if f.leader != e || f.term != e.term {
-			if m.reach(e, f) || m.now-at > modelLag {
-				delete(e.followers, f)
-				continue
-			}
-		} else if m.now-at > modelLag {
-			delete(e.followers, f)
-			continue
-		}
-		followers[f.name] = true
-	}
-	l := leadership{nextElectors: e.next}
-	s := standing{termAge: m.now - e.readAt, majority: l.hasMajority(e.electors, followers)}
-	e.isolated = s.isolated()
-	if !e.ended && (excludesMajority(e.electors, followers) || m.now-e.beganAt > maxOutage) {
+	e.checkedAt, e.followedAt[e.elector()], e.alive[e.name] = m.now, m.now, e.elector()
+	l := leadership{nextElectors: e.next, followedAt: e.followedAt}
+	e.standing.termKnownAt = e.readAt
+	e.standing.followedSince, e.standing.followed = l.majorityFollowsSince(e.electors)
+	if !e.ended && (excludesMajority(e.electors, e.excludes) || m.now-e.beganAt > maxOutage) {
 		e.ended = true
 		m.handovers++
 		m.grantsEnd[e.term] = m.now + handoverDelay
 	}
-	for name := range followers {
-		e.seen[name] = m.now
-	}
-	if e.store && s.termAge < isolationTimeout {
+	if e.store && m.now-e.readAt < isolationTimeout {
 		for _, other := range m.entries {
 			if other.term < e.term && m.reach(e, other) && m.chance(1) {
 				other.adopt(e.term, e, m.now)
@@ -161,9 +157,10 @@
 
 func (m *electorsModel) changeElectors(e *modelEntry) {
 	if e.next == nil {
-		for name, at := range e.seen {
-			if m.now-at < electorTimeout {
-				e.next = append(e.next, name)
+		e.next = []string{}
+		for elector, at := range e.followedAt {
+			if m.now-at < electorTimeout && e.alive[electorAddress(elector)] == elector {
+				e.next = append(e.next, elector)
 			}
 		}
 		slices.Sort(e.next)
--- /dev/null
+++ b/internal/process/jaycontroller/followers.go
@@ -0,0 +1,134 @@
+package jaycontroller
+
+import (
+	"slices"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/jaystile/jaystile/internal/connection/jayframe"
+	"github.com/jaystile/jaystile/internal/connection/jaylink"
+	"github.com/jaystile/jaystile/internal/process/jayclock"
+)
+
+// A leader counts an entry as its follower by the entry's answers alone, each dated by the time
+// at which the leader asked. A link that is open tells less: its silence does not count while the
+// leader itself stands still, and frames wait in sockets.
+
+// maxOpenQuestions bounds the questions on one link that wait for an answer.
+const maxOpenQuestions = 16
+
+// unaskedAnswers counts answers to questions that were not asked on their link.
+var unaskedAnswers = metrics.NewCounter("jaystile_unasked_answers_total")
+
+// follower is another entry that has opened a link to this one.
+type follower struct {
+	name    string
+	elector string
+	// asked holds when the questions were asked that wait for an answer, oldest first.
+	asked []time.Duration
+	// term is the one that the entry follows by the newest answer, askedAt when the question was
+	// asked, zero before the first answer.
+	term    uint64
+	askedAt time.Duration
+	// reported is set once an answer to no question has been logged.
+	reported bool
+}
+
+// askFollowers asks all linked entries whom they follow.
+func (c *Controller) askFollowers() {
+	now := jayclock.Elapsed()
+	var links []*jaylink.Link
+	c.mutex.Lock()
+	for l, f := range c.peers {
+		f.asked = append(f.asked[max(0, len(f.asked)-maxOpenQuestions+1):], now)
+		links = append(links, l)
+	}
+	c.mutex.Unlock()
+	for _, l := range links {
+		if err := l.Send(&jayframe.CellAsk{AskedNanos: int64(now)}); err != nil {
+			c.Logger.Debug().Str("event", "link").Str("peer", l.Peer()).Err(err).Msg("cannot ask an entry whom it follows")
+		}
+	}
+}
+
+// answerWhomItFollows tells a peer the term that this entry follows.
+func (c *Controller) answerWhomItFollows(l *jaylink.Link, m *jayframe.CellAsk) {
+	if err := l.Send(&jayframe.CellFollow{Term: c.Term().number, AskedNanos: m.AskedNanos}); err != nil {
+		c.Logger.Debug().Str("event", "link").Str("peer", l.Peer()).Err(err).Msg("cannot answer whom this entry follows")
+	}
+}
+
+// recordAnswer notes whom a linked entry follows. An answer to a question that was not asked on
+// this link is ignored.
+func (c *Controller) recordAnswer(l *jaylink.Link, m *jayframe.CellFollow) {
+	askedAt := time.Duration(m.AskedNanos)
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	f := c.peers[l]
+	if f == nil {
+		return
+	}
+	n := slices.Index(f.asked, askedAt)
+	if n < 0 {
+		unaskedAnswers.Inc()
+		if !f.reported && askedAt > f.askedAt {
+			f.reported = true
+			c.Logger.Warn().Str("event", "link").Str("peer", l.Peer()).Int64("asked_ms", askedAt.Milliseconds()).Msg("ignoring an answer to a question that was not asked")
+		}
+		return
+	}
+	f.asked = f.asked[n+1:]
+	f.term, f.askedAt = m.Term, askedAt
+}
+
+// noteAnswers adds to followedAt and aliveAt what the linked entries have answered. It is called
+// by checkStanding only.
+func (l *leadership) noteAnswers(now time.Duration) {
+	c := l.controller
+	l.followedAt[c.elector()] = now
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	for _, f := range c.peers {
+		if f.askedAt < l.beganAt {
+			// Before the term began, the electors may have been others.
+			continue
+		}
+		if address := electorAddress(f.elector); f.askedAt > l.alive[address].askedAt {
+			l.alive[address] = answer{elector: f.elector, askedAt: f.askedAt}
+		}
+		if f.term == l.term {
+			l.followedAt[f.elector] = max(l.followedAt[f.elector], f.askedAt)
+		}
+	}
+}
+
+// answer is the newest one from an address.
+type answer struct {
+	elector string
+	askedAt time.Duration
+}
+
+// isReplaced reports whether another life has answered at the address of an elector, whose
+// process has ended: no two accept links at one address.
+func (l *leadership) isReplaced(elector string) bool {
+	newest, ok := l.alive[electorAddress(elector)]
+	return ok && newest.elector != elector
+}
+
+// followsNoOther reports whether an elector follows no earlier leader any more.
+func (l *leadership) followsNoOther(elector string) bool {
+	return l.followedAt[elector] > 0 || l.isReplaced(elector)
+}
+
+// countFollowers returns the number of entries that follow this leader by an answer that is not
+// older than followTimeout, its own included.
+func (l *leadership) countFollowers(now time.Duration) int {
+	n := 0
+	for _, at := range l.followedAt {
+		if now-at <= followTimeout {
+			n++
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/internal/process/jaycontroller/followers_test.go
@@ -0,0 +1,131 @@
+package jaycontroller
+
+import (
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/jaystile/jaystile/internal/connection/jayframe"
+	"github.com/jaystile/jaystile/internal/connection/jaylink"
+)
+
+// answeringEntry is an entry that is linked to a cutLeader. It answers whom it follows while
+// answers is set.
+type answeringEntry struct {
+	link    *jaylink.Link
+	answers atomic.Bool
+}
+
+func (f *cutLeader) follow(address string, incarnation uint64) *answeringEntry {
+	e := &answeringEntry{}
+	e.answers.Store(true)
+	endpoint := &jaylink.Endpoint{Name: "entry-3", Incarnation: incarnation, Timing: jaylink.Timing{HeartbeatInterval: heartbeatInterval, SilenceTimeout: silenceTimeout}, MakeHeartbeat: func() jayframe.Heartbeat { return jayframe.Heartbeat{} }}
+	endpoint.Handler = func(l *jaylink.Link, _ uint64, m jayframe.Message) {
+		if ask, ok := m.(*jayframe.CellAsk); ok && e.answers.Load() {
+			_ = l.Send(&jayframe.CellFollow{Term: 1, AskedNanos: ask.AskedNanos})
+		}
+	}
+	link, _, err := endpoint.Dial(f.t.Context(), f.controller.listener.Addr().String(), &jayframe.Hello{Role: jayframe.RoleEntry, Address: address})
+	assert.NilError(f.t, err)
+	e.link = link
+	// The view that entries of earlier versions send.
+	assert.NilError(f.t, link.Send(&jayframe.CellView{Term: 1, Leader: "entry-1"}))
+	go link.Run(f.t.Context())
+	return e
+}
+
+// newFollowedLeader returns a leader that the store does not serve, and its only follower; a third
+// elector is not in reach.
+func newFollowedLeader(t *testing.T) (*cutLeader, *answeringEntry) {
+	f := newCutLeader(t)
+	f.served.Store(true)
+	f.records.Store(true)
+	e := f.follow("b:1", 1)
+	await(t, "the entries are electors", func() bool {
+		f.report(1)
+		return len(f.controller.knownElectors()) == 3
+	})
+	f.served.Store(false)
+	f.records.Store(false)
+	f.report(2 * int(isolationTimeout/(100*time.Millisecond)))
+	from := f.sent
+	await(t, "a leader that a majority follows grants leases", func() bool { f.report(1); return f.granted.Load() > from })
+	return f, e
+}
+
+// Guards against a leader that counts an entry which has left for as long as its link is open: the
+// leader's own stalls and frames that wait in sockets keep it open for longer than its successor
+// waits.
+func TestOpenLinkAloneMakesNoFollower(t *testing.T) {
+	f, e := newFollowedLeader(t)
+	e.answers.Store(false)
+	from := f.sent
+	f.report(30)
+	assert.NilError(t, e.link.Err())
+	// One report is sent each 100 ms or later.
+	assert.Assert(t, f.granted.Load() <= from+int64(handoverDelay/(100*time.Millisecond)), "report %d was granted a lease; the follower fell silent at %d", f.granted.Load(), from)
+}
+
+// Guards against an entry that has forgotten by a restart that it follows a later leader, and
+// counts for a former one again.
+func TestRestartedEntryDoesNotCountForAFormerLeader(t *testing.T) {
+	f, e := newFollowedLeader(t)
+	e.link.Close("restart")
+	f.report(15)
+	from := f.sent
+	f.follow("b:1", 2)
+	f.report(20)
+	assert.Assert(t, f.granted.Load() <= from, "report %d was granted a lease; the follower had restarted at %d", f.granted.Load(), from)
+}
+
+func TestAnswersToQuestionsThatWereNotAskedAreIgnored(t *testing.T) {
+	c := New(nil)
+	l := &jaylink.Link{}
+	f := &follower{elector: "b:1/1", asked: []time.Duration{1, 2, 3}}
+	c.peers[l] = f
+	for _, x := range []struct {
+		name    string
+		askedAt int64
+		askedTo time.Duration
+	}{
+		{"never asked, from the future", int64(time.Hour), 0},
+		{"negative", -1, 0},
+		{"asked second", 2, 2},
+		{"asked first, late", 1, 2},
+		{"repeated", 2, 2},
+		{"asked last", 3, 3},
+	} {
+		t.Run(x.name, func(t *testing.T) {
+			before := unaskedAnswers.Get()
+			was := f.askedAt
+			f.reported = true
+			c.recordAnswer(l, &jayframe.CellFollow{Term: 1, AskedNanos: x.askedAt})
+			assert.Equal(t, f.askedAt, x.askedTo)
+			assert.Equal(t, unaskedAnswers.Get() > before, f.askedAt == was)
+		})
+	}
+	c.recordAnswer(&jaylink.Link{}, &jayframe.CellFollow{Term: 1, AskedNanos: 3})
+}
+
+// A process at an address ends before another one accepts links there.
+func TestAnswerOfAnotherLifeExcludesAnElector(t *testing.T) {
+	c := New(nil)
+	c.Address, c.Incarnation = "a:1", 1
+	l := newLeadership(c, 2)
+	electors := []string{electorID("a:1", 1), electorID("b:1", 1), electorID("c:1", 1), electorID("d:1", 1), electorID("e:1", 1)}
+	c.peers[&jaylink.Link{}] = &follower{elector: electorID("b:1", 2), term: 1, askedAt: l.beganAt + 1}
+	// Asked before this term began.
+	c.peers[&jaylink.Link{}] = &follower{elector: electorID("c:1", 2), term: 1, askedAt: l.beganAt - 1}
+	// The same life follows an earlier leader.
+	c.peers[&jaylink.Link{}] = &follower{elector: electorID("d:1", 1), term: 1, askedAt: l.beganAt + 1}
+	l.noteAnswers(l.beganAt + 2)
+	for i, want := range []bool{true, true, false, false, false} {
+		assert.Equal(t, l.followsNoOther(electors[i]), want, electors[i])
+	}
+	assert.Assert(t, !l.predecessorsHaveCeased(electors, l.beganAt+2))
+	c.peers[&jaylink.Link{}] = &follower{elector: electorID("e:1", 1), term: 2, askedAt: l.beganAt + 1}
+	l.noteAnswers(l.beganAt + 2)
+	assert.Assert(t, l.predecessorsHaveCeased(electors, l.beganAt+2))
+}
--- a/internal/process/jaycontroller/isolation.go
+++ b/internal/process/jaycontroller/isolation.go
@@ -7,73 +7,122 @@
 )
 
 const (
-	// isolationTimeout is how long ago a leader may have known that its term is the newest
-	// before it needs a majority of the electors to grant leases.
+	// isolationTimeout is how long after a read of the newest term a leader may grant leases by
+	// that read, followTimeout how long after a question that a majority of the electors has
+	// answered.
 	isolationTimeout = time.Second
-	// handoverDelay is how long a leader may grant leases after its successor has begun and
-	// half of the electors have ceased to follow it: until their links count as silent, which
-	// takes longer than isolationTimeout, and the leader has looked, or counts as frozen.
-	handoverDelay = silenceTimeout + heartbeatInterval + maxTickGap
+	followTimeout    = time.Second
 	// maxOutage is how long a leader may grant leases without knowing that its term is the
-	// newest. A successor that half of the electors do not follow waits as long.
+	// newest. A successor that half of the electors do not exclude waits as long.
 	maxOutage = 20 * time.Second
+	// handoverDelay is how long a leader may grant leases after its successor has begun and half
+	// of the electors have ceased to follow it. The margin is for clocks of different speed.
+	handoverDelay = max(isolationTimeout, followTimeout) + clockMargin
+	clockMargin   = followTimeout / 20
+	// questionInterval is the time between two questions to the entries, urgentQuestionInterval
+	// while a permission or a handover depends on their answers. It is reached termAgeToAsk
+	// after the newest term was read last: a read may wait for leaderTermPollWait.
+	questionInterval       = electorsInterval
+	urgentQuestionInterval = heartbeatInterval
+	termAgeToAsk           = isolationTimeout / 2
 )
 
-// standing is what a leader knows about its own term.
+// standing is what a leader knows about its own term. Its times are those at which it has asked,
+// on its own clock.
 type standing struct {
-	// termAge is the time since this term was known to be the newest one.
-	termAge time.Duration
-	// majority is set while more than half of the electors follow this leader.
-	majority bool
+	// termKnownAt is when the read was requested that told last that the term is the newest one.
+	termKnownAt time.Duration
+	// followedSince is when more than half of the electors were asked that have answered that
+	// they follow this leader; followed is not set if there are none.
+	followedSince time.Duration
+	followed      bool
 }
 
-// isolated reports whether a successor may count on the end of this leader's grants. While the
-// store is away for all there is none: a leader with a majority goes on, so that an outage of
-// up to maxOutage ends no work.
-func (s standing) isolated() bool {
-	return s.termAge >= isolationTimeout && (!s.majority || s.termAge >= maxOutage)
+// grantsUntil returns until when the leader may grant leases: its successor counts on the end of
+// those that it granted before. While the store is away for all there is no successor: a leader
+// with a majority goes on, so that an outage of up to maxOutage ends no work.
+func (s standing) grantsUntil() time.Duration {
+	until := s.termKnownAt + isolationTimeout
+	if s.followed {
+		until = max(until, min(s.followedSince+followTimeout, s.termKnownAt+maxOutage))
+	}
+	return until
 }
 
-// mayGrant reports whether the leader may extend leases: its successor counts on the end of
-// those that it granted before. The mutex is held.
+// mayGrant reports whether the leader may extend leases now. The mutex is held.
 func (l *leadership) mayGrant() bool {
 	now := jayclock.Elapsed()
 	// The loop has not noticed yet that this process stood still.
 	if now-l.lastTick > maxTickGap {
 		return false
 	}
-	return !l.isolated
+	return now < l.standing.grantsUntil()
 }
 
-// hasMajority reports whether more than half of the electors follow this leader, also of those
-// that may be in force by now. The mutex is held.
-func (l *leadership) hasMajority(electors []string, followers map[string]bool) bool {
-	return majority(electors, followers) && (l.nextElectors == nil || majority(l.nextElectors, followers))
+// majorityFollowsSince is followedSince for the electors in force, also those that may be by now.
+// The mutex is held.
+func (l *leadership) majorityFollowsSince(electors []string) (time.Duration, bool) {
+	since, ok := followedSince(electors, l.followedAt)
+	if l.nextElectors == nil {
+		return since, ok
+	}
+	next, nextOK := followedSince(l.nextElectors, l.followedAt)
+	return min(since, next), ok && nextOK
 }
 
-// checkStanding notes whether this leader may have a successor, and whether earlier leaders may
-// still grant leases. It returns the entries that follow this one.
-func (l *leadership) checkStanding() (followers map[string]bool, at time.Duration) {
+// checkStanding notes until when this leader may grant leases, and whether earlier leaders may
+// still do. It returns the time for which that holds. It is called by load before tick is, and by
+// tick.
+func (l *leadership) checkStanding() time.Duration {
 	c := l.controller
-	followers, electors := c.followers(l.term), c.knownElectors()
 	age, complete := c.cellTail.CompleteAge()
-	at = jayclock.Elapsed()
-	l.standingCheckedAt = at
+	now := jayclock.Elapsed()
+	l.standingCheckedAt = now
+	electors := c.knownElectors()
+	l.noteAnswers(now)
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	if complete {
-		l.termKnownAt = max(l.termKnownAt, at-age)
-	}
-	now := standing{termAge: at - l.termKnownAt, majority: l.hasMajority(electors, followers)}
-	if isolated := now.isolated(); isolated != l.isolated {
-		l.isolated = isolated
-		c.Logger.Warn().Str("event", "isolation").Uint64("term", l.term).Bool("isolated", isolated).Int("followers", len(followers)).Int("electors", len(electors)).
-			Int64("term_age_ms", now.termAge.Milliseconds()).Msg("leases are granted only while the store or a majority of the electors is in reach")
+		l.standing.termKnownAt = max(l.standing.termKnownAt, now-age)
 	}
-	if !l.handoverEnded && (excludesMajority(electors, followers) || at-l.beganAt > maxOutage) {
+	l.standing.followedSince, l.standing.followed = l.majorityFollowsSince(electors)
+	l.logIsolation(now, len(electors))
+	if !l.handoverEnded && l.predecessorsHaveCeased(electors, now) {
 		l.handoverEnded = true
-		l.cell.EndHandover(at + handoverDelay)
-		c.Logger.Info().Str("event", "handover").Uint64("term", l.term).Int("followers", len(followers)).Int("electors", len(electors)).Int64("took_ms", (at - l.beganAt).Milliseconds()).Msg("earlier leaders grant no more leases")
+		l.cell.EndHandover(now + handoverDelay)
+		c.Logger.Info().Str("event", "handover").Uint64("term", l.term).Int("followers", l.countFollowers(now)).Int("electors", len(electors)).Int64("took_ms", (now - l.beganAt).Milliseconds()).Msg("earlier leaders grant no more leases")
+	}
+	return now
+}
+
+// predecessorsHaveCeased reports whether no earlier leader grants leases, but for handoverDelay.
+func (l *leadership) predecessorsHaveCeased(electors []string, now time.Duration) bool {
+	return now-l.beganAt > maxOutage || excludesMajority(electors, l.followsNoOther)
+}
+
+// logIsolation logs when the permission to grant leases has ended or is back. The mutex is held.
+func (l *leadership) logIsolation(now time.Duration, electors int) {
+	until := l.standing.grantsUntil()
+	isolated := now >= until
+	if isolated == l.isolated {
+		return
+	}
+	l.isolated = isolated
+	l.controller.Logger.Warn().Str("event", "isolation").Uint64("term", l.term).Bool("isolated", isolated).Int("followers", l.countFollowers(now)).Int("electors", electors).
+		Int64("term_age_ms", (now-l.standing.termKnownAt).Milliseconds()).Int64("grants_left_ms", (until - now).Milliseconds()).Msg("leases are granted only while the store or a majority of the electors is in reach")
+}
+
+// askFollowers asks the entries whom they follow, more often while something depends on it. It is
+// called by tick only.
+func (l *leadership) askFollowers(now time.Duration) {
+	interval := questionInterval
+	l.mutex.Lock()
+	if !l.handoverEnded || now-l.standing.termKnownAt > termAgeToAsk {
+		interval = urgentQuestionInterval
+	}
+	l.mutex.Unlock()
+	if now-l.askedAt >= interval {
+		l.askedAt = now
+		l.controller.askFollowers()
 	}
-	return followers, at
 }
--- a/internal/process/jaycontroller/leadership.go
+++ b/internal/process/jaycontroller/leadership.go
@@ -56,11 +56,14 @@
 	evacuationRequested atomic.Bool
 	// beganAt is when the term began here.
 	beganAt time.Duration
-	// standingCheckedAt, electorsCheckedAt and followedAt, which holds by name when an entry
-	// followed this leader last, are used by tick only.
+	// standingCheckedAt, electorsCheckedAt and askedAt are used by tick only, followedAt and alive
+	// by checkStanding and tick. followedAt holds by elector when it was last asked and has answered
+	// that it follows this leader, alive by address the newest answer.
 	standingCheckedAt time.Duration
 	electorsCheckedAt time.Duration
+	askedAt           time.Duration
 	followedAt        map[string]time.Duration
+	alive             map[string]answer
 	// accountMadeAt, accountSequence and accountEmpty are of the latest account of the
 	// backlog, and used by tick only.
 	accountMadeAt   time.Duration
@@ -80,10 +83,10 @@
 	// until the store confirms that the term still lasts.
 	termUnverified bool
 	lastTick       time.Duration
-	// termKnownAt is when this term was last known to be the newest; isolated is set while
-	// there may be a successor that counts on the end of this leader's grants.
-	termKnownAt time.Duration
-	isolated    bool
+	// standing tells until when this leader may grant leases; isolated is set once the log tells
+	// that it may not.
+	standing standing
+	isolated bool
 	// handoverEnded is set once no earlier leader grants leases, but for handoverDelay.
 	handoverEnded bool
 	// nextElectors are the electors that may have been stored, nil if it is known which ones
@@ -101,7 +104,7 @@
 
 func newLeadership(c *Controller, term uint64) *leadership {
 	now := jayclock.Elapsed()
-	l := &leadership{controller: c, term: term, wake: make(chan struct{}, 1), adviceWanted: make(chan struct{}, 1), done: make(chan struct{}), accountEmpty: true, reports: newReportQueue(), lastTick: now, beganAt: now, followedAt: map[string]time.Duration{}}
+	l := &leadership{controller: c, term: term, wake: make(chan struct{}, 1), adviceWanted: make(chan struct{}, 1), done: make(chan struct{}), accountEmpty: true, reports: newReportQueue(), lastTick: now, beganAt: now, followedAt: map[string]time.Duration{}, alive: map[string]answer{}}
 	l.cell = jaycell.New(jaycell.Settings{
 		Term: term, Lease: c.Timing.Lease, HandoverDelay: maxOutage + handoverDelay, Retention: c.Timing.Retention, StopTimeout: c.Timing.StopTimeout, GangTimeout: c.Timing.GangTimeout, RemoteSlowdown: c.Timing.RemoteSlowdown,
 		Guaranteed: func(workspace string) int {
@@ -254,8 +257,9 @@
 // tick makes the decisions that are due and starts to store them.
 func (l *leadership) tick(ctx context.Context, runs *jaystore.FailoverWriter) {
 	if jayclock.Elapsed()-l.standingCheckedAt >= tickInterval {
-		followers, at := l.checkStanding()
-		l.updateElectors(ctx, followers, at)
+		now := l.checkStanding()
+		l.askFollowers(now)
+		l.updateElectors(ctx, now)
 		l.controller.refreshEvacuations(ctx)
 	}
 	batch, immediate := l.decide(ctx)
--- a/internal/process/jaycontroller/links.go
+++ b/internal/process/jaycontroller/links.go
@@ -85,7 +85,7 @@
 		if age, complete := c.cellTail.CompleteAge(); !complete || age >= isolationTimeout {
 			continue
 		}
-		addresses := c.entriesNotFollowing(l.term)
+		addresses := c.unlinkedEntries()
 		var wg jayassert.Group
 		for range min(maxInformed, len(addresses)) {
 			address := addresses[n%len(addresses)]
@@ -96,15 +96,18 @@
 	}
 }
 
-// entriesNotFollowing returns the sorted addresses of the known entries that do not follow
-// this one in a term.
-func (c *Controller) entriesNotFollowing(term uint64) []string {
-	followers := c.followers(term)
+// unlinkedEntries returns the sorted addresses of the other known entries that have no link to
+// this one, as followers have.
+func (c *Controller) unlinkedEntries() []string {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
+	linked := map[string]bool{c.Name: true}
+	for _, f := range c.peers {
+		linked[f.name] = true
+	}
 	var all []string
 	for name, address := range c.entryAddresses {
-		if !followers[name] {
+		if !linked[name] {
 			all = append(all, address)
 		}
 	}
@@ -151,7 +154,6 @@
 	c.leaderLink, c.linkedTerm = l, t.number
 	c.mutex.Unlock()
 	c.Logger.Info().Str("event", "link").Str("peer", l.Peer()).Uint64("term", t.number).Msg("linked to the leader")
-	c.sendView(l)
 	l.Run(ctx)
 	c.mutex.Lock()
 	if c.leaderLink == l {
@@ -171,7 +173,7 @@
 func (c *Controller) linkOpened(l *jaylink.Link, hello *jayframe.Hello) {
 	c.mutex.Lock()
 	if hello.Role == jayframe.RoleEntry {
-		c.peers[l] = hello.Name
+		c.peers[l] = &follower{name: hello.Name, elector: electorID(hello.Address, hello.Incarnation)}
 	}
 	c.lastLink++
 	c.linkNumbers[l] = c.lastLink
@@ -191,11 +193,10 @@
 
 func (c *Controller) linkClosed(l *jaylink.Link) {
 	c.mutex.Lock()
-	if name, ok := c.peers[l]; ok {
-		c.relays.forget(name)
+	if f := c.peers[l]; f != nil {
+		c.relays.forget(f.name)
 	}
 	delete(c.peers, l)
-	delete(c.followedTerms, l)
 	delete(c.linkNumbers, l)
 	for node, link := range c.agents {
 		if link == l {
@@ -237,11 +238,13 @@
 		c.handleResignation(m.Term)
 	case *jayframe.CellView:
 		// Only the store can tell this entry that it leads.
-		if m.Leader == c.Name {
-			c.recordFollower(l, m)
-		} else {
+		if m.Leader != c.Name {
 			c.setTerm(Term{number: m.Term, leader: m.Leader, address: m.Address})
 		}
+	case *jayframe.CellAsk:
+		c.answerWhomItFollows(l, m)
+	case *jayframe.CellFollow:
+		c.recordAnswer(l, m)
 	case *jayframe.CellAccount:
 		c.keepAccount(m)
 	case *jayframe.PutRecords:
--- a/internal/process/jaycontroller/reports_test.go
+++ b/internal/process/jaycontroller/reports_test.go
@@ -67,6 +67,12 @@
 	assert.NilError(t, f.link.Send(&jayframe.CellReport{Node: "n1", Sequence: f.sent, Term: 1, Runner: "r1", Responsive: true}))
 	time.Sleep(200 * time.Millisecond)
 	assert.Equal(t, f.granted.Load(), int64(0))
+	f.records.Store(true)
+	await(t, "the leader knows that its term is the newest", func() bool {
+		_, complete := f.controller.cellTail.CompleteAge()
+		return complete
+	})
+	f.leadership.checkStanding()
 	f.leadership.restore(nil, nil)
 	f.leadership.applyWaitingReports()
 	for range 100 {
--- a/internal/process/jaycontroller/term_test.go
+++ b/internal/process/jaycontroller/term_test.go
@@ -62,7 +62,7 @@
 			entry := New(nil)
 			entry.Cores = c.own
 			if c.linked {
-				entry.peers[nil] = "peer"
+				entry.peers[nil] = &follower{name: "peer"}
 			}
 			entry.applyCellRecord(jaystore.StoredRecord{Record: jaystore.Record{Key: entryPrefix + "peer", Value: []byte("127.0.0.1:1 " + c.peer)}})
 			assert.Equal(t, entry.entryAddresses["peer"], "127.0.0.1:1")
