Wait for a leader of an earlier version where no electors were ever stored

Cause: without a record of electors the successor's condition, half of the electors, held at once. That state is passed through by a deployment that is upgraded while a leader of a version without electors grants leases, which stops by another measure. Change: the first leader stores an empty list of electors with the claim of term 1, in the same append. Evidence: TestPredecessorsThatAreNotKnownAreWaitedFor, without the condition: "no record" fails (true, not false). Conclusion: nothing stored is no longer taken for nobody leading.

--- a/internal/process/jaycontroller/electors.go
+++ b/internal/process/jaycontroller/electors.go
@@ -51,12 +51,13 @@
 	return b
 }
 
+// decodeElectors returns the electors; the result is not nil without an error.
 func decodeElectors(b []byte) ([]string, error) {
 	var r electorsRecord
 	if err := cbor.Unmarshal(b, &r); err != nil {
 		return nil, &jaytask.RecordError{What: "electors", Cause: err}
 	}
-	return r.Electors, nil
+	return append([]string{}, r.Electors...), nil
 }
 
 // electorID identifies a life of the entry that accepts links at an address.
@@ -118,6 +119,7 @@
 	c.electors = electors
 }
 
+// knownElectors returns the electors, nil if there is no record of them.
 func (c *Controller) knownElectors() []string {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
--- a/internal/process/jaycontroller/electorsmodel_test.go
+++ b/internal/process/jaycontroller/electorsmodel_test.go
@@ -119,6 +119,9 @@
 	}
 	if e.store && e.readAt > 0 && m.now-e.contactAt > modelLag+minMisses*electionInterval && m.chance(3) && e.term == m.term {
 		m.term, m.leader, m.version = m.term+1, e, m.version+1
+		if m.term == firstTerm {
+			m.electors = []string{}
+		}
 		*e = modelEntry{name: e.name, life: e.life, store: true, term: m.term, leader: e, electors: m.electors, readAt: m.now, leads: true, beganAt: m.now, followedAt: map[string]time.Duration{}, alive: map[string]string{}}
 	}
 }
@@ -138,7 +141,7 @@
 	l := leadership{nextElectors: e.next, followedAt: e.followedAt}
 	e.standing.termKnownAt = e.readAt
 	e.standing.followedSince, e.standing.followed = l.majorityFollowsSince(e.electors)
-	if !e.ended && (excludesMajority(e.electors, e.excludes) || m.now-e.beganAt > maxOutage) {
+	if !e.ended && (e.term == firstTerm || e.electors != nil && excludesMajority(e.electors, e.excludes) || m.now-e.beganAt > maxOutage) {
 		e.ended = true
 		m.handovers++
 		m.grantsEnd[e.term] = m.now + handoverDelay
--- a/internal/process/jaycontroller/followers_test.go
+++ b/internal/process/jaycontroller/followers_test.go
@@ -1,6 +1,7 @@
 package jaycontroller
 
 import (
+	"context"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -109,6 +110,39 @@
 	c.recordAnswer(&jaylink.Link{}, &jayframe.CellFollow{Term: 1, AskedNanos: 3})
 }
 
+// Guards against a successor that takes leases for lapsed although it knows of no electors, or of none
+// of this version, while a leader of an earlier version may grant them.
+func TestPredecessorsThatAreNotKnownAreWaitedFor(t *testing.T) {
+	three := []string{electorID("a:1", 1), electorID("b:1", 1), electorID("c:1", 1)}
+	for _, x := range []struct {
+		name     string
+		term     uint64
+		electors []string
+		follow   []string
+		after    time.Duration
+		ceased   bool
+	}{
+		{"first term", firstTerm, nil, nil, 0, true},
+		{"no record", 2, nil, three, 0, false},
+		{"no record, after the longest outage", 2, nil, nil, maxOutage + 1, true},
+		{"names of an earlier version", 2, []string{"entry-1", "entry-2"}, three, 0, false},
+		{"nothing stored by the first leader", 2, []string{}, nil, 0, true},
+		{"half follow", 2, three[:2], three[:1], 0, true},
+		{"fewer than half follow", 2, three, three[:1], 0, false},
+		{"more than half follow", 2, three, three[1:], 0, true},
+		{"an earlier life follows", 2, []string{electorID("b:1", 2), electorID("c:1", 2), electorID("a:1", 1)}, three[:1], 0, false},
+	} {
+		t.Run(x.name, func(t *testing.T) {
+			c := New(nil)
+			l := newLeadership(c, x.term)
+			for _, e := range x.follow {
+				l.followedAt[e] = l.beganAt + 1
+			}
+			assert.Equal(t, l.predecessorsHaveCeased(x.electors, l.beganAt+x.after), x.ceased)
+		})
+	}
+}
+
 // A process at an address ends before another one accepts links there.
 func TestAnswerOfAnotherLifeExcludesAnElector(t *testing.T) {
 	c := New(nil)
@@ -129,3 +163,24 @@
 	l.noteAnswers(l.beganAt + 2)
 	assert.Assert(t, l.predecessorsHaveCeased(electors, l.beganAt+2))
 }
+
+// The first leader stores that there are no electors yet, so that its successors can tell it from a
+// leader of an earlier version.
+func TestFirstLeaderStoresThatThereAreNoElectors(t *testing.T) {
+	store, entries := newLinkedEntries(t, 2)
+	page, err := store.newest(context.Background(), "cell", "")
+	assert.NilError(t, err)
+	for i, r := range page.Records {
+		if r.Key == TermKey {
+			assert.Equal(t, page.Records[i+1].Key, electorsKey)
+			electors, err := decodeElectors(page.Records[i+1].Value)
+			assert.NilError(t, err)
+			assert.DeepEqual(t, electors, []string{})
+			break
+		}
+	}
+	await(t, "both entries are electors", func() bool {
+		electors := entries[0].knownElectors()
+		return len(electors) == 2 && electors[0] != electors[1]
+	})
+}
--- a/internal/process/jaycontroller/isolation.go
+++ b/internal/process/jaycontroller/isolation.go
@@ -96,8 +96,13 @@
 }
 
 // predecessorsHaveCeased reports whether no earlier leader grants leases, but for handoverDelay.
+// Without a record of electors an earlier version leads, unless this is the first term: the first
+// leader stores one.
 func (l *leadership) predecessorsHaveCeased(electors []string, now time.Duration) bool {
-	return now-l.beganAt > maxOutage || excludesMajority(electors, l.followsNoOther)
+	if now-l.beganAt > maxOutage || l.term == firstTerm {
+		return true
+	}
+	return electors != nil && excludesMajority(electors, l.followsNoOther)
 }
 
 // logIsolation logs when the permission to grant leases has ended or is back. The mutex is held.
--- a/internal/process/jaycontroller/term.go
+++ b/internal/process/jaycontroller/term.go
@@ -43,6 +43,8 @@
 	// failedLeaderDelay is how long an entry whose leadership has failed leaves the next
 	// terms to others.
 	failedLeaderDelay = 5 * time.Second
+	// firstTerm is the number of a deployment's first term.
+	firstTerm = 1
 	// claimTimeout bounds one attempt to claim the term: four responses of a store that
 	// takes a hundred times as long as usual.
 	claimTimeout = 2500 * time.Millisecond
@@ -217,7 +219,12 @@
 		return
 	}
 	next := Term{number: missing.number + 1, leader: c.Name, address: c.Address, incarnation: c.Incarnation}
-	_, err := c.storeClient.Append(ctx, jaystore.Append{Topic: c.Topics.Cell, Records: []jaystore.Record{{Key: TermKey, Value: next.encode()}}, ExpectedEnd: &at})
+	records := []jaystore.Record{{Key: TermKey, Value: next.encode()}}
+	if next.number == firstTerm {
+		// Its successors know by this record that it grants leases by electors only.
+		records = append(records, jaystore.Record{Key: electorsKey, Value: encodeElectors([]string{})})
+	}
+	_, err := c.storeClient.Append(ctx, jaystore.Append{Topic: c.Topics.Cell, Records: records, ExpectedEnd: &at})
 	var mismatch *jaystore.EndMismatchError
 	switch {
 	case err == nil:
