--- a/internal/process/jaycontroller/isolation.go
+++ b/internal/process/jaycontroller/isolation.go
@@ -117,8 +117,8 @@
 		Int64("term_age_ms", (now-l.standing.termKnownAt).Milliseconds()).Int64("grants_left_ms", (until - now).Milliseconds()).Msg("leases are granted only while the store or a majority of the electors is in reach")
 }
 
-// askFollowers asks the entries whom they follow, more often while something depends on it. It is
-// called by tick only.
+// askFollowers asks the entries whom they follow: more often while something depends on it, and
+// once an entry has opened a link. It is called by tick only.
 func (l *leadership) askFollowers(now time.Duration) {
 	interval := questionInterval
 	l.mutex.Lock()
@@ -126,7 +126,7 @@
 		interval = urgentQuestionInterval
 	}
 	l.mutex.Unlock()
-	if now-l.askedAt >= interval {
+	if l.entryLinked.Swap(false) || now-l.askedAt >= interval {
 		l.askedAt = now
 		l.controller.askFollowers()
 	}
--- a/internal/process/jaycontroller/leadership.go
+++ b/internal/process/jaycontroller/leadership.go
@@ -52,6 +52,8 @@
 	endOnce      sync.Once
 	// lastGrantAt is when a lease was last granted, as of jayclock.Elapsed.
 	lastGrantAt atomic.Int64
+	// entryLinked is set once an entry has opened a link that has not been asked whom it follows.
+	entryLinked atomic.Bool
 	// evacuationRequested is set until the next decisions have applied the request.
 	evacuationRequested atomic.Bool
 	// beganAt is when the term began here.
--- a/internal/process/jaycontroller/links.go
+++ b/internal/process/jaycontroller/links.go
@@ -174,6 +174,9 @@
 	c.mutex.Lock()
 	if hello.Role == jayframe.RoleEntry {
 		c.peers[l] = &follower{name: hello.Name, elector: electorID(hello.Address, hello.Incarnation)}
+		if c.leadership != nil {
+			c.leadership.entryLinked.Store(true)
+		}
 	}
 	c.lastLink++
 	c.linkNumbers[l] = c.lastLink
