Log what a new leader has found, and the jobs that it gets later

Cause: the line `deciding` counted runs only; states that a new leader deletes, and jobs that reach the cell after the records were read, left no line. Change: `deciding` has the counts of unfinished jobs, of states of known and unknown jobs, and the standby topic that was read. A line names up to ten jobs whose states are deleted, and how far the topic of jobs was read. A job that is new in a term has a line with its age. Cell.Submit tells whether the job was unknown. Cost: one line for each job on the leader, beside the one of the entry that stored it. A test passes the empty earlierRecords in place of two nils.

--- a/internal/process/jaycell/cell.go
+++ b/internal/process/jaycell/cell.go
@@ -241,13 +241,15 @@
 	return jaytask.State(r.State), time.UnixMilli(r.At), nil
 }
 
-// Submit adds an accepted job. It does nothing if the job is known already.
-func (c *Cell) Submit(spec *jaytask.Job) {
+// Submit adds an accepted job and reports whether it was unknown. It does nothing if the job is
+// known already.
+func (c *Cell) Submit(spec *jaytask.Job) bool {
 	if c.jobs[spec.ID] != nil {
-		return
+		return false
 	}
 	c.jobs[spec.ID] = newJob(spec)
 	c.recordRoute(spec)
+	return true
 }
 
 // MarkStarted records at the start of a term that a job has started in an earlier
--- a/internal/process/jaycontroller/failover.go
+++ b/internal/process/jaycontroller/failover.go
@@ -115,26 +115,26 @@
 	c.standby = s
 }
 
-// loadRuns returns the records of runs and states. Those of an open standby topic replace
-// those of the main topic, and the writer moves them there with its next records.
-func (l *leadership) loadRuns(ctx context.Context, runs *jaystore.FailoverWriter) ([]jaystore.Record, error) {
+// loadRuns returns the records of runs and states. Those of an open standby topic, whose name it
+// returns, replace those of the main topic, and the writer moves them there with its next records.
+func (l *leadership) loadRuns(ctx context.Context, runs *jaystore.FailoverWriter) (records []jaystore.Record, standbyTopic string, err error) {
 	c := l.controller
 	main, err := jaystore.LoadAll(ctx, c.storeClient, c.Topics.Runs, c.tailFailureLogger(c.Topics.Runs))
 	open := c.newestStandby()
 	runs.Announced(open)
 	if err != nil || !open.Open {
-		return main, err
+		return main, "", err
 	}
 	standby := runs.NewWriter(open)
 	if err := standby.FenceLowerTerms(ctx); err != nil {
-		return nil, err
+		return nil, "", err
 	}
-	records, err := jaystore.LoadAll(ctx, c.storeClient, open.Topic, c.tailFailureLogger(open.Topic))
+	moving, err := jaystore.LoadAll(ctx, c.storeClient, open.Topic, c.tailFailureLogger(open.Topic))
 	if err != nil {
-		return nil, err
+		return nil, "", err
 	}
-	moved, all := open.Overlay(main, records)
+	moved, all := open.Overlay(main, moving)
 	runs.Restore(open, standby, moved)
 	c.Logger.Warn().Str("event", "failover").Uint64("term", l.term).Uint64("number", open.Number).Str("topic", open.Topic).Int("records", len(moved)).Msg("read the standby topic of an earlier term")
-	return all, nil
+	return all, open.Topic, nil
 }
--- a/internal/process/jaycontroller/leaderlinks.go
+++ b/internal/process/jaycontroller/leaderlinks.go
@@ -81,7 +81,9 @@
 	if l.loaded {
 		l.setCellTime()
 		if row, ok := l.controller.jobs.get(id); ok && !row.state.Ended() {
-			l.cell.Submit(row.spec)
+			if l.cell.Submit(row.spec) {
+				l.controller.Logger.Info().Str("event", "job").Str("job", id).Uint64("term", l.term).Str("outcome", "new in this term").Int64("age_ms", time.Since(row.spec.Accepted).Milliseconds()).Msg("scheduling a job")
+			}
 			if row.canceled {
 				l.cell.Cancel(id)
 			}
--- a/internal/process/jaycontroller/leaderrecords.go
+++ b/internal/process/jaycontroller/leaderrecords.go
@@ -32,11 +32,12 @@
 	// The job of every run is known: no run has been stored since the fence, and each job is
 	// stored before its runs.
 	var records []jaystore.Record
+	var found earlierRecords
 	var runsErr, jobsErr error
 	var wg conc.WaitGroup
 	wg.Go(func() {
 		runsErr = retryRead(ctx, func() (err error) {
-			records, err = l.loadRuns(ctx, runs)
+			records, found.standby, err = l.loadRuns(ctx, runs)
 			return err
 		})
 	})
@@ -47,29 +48,56 @@
 	if err := errors.Join(runsErr, jobsErr); err != nil {
 		return err
 	}
-	var units []jaystore.Record
-	var stateDeletions []jaycell.Record
 	for _, r := range records {
 		id, isState := strings.CutPrefix(r.Key, jaycell.StateKey(""))
 		switch {
 		case !isState:
-			units = append(units, r)
+			found.units = append(found.units, r)
 		case l.controller.jobs.isStored(id):
 			l.controller.jobs.apply(r.Key, r.Value)
+			found.states++
 		default:
 			// An earlier leader has deleted the job, and ended before it deleted the state.
-			stateDeletions = append(stateDeletions, jaycell.Record{Key: r.Key})
+			found.stateDeletions = append(found.stateDeletions, jaycell.Record{Key: r.Key})
 		}
 	}
+	l.logStateDeletions(found.stateDeletions)
 	// The reads may have taken long: another entry may lead by now.
 	l.checkStanding()
-	l.restore(units, stateDeletions)
+	l.restore(found)
 	l.applyWaitingReports()
 	return nil
 }
 
+// earlierRecords holds what a new leader has read of the records of earlier terms.
+type earlierRecords struct {
+	units []jaystore.Record
+	// states counts the states that were applied; stateDeletions deletes those of unknown jobs.
+	states         int
+	stateDeletions []jaycell.Record
+	// standby is the standby topic that was read, empty if none was open.
+	standby string
+}
+
+// maxLoggedJobs bounds the jobs that one log line names.
+const maxLoggedJobs = 10
+
+// logStateDeletions logs the states that are about to be deleted. A state that is deleted although
+// its job is stored lets the job run again, so the line tells how far the jobs were read.
+func (l *leadership) logStateDeletions(deletions []jaycell.Record) {
+	if len(deletions) == 0 {
+		return
+	}
+	var ids []string
+	for _, r := range deletions[:min(len(deletions), maxLoggedJobs)] {
+		ids = append(ids, strings.TrimPrefix(r.Key, jaycell.StateKey("")))
+	}
+	l.controller.Logger.Warn().Str("event", "record").Uint64("term", l.term).Int("states", len(deletions)).Strs("jobs", ids).Uint64("jobs_read_to", l.controller.jobsTail.NextOffset()).
+		Str("reason", "the topic of jobs has no record of the job").Msg("deleting states of unknown jobs")
+}
+
 // restore passes the jobs and the records of earlier terms to the cell.
-func (l *leadership) restore(units []jaystore.Record, stateDeletions []jaycell.Record) {
+func (l *leadership) restore(found earlierRecords) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	l.setCellTime()
@@ -80,7 +108,7 @@
 			l.cell.MarkStarted(row.spec.ID)
 		}
 	}
-	for _, r := range units {
+	for _, r := range found.units {
 		if err := l.cell.RestoreUnit(jaycell.Record{Key: r.Key, Value: r.Value}); err != nil {
 			l.controller.Logger.Error().Str("event", "record").Err(err).Msg("skipping an invalid unit record")
 		}
@@ -91,9 +119,10 @@
 			l.cell.Cancel(row.spec.ID)
 		}
 	}
-	l.stateDeletions = append(l.stateDeletions, stateDeletions...)
+	l.stateDeletions = append(l.stateDeletions, found.stateDeletions...)
 	l.loaded, l.lastTick = true, jayclock.Elapsed()
-	l.controller.Logger.Info().Str("event", "term").Uint64("term", l.term).Int("runs", len(units)).Msg("deciding")
+	l.controller.Logger.Info().Str("event", "term").Uint64("term", l.term).Int("runs", len(found.units)).Int("unfinished_jobs", len(rows)).Int("states", found.states).
+		Int("unknown_states", len(found.stateDeletions)).Str("standby", found.standby).Msg("deciding")
 }
 
 // retryRead repeats a read until it succeeds or ctx is done.
--- a/internal/process/jaycontroller/reports_test.go
+++ b/internal/process/jaycontroller/reports_test.go
@@ -67,7 +67,7 @@
 	assert.NilError(t, f.link.Send(&jayframe.CellReport{Node: "n1", Sequence: f.sent, Term: 1, Runner: "r1", Responsive: true}))
 	time.Sleep(200 * time.Millisecond)
 	assert.Equal(t, f.granted.Load(), int64(0))
-	f.leadership.restore(nil, nil)
+	f.leadership.restore(earlierRecords{})
 	f.leadership.applyWaitingReports()
 	for range 100 {
 		if f.granted.Load() == f.sent {
