Give the appends of each term numbers of their own

What callers would see: a job that was shown as completed runs again, or a task runs twice. No record of the users shows it; it depends on what their description of the store leaves open. Cause: each term counted its appends from 0. An append without records "sets the epoch"; the description does not say that it has a sequence number, nor that the numbers of the lower epoch are forgotten then. If they are not, the first append of a term under the number 1 is answered as a repeat of one of the last five of a short earlier term, and is not stored. If numbers begin at 0 again, the first append is tried as 1 and then stored as 0; a late try of it may take the number 1 of the next one, which is then answered as a repeat. Change: the number of a term's first append is the term times 2^20 ("a higher epoch may start at any Seq"). Until records of the term are acknowledged the writer adopts the number that the store expects, which no earlier try of the term has used. Tests, each seen to fail before: TestAcknowledgedRecordsOfATermAreStored/1, TestLateFirstAppendTakesNoLaterNumber/2. Tests of jaystore and platform pass.

--- a/internal/process/jaystore/store_test.go
+++ b/internal/process/jaystore/store_test.go
@@ -26,8 +26,22 @@
 	refuseNext  int
 	appends     int
 	dropLost    bool
+	fence       fenceReading
 }
 
+// fenceReading is a way to read the store's description of an append without records, which "sets
+// the epoch" of a producer.
+type fenceReading int
+
+const (
+	// fenceTakesNumber counts it as an append, whose sequence number the next one follows.
+	fenceTakesNumber fenceReading = iota
+	// fenceKeepsNumber lets the next append follow the last one of the lower epoch.
+	fenceKeepsNumber
+	// fenceResetsNumber begins the numbers of the epoch at 0.
+	fenceResetsNumber
+)
+
 // fakeProducer holds what the log remembers of a producer. answers holds the end offset
 // returned for each sequence number of its term.
 type fakeProducer struct {
@@ -84,6 +98,13 @@
 	switch {
 	case a.Fence.Term < p.term:
 		return 0, &FencedError{Term: a.Fence.Term}
+	case len(a.Records) == 0 && f.fence != fenceTakesNumber:
+		if a.Fence.Term > p.term && f.fence == fenceResetsNumber {
+			// The next number is one more.
+			p.sequence, p.answers = ^uint64(0), map[uint64]uint64{}
+		}
+		p.term = a.Fence.Term
+		return uint64(len(f.records)), nil
 	case a.Fence.Term > p.term:
 		p.term, p.answers = a.Fence.Term, map[uint64]uint64{}
 	case p.answers[a.Fence.Sequence] > 0:
--- a/internal/process/jaystore/termwriter.go
+++ b/internal/process/jaystore/termwriter.go
@@ -15,13 +15,18 @@
 	producer string
 	term     uint64
 	sequence uint64
-	// acknowledged is set once the store has answered an append of this term.
-	acknowledged bool
+	// settled is set once the store has acknowledged records of this term.
+	settled bool
 }
 
+// termSequenceBits is how many bits of a sequence number count the appends of a term. The bits
+// above are the term's, so that no append is taken for a repeat of one of an earlier term, whose
+// numbers the store may still know.
+const termSequenceBits = 20
+
 // NewTermWriter returns a writer for a term that this process has acquired.
 func NewTermWriter(client *Client, topic, producer string, term uint64) *TermWriter {
-	return &TermWriter{client: client, topic: topic, producer: producer, term: term}
+	return &TermWriter{client: client, topic: topic, producer: producer, term: term, sequence: term << termSequenceBits}
 }
 
 // FenceLowerTerms makes the store refuse appends of all lower terms from now on.
@@ -54,16 +59,15 @@
 		var fenced *FencedError
 		switch {
 		case err == nil:
-			w.acknowledged = true
+			w.settled = w.settled || len(records) > 0
 			w.sequence++
 			return nil
 		case errors.As(err, &fenced):
 			return err
-		case errors.As(err, &outOfOrder) && (!w.acknowledged || w.sequence == 1):
+		case errors.As(err, &outOfOrder) && !w.settled:
 			// The fence and the first append after it adopt the sequence number that the
-			// store expects.
+			// store expects. A late try under the former number stays out of order.
 			w.sequence = outOfOrder.Expected
-			w.acknowledged = true
 		case errors.As(err, &outOfOrder):
 			// The sequence has moved without this writer, which must stop as if fenced.
 			return &FencedError{Term: w.term}
