--- a/internal/process/jaycontroller/reports_test.go
+++ b/internal/process/jaycontroller/reports_test.go
@@ -73,7 +73,7 @@
 		return complete
 	})
 	f.leadership.checkStanding()
-	f.leadership.restore(nil, nil)
+	f.leadership.restore(earlierRecords{})
 	f.leadership.applyWaitingReports()
 	for range 100 {
 		if f.granted.Load() == f.sent {
