--- a/internal/process/jaycontroller/permissions_test.go
+++ b/internal/process/jaycontroller/permissions_test.go
@@ -5,6 +5,9 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/jaystile/jaystile/internal/process/jayclock"
+	"github.com/jaystile/jaystile/internal/process/jaystore"
 )
 
 // slowestClock is the rate of the slowest clock that docs/design/permissions.md allows.
@@ -42,3 +45,26 @@
 	assert.Assert(t, 2*questionInterval < electorTimeout, "an entry that follows would be removed from the electors")
 	assert.Assert(t, tickInterval < maxTickGap)
 }
+
+// Guards against a former leader that grants leases again once it reads the store: the read that
+// shows a higher term told it that the topic was read, and reports reach the leadership until its
+// loop has returned.
+func TestEndedLeadershipGrantsNothing(t *testing.T) {
+	entry, l := newLeader(true)
+	entry.Name, entry.term = "entry-1", Term{number: 1, leader: "entry-1"}
+	topic := &cellTopic{}
+	topic.add(jaystore.Record{Key: TermKey, Value: entry.term.encode()})
+	*entry.storeClient = topic.client()
+	mayGrant := func() bool {
+		assert.NilError(t, entry.cellTail.Refresh(t.Context()))
+		l.checkStanding()
+		l.mutex.Lock()
+		defer l.mutex.Unlock()
+		l.lastTick = jayclock.Elapsed()
+		return l.mayGrant()
+	}
+	assert.Assert(t, mayGrant())
+	l.standing = standing{}
+	topic.add(jaystore.Record{Key: TermKey, Value: Term{number: 2, leader: "entry-2"}.encode()})
+	assert.Assert(t, !mayGrant(), "the leadership of term 1 grants leases, the entry follows term %d", entry.Term().Number())
+}
