Grant no lease once the leadership has ended

What callers saw: rule TWICE, suspected as one way to it: a former leader that has ceased to grant reads the store again, and grants for a round or two. Cause: setTerm ends the leadership, but reports reach it until its loop has returned, and the read that shows the higher term dates the newest term anew. The leases then outlast the successor's wait by seconds. Change: mayGrant looks whether the leadership has ended.

--- a/internal/process/jaycontroller/isolation.go
+++ b/internal/process/jaycontroller/isolation.go
@@ -51,6 +51,13 @@
 
 // mayGrant reports whether the leader may extend leases now. The mutex is held.
 func (l *leadership) mayGrant() bool {
+	// Reports reach the leadership until its loop has returned, and the read that shows a higher
+	// term is a read of the newest one.
+	select {
+	case <-l.done:
+		return false
+	default:
+	}
 	now := jayclock.Elapsed()
 	// The loop has not noticed yet that this process stood still.
 	if now-l.lastTick > maxTickGap {
