Tell when a topic was known to be complete, not only how long ago

Cause: a leader computed the time of a read from its age and a second reading of the clock. Change: Tail.CompleteAt returns the time of the request. TestCompleteAgeCountsFromTheRequest checks both.

--- a/internal/process/jaystore/completeage_test.go
+++ b/internal/process/jaystore/completeage_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/jaystile/jaystile/internal/process/jayclock"
 )
 
 // A tail that has read only a part of the topic, or has lost its place, must not pass for one that
@@ -76,8 +78,11 @@
 	}
 	tail := &Tail{Client: client, Topic: "t", Apply: func(StoredRecord) {}, OnError: func(error) {}}
 	for _, what := range []string{"newest records", "read"} {
+		requestedAt := jayclock.Elapsed()
 		_, err := tail.readNext(t.Context(), time.Second)
 		assert.NilError(t, err)
+		at, complete := tail.CompleteAt()
+		assert.Assert(t, complete && at >= requestedAt && at < requestedAt+answerTime, "%s: complete at %s, requested at %s", what, at, requestedAt)
 		age, complete := tail.CompleteAge()
 		assert.Assert(t, complete && age >= answerTime, "%s: age %s", what, age)
 	}
--- a/internal/process/jaystore/tail.go
+++ b/internal/process/jaystore/tail.go
@@ -45,9 +45,16 @@
 // CompleteAge returns the time since the tail is known to have had all records of the topic, and
 // false if it does not have them all.
 func (t *Tail) CompleteAge() (time.Duration, bool) {
+	at, complete := t.CompleteAt()
+	return jayclock.Elapsed() - at, complete
+}
+
+// CompleteAt returns when the tail is known to have had all records of the topic, as of
+// jayclock.Elapsed, and false if it does not have them all.
+func (t *Tail) CompleteAt() (time.Duration, bool) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	return jayclock.Elapsed() - t.freshAt, t.loaded && t.next >= t.end
+	return t.freshAt, t.loaded && t.next >= t.end
 }
 
 // Run follows the topic until ctx ends.
