Wait for a leader of another version that led since the electors were stored

Change: each claim is stored with its term under a key of its own, and whether a leader of another version may have led since electors were stored; they do not count then, for grants and for the handover. It takes the place of the empty list that the first leader stored. The time of the newest term is that of the read's request (CompleteAt). The mutations that exclude names and that mark no terms are found with claims left out, each.

--- a/internal/process/jaycontroller/controller.go
+++ b/internal/process/jaycontroller/controller.go
@@ -158,8 +158,9 @@
 	// peers holds the entries that have opened a link to this one.
 	peers map[*jaylink.Link]*follower
 	// electors are the entries of which more than half must follow a leader that the store does
-	// not serve, nil without a record of them.
+	// not serve, as of the newest claim.
 	electors []string
+	claim    claim
 	// agents holds the links of agents by node.
 	agents map[string]*jaylink.Link
 	// linkNumbers holds the accepted links, numbered in the order of their opening up to
--- a/internal/process/jaycontroller/electors.go
+++ b/internal/process/jaycontroller/electors.go
@@ -23,8 +23,10 @@
 // condition that its term is the newest.
 
 const (
-	// electorsKey names the record of the electors.
+	// electorsKey names the record of the electors, claimKey that of the newest claim of a term by
+	// an entry of this version.
 	electorsKey = "electors"
+	claimKey    = "claim"
 	// electorsInterval is the time between two comparisons of the electors with the entries
 	// that follow the leader.
 	electorsInterval = time.Second
@@ -51,13 +53,48 @@
 	return b
 }
 
-// decodeElectors returns the electors; the result is not nil without an error.
 func decodeElectors(b []byte) ([]string, error) {
 	var r electorsRecord
 	if err := cbor.Unmarshal(b, &r); err != nil {
 		return nil, &jaytask.RecordError{What: "electors", Cause: err}
 	}
-	return append([]string{}, r.Electors...), nil
+	return r.Electors, nil
+}
+
+// claim is the newest claim of a term by an entry of this version. unknownLeaders is set if a leader of another
+// version may have led since the electors were stored: they do not count.
+type claim struct {
+	term           uint64
+	unknownLeaders bool
+}
+
+// claimRecord is the stored form of a claim.
+type claimRecord struct {
+	_              struct{} `cbor:",toarray"`
+	Term           uint64
+	UnknownLeaders bool
+}
+
+func (c claim) encode() []byte {
+	b, err := cbor.Marshal(claimRecord{Term: c.term, UnknownLeaders: c.unknownLeaders})
+	if err != nil {
+		panic(err)
+	}
+	return b
+}
+
+func decodeClaim(b []byte) (claim, error) {
+	var r claimRecord
+	if err := cbor.Unmarshal(b, &r); err != nil {
+		return claim{}, &jaytask.RecordError{What: "claim", Cause: err}
+	}
+	return claim{term: r.Term, unknownLeaders: r.UnknownLeaders}, nil
+}
+
+// next returns the claim of the term after the given one, which a leader of another version has
+// claimed unless this claim is of it.
+func (c claim) next(term uint64) claim {
+	return claim{term: term + 1, unknownLeaders: term > 0 && (c.unknownLeaders || c.term != term)}
 }
 
 // electorID identifies a life of the entry that accepts links at an address.
@@ -110,20 +147,38 @@
 		c.Logger.Error().Str("event", "record").Err(err).Msg("skipping an invalid electors record")
 		return
 	}
-	c.setElectors(electors)
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.electors = electors
+}
+
+func (c *Controller) applyClaim(value []byte) {
+	newest, err := decodeClaim(value)
+	if err != nil {
+		c.Logger.Error().Str("event", "record").Err(err).Msg("skipping an invalid claim record")
+		return
+	}
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.claim = newest
 }
 
-func (c *Controller) setElectors(electors []string) {
+// newestClaim returns the newest claim by an entry of this version that this entry knows.
+func (c *Controller) newestClaim() claim {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	c.electors = electors
+	return c.claim
 }
 
-// knownElectors returns the electors, nil if there is no record of them.
-func (c *Controller) knownElectors() []string {
+// electorsOf returns the electors that count for the leader of a term, nil if a leader of another
+// version may have led since they were stored.
+func (c *Controller) electorsOf(term uint64) []string {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	return c.electors
+	if c.claim != (claim{term: term}) {
+		return nil
+	}
+	return append([]string{}, c.electors...)
 }
 
 // unknownIncarnation stands for that of an entry that is known by its address only.
@@ -150,7 +205,7 @@
 		return
 	}
 	l.electorsCheckedAt = now
-	electors := l.controller.knownElectors()
+	electors := l.controller.electorsOf(l.term)
 	wanted := map[string]bool{l.controller.elector(): true}
 	kept := electors
 	if len(kept) == 0 {
@@ -193,12 +248,15 @@
 	l.controller.Logger.Info().Str("event", "electors").Uint64("term", l.term).Int("entries", len(electors)).Msg("stored the electors")
 }
 
-// appendElectors stores the electors. An earlier try without an answer may have stored them.
+// appendElectors stores the electors, which count from then on. An earlier try without an answer
+// may have stored them.
 func (c *Controller) appendElectors(ctx context.Context, term uint64, electors []string) error {
-	record := jaystore.Record{Key: electorsKey, Value: encodeElectors(electors)}
-	sent, err := c.appendToCell(ctx, term, record, func() bool { return slices.Equal(c.knownElectors(), electors) })
+	records := []jaystore.Record{{Key: electorsKey, Value: encodeElectors(electors)}, {Key: claimKey, Value: claim{term: term}.encode()}}
+	sent, err := c.appendToCell(ctx, term, records, func() bool { return slices.Equal(c.electorsOf(term), electors) })
 	if sent && err == nil {
-		c.setElectors(electors)
+		c.mutex.Lock()
+		defer c.mutex.Unlock()
+		c.electors, c.claim = electors, claim{term: term}
 	}
 	return err
 }
--- a/internal/process/jaycontroller/electors_test.go
+++ b/internal/process/jaycontroller/electors_test.go
@@ -174,6 +174,7 @@
 	topic := &cellTopic{}
 	topic.add(jaystore.Record{Key: TermKey, Value: entry.term.encode()})
 	topic.add(jaystore.Record{Key: electorsKey, Value: encodeElectors(three[:1])})
+	topic.add(jaystore.Record{Key: claimKey, Value: claim{term: 1}.encode()})
 	*entry.storeClient = topic.client()
 	assert.NilError(t, entry.cellTail.Refresh(t.Context()))
 	served := entry.storeClient.Append
@@ -185,7 +186,7 @@
 	}
 	l.handoverEnded = true
 	hasMajority := func() bool {
-		_, ok := l.majorityFollowsSince(entry.knownElectors())
+		_, ok := l.majorityFollowsSince(entry.electorsOf(1))
 		return ok
 	}
 	l.followedAt = map[string]time.Duration{three[0]: time.Hour}
@@ -198,9 +199,9 @@
 	// The next try finds that the first one has stored them.
 	l.updateElectors(t.Context(), 2*time.Hour)
 	entry.tasks.Wait()
-	assert.DeepEqual(t, entry.knownElectors(), three)
+	assert.DeepEqual(t, entry.electorsOf(1), three)
 	assert.Assert(t, l.nextElectors == nil)
-	assert.Equal(t, len(topic.records), 3)
+	assert.Equal(t, len(topic.records), 5)
 }
 
 // Guards against electors that are changed by a leader that has a successor, or whose
@@ -226,7 +227,7 @@
 			l.handoverEnded = c.handoverEnded
 			l.updateElectors(t.Context(), time.Hour)
 			entry.tasks.Wait()
-			assert.Equal(t, len(entry.knownElectors()) > 0, c.changed)
+			assert.Equal(t, len(entry.electorsOf(1)) > 0, c.changed)
 		})
 	}
 }
--- a/internal/process/jaycontroller/electorsmodel_test.go
+++ b/internal/process/jaycontroller/electorsmodel_test.go
@@ -61,8 +61,8 @@
 	forgetsAppends       bool
 	// endsWithLoop lets a leadership grant leases after its end until its loop notices.
 	endsWithLoop bool
-	// marksTerms stores with each claim whether an earlier version may lead.
-	marksTerms bool
+	// marksNoTerms stores no claims, which tell whether an earlier version may lead.
+	marksNoTerms bool
 }
 
 // modelFaults says what a model draws.
@@ -141,7 +141,7 @@
 	// electors are lives or names, nil if there is no record of them.
 	electors []string
 	// marked is the newest term claimed by an entry of versionLives, unknown is set if an earlier
-	// version may have led at that claim; both are used by marksTerms.
+	// version may have led at that claim.
 	marked  uint64
 	unknown bool
 }
@@ -470,7 +470,7 @@
 	l := &modelLeadership{electors: topic.electors, seen: map[string]time.Duration{}}
 	l.term, l.beganAt, l.lastTick, l.standing.termKnownAt = term, now, now, knownAt
 	l.followedAt, l.alive = map[string]time.Duration{}, map[string]answer{}
-	if m.rule.marksTerms && e.version == versionLives && topic.unknown {
+	if !m.rule.marksNoTerms && e.version == versionLives && topic.unknown {
 		l.electors = nil
 	}
 	e.leadership = l
@@ -819,7 +819,7 @@
 		return
 	}
 	l.standing.termKnownAt, l.frozen = max(l.standing.termKnownAt, r.requestedAt), false
-	if e.version != versionLives || !m.rule.marksTerms || !t.unknown {
+	if e.version != versionLives || m.rule.marksNoTerms || !t.unknown {
 		l.electors = t.electors
 	}
 	if e.append == nil && slices.Equal(t.electors, l.nextElectors) {
--- a/internal/process/jaycontroller/electorsrules_test.go
+++ b/internal/process/jaycontroller/electorsrules_test.go
@@ -40,6 +40,7 @@
 		{"one version", allFaults(livesOnly, livesOnly), 550, 2000, 5000},
 		{"both versions", allFaults(bothKinds, bothKinds), 150, 300, 500},
 		{"upgrade", allFaults(namesOnly, livesOnly), 150, 300, 100},
+		{"rolled back", allFaults(livesOnly, namesOnly), 150, 300, 100},
 		{"nothing stored", withoutRecord(allFaults(bothKinds, livesOnly)), 150, 300, 300},
 	} {
 		t.Run(c.name, func(t *testing.T) {
@@ -130,12 +131,11 @@
 			return now-l.beganAt > maxOutage*3/4
 		}}, oneVersion, 100},
 		{modelRule{name: "nothing stored excludes all", haveCeased: func(l *modelLeadership, _ time.Duration) bool { return l.electors == nil }}, withoutRecord(allFaults(bothKinds, livesOnly)), 50},
-		{modelRule{name: "names are excluded", haveCeased: func(l *modelLeadership, _ time.Duration) bool {
+		{modelRule{name: "names are excluded", marksNoTerms: true, haveCeased: func(l *modelLeadership, _ time.Duration) bool {
 			return l.electors != nil && excludesMajority(l.electors, func(e string) bool { return l.followsNoOther(e) || electorAddress(e) == e })
 		}}, both, 10},
-		// The code has the next two as well: docs/design/permissions.md, gaps 1 and 4.
 		{modelRule{name: "an ended leadership grants until its loop notices", endsWithLoop: true}, oneVersion, 10},
-		{modelRule{name: "a term of the version before is not known as such"}, rolledBack, 200},
+		{modelRule{name: "a term of the version before is not known as such", marksNoTerms: true}, rolledBack, 200},
 	} {
 		t.Run(c.rule.name, func(t *testing.T) {
 			t.Parallel()
@@ -145,13 +145,3 @@
 		})
 	}
 }
-
-// Guards against a way out of gap 1 that does not work: with the term of each claim by this version
-// stored, nothing overlaps beside the version before.
-func TestMarkedTermsNeverOverlap(t *testing.T) {
-	for seed := range uint64(200) {
-		m := newElectorsModel(seed, &modelRule{marksTerms: true}, allFaults(livesOnly, namesOnly))
-		m.play()
-		assert.Equal(t, m.overlap, "", "seed %d", seed)
-	}
-}
--- a/internal/process/jaycontroller/failover.go
+++ b/internal/process/jaycontroller/failover.go
@@ -65,18 +65,18 @@
 // announceStandby stores s in the cell's topic unless a higher term has begun: its leader
 // reads s before it claims the term, or finds that the topic has moved on.
 func (l *leadership) announceStandby(ctx context.Context, s jaystore.Standby) error {
-	record := jaystore.Record{Key: standbyKey, Value: encodeStandby(s)}
-	sent, err := l.controller.appendToCell(ctx, l.term, record, func() bool { return l.controller.newestStandby() == s })
+	records := []jaystore.Record{{Key: standbyKey, Value: encodeStandby(s)}}
+	sent, err := l.controller.appendToCell(ctx, l.term, records, func() bool { return l.controller.newestStandby() == s })
 	if sent {
 		l.controller.Logger.Warn().Str("event", "failover").Uint64("term", l.term).Uint64("number", s.Number).Str("topic", s.Topic).Bool("open", s.Open).Err(err).Msg("announced where the records of runs are")
 	}
 	return err
 }
 
-// appendToCell stores a record in the cell's topic unless a higher term has begun, or stored tells
-// that an earlier try without an answer has stored it. It reports whether an append was sent whose
+// appendToCell stores records in the cell's topic unless a higher term has begun, or stored tells
+// that an earlier try without an answer has stored them. It reports whether an append was sent whose
 // outcome is err.
-func (c *Controller) appendToCell(ctx context.Context, term uint64, record jaystore.Record, stored func() bool) (sent bool, err error) {
+func (c *Controller) appendToCell(ctx context.Context, term uint64, records []jaystore.Record, stored func() bool) (sent bool, err error) {
 	for {
 		if err := c.cellTail.Refresh(ctx); err != nil {
 			return false, err
@@ -89,7 +89,7 @@
 		if stored() {
 			return false, nil
 		}
-		_, err := c.storeClient.Append(ctx, jaystore.Append{Topic: c.Topics.Cell, Records: []jaystore.Record{record}, ExpectedEnd: &at})
+		_, err := c.storeClient.Append(ctx, jaystore.Append{Topic: c.Topics.Cell, Records: records, ExpectedEnd: &at})
 		var mismatch *jaystore.EndMismatchError
 		if !errors.As(err, &mismatch) {
 			return true, err
--- a/internal/process/jaycontroller/followers_test.go
+++ b/internal/process/jaycontroller/followers_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/jaystile/jaystile/internal/connection/jayframe"
 	"github.com/jaystile/jaystile/internal/connection/jaylink"
+	"github.com/jaystile/jaystile/internal/process/jaystore"
 )
 
 // answeringEntry is an entry that is linked to a cutLeader. It answers whom it follows while
@@ -46,7 +47,7 @@
 	e := f.follow("b:1", 1)
 	await(t, "the entries are electors", func() bool {
 		f.report(1)
-		return len(f.controller.knownElectors()) == 3
+		return len(f.controller.electorsOf(1)) == 3
 	})
 	f.served.Store(false)
 	f.records.Store(false)
@@ -124,9 +125,10 @@
 	}{
 		{"first term", firstTerm, nil, nil, 0, true},
 		{"no record", 2, nil, three, 0, false},
-		{"no record, after the longest outage", 2, nil, nil, maxOutage + 1, true},
+		{"no record, after the longest outage", 2, nil, nil, maxOutage + 1, false},
+		{"no record, after the wait for it", 2, nil, nil, outageWait + 1, true},
 		{"names of an earlier version", 2, []string{"entry-1", "entry-2"}, three, 0, false},
-		{"nothing stored by the first leader", 2, []string{}, nil, 0, true},
+		{"nothing stored by a leader of this version", 2, []string{}, nil, 0, true},
 		{"half follow", 2, three[:2], three[:1], 0, true},
 		{"fewer than half follow", 2, three, three[:1], 0, false},
 		{"more than half follow", 2, three, three[1:], 0, true},
@@ -164,23 +166,50 @@
 	assert.Assert(t, l.predecessorsHaveCeased(electors, l.beganAt+2))
 }
 
-// The first leader stores that there are no electors yet, so that its successors can tell it from a
-// leader of an earlier version.
-func TestFirstLeaderStoresThatThereAreNoElectors(t *testing.T) {
+// Guards against electors that are out of date: a leader of an earlier version has led since they were
+// stored, and grants leases by another measure.
+func TestClaimTellsWhetherAnotherVersionMayHaveLed(t *testing.T) {
+	for _, x := range []struct {
+		name    string
+		newest  claim
+		missing uint64
+		want    claim
+	}{
+		{"first term", claim{}, 0, claim{term: 1}},
+		{"no claim by this version", claim{}, 4, claim{term: 5, unknownLeaders: true}},
+		{"claim of the term before", claim{term: 4}, 4, claim{term: 5}},
+		{"a term of another version between", claim{term: 3}, 4, claim{term: 5, unknownLeaders: true}},
+		{"its successor has not stored electors", claim{term: 4, unknownLeaders: true}, 4, claim{term: 5, unknownLeaders: true}},
+	} {
+		t.Run(x.name, func(t *testing.T) {
+			assert.Equal(t, x.newest.next(x.missing), x.want)
+			decoded, err := decodeClaim(x.want.encode())
+			assert.NilError(t, err)
+			assert.Equal(t, decoded, x.want)
+			c := New(nil)
+			c.electors = []string{"b:1/1"}
+			c.applyCellRecord(jaystore.StoredRecord{Record: jaystore.Record{Key: claimKey, Value: x.want.encode()}})
+			assert.Equal(t, c.electorsOf(x.want.term) != nil, !x.want.unknownLeaders)
+			assert.Assert(t, c.electorsOf(x.want.term+1) == nil, "the electors of another claim")
+		})
+	}
+}
+
+func TestClaimIsStoredWithItsTerm(t *testing.T) {
 	store, entries := newLinkedEntries(t, 2)
 	page, err := store.newest(context.Background(), "cell", "")
 	assert.NilError(t, err)
 	for i, r := range page.Records {
 		if r.Key == TermKey {
-			assert.Equal(t, page.Records[i+1].Key, electorsKey)
-			electors, err := decodeElectors(page.Records[i+1].Value)
+			assert.Equal(t, page.Records[i+1].Key, claimKey)
+			c, err := decodeClaim(page.Records[i+1].Value)
 			assert.NilError(t, err)
-			assert.DeepEqual(t, electors, []string{})
+			assert.Equal(t, c, claim{term: firstTerm})
 			break
 		}
 	}
 	await(t, "both entries are electors", func() bool {
-		electors := entries[0].knownElectors()
+		electors := entries[0].electorsOf(entries[0].Term().Number())
 		return len(electors) == 2 && electors[0] != electors[1]
 	})
 }
--- a/internal/process/jaycontroller/isolation.go
+++ b/internal/process/jaycontroller/isolation.go
@@ -13,8 +13,10 @@
 	isolationTimeout = time.Second
 	followTimeout    = time.Second
 	// maxOutage is how long a leader may grant leases without knowing that its term is the
-	// newest. A successor that half of the electors do not exclude waits as long.
-	maxOutage = 20 * time.Second
+	// newest. A successor that half of the electors do not exclude waits outageWait: a leader of
+	// the version before looks only once in maxTickGap, at worst.
+	maxOutage  = 20 * time.Second
+	outageWait = maxOutage + maxTickGap
 	// handoverDelay is how long a leader may grant leases after its successor has begun and half
 	// of the electors have ceased to follow it. The margin is for clocks of different speed.
 	handoverDelay = max(isolationTimeout, followTimeout) + clockMargin
@@ -82,15 +84,15 @@
 // tick.
 func (l *leadership) checkStanding() time.Duration {
 	c := l.controller
-	age, complete := c.cellTail.CompleteAge()
+	readAt, complete := c.cellTail.CompleteAt()
 	now := jayclock.Elapsed()
 	l.standingCheckedAt = now
-	electors := c.knownElectors()
+	electors := c.electorsOf(l.term)
 	l.noteAnswers(now)
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	if complete {
-		l.standing.termKnownAt = max(l.standing.termKnownAt, now-age)
+		l.standing.termKnownAt = max(l.standing.termKnownAt, readAt)
 	}
 	l.standing.followedSince, l.standing.followed = l.majorityFollowsSince(electors)
 	l.logIsolation(now, len(electors))
@@ -102,11 +104,10 @@
 	return now
 }
 
-// predecessorsHaveCeased reports whether no earlier leader grants leases, but for handoverDelay.
-// Without a record of electors an earlier version leads, unless this is the first term: the first
-// leader stores one.
+// predecessorsHaveCeased reports whether no earlier leader grants leases, but for handoverDelay. The
+// electors are nil if a leader of another version may grant them.
 func (l *leadership) predecessorsHaveCeased(electors []string, now time.Duration) bool {
-	if now-l.beganAt > maxOutage || l.term == firstTerm {
+	if now-l.beganAt > outageWait || l.term == firstTerm {
 		return true
 	}
 	return electors != nil && excludesMajority(electors, l.followsNoOther)
--- a/internal/process/jaycontroller/leadership.go
+++ b/internal/process/jaycontroller/leadership.go
@@ -108,7 +108,7 @@
 	now := jayclock.Elapsed()
 	l := &leadership{controller: c, term: term, wake: make(chan struct{}, 1), adviceWanted: make(chan struct{}, 1), done: make(chan struct{}), accountEmpty: true, reports: newReportQueue(), lastTick: now, beganAt: now, followedAt: map[string]time.Duration{}, alive: map[string]answer{}}
 	l.cell = jaycell.New(jaycell.Settings{
-		Term: term, Lease: c.Timing.Lease, HandoverDelay: maxOutage + handoverDelay, Retention: c.Timing.Retention, StopTimeout: c.Timing.StopTimeout, GangTimeout: c.Timing.GangTimeout, RemoteSlowdown: c.Timing.RemoteSlowdown,
+		Term: term, Lease: c.Timing.Lease, HandoverDelay: outageWait + handoverDelay, Retention: c.Timing.Retention, StopTimeout: c.Timing.StopTimeout, GangTimeout: c.Timing.GangTimeout, RemoteSlowdown: c.Timing.RemoteSlowdown,
 		Guaranteed: func(workspace string) int {
 			if config := c.config.Load(); config != nil {
 				return config.Guaranteed(workspace)
--- a/internal/process/jaycontroller/permissions_test.go
+++ b/internal/process/jaycontroller/permissions_test.go
@@ -25,7 +25,8 @@
 	}{
 		{"read of the term", isolationTimeout, handoverDelay},
 		{"answers of the electors", followTimeout, handoverDelay},
-		{"outage of the store", maxOutage, maxOutage + handoverDelay},
+		{"outage of the store", maxOutage, outageWait + handoverDelay},
+		{"outage of the store, leader of the version before", maxOutage + maxTickGap, outageWait + handoverDelay},
 	} {
 		assert.Assert(t, onSlowClock(c.granted) < c.wait, "%s: %s on a slow clock, the successor waits %s", c.name, onSlowClock(c.granted), c.wait)
 	}
--- a/internal/process/jaycontroller/term.go
+++ b/internal/process/jaycontroller/term.go
@@ -219,11 +219,7 @@
 		return
 	}
 	next := Term{number: missing.number + 1, leader: c.Name, address: c.Address, incarnation: c.Incarnation}
-	records := []jaystore.Record{{Key: TermKey, Value: next.encode()}}
-	if next.number == firstTerm {
-		// Its successors know by this record that it grants leases by electors only.
-		records = append(records, jaystore.Record{Key: electorsKey, Value: encodeElectors([]string{})})
-	}
+	records := []jaystore.Record{{Key: TermKey, Value: next.encode()}, {Key: claimKey, Value: c.newestClaim().next(missing.number).encode()}}
 	_, err := c.storeClient.Append(ctx, jaystore.Append{Topic: c.Topics.Cell, Records: records, ExpectedEnd: &at})
 	var mismatch *jaystore.EndMismatchError
 	switch {
@@ -285,6 +281,8 @@
 		c.applyStandby(s.Value)
 	case s.Key == electorsKey && s.Value != nil:
 		c.applyElectors(s.Value)
+	case s.Key == claimKey && s.Value != nil:
+		c.applyClaim(s.Value)
 	default:
 		name, address, cores, ok := DecodeEntry(s)
 		if !ok {
