Exclude a leader's former life from its predecessors' majority

Cause: the addresses at which lives have answered lacked the leader's own, so that an entry that had led, restarted and led again waited for its former life. Test: TestAnswerOfAnotherLifeExcludesAnElector failed on that row before. Conclusion: one elector more is excluded at once after a leader's restart.

--- a/internal/process/jaycontroller/followers.go
+++ b/internal/process/jaycontroller/followers.go
@@ -86,7 +86,7 @@
 // by checkStanding only.
 func (l *leadership) noteAnswers(now time.Duration) {
 	c := l.controller
-	l.followedAt[c.elector()] = now
+	l.followedAt[c.elector()], l.alive[c.Address] = now, answer{elector: c.elector(), askedAt: now}
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	for _, f := range c.peers {
--- a/internal/process/jaycontroller/followers_test.go
+++ b/internal/process/jaycontroller/followers_test.go
@@ -164,6 +164,7 @@
 	c.peers[&jaylink.Link{}] = &follower{elector: electorID("e:1", 1), term: 2, askedAt: l.beganAt + 1}
 	l.noteAnswers(l.beganAt + 2)
 	assert.Assert(t, l.predecessorsHaveCeased(electors, l.beganAt+2))
+	assert.Assert(t, l.followsNoOther(electorID("a:1", 2)), "a former life of the leader")
 }
 
 // Guards against electors that are out of date: a leader of an earlier version has led since they were
