Move records back from a standby topic without waiting for another write

What callers would see: after some partitions of the store were away, an entry that missed the leader's broadcast shows a completed job as `running`, for as long as the leader has nothing to store: at the end of the traffic for good. A later leader that read the standby topic did not move the records either. Cause: FailoverWriter looked for the main topic's answer when it was asked to write, and a leader without decisions writes nothing. Entries follow the main topic only. Change: a goroutine waits for the main topic's answer, then moves the records and announces the closing. Writes wait meanwhile, as before.

--- a/internal/process/jaycontroller/failover.go
+++ b/internal/process/jaycontroller/failover.go
@@ -134,7 +134,7 @@
 		return nil, "", err
 	}
 	moved, all := open.Overlay(main, moving)
-	runs.Restore(open, standby, moved)
+	runs.Restore(ctx, open, standby, moved)
 	c.Logger.Warn().Str("event", "failover").Uint64("term", l.term).Uint64("number", open.Number).Str("topic", open.Topic).Int("records", len(moved)).Msg("read the standby topic of an earlier term")
 	return all, open.Topic, nil
 }
--- a/internal/process/jaystore/failover.go
+++ b/internal/process/jaystore/failover.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/jaystile/jaystile/internal/process/jayclock"
@@ -47,42 +48,68 @@
 	// while the store is slow as a whole.
 	Delay func() time.Duration
 
+	// turn has an element while records are written or moved. It guards the fields below, and is
+	// made once. It is no mutex, since tests in simulated time wait for it.
+	turn     chan struct{}
+	makeTurn sync.Once
 	// announced is the newest announcement.
 	announced Standby
 	// standby is the writer of the open standby topic, nil while there is none.
 	standby *TermWriter
 	// moved holds the records of the standby topic by key.
 	moved map[string][]byte
-	// mainDone receives the result of the main topic's unanswered append.
-	mainDone chan error
+	// mainErr is why the records could not be moved to the main topic.
+	mainErr error
 }
 
 // Restore continues a failover of an earlier term, whose standby topic has been read. The
-// records are those that Overlay has returned.
-func (w *FailoverWriter) Restore(open Standby, writer *TermWriter, moved map[string][]byte) {
+// records are those that Overlay has returned. They are moved until ctx ends.
+func (w *FailoverWriter) Restore(ctx context.Context, open Standby, writer *TermWriter, moved map[string][]byte) {
+	w.acquire()
+	defer w.release()
 	w.announced, w.standby, w.moved = open, writer, moved
-	w.mainDone = make(chan error, 1)
-	w.mainDone <- nil
+	answered := make(chan error, 1)
+	answered <- nil
+	go w.moveOnceAnswered(ctx, answered)
 }
 
 // Announced sets the newest announcement of earlier terms.
-func (w *FailoverWriter) Announced(newest Standby) { w.announced = newest }
+func (w *FailoverWriter) Announced(newest Standby) {
+	w.acquire()
+	defer w.release()
+	w.announced = newest
+}
+
+func (w *FailoverWriter) acquire() {
+	w.makeTurn.Do(func() { w.turn = make(chan struct{}, 1) })
+	w.turn <- struct{}{}
+}
+
+func (w *FailoverWriter) release() { <-w.turn }
+
+// moveOnceAnswered moves the records of the standby topic to the main topic once the unanswered
+// append of that has a result. It does not wait for a Write: readers that follow the main topic
+// only would miss the records until there is something else to store.
+func (w *FailoverWriter) moveOnceAnswered(ctx context.Context, answered <-chan error) {
+	err := <-answered
+	w.acquire()
+	defer w.release()
+	if err == nil {
+		err = w.returnToMain(ctx)
+	}
+	w.mainErr = err
+}
 
 // Write stores the records. It retries until they are stored, ctx ends, or a higher term has
 // written, which it reports as a FencedError.
 func (w *FailoverWriter) Write(ctx context.Context, records []Record) error {
+	w.acquire()
+	defer w.release()
+	if w.mainErr != nil {
+		return w.mainErr
+	}
 	if w.standby != nil {
-		select {
-		case err := <-w.mainDone:
-			if err != nil {
-				return err
-			}
-			if err := w.returnToMain(ctx); err != nil {
-				return err
-			}
-		default:
-			return w.writeStandby(ctx, records)
-		}
+		return w.writeStandby(ctx, records)
 	}
 	if w.announced.Open {
 		// An attempt to open the standby topic has failed, or the main topic answered first.
@@ -107,7 +134,7 @@
 		}
 		for range w.Standbys {
 			if w.open(ctx, records) {
-				w.mainDone = done
+				go w.moveOnceAnswered(ctx, done)
 				return nil
 			}
 		}
--- a/internal/process/jaystore/failover_test.go
+++ b/internal/process/jaystore/failover_test.go
@@ -96,7 +96,7 @@
 		standby := w.NewWriter(s.standby)
 		assert.NilError(t, standby.FenceLowerTerms(t.Context()))
 		moved, all := s.standby.Overlay(main, s.newest(s.standby.Topic))
-		w.Restore(s.standby, standby, moved)
+		w.Restore(t.Context(), s.standby, standby, moved)
 		main = all
 	}
 	found := map[string]string{}
@@ -154,6 +154,37 @@
 	})
 }
 
+// Guards against records that stay in a standby topic for as long as there is nothing to store:
+// entries that follow the main topic only would show a completed job as running.
+func TestRecordsReturnToTheMainTopicWithoutAnotherWrite(t *testing.T) {
+	for _, successor := range []bool{false, true} {
+		t.Run(fmt.Sprintf("successor %t", successor), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := newTopics()
+				_, w := s.load(t, 1)
+				s.setSilent("main", true)
+				ctx, cancel := context.WithCancel(t.Context())
+				assert.NilError(t, w.Write(ctx, []Record{{Key: "a", Value: []byte("1")}}))
+				assert.NilError(t, w.Write(ctx, []Record{{Key: "a", Value: []byte("2")}}))
+				if successor {
+					cancel()
+				}
+				s.setSilent("main", false)
+				if successor {
+					found, _ := s.load(t, 2)
+					assert.DeepEqual(t, found, map[string]string{"a": "2"})
+				}
+				time.Sleep(5 * time.Second)
+				assert.Equal(t, s.standby.Open, false)
+				assert.DeepEqual(t, s.newest("main"), []Record{{Key: "a", Value: []byte("2")}})
+				assert.Equal(t, len(s.newest(s.standby.Topic)), 0)
+				cancel()
+				s.settle()
+			})
+		})
+	}
+}
+
 // A store that answers no topic is waited for: there is nothing to move to.
 func TestRecordsWaitForAStoreThatIsAway(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
