Never take a part of a topic for all of it

What callers would see: nothing known. By reading: a page of the newest records of which none can be read ended the load, although the store said that there are more. A leader that loads states like that runs completed jobs again. Records that cannot be read have been seen in topics that others write to, not in the topics of jobs and runs. Cause: the next page was asked for after the last readable record's key. Change: a page names its last item's key also if the item's value cannot be read. A load fails, and is tried again, if the store has more and there is no further key; before, one that named the same key again was read for ever. Refresh no longer returns on a read that was answered with 410, also if another reader has loaded the topic meanwhile; that order of events was found by reading and has no test, since it lies between two statements.

--- a/internal/process/jaystore/store.go
+++ b/internal/process/jaystore/store.go
@@ -59,6 +59,9 @@
 	Records []StoredRecord
 	More    bool
 	End     uint64
+	// LastKey is the key after which the next page begins if it is not that of the last of
+	// Records, since the records behind that cannot be read.
+	LastKey string
 	// Unreadable counts records that were left out since they cannot be read.
 	Unreadable int
 }
@@ -75,6 +78,18 @@
 	return fmt.Sprintf("skipped %d unreadable records of topic %s", e.Count, e.Topic)
 }
 
+// IncompleteError reports that the newest records of a topic cannot be read beyond a key: the store
+// has more, and names no further key.
+type IncompleteError struct {
+	Topic string
+	After string
+}
+
+// Error implements error.
+func (e *IncompleteError) Error() string {
+	return fmt.Sprintf("cannot read the records of topic %s after key %q", e.Topic, e.After)
+}
+
 // Client calls the store without retries. Its functions are set before use and
 // return the errors of this package.
 type Client struct {
--- a/internal/process/jaystore/tail.go
+++ b/internal/process/jaystore/tail.go
@@ -86,10 +86,11 @@
 		t.mutex.Lock()
 		loaded := t.loaded
 		t.mutex.Unlock()
-		if _, err := t.readNext(ctx, 0); err != nil {
+		n, err := t.readNext(ctx, 0)
+		if err != nil {
 			return err
 		}
-		if loaded && t.caughtUp() {
+		if loaded && n != expiredRead && t.caughtUp() {
 			return nil
 		}
 	}
@@ -102,8 +103,12 @@
 	return t.loaded && t.next >= t.end
 }
 
+// expiredRead is what readNext returns if the records had been deleted. The next read loads the
+// newest ones.
+const expiredRead = -1
+
 // readNext loads the newest records the first time and reads on from there
-// afterwards. It returns the number of records.
+// afterwards. It returns the number of records, or expiredRead.
 func (t *Tail) readNext(ctx context.Context, wait time.Duration) (int, error) {
 	t.mutex.Lock()
 	loaded, from := t.loaded, t.next
@@ -120,8 +125,7 @@
 		t.mutex.Lock()
 		t.loaded = false
 		t.mutex.Unlock()
-		// Not zero, so that Refresh goes on and loads the newest records.
-		return 1, nil
+		return expiredRead, nil
 	}
 	if err != nil {
 		return 0, err
@@ -171,10 +175,18 @@
 		}
 		all = append(all, page.Records...)
 		t.reportUnreadable(page.Unreadable)
-		if !page.More || len(page.Records) == 0 {
+		if !page.More {
 			break
 		}
-		after = page.Records[len(page.Records)-1].Key
+		next := page.LastKey
+		if next == "" && len(page.Records) > 0 {
+			next = page.Records[len(page.Records)-1].Key
+		}
+		if next == after || next == "" {
+			// A part of the records must not be taken for all of them.
+			return 0, &IncompleteError{Topic: t.Topic, After: after}
+		}
+		after = next
 	}
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
