Keep the state of a job whose ID was used before

What callers would see: a job handed in under the ID of an expired one, just as that is deleted, runs again under the next leader after it was shown as `completed`. Cause: a leader deletes an expired job's records, then its state with a later append. If the job's deletion got no answer at once, the ID could have been accepted again, and a state of the new job stored, before that append. The same for states that a new leader finds without their job. Test: TestDeletionOfAnEarlierJobsStateKeepsTheNewOne; three of its six rows failed before. Left open: a late try of the job's deletion removes the new job's record; a leader that begins between the deletions takes the old state for the new job's.

--- a/internal/process/jaycontroller/jobtable.go
+++ b/internal/process/jaycontroller/jobtable.go
@@ -287,6 +287,15 @@
 	return ids[:min(len(ids), limit)]
 }
 
+// hasStateSince reports whether a job is known whose state was reached at or after a time, or may
+// still change.
+func (t *jobTable) hasStateSince(id string, since time.Time) bool {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	row := t.jobs[id]
+	return row != nil && row.spec != nil && row.state != 0 && (!row.state.Ended() || !row.stateAt.Before(since))
+}
+
 // unfinished returns the jobs without a final state, including canceled jobs whose
 // end is not recorded yet.
 func (t *jobTable) unfinished() []jobRow {
--- a/internal/process/jaycontroller/leaderrecords.go
+++ b/internal/process/jaycontroller/leaderrecords.go
@@ -136,13 +136,27 @@
 	}
 }
 
-// storeBatch writes a batch, in one append where it fits, then sends the orders that
-// depend on it.
+// storeBatch stores a batch, then sends the orders that depend on it.
 func (l *leadership) storeBatch(ctx context.Context, runs *jaystore.FailoverWriter, b *jaycell.Batch) {
+	if orders, ok := l.storeAndPublish(ctx, runs, b); ok {
+		l.sendOrders(orders)
+		Signal(l.wake)
+	}
+}
+
+// storeAndPublish writes a batch, in one append where it fits, then publishes its states. It returns
+// the orders that may be sent, and false if the leadership has ended.
+func (l *leadership) storeAndPublish(ctx context.Context, runs *jaystore.FailoverWriter, b *jaycell.Batch) ([]jaycell.Order, bool) {
 	l.mutex.Lock()
 	stateDeletions := l.stateDeletions
 	l.stateDeletions = nil
 	l.mutex.Unlock()
+	// The ID may have been used again since its job was deleted. That job's state must stay.
+	expired := time.Now().Add(-l.controller.Timing.Retention)
+	stateDeletions = slices.DeleteFunc(stateDeletions, func(d jaycell.Record) bool {
+		isStored := slices.ContainsFunc(b.JobStates, func(s jaycell.Record) bool { return s.Key == d.Key })
+		return isStored || l.controller.jobs.hasStateSince(strings.TrimPrefix(d.Key, jaycell.StateKey("")), expired)
+	})
 	var records []jaystore.Record
 	for _, r := range slices.Concat(b.Units, b.JobStates, b.Deletions, stateDeletions) {
 		records = append(records, jaystore.Record{Key: r.Key, Value: r.Value})
@@ -151,18 +165,18 @@
 	var fenced *jaystore.FencedError
 	if errors.As(err, &fenced) {
 		l.end("the store has accepted a higher term")
-		return
+		return nil, false
 	}
 	if err != nil {
 		// Write gives up only when ctx is done: the leadership has ended.
-		return
+		return nil, false
 	}
 	orders, mayOrder := l.confirmStored(b)
 	l.publishStates(b.JobStates)
-	if mayOrder {
-		l.sendOrders(orders)
+	if !mayOrder {
+		orders = nil
 	}
-	Signal(l.wake)
+	return orders, true
 }
 
 // confirmStored returns the orders that depend on a batch, and whether they may be sent.
--- a/internal/process/jaycontroller/leaderrecords_test.go
+++ b/internal/process/jaycontroller/leaderrecords_test.go
@@ -132,6 +132,53 @@
 	assert.Equal(t, row.callerState(), jaytask.Queued)
 }
 
+// Guards against a job that runs again after it was shown as completed: the state of an earlier job
+// under its ID was to be deleted, and the deletion took the new one.
+func TestDeletionOfAnEarlierJobsStateKeepsTheNewOne(t *testing.T) {
+	long := time.Now().Add(-2 * time.Minute)
+	state := func(s jaytask.State, at time.Time) jaycell.Record {
+		return jaycell.Record{Key: jaycell.StateKey(id), Value: jaycell.EncodeState(s, at)}
+	}
+	for _, c := range []struct {
+		name string
+		// job and state are in the table; batch is stored together with the deletion.
+		job     bool
+		state   *jaycell.Record
+		batch   []jaycell.Record
+		deleted bool
+	}{
+		{"job unknown", false, nil, nil, true},
+		{"deletion of the job not read yet", true, new(state(jaytask.Completed, long)), nil, true},
+		{"ID used again, queued", true, nil, nil, true},
+		{"ID used again, running", true, new(state(jaytask.Running, time.Now())), nil, false},
+		{"ID used again, completed", true, new(state(jaytask.Completed, time.Now())), nil, false},
+		{"ID used again, its first state is being stored", true, nil, []jaycell.Record{state(jaytask.Running, time.Now())}, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			entry, l := newLeader(true)
+			var stored []jaystore.Record
+			entry.storeClient.Append = func(_ context.Context, a jaystore.Append) (uint64, error) {
+				stored = append(stored, a.Records...)
+				return 0, nil
+			}
+			if c.job {
+				job := jobRecordAt(t, id, time.Now())
+				entry.jobs.apply(job.Key, job.Value)
+			}
+			if c.state != nil {
+				entry.jobs.apply(c.state.Key, c.state.Value)
+			}
+			l.stateDeletions = []jaycell.Record{{Key: jaycell.StateKey(id)}}
+			l.storeBatch(t.Context(), l.newRunsWriter(), &jaycell.Batch{JobStates: c.batch})
+			deleted := false
+			for _, r := range stored {
+				deleted = deleted || r.Value == nil
+			}
+			assert.Equal(t, deleted, c.deleted)
+		})
+	}
+}
+
 // The tails of jobs and states run side by side, so a state may come after its job's deletion.
 func TestDeletionOfAStateWithoutJobLeavesNothing(t *testing.T) {
 	table := newJobTable(zerolog.Nop())
