Read a test's announcements under their lock

The race detector found reads of the newest announcement beside the goroutine that moves records back, and of a held append beside its caller, in tests only.

--- a/internal/process/jaystore/failover_test.go
+++ b/internal/process/jaystore/failover_test.go
@@ -87,16 +87,23 @@
 	return w
 }
 
+// newestStandby returns the newest announcement.
+func (s *topics) newestStandby() Standby {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.standby
+}
+
 // load returns the records as the next leader reads them, and its writer.
 func (s *topics) load(t *testing.T, term uint64) (map[string]string, *FailoverWriter) {
 	w := s.writer(term)
 	assert.NilError(t, w.Main.FenceLowerTerms(t.Context()))
 	main := s.newest("main")
-	if s.standby.Open {
-		standby := w.NewWriter(s.standby)
+	if open := s.newestStandby(); open.Open {
+		standby := w.NewWriter(open)
 		assert.NilError(t, standby.FenceLowerTerms(t.Context()))
-		moved, all := s.standby.Overlay(main, s.newest(s.standby.Topic))
-		w.Restore(t.Context(), s.standby, standby, moved)
+		moved, all := open.Overlay(main, s.newest(open.Topic))
+		w.Restore(t.Context(), open, standby, moved)
 		main = all
 	}
 	found := map[string]string{}
@@ -145,9 +152,9 @@
 		s.setSilent("main", false)
 		time.Sleep(3 * time.Second)
 		assert.NilError(t, w.Write(t.Context(), []Record{{Key: "c", Value: []byte("1")}}))
-		assert.Equal(t, s.standby.Open, false)
+		assert.Equal(t, s.newestStandby().Open, false)
 		time.Sleep(time.Second)
-		assert.Equal(t, len(s.newest(s.standby.Topic)), 0)
+		assert.Equal(t, len(s.newest(s.newestStandby().Topic)), 0)
 		found, _ := s.load(t, 2)
 		assert.DeepEqual(t, found, map[string]string{"a": "2", "c": "1"})
 		s.settle()
@@ -175,9 +182,9 @@
 					assert.DeepEqual(t, found, map[string]string{"a": "2"})
 				}
 				time.Sleep(5 * time.Second)
-				assert.Equal(t, s.standby.Open, false)
+				assert.Equal(t, s.newestStandby().Open, false)
 				assert.DeepEqual(t, s.newest("main"), []Record{{Key: "a", Value: []byte("2")}})
-				assert.Equal(t, len(s.newest(s.standby.Topic)), 0)
+				assert.Equal(t, len(s.newest(s.newestStandby().Topic)), 0)
 				cancel()
 				s.settle()
 			})
@@ -197,7 +204,7 @@
 			s.setSilent("main", false)
 		}()
 		assert.NilError(t, w.Write(t.Context(), []Record{{Key: "a", Value: []byte("1")}}))
-		assert.Equal(t, s.standby, Standby{})
+		assert.Equal(t, s.newestStandby(), Standby{})
 		s.settle()
 	})
 }
@@ -223,7 +230,7 @@
 			s.setSilent("main", false)
 		}()
 		assert.NilError(t, w.Write(t.Context(), []Record{{Key: "a", Value: []byte("1")}}))
-		assert.Equal(t, s.standby, Standby{})
+		assert.Equal(t, s.newestStandby(), Standby{})
 		s.settle()
 	})
 }
--- a/internal/process/jaystore/termwriter_test.go
+++ b/internal/process/jaystore/termwriter_test.go
@@ -41,10 +41,10 @@
 			synctest.Test(t, func(t *testing.T) {
 				f := &fakeLog{fence: reading}
 				var held atomic.Bool
-				late := func() {}
+				late := make(chan Append, 1)
 				client := &Client{Append: func(ctx context.Context, a Append) (uint64, error) {
 					if len(a.Records) > 0 && held.CompareAndSwap(false, true) {
-						late = func() { _, _ = f.append(context.Background(), a) }
+						late <- a
 						<-ctx.Done()
 						return 0, &NoAnswerError{Operation: "append", Cause: "late"}
 					}
@@ -53,7 +53,7 @@
 				w := NewTermWriter(client, "topic", "p", 1)
 				assert.NilError(t, w.FenceLowerTerms(t.Context()))
 				assert.NilError(t, w.Write(t.Context(), []Record{{Key: "a", Value: []byte("1")}}))
-				late()
+				_, _ = f.append(t.Context(), <-late)
 				assert.NilError(t, w.Write(t.Context(), []Record{{Key: "b", Value: []byte("1")}}))
 				assert.DeepEqual(t, f.records, []Record{{Key: "a", Value: []byte("1")}, {Key: "b", Value: []byte("1")}})
 				time.Sleep(time.Minute)
