Keep the electors that a higher term's leader has stored

What callers saw: nothing; shown by the review of the change. Cause: the answer to an append of electors may be handled after this entry has read that a higher term's leader has stored others. It brought the former ones back, which counted once a later term was claimed without a change of electors: the handover could end by electors that are not in force. Change: the answer counts only while the term is the newest that this entry knows. A record of electors that cannot be decoded stands for one that never answers; before, the claim beside it counted without any, and a handover ended at once. The wait of a handover begins after the answers that it counts on were read.

--- a/internal/process/jaycontroller/electors.go
+++ b/internal/process/jaycontroller/electors.go
@@ -33,6 +33,8 @@
 	// electorTimeout is how long an elector may not follow the leader before it is removed:
 	// longer than a restart takes.
 	electorTimeout = 10 * time.Second
+	// unreadableElector stands for electors that cannot be decoded. It never answers.
+	unreadableElector = "unreadable"
 	// lifeSeparator separates an entry's address from its incarnation.
 	lifeSeparator = "/"
 )
@@ -144,8 +146,8 @@
 func (c *Controller) applyElectors(value []byte) {
 	electors, err := decodeElectors(value)
 	if err != nil {
-		c.Logger.Error().Str("event", "record").Err(err).Msg("skipping an invalid electors record")
-		return
+		c.Logger.Error().Str("event", "record").Err(err).Msg("invalid electors record: waiting as for electors that are not known")
+		electors = []string{unreadableElector}
 	}
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
@@ -256,7 +258,10 @@
 	if sent && err == nil {
 		c.mutex.Lock()
 		defer c.mutex.Unlock()
-		c.electors, c.claim = electors, claim{term: term}
+		// The answer may be late: a higher term's leader has stored others since.
+		if c.term.number == term {
+			c.electors, c.claim = electors, claim{term: term}
+		}
 	}
 	return err
 }
--- a/internal/process/jaycontroller/followers_test.go
+++ b/internal/process/jaycontroller/followers_test.go
@@ -196,6 +196,16 @@
 	}
 }
 
+// Guards against a handover that ends at once since nothing is known of the electors.
+func TestUnreadableElectorsAreNotExcluded(t *testing.T) {
+	c := New(nil)
+	c.applyCellRecord(jaystore.StoredRecord{Record: jaystore.Record{Key: electorsKey, Value: []byte{0xff}}})
+	c.applyCellRecord(jaystore.StoredRecord{Record: jaystore.Record{Key: claimKey, Value: claim{term: 2}.encode()}})
+	l := newLeadership(c, 2)
+	l.noteAnswers(l.beganAt + 1)
+	assert.Assert(t, !l.predecessorsHaveCeased(c.electorsOf(2), l.beganAt+2))
+}
+
 func TestClaimIsStoredWithItsTerm(t *testing.T) {
 	store, entries := newLinkedEntries(t, 2)
 	page, err := store.newest(context.Background(), "cell", "")
--- a/internal/process/jaycontroller/isolation.go
+++ b/internal/process/jaycontroller/isolation.go
@@ -85,10 +85,11 @@
 func (l *leadership) checkStanding() time.Duration {
 	c := l.controller
 	readAt, complete := c.cellTail.CompleteAt()
+	electors := c.electorsOf(l.term)
+	l.noteAnswers(jayclock.Elapsed())
+	// A successor's wait begins after the answers that it counts on.
 	now := jayclock.Elapsed()
 	l.standingCheckedAt = now
-	electors := c.electorsOf(l.term)
-	l.noteAnswers(now)
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	if complete {
