Let no late append of a term's first records take the place of the next ones

Cause: two further cases of numbers that two appends share. If the fence sets the number that the next append must have, the first append's late first try has the number of the second one. After 2^20 appends a term's numbers ran into those of the next. Change: the first records are appended again up to the number that a try of them has used, so that whichever is executed has the same content. Terms are 2^32 numbers apart, and a writer whose numbers end stops as if fenced. Conclusion: holds for the four readings of the store's page that were found.

--- a/internal/process/jaystore/termwriter.go
+++ b/internal/process/jaystore/termwriter.go
@@ -15,14 +15,20 @@
 	producer string
 	term     uint64
 	sequence uint64
-	// settled is set once the store has acknowledged records of this term.
+	// settled is set once the store has acknowledged records of this term. repeats is how often the
+	// first records are still to be appended again.
 	settled bool
+	repeats uint64
 }
 
 // termSequenceBits is how many bits of a sequence number count the appends of a term. The bits
 // above are the term's, so that no append is taken for a repeat of one of an earlier term, whose
 // numbers the store may still know.
-const termSequenceBits = 20
+const termSequenceBits = 32
+
+// maxRepeats bounds how often the first records of a term are appended again: a try that is further
+// ahead than the numbers that the store expects is never executed.
+const maxRepeats = 8
 
 // NewTermWriter returns a writer for a term that this process has acquired.
 func NewTermWriter(client *Client, topic, producer string, term uint64) *TermWriter {
@@ -51,6 +57,10 @@
 
 func (w *TermWriter) append(ctx context.Context, records []Record) error {
 	for tries := 0; ; tries++ {
+		if w.sequence >= (w.term+1)<<termSequenceBits {
+			// The next number belongs to the next term.
+			return &FencedError{Term: w.term}
+		}
 		fence := Fence{Producer: w.producer, Term: w.term, Sequence: w.sequence}
 		_, err := w.latency.hedgedAppend(ctx, func(ctx context.Context, try int) (uint64, error) {
 			return w.client.Append(ctx, Append{Topic: w.topic, Records: records, Fence: &fence, Try: try})
@@ -61,12 +71,20 @@
 		case err == nil:
 			w.settled = w.settled || len(records) > 0
 			w.sequence++
-			return nil
+			if w.repeats == 0 {
+				return nil
+			}
+			w.repeats--
+			continue
 		case errors.As(err, &fenced):
 			return err
 		case errors.As(err, &outOfOrder) && !w.settled:
 			// The fence and the first append after it adopt the sequence number that the
-			// store expects. A late try under the former number stays out of order.
+			// store expects. A try under the former number may be executed late, so that the same
+			// records are appended up to that number.
+			if ahead := w.sequence - outOfOrder.Expected; len(records) > 0 && ahead <= maxRepeats {
+				w.repeats = ahead
+			}
 			w.sequence = outOfOrder.Expected
 		case errors.As(err, &outOfOrder):
 			// The sequence has moved without this writer, which must stop as if fenced.
