Let the last crash under a task tell whether a neighbor caused it

Cause: with each crash read alike, a sound task beside one that works, saves its progress and crashes its runners was given up with its third crash at the start, and a task that crashed runner after runner while it was tried apart only with its fifth.

Change: three crashes at the start or four in all fail a job if nothing but its own unit was on the last runner; with neighbors there one more is needed, as before for those in all. Before: three or five, whatever was beside the task.

Figures: TestLastCrashBesideOthersGivesNoTaskUp fails before.

Conclusion: the crash that fails a job is one that no neighbor can have caused, or the last that the rule leaves room for.

--- a/internal/process/jaycell/crash.go
+++ b/internal/process/jaycell/crash.go
@@ -15,7 +15,10 @@
 	maxCrashesAtStart = 3
 	// maxCrashes is how many runners may crash under a task at all, however far it has come
 	// or has saved; then its job fails.
-	maxCrashes = 5
+	maxCrashes = 4
+	// maxCrashesBesideOthers is how many more may if other tasks were on the last of them: a
+	// neighbor may have crashed it.
+	maxCrashesBesideOthers = 1
 	// maxCrashesBeside is after how many crashes a task is tried apart whatever its progress:
 	// what crashes runners late is found out, and what ran beside it is spared.
 	maxCrashesBeside = 3
@@ -72,7 +75,7 @@
 			c.reportDecision(Decision{Runner: x.Runner, Event: "crash", Outcome: "runner", Reason: fmt.Sprintf("%d runs were on it", len(x.Runs))})
 		}
 		for _, run := range x.Runs {
-			c.countCrash(x.Runner, p.Node, run)
+			c.countCrash(x, p.Node, run)
 		}
 		c.orders = append(c.orders, Order{Kind: OrderAcknowledgeCrash, Node: p.Node, Runner: x.Runner})
 	}
@@ -80,7 +83,7 @@
 
 // countCrash counts a crash under a task. The runs of a runner crash together, so that a
 // crash makes a suspect of each that has not progressed; the others are seen as victims.
-func (c *Cell) countCrash(runner, node string, run CrashedRun) {
+func (c *Cell) countCrash(x Crash, node string, run CrashedRun) {
 	id, occurrence, step, index, ok := parseTaskName(run.Task)
 	j := c.jobs[id]
 	if !ok || j == nil || j.state.Ended() {
@@ -96,19 +99,27 @@
 	if run.progressed() && run.Percent > u.crashPercent(index) {
 		u.clearCrashes(index, run.Run)
 	}
-	u.crashes = append(u.crashes, taskCrash{Index: index, Run: run.Run, Runner: runner, Node: node, Percent: run.Percent, Progressed: run.progressed()})
+	u.crashes = append(u.crashes, taskCrash{Index: index, Run: run.Run, Runner: x.Runner, Node: node, Percent: run.Percent, Progressed: run.progressed()})
 	c.dirtyUnits[u] = true
 	atStart, all := u.countCrashes(index)
 	outcome := "victim"
 	if !run.progressed() {
 		outcome = "suspect"
 	}
-	c.reportDecision(Decision{Job: id, Task: run.Task, Run: run.Run, Runner: runner, Event: "crash", Outcome: outcome, Reason: fmt.Sprintf("at %d%%; crashes under the task: %d at its start, %d in all", run.Percent, atStart, all), AgeMS: c.jobAgeMS(j)})
-	if u.isDeadly() {
+	c.reportDecision(Decision{Job: id, Task: run.Task, Run: run.Run, Runner: x.Runner, Event: "crash", Outcome: outcome, Reason: fmt.Sprintf("at %d%%; crashes under the task: %d at its start, %d in all", run.Percent, atStart, all), AgeMS: c.jobAgeMS(j)})
+	if u.isDeadly() || x.isApart(u) && u.hasCrashed(index, 0) {
 		c.giveUp(u, run.Task, index)
 	}
 }
 
+// isApart reports whether nothing but a unit was on the runner.
+func (x Crash) isApart(u *unit) bool {
+	return !slices.ContainsFunc(x.Runs, func(r CrashedRun) bool {
+		id, occurrence, step, index, ok := parseTaskName(r.Task)
+		return !ok || id != u.job.spec.ID || u.job.unitFor(occurrence, step, index) != u
+	})
+}
+
 // giveUp fails the job of a unit that crashes its runners.
 func (c *Cell) giveUp(u *unit, task string, index int) {
 	var runners []string
@@ -199,14 +210,18 @@
 	return atStart, all
 }
 
-// isDeadly reports whether a task of the unit has crashed too many runners.
+// hasCrashed reports whether as many runners as fail a job, and more, have crashed under a task.
+func (u *unit) hasCrashed(index, more int) bool {
+	atStart, all := u.countCrashes(index)
+	return atStart >= maxCrashesAtStart && all >= maxCrashesAtStart+more || all >= maxCrashes+more
+}
+
+// isDeadly reports whether too many runners have crashed under a task of the unit, whatever
+// was beside it.
 func (u *unit) isDeadly() bool {
-	for _, x := range u.crashes {
-		if atStart, all := u.countCrashes(x.Index); atStart >= maxCrashesAtStart || all >= maxCrashes {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(u.crashes, func(x taskCrash) bool {
+		return u.hasCrashed(x.Index, maxCrashesBesideOthers)
+	})
 }
 
 // isSuspect reports whether the unit may crash the runners that start it, at once or later.
--- a/internal/process/jaycell/crash_test.go
+++ b/internal/process/jaycell/crash_test.go
@@ -169,6 +169,41 @@
 	assert.Assert(t, c.starts["00000000000000aa.0.0.0"] <= maxCrashesBeside+1, "%d starts", c.starts["00000000000000aa.0.0.0"])
 }
 
+// Guards against a sound job that fails for a neighbor's fault: with the third crash at its start,
+// or the fourth in all, its task was given up although the neighbor may have crashed the runner.
+func TestLastCrashBesideOthersGivesNoTaskUp(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		percent int
+		worked  time.Duration
+		crashes int
+	}{
+		{name: "at the start", crashes: maxCrashesAtStart},
+		{name: "in all", percent: 7, worked: time.Second, crashes: maxCrashes},
+	} {
+		for _, beside := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, beside others %t", c.name, beside), func(t *testing.T) {
+				h := newHarness(t, nil)
+				h.submit("00000000000000dd", 1, "", wide(1))
+				crash := func(run int, beside bool) bool {
+					runs := []CrashedRun{{Task: deadlyTask, Run: run, Percent: c.percent, WorkedFor: c.worked}}
+					if beside {
+						runs = append(runs, CrashedRun{Task: "00000000000000aa.0.0.0", Run: 1, Percent: 9, WorkedFor: time.Second})
+					}
+					h.report("n", "r", func(p *Report) { p.Crashes = []Crash{{Runner: fmt.Sprint("q", run), Runs: runs}} })
+					h.advance(time.Millisecond)
+					return h.jobStates["00000000000000dd"] == jaytask.Failed
+				}
+				for run := 1; run < c.crashes; run++ {
+					assert.Assert(t, !crash(run, false), "after %d crashes", run)
+				}
+				assert.Equal(t, crash(c.crashes, beside), !beside)
+				assert.Assert(t, crash(c.crashes+1, true))
+			})
+		}
+	}
+}
+
 // Hundreds of runners that vanish with their agents say nothing about what ran there.
 func TestLostRunnersBlameNoTask(t *testing.T) {
 	c := newCrashing(t, 200)
