Count a runner's end that nobody has seen beside crashes that were seen

Cause: a crash whose agent is killed, stands still or gets no answers is known to the leader only as "a new runner took its place", which counted nowhere, so that the task under it was started once more for each (BUDGET). So did one whose agent told of it, but whose lease had lapsed first, when the agent was away. Counting each replaced runner had failed sound jobs.

Change: the leader notes the end of a runner that had not announced it, or whose lease had lapsed and that did not come back, under the tasks that were there. It counts beside two crashes that agents have seen, towards a failure beside three, and makes no suspect at a start. A crash that is told late takes its place. The record keeps its form. Daemon tasks, drained, deregistered and evacuated runners: as before.

Figures: TestCrashThatNoAgentHasSeenCountsBesideSeenOnes, TestWhichUnseenEndsCount and TestCrashThatIsSeenLateReplacesAnUnseenEnd fail before.

Conclusion: evidence that proves nothing by itself still counts beside proof.

--- a/internal/process/jaycell/crash.go
+++ b/internal/process/jaycell/crash.go
@@ -19,6 +19,14 @@
 	// maxCrashesBesideOthers is how many more may if other tasks were on the last of them: a
 	// neighbor may have crashed it.
 	maxCrashesBesideOthers = 1
+	// An end that no agent has seen counts as a crash as well after minSeenCrashes that agents have
+	// seen, and towards the failure of the job after minSeenToFail: runners also end with their
+	// machines, and a run may have ended before its runner.
+	minSeenCrashes = 2
+	minSeenToFail  = 3
+	// maxUnseenEnds bounds the ends that are kept: with as many, minSeenToFail are enough to
+	// fail the job. Earlier versions count each as a crash, and would start a task with more no more.
+	maxUnseenEnds = maxCrashes + maxCrashesBesideOthers - minSeenToFail
 	// maxCrashesBeside is after how many crashes a task is tried apart whatever its progress:
 	// what crashes runners late is found out, and what ran beside it is spared.
 	maxCrashesBeside = 3
@@ -59,13 +67,18 @@
 	Index int
 	Run   int
 	// Runner is the incarnation that crashed, on Node.
-	Runner  string
-	Node    string
+	Runner string
+	Node   string
+	// Percent is the last listed progress, or unseenEnd.
 	Percent int
 	// Progressed is set if the task had worked beyond its start, or has come further since.
 	Progressed bool
 }
 
+// unseenEnd stands for the progress in a crash that no agent has seen: another runner took the
+// place of the one under the task, which had not announced its shutdown.
+const unseenEnd = -1
+
 // applyCrashes counts the crashes in a report. They are acknowledged once the resulting
 // records are stored, and count once however often and late they are reported.
 func (c *Cell) applyCrashes(p Report) {
@@ -90,7 +103,11 @@
 		return
 	}
 	u := j.unitFor(occurrence, step, index)
-	if u == nil || u.phase == phaseDone || u.phase == phaseFailed || run.Run <= u.clearedRuns[index] || u.hasCrash(index, run.Run) {
+	if u == nil || u.phase == phaseDone || u.phase == phaseFailed || run.Run <= u.clearedRuns[index] {
+		return
+	}
+	u.removeUnseenEnd(index, run.Run)
+	if u.hasCrash(index, run.Run) {
 		return
 	}
 	if u.spec().Daemon && run.ListedFor >= earlyFailureWindow {
@@ -101,7 +118,7 @@
 	}
 	u.crashes = append(u.crashes, taskCrash{Index: index, Run: run.Run, Runner: x.Runner, Node: node, Percent: run.Percent, Progressed: run.progressed()})
 	c.dirtyUnits[u] = true
-	atStart, all := u.countCrashes(index)
+	atStart, _, all := u.countCrashes(index)
 	outcome := "victim"
 	if !run.progressed() {
 		outcome = "suspect"
@@ -120,6 +137,28 @@
 	})
 }
 
+// noteUnseenEnd counts the end of a runner in whose place another one reports and whose crash no
+// agent has reported, under the tasks that were there: its agent was away, or got no answers for
+// too long to tell. Nothing else tells such an end from that of a machine.
+func (c *Cell) noteUnseenEnd(r *Runner) {
+	if r.crashed || r.info.Draining || r.evacuated {
+		return
+	}
+	for _, pl := range append(sortedPlacements(r), r.lapsed...) {
+		u := pl.unit
+		if !pl.committed || u.spec().Daemon || u.phase == phaseDone || u.phase == phaseFailed || u.job.state.Ended() || u.hasCrash(pl.index, pl.run) || u.countUnseenEnds(pl.index) >= maxUnseenEnds {
+			continue
+		}
+		u.crashes = append(u.crashes, taskCrash{Index: pl.index, Run: pl.run, Runner: r.id, Node: r.node, Percent: unseenEnd, Progressed: true})
+		c.dirtyUnits[u] = true
+		_, _, all := u.countCrashes(pl.index)
+		c.reportDecision(Decision{Job: u.job.spec.ID, Task: pl.task(), Run: pl.run, Runner: r.id, Event: "crash", Outcome: "unseen", Reason: fmt.Sprintf("crashes under the task: %d in all", all), AgeMS: c.jobAgeMS(u.job)})
+		if u.isDeadly() {
+			c.giveUp(u, pl.task(), pl.index)
+		}
+	}
+}
+
 // giveUp fails the job of a unit that crashes its runners.
 func (c *Cell) giveUp(u *unit, task string, index int) {
 	var runners []string
@@ -164,6 +203,11 @@
 	return slices.ContainsFunc(u.crashes, func(x taskCrash) bool { return x.Index == index && x.Run == run })
 }
 
+// removeUnseenEnd forgets that the end of a run's runner was not seen: its agent tells later.
+func (u *unit) removeUnseenEnd(index, run int) {
+	u.crashes = slices.DeleteFunc(u.crashes, func(x taskCrash) bool { return x.Index == index && x.Run == run && x.Percent == unseenEnd })
+}
+
 // clearCrashes clears a task of the suspicion that it crashes runners as it starts, up to a run
 // of which late reports do not count either. A daemon task's crashes are forgotten: it outlives
 // many runners. It reports whether anything has changed.
@@ -197,23 +241,37 @@
 	return percent
 }
 
-// countCrashes counts the crashes under a task beyond which it has not progressed, and all.
-func (u *unit) countCrashes(index int) (atStart, all int) {
+// countCrashes counts the crashes under a task beyond which it has not progressed, those that
+// agents have seen, and all that count.
+func (u *unit) countCrashes(index int) (atStart, seen, all int) {
 	for _, x := range u.crashes {
-		if x.Index == index {
-			all++
+		if x.Index == index && x.Percent != unseenEnd {
+			seen++
 			if !x.Progressed {
 				atStart++
 			}
 		}
 	}
-	return atStart, all
+	if all = seen; seen >= minSeenCrashes {
+		all += u.countUnseenEnds(index)
+	}
+	return atStart, seen, all
+}
+
+func (u *unit) countUnseenEnds(index int) int {
+	n := 0
+	for _, x := range u.crashes {
+		if x.Index == index && x.Percent == unseenEnd {
+			n++
+		}
+	}
+	return n
 }
 
 // hasCrashed reports whether as many runners as fail a job, and more, have crashed under a task.
 func (u *unit) hasCrashed(index, more int) bool {
-	atStart, all := u.countCrashes(index)
-	return atStart >= maxCrashesAtStart && all >= maxCrashesAtStart+more || all >= maxCrashes+more
+	atStart, seen, all := u.countCrashes(index)
+	return atStart >= maxCrashesAtStart && all >= maxCrashesAtStart+more || seen >= minSeenToFail && all >= maxCrashes+more
 }
 
 // isDeadly reports whether too many runners have crashed under a task of the unit, whatever
@@ -255,7 +313,7 @@
 func (u *unit) maxCrashesOfTask() int {
 	most := 0
 	for _, x := range u.crashes {
-		_, all := u.countCrashes(x.Index)
+		_, _, all := u.countCrashes(x.Index)
 		most = max(most, all)
 	}
 	return most
--- a/internal/process/jaycell/crash_test.go
+++ b/internal/process/jaycell/crash_test.go
@@ -26,6 +26,8 @@
 	saved  map[string]int
 	starts map[string]int
 	crash  map[string][]Crash
+	// unseen holds the starts of a deadly task whose crash no agent sees.
+	unseen map[int]bool
 }
 
 func newCrashing(t *testing.T, runners int) *crashing {
@@ -66,7 +68,7 @@
 				if percent == 0 {
 					c.startAt[r.Task] = c.now
 				}
-				c.crashNode(node, true)
+				c.crashNode(node, !c.unseen[c.starts[r.Task]])
 				break
 			}
 		}
@@ -204,6 +206,108 @@
 	}
 }
 
+// Guards against a crash that is counted nowhere because its agent was away: the task was started
+// once more for each.
+func TestCrashThatNoAgentHasSeenCountsBesideSeenOnes(t *testing.T) {
+	for _, unseen := range [][]int{{1}, {2}, {3}, {1, 2}} {
+		// An agent has seen minSeenToFail at least.
+		starts := max(maxCrashes, minSeenToFail+len(unseen))
+		t.Run(fmt.Sprint(unseen), func(t *testing.T) {
+			c := newCrashing(t, 6)
+			c.unseen = map[int]bool{}
+			for _, start := range unseen {
+				c.unseen[start] = true
+			}
+			c.deadly[deadlyTask] = 8
+			c.submit("00000000000000dd", 1, "", wide(1))
+			c.steps(120)
+			assert.Equal(t, c.jobStates["00000000000000dd"], jaytask.Failed)
+			assert.Equal(t, c.starts[deadlyTask], starts)
+		})
+	}
+}
+
+// endUnderTask ends a task's runner as end tells, and reports the runner's next incarnation. It
+// returns the task's unit.
+func endUnderTask(t *testing.T, end func(h *harness)) *unit {
+	h := newHarness(t, nil)
+	h.submit("00000000000000dd", 1, "", wide(1))
+	h.report("n", "r1", nil)
+	h.advance(100 * time.Millisecond)
+	listed := func(p *Report) { p.Running = []Run{{Task: deadlyTask, Run: 1, Percent: 7}} }
+	h.report("n", "r1", listed)
+	h.advance(100 * time.Millisecond)
+	end(h)
+	h.advance(100 * time.Millisecond)
+	h.report("n", "r2", nil)
+	h.advance(100 * time.Millisecond)
+	return h.cell.jobs["00000000000000dd"].units[deadlyTask]
+}
+
+// An end that its runner or the leader has announced is no crash, and neither is that of a runner
+// whose runs had ended before. What a lapse has ended may have crashed the runner before that.
+func TestWhichUnseenEndsCount(t *testing.T) {
+	lapse := func(h *harness) {
+		for range 80 {
+			h.advance(100 * time.Millisecond)
+		}
+	}
+	for _, c := range []struct {
+		name   string
+		end    func(h *harness)
+		unseen bool
+	}{
+		{name: "replaced", end: func(*harness) {}, unseen: true},
+		{name: "replaced after its lease", end: lapse, unseen: true},
+		{name: "back after its lease", end: func(h *harness) {
+			lapse(h)
+			h.report("n", "r1", func(p *Report) {
+				p.Finished = []End{{Number: 1, Task: deadlyTask, Run: 1, Reason: EndLapsed}}
+			})
+		}},
+		{name: "draining", end: func(h *harness) {
+			h.report("n", "r1", func(p *Report) {
+				p.Runner.Draining, p.Running = true, []Run{{Task: deadlyTask, Run: 1, Percent: 7}}
+			})
+		}},
+		{name: "deregistered", end: func(h *harness) {
+			h.report("n", "r1", func(p *Report) { p.Ended, p.Responsive = true, false })
+		}},
+		{name: "run stopped before", end: func(h *harness) {
+			h.report("n", "r1", func(p *Report) {
+				p.Finished = []End{{Number: 1, Task: deadlyTask, Run: 1, Reason: EndStopped}}
+			})
+		}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			u := endUnderTask(t, c.end)
+			unseen := slices.ContainsFunc(u.crashes, func(x taskCrash) bool { return x.Run == 1 && x.Percent == unseenEnd })
+			assert.Equal(t, unseen, c.unseen, "%v", u.crashes)
+			assert.Assert(t, !u.isSuspect())
+		})
+	}
+}
+
+// Guards against one crash that counts twice: its agent reports it after the leader has seen the
+// next incarnation over another link.
+func TestCrashThatIsSeenLateReplacesAnUnseenEnd(t *testing.T) {
+	h := newHarness(t, nil)
+	h.submit("00000000000000dd", 1, "", wide(1))
+	h.report("n", "r1", nil)
+	h.advance(100 * time.Millisecond)
+	h.report("n", "r2", nil)
+	h.advance(100 * time.Millisecond)
+	u := h.cell.jobs["00000000000000dd"].units[deadlyTask]
+	assert.Equal(t, u.crashes[0].Percent, unseenEnd)
+	for range 2 {
+		h.report("n", "r2", func(p *Report) {
+			p.Crashes = []Crash{{Runner: "r1", Runs: []CrashedRun{{Task: deadlyTask, Run: 1}}}}
+		})
+		h.advance(100 * time.Millisecond)
+		assert.DeepEqual(t, u.crashes, []taskCrash{{Run: 1, Runner: "r1", Node: "n"}})
+	}
+}
+
 // Hundreds of runners that vanish with their agents say nothing about what ran there.
 func TestLostRunnersBlameNoTask(t *testing.T) {
 	c := newCrashing(t, 200)
@@ -217,6 +321,11 @@
 		}
 	}
 	c.steps(1)
+	for _, j := range c.cell.jobs {
+		for _, u := range j.units {
+			assert.Assert(t, len(u.crashes) <= maxUnseenEnds, "%d ends are kept", len(u.crashes))
+		}
+	}
 	assert.Equal(t, len(c.suspects()), 0)
 	for id, state := range c.jobStates {
 		assert.Equal(t, state, jaytask.Running, "%s", id)
--- a/internal/process/jaycell/lapse.go
+++ b/internal/process/jaycell/lapse.go
@@ -67,7 +67,7 @@
 		r.forgetAbandoned(e.Task, e.Run)
 	}
 	if len(r.abandoned) == 0 {
-		r.lost = false
+		r.lost, r.lapsed = false, nil
 		c.reportDecision(Decision{Runner: r.id, Event: "runner", Outcome: "back", Reason: "reported by " + p.Node})
 		return true
 	}
--- a/internal/process/jaycell/report.go
+++ b/internal/process/jaycell/report.go
@@ -287,6 +287,7 @@
 	for _, r := range c.sortedRunners() {
 		if !r.lost && c.now > c.leaseBound(r) {
 			c.abandonUnseenRuns(r)
+			r.lapsed = sortedPlacements(r)
 			c.markLost(r, "its lease has lapsed")
 		}
 		if r.lost && len(r.placements) == 0 && c.now > r.leaseEnd+c.settings.Retention {
--- a/internal/process/jaycell/restart.go
+++ b/internal/process/jaycell/restart.go
@@ -33,6 +33,7 @@
 func (c *Cell) replaceRunners(r *Runner, matches func(old *Runner) bool) {
 	for _, old := range c.sortedRunners() {
 		if old.node == r.node && old != r && !old.replaced && matches(old) {
+			c.noteUnseenEnd(old)
 			c.markLost(old, "a new runner took its place")
 			old.replaced = true
 		}
--- a/internal/process/jaycell/runner.go
+++ b/internal/process/jaycell/runner.go
@@ -170,6 +170,8 @@
 	unknownStops map[string]unknownStop
 	// crashed is set once an agent has reported its crash.
 	crashed bool
+	// lapsed holds the placements that the lapse of its lease has ended, until it is back.
+	lapsed []*placement
 	// replaced reports that this incarnation has ended for good.
 	replaced   bool
 	reportedAt time.Duration
--- a/internal/process/jaysupervisor/cellmodel_test.go
+++ b/internal/process/jaysupervisor/cellmodel_test.go
@@ -64,8 +64,10 @@
 	crashesFromTasksOnly bool
 	// failedEnds holds the runs of a unit that have ended as failed.
 	failedEnds map[string]map[int]bool
-	// deadlyShare is the share of deadly jobs among the random ones.
+	// deadlyShare is the share of deadly jobs among the random ones. Those of lateCrashes plans
+	// work before they crash their runners.
 	deadlyShare float64
+	lateCrashes bool
 	// sameName makes runners begin each life under the name that they had.
 	sameName bool
 	// lateOverLives makes runners carry out calls for their former lives.
--- a/internal/process/jaysupervisor/crash_test.go
+++ b/internal/process/jaysupervisor/crash_test.go
@@ -22,8 +22,10 @@
 	crashesThatExcuse = 2
 	// A node is in touch when nothing has disturbed it for contactTime.
 	contactTime = 3 * time.Second
-	// crashDelay is how long after its start a deadly task crashes its runner.
-	crashDelay = 10 * time.Millisecond
+	// crashDelay is how long after its start a deadly task crashes its runner, lateCrashDelay the
+	// same for one that works before it does so.
+	crashDelay     = 10 * time.Millisecond
+	lateCrashDelay = 700 * time.Millisecond
 )
 
 // isDeadly reports whether a task crashes its runners.
@@ -32,11 +34,19 @@
 	return f.deadly[j.ID] && task == jaycell.TaskName(j.ID, 0, 0, 0)
 }
 
+// crashDelayOf returns how long after its start a deadly task crashes its runner.
+func (f *fleet) crashDelayOf(task string) time.Duration {
+	if f.lateCrashes {
+		return lateCrashDelay
+	}
+	return crashDelay
+}
+
 // crashRunners ends the runners on which deadly tasks have begun. They are back after
 // seconds. The mutex is held.
 func (f *fleet) crashRunners() {
 	for _, x := range slices.Clone(f.runs) {
-		if x.ended || !f.isDeadly(x.task) || f.now() < x.beganAt+crashDelay {
+		if x.ended || !f.isDeadly(x.task) || f.now() < x.beganAt+f.crashDelayOf(x.task) {
 			continue
 		}
 		f.crashed[x.task]++
@@ -158,6 +168,19 @@
 	playSeeds(t, func(f *fleet) { f.deadlyShare, f.rough, f.faultGap, f.crashesFromTasksOnly = 0.25, 6, 4, true })
 }
 
+// TestLateDeadlyTasksUnderFaults plays the random faults with tasks that work before they crash
+// their runners.
+func TestLateDeadlyTasksUnderFaults(t *testing.T) {
+	playSeeds(t, func(f *fleet) { f.deadlyShare, f.rough, f.faultGap, f.lateCrashes = 0.25, 6, 4, true })
+}
+
+// No sound job fails for neighbors that crash their runners after some work.
+func TestNeighborsOfLateDeadlyTasksAreNotBlamed(t *testing.T) {
+	playSeeds(t, func(f *fleet) {
+		f.deadlyShare, f.rough, f.faultGap, f.lateCrashes, f.crashesFromTasksOnly = 0.25, 6, 4, true, true
+	})
+}
+
 // TestOnlyCrashesCount ends a runner under a sound task that has just begun, in several ways.
 func TestOnlyCrashesCount(t *testing.T) {
 	// restart ends the runner and begins another after a pause.
--- a/internal/process/jaysupervisor/faults_test.go
+++ b/internal/process/jaysupervisor/faults_test.go
@@ -132,7 +132,10 @@
 			j := f.submitLocked(1+f.script.IntN(4), f.script.chance(0.3), f.script.between(50, 2500))
 			f.doomed[j.ID] = f.script.chance(0.1)
 			if f.deadlyShare > 0 {
-				f.deadly[j.ID] = f.script.chance(f.deadlyShare)
+				if f.deadly[j.ID] = f.script.chance(f.deadlyShare); f.deadly[j.ID] && f.lateCrashes {
+					// It does not end before its crash.
+					j.Steps[0].Estimate = 2 * lateCrashDelay
+				}
 			}
 		}
 	case 6, 7, 8, 9:
