--- a/internal/process/jaycell/crash.go
+++ b/internal/process/jaycell/crash.go
@@ -15,7 +15,18 @@
 	maxCrashesAtStart = 3
 	// maxCrashes is how many runners may crash under a task at all, however far it has come
 	// or has saved; then its job fails.
-	maxCrashes = 5
+	maxCrashes = 4
+	// maxCrashesBesideOthers is how many more may if other tasks were on the last of them: a
+	// neighbor may have crashed it.
+	maxCrashesBesideOthers = 1
+	// An end that no agent has seen counts as a crash as well after minSeenCrashes that agents have
+	// seen, and towards the failure of the job after minSeenToFail: runners also end with their
+	// machines, and a run may have ended before its runner.
+	minSeenCrashes = 2
+	minSeenToFail  = 3
+	// maxUnseenEnds bounds the ends that are kept: with as many, minSeenToFail are enough to
+	// fail the job. Earlier versions count each as a crash, and would start a task with more no more.
+	maxUnseenEnds = maxCrashes + maxCrashesBesideOthers - minSeenToFail
 	// maxCrashesBeside is after how many crashes a task is tried apart whatever its progress:
 	// what crashes runners late is found out, and what ran beside it is spared.
 	maxCrashesBeside = 3
@@ -56,13 +67,18 @@
 	Index int
 	Run   int
 	// Runner is the incarnation that crashed, on Node.
-	Runner  string
-	Node    string
+	Runner string
+	Node   string
+	// Percent is the last listed progress, or unseenEnd.
 	Percent int
 	// Progressed is set if the task had worked beyond its start, or has come further since.
 	Progressed bool
 }
 
+// unseenEnd stands for the progress in a crash that no agent has seen: another runner took the
+// place of the one under the task, which had not announced its shutdown.
+const unseenEnd = -1
+
 // applyCrashes counts the crashes in a report. They are acknowledged once the resulting
 // records are stored, and count once however often and late they are reported.
 func (c *Cell) applyCrashes(p Report) {
@@ -72,7 +88,7 @@
 			c.reportDecision(Decision{Runner: x.Runner, Event: "crash", Outcome: "runner", Reason: fmt.Sprintf("%d runs were on it", len(x.Runs))})
 		}
 		for _, run := range x.Runs {
-			c.countCrash(x.Runner, p.Node, run)
+			c.countCrash(x, p.Node, run)
 		}
 		c.orders = append(c.orders, Order{Kind: OrderAcknowledgeCrash, Node: p.Node, Runner: x.Runner})
 	}
@@ -80,14 +96,18 @@
 
 // countCrash counts a crash under a task. The runs of a runner crash together, so that a
 // crash makes a suspect of each that has not progressed; the others are seen as victims.
-func (c *Cell) countCrash(runner, node string, run CrashedRun) {
+func (c *Cell) countCrash(x Crash, node string, run CrashedRun) {
 	id, occurrence, step, index, ok := parseTaskName(run.Task)
 	j := c.jobs[id]
 	if !ok || j == nil || j.state.Ended() {
 		return
 	}
 	u := j.unitFor(occurrence, step, index)
-	if u == nil || u.phase == phaseDone || u.phase == phaseFailed || run.Run <= u.clearedRuns[index] || u.hasCrash(index, run.Run) {
+	if u == nil || u.phase == phaseDone || u.phase == phaseFailed || run.Run <= u.clearedRuns[index] {
+		return
+	}
+	u.removeUnseenEnd(index, run.Run)
+	if u.hasCrash(index, run.Run) {
 		return
 	}
 	if u.spec().Daemon && run.ListedFor >= earlyFailureWindow {
@@ -96,19 +116,49 @@
 	if run.progressed() && run.Percent > u.crashPercent(index) {
 		u.clearCrashes(index, run.Run)
 	}
-	u.crashes = append(u.crashes, taskCrash{Index: index, Run: run.Run, Runner: runner, Node: node, Percent: run.Percent, Progressed: run.progressed()})
+	u.crashes = append(u.crashes, taskCrash{Index: index, Run: run.Run, Runner: x.Runner, Node: node, Percent: run.Percent, Progressed: run.progressed()})
 	c.dirtyUnits[u] = true
-	atStart, all := u.countCrashes(index)
+	atStart, _, all := u.countCrashes(index)
 	outcome := "victim"
 	if !run.progressed() {
 		outcome = "suspect"
 	}
-	c.reportDecision(Decision{Job: id, Task: run.Task, Run: run.Run, Runner: runner, Event: "crash", Outcome: outcome, Reason: fmt.Sprintf("at %d%%; crashes under the task: %d at its start, %d in all", run.Percent, atStart, all), AgeMS: c.jobAgeMS(j)})
-	if u.isDeadly() {
+	c.reportDecision(Decision{Job: id, Task: run.Task, Run: run.Run, Runner: x.Runner, Event: "crash", Outcome: outcome, Reason: fmt.Sprintf("at %d%%; crashes under the task: %d at its start, %d in all", run.Percent, atStart, all), AgeMS: c.jobAgeMS(j)})
+	if u.isDeadly() || x.isApart(u) && u.hasCrashed(index, 0) {
 		c.giveUp(u, run.Task, index)
 	}
 }
 
+// isApart reports whether nothing but a unit was on the runner.
+func (x Crash) isApart(u *unit) bool {
+	return !slices.ContainsFunc(x.Runs, func(r CrashedRun) bool {
+		id, occurrence, step, index, ok := parseTaskName(r.Task)
+		return !ok || id != u.job.spec.ID || u.job.unitFor(occurrence, step, index) != u
+	})
+}
+
+// noteUnseenEnd counts the end of a runner in whose place another one reports and whose crash no
+// agent has reported, under the tasks that were there: its agent was away, or got no answers for
+// too long to tell. Nothing else tells such an end from that of a machine.
+func (c *Cell) noteUnseenEnd(r *Runner) {
+	if r.crashed || r.info.Draining || r.evacuated {
+		return
+	}
+	for _, pl := range append(sortedPlacements(r), r.lapsed...) {
+		u := pl.unit
+		if !pl.committed || u.spec().Daemon || u.phase == phaseDone || u.phase == phaseFailed || u.job.state.Ended() || u.hasCrash(pl.index, pl.run) || u.countUnseenEnds(pl.index) >= maxUnseenEnds {
+			continue
+		}
+		u.crashes = append(u.crashes, taskCrash{Index: pl.index, Run: pl.run, Runner: r.id, Node: r.node, Percent: unseenEnd, Progressed: true})
+		c.dirtyUnits[u] = true
+		_, _, all := u.countCrashes(pl.index)
+		c.reportDecision(Decision{Job: u.job.spec.ID, Task: pl.task(), Run: pl.run, Runner: r.id, Event: "crash", Outcome: "unseen", Reason: fmt.Sprintf("crashes under the task: %d in all", all), AgeMS: c.jobAgeMS(u.job)})
+		if u.isDeadly() {
+			c.giveUp(u, pl.task(), pl.index)
+		}
+	}
+}
+
 // giveUp fails the job of a unit that crashes its runners.
 func (c *Cell) giveUp(u *unit, task string, index int) {
 	var runners []string
@@ -153,6 +203,11 @@
 	return slices.ContainsFunc(u.crashes, func(x taskCrash) bool { return x.Index == index && x.Run == run })
 }
 
+// removeUnseenEnd forgets that the end of a run's runner was not seen: its agent tells later.
+func (u *unit) removeUnseenEnd(index, run int) {
+	u.crashes = slices.DeleteFunc(u.crashes, func(x taskCrash) bool { return x.Index == index && x.Run == run && x.Percent == unseenEnd })
+}
+
 // clearCrashes clears a task of the suspicion that it crashes runners as it starts, up to a run
 // of which late reports do not count either. A daemon task's crashes are forgotten: it outlives
 // many runners. It reports whether anything has changed.
@@ -186,27 +241,45 @@
 	return percent
 }
 
-// countCrashes counts the crashes under a task beyond which it has not progressed, and all.
-func (u *unit) countCrashes(index int) (atStart, all int) {
+// countCrashes counts the crashes under a task beyond which it has not progressed, those that
+// agents have seen, and all that count.
+func (u *unit) countCrashes(index int) (atStart, seen, all int) {
 	for _, x := range u.crashes {
-		if x.Index == index {
-			all++
+		if x.Index == index && x.Percent != unseenEnd {
+			seen++
 			if !x.Progressed {
 				atStart++
 			}
 		}
 	}
-	return atStart, all
+	if all = seen; seen >= minSeenCrashes {
+		all += u.countUnseenEnds(index)
+	}
+	return atStart, seen, all
 }
 
-// isDeadly reports whether a task of the unit has crashed too many runners.
-func (u *unit) isDeadly() bool {
+func (u *unit) countUnseenEnds(index int) int {
+	n := 0
 	for _, x := range u.crashes {
-		if atStart, all := u.countCrashes(x.Index); atStart >= maxCrashesAtStart || all >= maxCrashes {
-			return true
+		if x.Index == index && x.Percent == unseenEnd {
+			n++
 		}
 	}
-	return false
+	return n
+}
+
+// hasCrashed reports whether as many runners as fail a job, and more, have crashed under a task.
+func (u *unit) hasCrashed(index, more int) bool {
+	atStart, seen, all := u.countCrashes(index)
+	return atStart >= maxCrashesAtStart && all >= maxCrashesAtStart+more || seen >= minSeenToFail && all >= maxCrashes+more
+}
+
+// isDeadly reports whether too many runners have crashed under a task of the unit, whatever
+// was beside it.
+func (u *unit) isDeadly() bool {
+	return slices.ContainsFunc(u.crashes, func(x taskCrash) bool {
+		return u.hasCrashed(x.Index, maxCrashesBesideOthers)
+	})
 }
 
 // isSuspect reports whether the unit may crash the runners that start it, at once or later.
@@ -240,7 +313,7 @@
 func (u *unit) maxCrashesOfTask() int {
 	most := 0
 	for _, x := range u.crashes {
-		_, all := u.countCrashes(x.Index)
+		_, _, all := u.countCrashes(x.Index)
 		most = max(most, all)
 	}
 	return most
