Let no late answer bring back what another reader of a topic has read as deleted

A tail has several readers: its loop and each Refresh. Three orders of their answers were handled wrongly: - A late answer that the records at a former offset had been deleted made the topic load again although the tail had read further. What another reader got meanwhile was undone by that load until it was read again: a deleted job was in the table without its state, and reported as new. - A load that had begun before another reader's load, and ended after that one had expired, replaced what had been read since and moved the tail back. An answer to a read from a later offset then skipped the records in between for good. - Refresh took a load, which others may have begun before it, for its own read if the tail expired between its two looks at the tail.

--- a/internal/process/jaystore/tail.go
+++ b/internal/process/jaystore/tail.go
@@ -32,6 +32,8 @@
 	end     uint64
 	loaded  bool
 	freshAt time.Duration
+	// loads counts the loads of the newest records.
+	loads uint64
 }
 
 // Age returns the time since the tail was last known to be up to date, and false
@@ -90,14 +92,11 @@
 // own has told: another reader may have applied, or loaded, less.
 func (t *Tail) Refresh(ctx context.Context) error {
 	for {
-		t.mutex.Lock()
-		loaded := t.loaded
-		t.mutex.Unlock()
 		n, err := t.readNext(ctx, 0)
 		if err != nil {
 			return err
 		}
-		if loaded && n != expiredRead && t.caughtUp() {
+		if n != notRead && t.caughtUp() {
 			return nil
 		}
 	}
@@ -110,18 +109,18 @@
 	return t.loaded && t.next >= t.end
 }
 
-// expiredRead is what readNext returns if the records had been deleted. The next read loads the
-// newest ones.
-const expiredRead = -1
+// notRead is what readNext returns if it has not read up to the topic's end: it has loaded the newest
+// records, or the next read will, since those at the offset had been deleted.
+const notRead = -1
 
 // readNext loads the newest records the first time and reads on from there
-// afterwards. It returns the number of records, or expiredRead.
+// afterwards. It returns the number of records, or notRead.
 func (t *Tail) readNext(ctx context.Context, wait time.Duration) (int, error) {
 	t.mutex.Lock()
 	loaded, from := t.loaded, t.next
 	t.mutex.Unlock()
 	if !loaded {
-		return t.loadNewest(ctx)
+		return notRead, t.loadNewest(ctx)
 	}
 	requestedAt := jayclock.Elapsed()
 	call, cancel := context.WithTimeout(ctx, wait+callTimeout)
@@ -129,10 +128,8 @@
 	result, err := t.Client.Read(call, t.Topic, from, wait)
 	var expired *ExpiredError
 	if errors.As(err, &expired) {
-		t.mutex.Lock()
-		t.loaded = false
-		t.mutex.Unlock()
-		return expiredRead, nil
+		t.expire(from)
+		return notRead, nil
 	}
 	if err != nil {
 		return 0, err
@@ -143,7 +140,9 @@
 	// the time of the request is the safe bound.
 	t.freshAt = max(t.freshAt, requestedAt)
 	t.end = max(t.end, result.End)
-	if result.Next <= t.next {
+	// Another reader may have read further, or have loaded the topic up to an earlier offset: the
+	// records in between are still to be read.
+	if result.Next <= t.next || from > t.next {
 		return 0, nil
 	}
 	for _, s := range result.Records {
@@ -156,6 +155,16 @@
 	return len(result.Records), nil
 }
 
+// expire lets the newest records be loaded again, since those at an offset have been deleted. It
+// does nothing if another reader has read further, or has expired the tail already.
+func (t *Tail) expire(from uint64) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	if from >= t.next {
+		t.loaded = false
+	}
+}
+
 // reportUnreadable reports records that were skipped.
 func (t *Tail) reportUnreadable(unreadable int) {
 	if unreadable > 0 {
@@ -165,8 +174,11 @@
 
 // loadNewest loads the newest records page by page. The pages are not a consistent
 // snapshot, so the tail reads on from the topic's end before the first page.
-func (t *Tail) loadNewest(ctx context.Context) (int, error) {
+func (t *Tail) loadNewest(ctx context.Context) error {
 	requestedAt := jayclock.Elapsed()
+	t.mutex.Lock()
+	loads := t.loads
+	t.mutex.Unlock()
 	var all []StoredRecord
 	var end uint64
 	after := ""
@@ -175,7 +187,7 @@
 		page, err := t.Client.Newest(call, t.Topic, after)
 		cancel()
 		if err != nil {
-			return 0, err
+			return err
 		}
 		if first {
 			end = page.End
@@ -191,14 +203,15 @@
 		}
 		if next == after || next == "" {
 			// A part of the records must not be taken for all of them.
-			return 0, &IncompleteError{Topic: t.Topic, After: after}
+			return &IncompleteError{Topic: t.Topic, After: after}
 		}
 		after = next
 	}
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	if t.loaded {
-		return 0, nil
+	// A slow load must not replace what another reader has loaded and read since.
+	if t.loaded || t.loads != loads {
+		return nil
 	}
 	if t.Replace != nil {
 		t.Replace(all)
@@ -208,7 +221,8 @@
 		}
 	}
 	t.next, t.loaded, t.freshAt = end, true, requestedAt
-	return len(all), nil
+	t.loads++
+	return nil
 }
 
 // NextOffset returns the offset that the tail reads next.
@@ -228,7 +242,7 @@
 			all = append(all, s.Record)
 		}
 	}}
-	if _, err := t.loadNewest(ctx); err != nil {
+	if err := t.loadNewest(ctx); err != nil {
 		return nil, err
 	}
 	return all, nil
