Do not open a closed use of a standby topic again

An entry took whatever announcement it applied last. A reload of the cell's topic can apply earlier ones again; a leader that reads the announcement meanwhile would have put the records of a closed standby topic, as far as they are not deleted yet, in place of newer ones in the main topic: a final state would have been replaced by an earlier one. Numbers of uses only rise, and a closed use is never opened again.

TestClosedStandbyTopicIsNotOpenAgain fails without the change.

--- a/internal/process/jaycontroller/failover.go
+++ b/internal/process/jaycontroller/failover.go
@@ -112,6 +112,10 @@
 	}
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
+	if s.Number < c.standby.Number || s.Number == c.standby.Number && s.Open && !c.standby.Open {
+		// A reload of the topic may apply records again. A use that has been closed is not opened again.
+		return
+	}
 	c.standby = s
 }
 
