Trace the store, batches, orders and states shown in the model of states

With JAYSTILE_STATES_LOG=FOLDER, a play of TestStatesOutliveLeaders that fails leaves a file with the entries' log and each append (term, sequence number, result, keys), page and read, batch, order, copy, state shown, loaded job, and fault, by simulated time. Passing plays leave none.

--- a/internal/process/jaycontroller/modelstore_test.go
+++ b/internal/process/jaycontroller/modelstore_test.go
@@ -6,9 +6,11 @@
 	"hash/fnv"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
+	"github.com/jaystile/jaystile/internal/process/jaycell"
 	"github.com/jaystile/jaystile/internal/process/jaystore"
 )
 
@@ -56,6 +58,30 @@
 	cutUntil    map[string]time.Time
 	// mutedUntil holds by entry and topic until when the entry's reads of the topic get no answer.
 	mutedUntil map[string]time.Time
+	trace      func(format string, args ...any)
+}
+
+func (s *modelStore) tracef(format string, args ...any) {
+	if s.trace != nil {
+		s.trace(format, args...)
+	}
+}
+
+func traceKeys(rs []jaystore.Record) string {
+	var b strings.Builder
+	for _, r := range rs {
+		fmt.Fprintf(&b, " %s:%d", r.Key, len(r.Value))
+		if i := strings.Index(r.Key, "s/"); i >= 0 && r.Value != nil {
+			v := r.Value
+			if i > 0 {
+				v = v[1:]
+			}
+			if st, at, err := jaycell.DecodeState(v); err == nil {
+				fmt.Fprintf(&b, "=%s@%d", st, at.UnixMilli()-946684800000)
+			}
+		}
+	}
+	return b.String()
 }
 
 type modelLog struct {
@@ -174,6 +200,11 @@
 			var answered uint64
 			err = s.call(ctx, entry, a.Topic, true, 0, func() (err error) {
 				end, err := s.append(a)
+				if a.Fence != nil {
+					s.tracef("APPEND %s %s term=%d seq=%d try=%d -> end=%d err=%v:%s", entry, a.Topic, a.Fence.Term, a.Fence.Sequence, a.Try, end, err, traceKeys(a.Records))
+				} else {
+					s.tracef("APPEND %s %s try=%d -> end=%d err=%v:%s", entry, a.Topic, a.Try, end, err, traceKeys(a.Records))
+				}
 				if err == nil {
 					answered = end
 				}
@@ -188,6 +219,11 @@
 			results := make(chan jaystore.ReadResult, 1)
 			err := s.call(ctx, entry, topic, false, wait, func() error {
 				result, err := s.read(ctx, topic, from, wait)
+				var rs []jaystore.Record
+				for _, r := range result.Records {
+					rs = append(rs, r.Record)
+				}
+				s.tracef("READ %s %s from=%d next=%d end=%d err=%v:%s", entry, topic, from, result.Next, result.End, err, traceKeys(rs))
 				results <- result
 				return err
 			})
@@ -201,7 +237,13 @@
 			err := s.call(ctx, entry, topic, false, 0, func() error {
 				// Records are stored between two pages.
 				time.Sleep(modelPageTime)
-				pages <- s.newest(topic, after)
+				page := s.newest(topic, after)
+				var rs []jaystore.Record
+				for _, r := range page.Records {
+					rs = append(rs, r.Record)
+				}
+				s.tracef("NEWEST %s %s after=%s end=%d more=%v:%s", entry, topic, after, page.End, page.More, traceKeys(rs))
+				pages <- page
 				return nil
 			})
 			if err != nil {
@@ -338,6 +380,7 @@
 	defer s.mutex.Unlock()
 	t := s.topic(topic)
 	t.first = uint64(len(t.records))
+	s.tracef("FORGET %s", topic)
 	t.changed.broadcast()
 }
 
@@ -346,6 +389,7 @@
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.silentUntil[topic] = until
+	s.tracef("SILENCE %s for %v", topic, time.Until(until))
 }
 
 // cut lets the store handle no new calls of an entry until a time.
@@ -353,6 +397,7 @@
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.cutUntil[entry] = until
+	s.tracef("CUT %s for %v", entry, time.Until(until))
 }
 
 // mute leaves an entry's reads of a topic without an answer until a time.
--- a/internal/process/jaycontroller/statesmodel_test.go
+++ b/internal/process/jaycontroller/statesmodel_test.go
@@ -1,6 +1,7 @@
 package jaycontroller
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"math/rand/v2"
@@ -67,6 +68,18 @@
 	late     sync.WaitGroup
 }
 
+// traceBuffer holds the trace of one play.
+type traceBuffer struct {
+	mutex sync.Mutex
+	b     bytes.Buffer
+}
+
+func (f *traceBuffer) Write(b []byte) (int, error) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.b.Write(b)
+}
+
 type shownState struct {
 	state jaytask.State
 	at    time.Time
@@ -126,9 +139,15 @@
 		runner: modelRunner{running: map[string]modelRun{}, highest: map[string]int{}, done: map[string]bool{}},
 	}
 	if folder := os.Getenv("JAYSTILE_STATES_LOG"); folder != "" {
-		f, err := os.Create(filepath.Join(folder, fmt.Sprint("states-", seed)))
-		assert.NilError(t, err)
-		t.Cleanup(func() { _ = f.Close() })
+		f := &traceBuffer{}
+		t.Cleanup(func() {
+			if t.Failed() {
+				_ = os.WriteFile(filepath.Join(folder, fmt.Sprintf("states-%d-%d", seed, os.Getpid())), f.b.Bytes(), 0o644)
+			}
+		})
+		m.store.trace = func(format string, args ...any) {
+			fmt.Fprintf(f, "%d %s\n", time.Since(m.began).Milliseconds(), fmt.Sprintf(format, args...))
+		}
 		m.log = zerolog.New(f).Hook(zerolog.HookFunc(func(e *zerolog.Event, _ zerolog.Level, _ string) {
 			e.Int64("ms", time.Since(m.began).Milliseconds())
 		}))
@@ -353,6 +372,7 @@
 		}
 		m.background(func() {
 			time.Sleep(delay)
+			m.store.tracef("COPY to %s %s", e.Name, r.Key)
 			e.handleMessage(nil, 0, &jayframe.StoredRecords{Records: []jayframe.StoredRecord{{Key: r.Key, Value: r.Value}}})
 		})
 	}
@@ -404,6 +424,7 @@
 	defer m.mutex.Unlock()
 	if _, known := m.shown[id]; !known && state.Ended() {
 		m.shown[id] = shownState{state, time.Now()}
+		m.store.tracef("SHOWN %s %s by %s stateAt=%d acc=%d", id, state, e.Name, row.stateAt.Sub(m.began).Milliseconds(), row.spec.Accepted.Sub(m.began).Milliseconds())
 		if state == jaytask.Completed && !m.allDone(id) {
 			m.t.Errorf("job %s is shown as completed before it has run", id)
 		}
@@ -477,6 +498,10 @@
 	if l.load(ctx, runs) != nil {
 		return
 	}
+	for _, row := range e.jobs.unfinished() {
+		m.store.tracef("LOADED term=%d unfinished %s state=%d canceled=%v", term, row.spec.ID, row.state, row.canceled)
+	}
+	m.store.tracef("LOADED term=%d began=%d", term, began.Sub(m.began).Milliseconds())
 	m.checkLoaded(e, l, began)
 	for ctx.Err() == nil {
 		m.round(ctx, e, l, runs, began)
@@ -530,7 +555,15 @@
 	if batch.Empty() && deletions == 0 {
 		return
 	}
+	keys := func(rs []jaycell.Record) (k []string) {
+		for _, r := range rs {
+			k = append(k, fmt.Sprintf("%s:%d", r.Key, len(r.Value)))
+		}
+		return k
+	}
+	m.store.tracef("BATCH term=%d units=%v states=%v del=%v", l.term, keys(batch.Units), keys(batch.JobStates), keys(batch.Deletions))
 	orders, ok := l.storeAndPublish(ctx, runs, batch)
+	m.store.tracef("STORED term=%d ok=%v orders=%d", l.term, ok, len(orders))
 	if !ok {
 		return
 	}
@@ -580,6 +613,7 @@
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 	w := &m.runner
+	m.store.tracef("ORDER term=%d kind=%v task=%s run=%d number=%d fence=%d highest=%d", term, o.Kind, o.Task, o.Run, o.Number, w.fence, w.highest[o.Task])
 	if term < w.fence {
 		return
 	}
