--- a/internal/process/jaycontroller/electors.go
+++ b/internal/process/jaycontroller/electors.go
@@ -18,9 +18,9 @@
 // does not serve it. Their record is in the cell's topic. An entry follows one leader at a
 // time and never one of a lower term again, so that a leader that is followed by half of the
 // electors knows that no earlier one is by more than half. A process does not remember after a
-// restart whom it has followed, so that an elector is one life of an entry: the restarted entry is
-// another one. Only a leader whose predecessors have ceased to grant leases changes the electors, under the
-// condition that its term is the newest.
+// restart whom it has followed, so that an elector is one life of an entry: the restarted entry
+// is another one. Only a leader whose predecessors have ceased to grant leases changes the
+// electors, under the condition that its term is the newest.
 
 const (
 	// electorsKey names the record of the electors, claimKey that of the newest claim of a term by
@@ -63,8 +63,8 @@
 	return r.Electors, nil
 }
 
-// claim is the newest claim of a term by an entry of this version. unknownLeaders is set if a leader of another
-// version may have led since the electors were stored: they do not count.
+// claim is the newest claim of a term by an entry of this version. unknownLeaders is set if a
+// leader of another version may have led since the electors were stored: they do not count.
 type claim struct {
 	term           uint64
 	unknownLeaders bool
--- a/internal/process/jaycontroller/isolation.go
+++ b/internal/process/jaycontroller/isolation.go
@@ -13,8 +13,8 @@
 	isolationTimeout = time.Second
 	followTimeout    = time.Second
 	// maxOutage is how long a leader may grant leases without knowing that its term is the
-	// newest. A successor that half of the electors do not exclude waits outageWait: a leader of
-	// the version before looks only once in maxTickGap, at worst.
+	// newest. A successor that cannot exclude half of the electors waits outageWait: a leader of
+	// the version before may notice the end up to maxTickGap late.
 	maxOutage  = 20 * time.Second
 	outageWait = maxOutage + maxTickGap
 	// handoverDelay is how long a leader may grant leases after its successor has begun and half
@@ -22,8 +22,8 @@
 	handoverDelay = max(isolationTimeout, followTimeout) + clockMargin
 	clockMargin   = followTimeout / 20
 	// questionInterval is the time between two questions to the entries, urgentQuestionInterval
-	// while a permission or a handover depends on their answers. It is reached termAgeToAsk
-	// after the newest term was read last: a read may wait for leaderTermPollWait.
+	// while a permission or a handover depends on their answers: until the handover has ended, and
+	// from termAgeToAsk after the last read of the newest term, which may wait leaderTermPollWait.
 	questionInterval       = electorsInterval
 	urgentQuestionInterval = heartbeatInterval
 	termAgeToAsk           = isolationTimeout / 2
