Do not change records that an overtaken try may still read

Cause: once the records of a standby topic were moved, the same slice was filled with their deletions, while a try of the append that another one had overtaken may still have encoded it. Change: the deletions have a slice of their own.

--- a/internal/process/jaystore/failover.go
+++ b/internal/process/jaystore/failover.go
@@ -196,11 +196,13 @@
 		return err
 	}
 	w.standby, w.moved = nil, nil
-	for i := range all {
-		all[i] = Record{Key: used.key(all[i].Key)}
+	// A try that another one has overtaken may still read the records.
+	deletions := make([]Record, len(all))
+	for i, r := range all {
+		deletions[i] = Record{Key: used.key(r.Key)}
 	}
 	// What stays if this fails is never read.
-	go func() { _ = standby.Write(ctx, all) }()
+	go func() { _ = standby.Write(ctx, deletions) }()
 	return nil
 }
 
