Log the panics of handlers instead of printing them

Cause: the recovery of the HTTP servers printed the stack of a handler that panicked to stderr, beside the structured log, where no operator looks for it.

Change: the servers log event `panic` with cause and stack.

--- a/cmd/jaystile/cellentry.go
+++ b/cmd/jaystile/cellentry.go
@@ -113,6 +113,7 @@
 }
 
 func serveUntilClosed(server *jayadapter.Server, l net.Listener, logger zerolog.Logger) {
+	server.Logger = logger
 	if err := server.Serve(l); err != nil {
 		logger.Error().Str("event", "serve").Str("address", l.Addr().String()).Err(err).Msg("server failed")
 	}
