Count a runner call's time from before the decision to make it

What callers saw: nothing yet.

Cause: poll and start decide under the mutex whether the runner may have restarted under its ID (isDoubted), and set the deadline of the call afterwards. An agent that stood still in between, for whatever time, sent the acknowledgement, the deadline or the start all the same. If no pooled connection was at hand it dialled a new one, and the runner's next life, which the call's Expect-Instance does not tell from the former, carried it out. A start would have begun a run that the leader took for lost.

Evidence: TestCallDecidedBeforeAStallIsNotSent lets the process stand still for 3 s after each reading of its clock.

Change: the call's time counts from before the decision. The platform's client sends nothing whose time is over. A call leaves at most responsiveTimeout and its own time, 2.1 s (1.6 s for starts and polls that do not wait), after the request of the listing that confirmed the life.

What remains: a runner that is back in less than these 2.1 s, while the agent stands still in that very window and has no pooled connection left, still gets such a call. The HTTP library works with durations and sets the deadline of the connection a few instructions later.

--- a/internal/process/jaysupervisor/orders.go
+++ b/internal/process/jaysupervisor/orders.go
@@ -128,6 +128,8 @@
 // start repeats a start call until the runner answers. Starts are idempotent.
 func (s *Supervisor) start(ctx context.Context, o *order) {
 	for ctx.Err() == nil {
+		// As in poll, a call that has waited since the decision to make it is not sent.
+		callUntil := time.Now().Add(callTimeout)
 		s.mutex.Lock()
 		request := Start{Incarnation: o.Runner, Task: o.Task, Run: o.Run, Spec: o.Spec, Checkpoint: o.Checkpoint, Ticket: o.Ticket, Deadline: s.leaseDeadline(), Fence: o.term}
 		draining, shrunk, evacuation := s.runner.Draining || s.deregistered, s.hasShrunk(o), s.evacuation.Check(s.Elapsed())
@@ -150,7 +152,7 @@
 			continue
 		}
 		o.calls++
-		err := s.tryStart(ctx, request)
+		err := s.tryStart(ctx, request, callUntil)
 		s.noteCallError(o.Runner, err)
 		s.noteStartCall(o, err)
 		if err != nil {
@@ -184,8 +186,8 @@
 	}
 }
 
-func (s *Supervisor) tryStart(ctx context.Context, request Start) error {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+func (s *Supervisor) tryStart(ctx context.Context, request Start, until time.Time) error {
+	ctx, cancel := context.WithDeadline(ctx, until)
 	defer cancel()
 	started := time.Now()
 	err := s.Client.Start(ctx, request)
--- a/internal/process/jaysupervisor/restart_test.go
+++ b/internal/process/jaysupervisor/restart_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -142,3 +143,66 @@
 		})
 	}
 }
+
+// Guards against acknowledgements, deadlines and starts that reach a runner's next life because
+// this process stood still between the decision to make the call and the call.
+func TestCallDecidedBeforeAStallIsNotSent(t *testing.T) {
+	const stall, readings = 3 * time.Second, 12
+	for _, c := range []struct {
+		name    string
+		timeout time.Duration
+		call    func(s *Supervisor)
+	}{
+		{"poll", callTimeout, func(s *Supervisor) { s.poll(s.ctx, 0) }},
+		{"waiting poll", renewalWait + callTimeout, func(s *Supervisor) { s.poll(s.ctx, renewalWait) }},
+		{"start", callTimeout, func(s *Supervisor) {
+			s.ApplyOrders(1, []jaycell.Order{{Kind: jaycell.OrderStart, Runner: "r1", Task: "t", Run: 1}})
+			time.Sleep(2 * stall)
+		}},
+	} {
+		// The process stands still after one of the readings of its clock; in the last play after none.
+		for stalledAt := range readings + 1 {
+			t.Run(fmt.Sprintf("%s, reading %d", c.name, stalledAt), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					ctx, cancel := context.WithCancel(t.Context())
+					begin, read, sent := time.Now(), 0, 0
+					s := New()
+					s.Lease, s.ctx, s.SendReport = time.Minute, ctx, func(jaycell.Report) {}
+					s.Elapsed = func() time.Duration {
+						at := time.Hour + time.Since(begin)
+						if read == stalledAt && stalledAt < readings {
+							time.Sleep(stall)
+						}
+						read++
+						return at
+					}
+					s.runner.ID, s.term, s.grantedUntil, s.acknowledged, s.confirmedAt = "r1", 1, 2*time.Hour, 9, time.Hour
+					s.runnerClock, s.runnerClockReadAt, s.runnerClockKnown = time.Hour, time.Hour, true
+					carry := func(ctx context.Context) error {
+						if ctx.Err() != nil {
+							return &NoAnswerError{Call: "call", Cause: "timeout"}
+						}
+						sent++
+						age := time.Since(begin)
+						assert.Assert(t, age <= responsiveTimeout+c.timeout, "sent %v after the runner's life was confirmed", age)
+						return nil
+					}
+					s.Client = RunnerClient{
+						Start: func(ctx context.Context, _ Start) error { return carry(ctx) },
+						Stop:  func(context.Context, Stop) error { return nil },
+						Renew: func(ctx context.Context, r Renewal) (Listing, error) {
+							if r.Acknowledged == 0 && r.Deadline == 0 {
+								return Listing{Clock: time.Hour}, nil
+							}
+							return Listing{Clock: time.Hour}, carry(ctx)
+						},
+					}
+					c.call(s)
+					cancel()
+					s.tasks.Wait()
+					assert.Assert(t, stalledAt < readings || sent == 1, "sent %d without a stall", sent)
+				})
+			})
+		}
+	}
+}
--- a/internal/process/jaysupervisor/supervisor.go
+++ b/internal/process/jaysupervisor/supervisor.go
@@ -383,6 +383,10 @@
 // poll extends the runner's lease and applies its listing. It reports whether the
 // runner answered.
 func (s *Supervisor) poll(ctx context.Context, wait time.Duration) bool {
+	// The call's time counts from before the decision what it carries: after a pause of this
+	// process in between, the runner may have restarted.
+	call, cancel := context.WithTimeout(ctx, wait+callTimeout)
+	defer cancel()
 	s.mutex.Lock()
 	renewal := Renewal{Incarnation: s.runner.ID, Deadline: s.leaseDeadline(), Fence: s.term, Acknowledged: s.acknowledged, Wait: wait}
 	if s.isDoubted() {
@@ -396,8 +400,6 @@
 		return false
 	}
 	requestedAt := s.Elapsed()
-	call, cancel := context.WithTimeout(ctx, wait+callTimeout)
-	defer cancel()
 	listing, err := s.Client.Renew(call, renewal)
 	answeredAt := s.Elapsed()
 	s.noteCallError(renewal.Incarnation, err)
