Check in the model that no deadline of a former life reaches a runner

The model of the supervisor's runners saw acknowledgements of a former life, but not its deadlines, which starts and renewals without ends carry as well. A deadline further ahead than the lease fails a play now, unless the play carries calls into the next life on purpose (lateOverLives).

--- a/internal/process/jaysupervisor/runnermodel_test.go
+++ b/internal/process/jaysupervisor/runnermodel_test.go
@@ -259,6 +259,15 @@
 
 func (r *modelRunner) extend(deadline time.Duration) { r.deadline = max(r.deadline, deadline) }
 
+// checkDeadline checks that a deadline is not meant for a former life of the runner, whose clock
+// was ahead.
+func (r *modelRunner) checkDeadline(deadline time.Duration) {
+	const drift = 200 * time.Millisecond
+	if f := r.node.fleet; !f.lateOverLives && deadline > r.clock()+f.lease+drift {
+		f.fail("", "a deadline is %s ahead on %s, %s after it began", deadline-r.clock(), r.id, f.now()-r.bornAt)
+	}
+}
+
 func (r *modelRunner) start(s Start) error {
 	f := r.node.fleet
 	switch {
@@ -269,6 +278,7 @@
 	case s.Fence < r.fence:
 		return &RefusedError{Call: "start", Reason: ReasonFence}
 	}
+	r.checkDeadline(s.Deadline)
 	r.fence = s.Fence
 	r.extend(s.Deadline)
 	if r.clock() > r.deadline || r.clock() > s.Deadline && !r.lenient {
@@ -318,6 +328,7 @@
 	case q.Fence < r.fence:
 		return &RefusedError{Call: "renew", Reason: ReasonFence}
 	}
+	r.checkDeadline(q.Deadline)
 	r.fence = q.Fence
 	r.extend(q.Deadline)
 	r.acknowledge(q.Acknowledged)
