Tell the restart of a runner with orders by heartbeat by its clock

Trace: i-8 gets its orders by heartbeat. Its second life, from 07:11:42.878 to 45.278, ends 11 runs, of which the leader has recorded all. Three crashes later, from 52.081 on, its heartbeats are numbered from 1 again and ignored as late ones, until their numbers pass the last one of the second life: the agent takes them for that life, and answers with its acknowledgement (11) from then on, and with the orders of that time.

Cause: a restart was told by the clock only in listings that the agent asks for (hasRestarted), not in those of heartbeats.

Change: a heartbeat with a listing whose clock is behind the newest one is from before or from another life. Late ones come by themselves; if they go on for 0.5 s (minEarlierAge) with rising numbers and list no run that the runner had, another life has begun. Until then they get no orders. Runners that send born are not concerned.

Evidence: TestHeartbeatsOfTheNextLifeGetNoOrdersOfTheFormer failed before ("11 != 0: heartbeat 18"). TestHeartbeatWithAKnownRunIsOfTheSameLife guards the other side. go test ./internal/process/jaysupervisor passes (24.1 s).

What remains: a life of less than about 0.6 s before the next one, whose clock and numbers pass it before the restart is told; a life whose clock begins above that of the former one.

--- a/internal/process/jaysupervisor/heartbeats.go
+++ b/internal/process/jaysupervisor/heartbeats.go
@@ -49,10 +49,21 @@
 func (s *Supervisor) ExchangeHeartbeat(h Heartbeat) HeartbeatResponse {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	if !s.isWhole(h) || !s.isOwn(h) || slices.Contains(s.pastIncarnations, h.Runner.ID) || s.runner.ID == h.Runner.ID && (s.deregistered || !s.isNewest(h)) {
+	if !s.isWhole(h) || !s.isOwn(h) {
 		return HeartbeatResponse{}
 	}
 	now := s.Elapsed()
+	h.Runner.ID = s.presentLife(h.Runner.ID)
+	if s.isEarlier(h) && !s.deregistered {
+		// A late one comes by itself; those of another life go on.
+		if s.listsKnownRun(h.Listing) || !s.earlier.goOn(h.Sequence, now) {
+			return HeartbeatResponse{NextHeartbeat: nextHeartbeatDelay}
+		}
+		s.restart(now, h)
+		h.Runner.ID = s.runner.ID
+	} else if slices.Contains(s.pastIncarnations, h.Runner.ID) || s.runner.ID == h.Runner.ID && (s.deregistered || !s.isNewest(h)) {
+		return HeartbeatResponse{}
+	}
 	switch {
 	case s.runner.ID == h.Runner.ID:
 		s.candidate = candidate{}
--- a/internal/process/jaysupervisor/restart.go
+++ b/internal/process/jaysupervisor/restart.go
@@ -1,6 +1,7 @@
 package jaysupervisor
 
 import (
+	"slices"
 	"time"
 
 	"github.com/jaystile/jaystile/internal/process/jaycell"
@@ -26,23 +27,23 @@
 	if s.runnerClockKnown && requestedAt >= s.runnerClockReadAt && l.Clock > 0 && l.Clock < s.runnerClock {
 		return true
 	}
-	if s.endSeenAt == 0 || requestedAt < s.endSeenAt {
-		return false
-	}
-	for _, r := range l.Running {
-		if s.observed[r.Task].run == r.Run {
-			return false
-		}
-	}
-	return true
+	return s.endSeenAt > 0 && requestedAt >= s.endSeenAt && !s.listsKnownRun(l)
+}
+
+func (s *Supervisor) listsKnownRun(l Listing) bool {
+	return slices.ContainsFunc(l.Running, func(r jaycell.Run) bool { return s.observed[r.Task].run == r.Run })
+}
+
+// isEarlier reports whether a heartbeat with a listing is from before the newest one, by its clock:
+// a late one, or one of another life of a runner that does not tell its lives.
+func (s *Supervisor) isEarlier(h Heartbeat) bool {
+	return s.runner.ID == h.Runner.ID && !jaycell.TellsLife(s.runner.ID) && s.runnerClockKnown && h.Listing.Clock > 0 && h.Listing.Clock < s.runnerClock
 }
 
 // restart begins a life of the runner under its name.
-func (s *Supervisor) restart(now time.Duration) {
+func (s *Supervisor) restart(now time.Duration, h Heartbeat) {
 	s.recordCrash(now)
-	h := Heartbeat{Runner: s.runner}
 	h.Runner.ID = jaycell.InferredIncarnationID(jaycell.RunnerName(s.runner.ID), time.Now().UnixMilli())
-	h.Runner.Draining = false
 	s.replaceRunner(h)
 	jaycontroller.Signal(s.pollSignal)
 }
--- a/internal/process/jaysupervisor/restart_test.go
+++ b/internal/process/jaysupervisor/restart_test.go
@@ -206,3 +206,63 @@
 		}
 	}
 }
+
+// Guards against acknowledgements of a runner's former life in the answers to the heartbeats of the
+// next one, which go on beyond the former numbers. The runner does not tell its lives.
+func TestHeartbeatsOfTheNextLifeGetNoOrdersOfTheFormer(t *testing.T) {
+	h := newHeartbeatHarness(t)
+	clock := 50 * time.Second
+	beat := func(l Listing) HeartbeatResponse {
+		h.supervisor.GrantLease(1, int64(h.elapsed))
+		clock += nextHeartbeatDelay
+		l.Clock = clock
+		return h.heartbeat("r1", l)
+	}
+	for range 10 {
+		beat(Listing{})
+	}
+	h.supervisor.ApplyOrders(1, []jaycell.Order{{Kind: jaycell.OrderAcknowledge, Runner: "r1", Number: 11}, {Kind: jaycell.OrderStart, Runner: "r1", Task: "t", Run: 1}})
+	assert.Equal(t, beat(Listing{}).Acknowledged, uint64(11))
+	assert.Equal(t, beat(running(1)).Acknowledged, uint64(11))
+	// Late ones of the same life have earlier numbers and clocks.
+	s := h.supervisor
+	for range 3 {
+		response := s.ExchangeHeartbeat(Heartbeat{Sequence: h.sequence - 2, Runner: jaycell.RunnerInfo{ID: "r1"}, Listing: Listing{Clock: clock - 2*nextHeartbeatDelay}})
+		assert.Equal(t, response.Acknowledged, uint64(0))
+		assert.Equal(t, beat(running(1)).Acknowledged, uint64(11))
+	}
+	h.order(jaycell.OrderStop, 1)
+	h.elapsed += 2 * time.Second
+	h.sequence, clock = 0, 0
+	taken := 0
+	for i := range 60 {
+		response := beat(Listing{})
+		assert.Equal(t, response.Acknowledged, uint64(0), "heartbeat %d", i+1)
+		assert.Equal(t, len(response.Stops), 0)
+		if response.Lease > 0 {
+			taken++
+		}
+	}
+	assert.Assert(t, taken > 50, "%d heartbeats of the next life were taken", taken)
+	assert.Assert(t, s.runner.ID != "r1" && jaycell.RunnerName(s.runner.ID) == "r1")
+	assert.Equal(t, len(s.crashes), 1)
+	assert.Equal(t, s.crashes[0].Runner, "r1")
+	assert.Equal(t, len(s.crashes[0].Runs), 1)
+	// What the leader orders for the next life reaches it.
+	s.ApplyOrders(1, []jaycell.Order{{Kind: jaycell.OrderStart, Runner: s.runner.ID, Task: "t", Run: 2}})
+	assert.Equal(t, len(beat(Listing{}).Starts), 1)
+}
+
+// Guards against runs that are taken for lost because late heartbeats of their life go on.
+func TestHeartbeatWithAKnownRunIsOfTheSameLife(t *testing.T) {
+	h := newHeartbeatHarness(t)
+	l := running(1)
+	l.Clock = 50 * time.Second
+	h.heartbeat("r1", l)
+	for range 10 {
+		l.Clock = 10*time.Second + h.elapsed - time.Hour
+		h.heartbeat("r1", l)
+	}
+	assert.Equal(t, h.supervisor.runner.ID, "r1")
+	assert.Equal(t, len(h.supervisor.crashes), 0)
+}
--- a/internal/process/jaysupervisor/supervisor.go
+++ b/internal/process/jaysupervisor/supervisor.go
@@ -409,7 +409,9 @@
 		return false
 	}
 	if err == nil && s.hasRestarted(listing, requestedAt) {
-		s.restart(answeredAt)
+		h := Heartbeat{Runner: s.runner}
+		h.Runner.Draining = false
+		s.restart(answeredAt, h)
 		return false
 	}
 	if err != nil {
