Follow no leader before the term is read, for runners with orders by heartbeat

What callers would see: a task runs twice.

Cause: such an agent reports a term after an answer that the runner may have given up, since it sends nothing of an earlier term itself. The leader takes that for the machine: it ends runs that the report does not list, and does not wait for the end of the handover. The next process of the agent forgets the term. Without the store it links to the leader of the term before, whose fence the runner still accepts.

Change: an agent whose runner gets its orders by heartbeat takes no grant and no order, and reports the runner as unresponsive, before it has read the newest term from the store. That term cannot be lower than one that an earlier process has confirmed. A term record that cannot be decoded does not count.

Cost: an agent that restarts without the store ends the work of such a runner after its lease; otherwise one read of the store before the first grant. The time from a loss of all processes to the first start was not measured. Runners with orders by call: no change.

--- a/internal/process/jaysupervisor/agent.go
+++ b/internal/process/jaysupervisor/agent.go
@@ -66,7 +66,7 @@
 		MakeHeartbeat: func() jayframe.Heartbeat { return jayframe.Heartbeat{} },
 	}
 	a.Supervisor.SendReport = a.sendReport
-	tail := &jaystore.Tail{Client: a.Store, Topic: a.CellTopic, Wait: termPollWait, Apply: a.applyRecord, OnError: func(err error) {
+	tail := &jaystore.Tail{Client: a.Store, Topic: a.CellTopic, Wait: termPollWait, Apply: func(r jaystore.StoredRecord) { a.applyRecord(r) }, Replace: a.replaceRecords, OnError: func(err error) {
 		a.Logger.Debug().Str("event", "dependency").Str("dependency", "store").Err(err).Msg("cannot read the term")
 	}}
 	var wg jayassert.Group
@@ -76,15 +76,26 @@
 	wg.Wait()
 }
 
-// applyRecord applies a record of the cell's topic.
-func (a *Agent) applyRecord(r jaystore.StoredRecord) {
+// replaceRecords applies the newest records of the cell's topic, the newest term's among them.
+func (a *Agent) replaceRecords(all []jaystore.StoredRecord) {
+	readable := true
+	for _, r := range all {
+		readable = a.applyRecord(r) && readable
+	}
+	if readable {
+		a.Supervisor.MarkTermRead()
+	}
+}
+
+// applyRecord applies a record of the cell's topic. It returns false for an invalid term.
+func (a *Agent) applyRecord(r jaystore.StoredRecord) bool {
 	name, address, _, isEntry := jaycontroller.DecodeEntry(r)
 	switch {
 	case r.Key == jaycontroller.TermKey && r.Value != nil:
 		t, err := jaycontroller.DecodeTerm(r.Value)
 		if err != nil {
 			a.Logger.Error().Str("event", "record").Err(err).Msg("skipping an invalid term record")
-			return
+			return false
 		}
 		a.setTerm(t)
 	case isEntry && address != "":
@@ -93,6 +104,7 @@
 		a.mutex.Unlock()
 		a.Logger.Debug().Str("event", "entry").Str("peer", name).Str("address", address).Msg("found an entry")
 	}
+	return true
 }
 
 // setTerm adopts a newer term and closes the link to the old leader.
--- a/internal/process/jaysupervisor/agent_test.go
+++ b/internal/process/jaysupervisor/agent_test.go
@@ -6,11 +6,13 @@
 	"testing"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"github.com/rs/zerolog"
 	"gotest.tools/v3/assert"
 
 	"github.com/jaystile/jaystile/internal/connection/jayframe"
 	"github.com/jaystile/jaystile/internal/connection/jaylink"
+	"github.com/jaystile/jaystile/internal/process/jaycontroller"
 	"github.com/jaystile/jaystile/internal/process/jaystore"
 )
 
@@ -50,12 +52,16 @@
 
 // startAgent runs an agent whose store knows nothing.
 func startAgent(t *testing.T, seeds ...string) *Agent {
-	s := New()
+	return startAgentWith(t, New(), func() (jaystore.Page, error) { return jaystore.Page{}, nil }, seeds...)
+}
+
+// startAgentWith runs an agent whose store returns the newest records.
+func startAgentWith(t *testing.T, s *Supervisor, newest func() (jaystore.Page, error), seeds ...string) *Agent {
 	s.Node, s.Client, s.Lease, s.Logger = "n1", newFakeRunner().client(), time.Minute, zerolog.Nop()
 	a := NewAgent(s)
 	a.Name, a.Seeds, a.Logger = "n1", seeds, zerolog.Nop()
 	a.Store = &jaystore.Client{
-		Newest: func(context.Context, string, string) (jaystore.Page, error) { return jaystore.Page{}, nil },
+		Newest: func(context.Context, string, string) (jaystore.Page, error) { return newest() },
 		Read: func(ctx context.Context, _ string, _ uint64, _ time.Duration) (jaystore.ReadResult, error) {
 			<-ctx.Done()
 			return jaystore.ReadResult{}, ctx.Err()
@@ -91,3 +97,53 @@
 		current.link.Close("reset")
 	}
 }
+
+// Guards against a lease of an earlier leader for a runner with orders by heartbeat, whose agent has
+// restarted and has not read the newest term from the store.
+func TestAgentFollowsNobodyBeforeItHasReadTheTerm(t *testing.T) {
+	encode := func(number uint64) []byte {
+		b, err := cbor.Marshal([]any{number, "leader", "", uint64(0)})
+		assert.NilError(t, err)
+		return b
+	}
+	term := func(value []byte) jaystore.Page {
+		return jaystore.Page{Records: []jaystore.StoredRecord{{Record: jaystore.Record{Key: jaycontroller.TermKey, Value: value}}}}
+	}
+	for _, c := range []struct {
+		name       string
+		heartbeats bool
+		page       jaystore.Page
+		err        error
+		granted    bool
+	}{
+		{"the term that the entry tells", true, term(encode(1)), nil, true},
+		{"a higher term", true, term(encode(2)), nil, false},
+		{"no term yet", true, jaystore.Page{}, nil, true},
+		{"an invalid term", true, term([]byte{0xff}), nil, false},
+		{"no store", true, jaystore.Page{}, &jaystore.NoAnswerError{}, false},
+		{"no store, by call", false, jaystore.Page{}, &jaystore.NoAnswerError{}, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			accepted := make(chan acceptedLink, 64)
+			s := New()
+			s.SetTerm(1)
+			s.OrdersByHeartbeat, s.HeartbeatInterval = c.heartbeats, time.Minute
+			a := startAgentWith(t, s, func() (jaystore.Page, error) { return c.page, c.err }, startEntry(t, "leader", "", accepted))
+			<-accepted
+			granted := func() bool {
+				a.Supervisor.ReportNow()
+				s.mutex.Lock()
+				defer s.mutex.Unlock()
+				return s.grantedUntil > 0
+			}
+			if c.granted {
+				waitUntil(t, "a lease", granted)
+				return
+			}
+			for range 20 {
+				assert.Assert(t, !granted())
+				time.Sleep(10 * time.Millisecond)
+			}
+		})
+	}
+}
--- a/internal/process/jaysupervisor/cellmodel_test.go
+++ b/internal/process/jaysupervisor/cellmodel_test.go
@@ -42,6 +42,10 @@
 	jobs       []*jaytask.Job
 	canceled   map[string]bool
 	nodes      []*node
+	// former is the leader of an earlier term that still grants leases, nil without one, and
+	// handover how long the next leader counts on that.
+	former   *formerLeader
+	handover time.Duration
 	// links are the leader's links by node; opened counts the links that were opened.
 	links  map[string]*link
 	opened uint64
@@ -200,8 +204,8 @@
 		evacuated = e.isEvacuated
 	}
 	f.cell = jaycell.New(jaycell.Settings{
-		Evacuated: evacuated,
-		Term:      f.term, Lease: f.lease, Retention: time.Hour, StopTimeout: modelStopTime, GangTimeout: modelGangTime, RemoteSlowdown: 1, Guaranteed: func(string) int { return 0 },
+		Evacuated: evacuated, HandoverDelay: f.handover,
+		Term: f.term, Lease: f.lease, Retention: time.Hour, StopTimeout: modelStopTime, GangTimeout: modelGangTime, RemoteSlowdown: 1, Guaranteed: func(string) int { return 0 },
 		OnDecision: func(d jaycell.Decision) {
 			f.logf(cmp.Or(d.Task, d.Job), "leader: %s run %d %s %s %s %s", d.Task, d.Run, d.Event, d.Outcome, d.Runner, d.Reason)
 		},
@@ -252,7 +256,8 @@
 	f.cell.SetTime(f.now(), time.Now())
 	f.cell.SetStarting(f.mayPlace())
 	f.cell.Tick()
-	f.sendOrders(f.cell.TakeImmediateOrders())
+	f.sendOrders(f.term, f.links, f.cell.TakeImmediateOrders())
+	f.former.tick(f)
 	if f.batch != nil {
 		return
 	}
@@ -270,7 +275,7 @@
 		f.batch = nil
 		f.store(b)
 		f.cell.SetTime(f.now(), time.Now())
-		f.sendOrders(f.cell.ConfirmStored(b))
+		f.sendOrders(f.term, f.links, f.cell.ConfirmStored(b))
 		jaycontroller.Signal(f.wake)
 	})
 }
@@ -293,7 +298,7 @@
 	}
 }
 
-func (f *fleet) sendOrders(orders []jaycell.Order) {
+func (f *fleet) sendOrders(term uint64, links map[string]*link, orders []jaycell.Order) {
 	byNode := map[string][]jaycell.Order{}
 	for _, o := range orders {
 		byNode[o.Node] = append(byNode[o.Node], o)
@@ -301,9 +306,8 @@
 			f.logf(o.Task, "leader: order %s to %s", describe(o), o.Runner)
 		}
 	}
-	term := f.term
 	for _, n := range f.nodes {
-		if l, sent := f.links[n.name], byNode[n.name]; l != nil && len(sent) > 0 {
+		if l, sent := links[n.name], byNode[n.name]; l != nil && len(sent) > 0 {
 			l.send(down, func() {
 				f.locked(func() {
 					for _, o := range sent {
@@ -329,6 +333,7 @@
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	if l.term != f.term {
+		f.former.handleReport(f, l, r)
 		return
 	}
 	r.Connection = l.number
--- a/internal/process/jaysupervisor/heartbeats.go
+++ b/internal/process/jaysupervisor/heartbeats.go
@@ -65,7 +65,8 @@
 		s.replaceRunner(h)
 	}
 	// The runner has read the response to its previous heartbeat, or given it up: no start
-	// of an earlier term can begin any more, which is what the fence stands for.
+	// of an earlier term can begin any more, which is what the fence stands for: neither this process
+	// nor a later one of this machine (mayFollow) sends one.
 	s.applyListing(h.Listing, now, now, s.sentFence)
 	response := HeartbeatResponse{Fence: s.term, Acknowledged: s.acknowledged, NextHeartbeat: nextHeartbeatDelay}
 	if lease := s.grantedUntil - now - maxResponseDelay; lease > 0 {
--- a/internal/process/jaysupervisor/heartbeats_test.go
+++ b/internal/process/jaysupervisor/heartbeats_test.go
@@ -25,6 +25,7 @@
 	s.Node, s.Lease, s.OrdersByHeartbeat, s.HeartbeatInterval, s.Logger, s.ctx = "n", 5*time.Second, true, time.Second, zerolog.Nop(), t.Context()
 	s.Elapsed = func() time.Duration { return h.elapsed }
 	s.SetTerm(1)
+	s.MarkTermRead()
 	h.adopt("r1")
 	s.GrantLease(1, int64(h.elapsed))
 	return h
--- a/internal/process/jaysupervisor/nodemodel_test.go
+++ b/internal/process/jaysupervisor/nodemodel_test.go
@@ -108,6 +108,9 @@
 	supervisor *Supervisor
 	link       *link
 	kill       context.CancelFunc
+	// storeCut agents do not reach the store, and those that followFormer link to the former
+	// leader while there is one.
+	storeCut, followFormer bool
 	// paused is closed when a pause of the agent process ends.
 	paused        chan struct{}
 	runnerAtPause *modelRunner
@@ -174,6 +177,9 @@
 	}
 	n.supervisor, n.kill = s, cancel
 	n.fleet.group.Go(func() { s.Run(ctx) })
+	if n.heartbeats {
+		n.readStore()
+	}
 	n.connect()
 }
 
@@ -185,6 +191,9 @@
 	n.fleet.logf("", "%s connects", n.name)
 	n.fleet.opened++
 	l := &link{node: n, number: n.fleet.opened, supervisor: n.supervisor, term: n.fleet.term}
+	if n.followFormer && n.fleet.former != nil {
+		l.term = n.fleet.former.term
+	}
 	n.link = l
 	l.send(down, func() {
 		l.supervisor.SetTerm(l.term)
@@ -192,6 +201,20 @@
 	})
 }
 
+// readStore makes an agent with access to the store adopt the newest term.
+func (n *node) readStore() {
+	if s := n.supervisor; !n.storeCut {
+		s.SetTerm(n.fleet.term)
+		s.MarkTermRead()
+	}
+}
+
+// healStore gives the agent access to the store again.
+func (n *node) healStore() {
+	n.storeCut = false
+	n.readStore()
+}
+
 func (n *node) pause() {
 	n.fleet.locked(n.pauseLocked)
 }
--- a/internal/process/jaysupervisor/orders.go
+++ b/internal/process/jaysupervisor/orders.go
@@ -26,7 +26,7 @@
 func (s *Supervisor) ApplyOrders(term uint64, orders []jaycell.Order) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	if term < s.term || s.ctx == nil || s.ended {
+	if term < s.term || !s.mayFollow() || s.ctx == nil || s.ended {
 		return
 	}
 	s.setTerm(term)
--- a/internal/process/jaysupervisor/supervisor.go
+++ b/internal/process/jaysupervisor/supervisor.go
@@ -136,6 +136,8 @@
 	runnerClockReadAt time.Duration
 	runnerClockKnown  bool
 	term              uint64
+	// termRead is set once this process has read the newest term from the store.
+	termRead bool
 	// confirmedFence is the highest fence that the runner had seen when it listed its
 	// runs.
 	confirmedFence uint64
@@ -212,12 +214,30 @@
 	jaycontroller.Signal(s.pollSignal)
 }
 
+// MarkTermRead records that the known term is not lower than the newest one that the store had
+// after this process began.
+func (s *Supervisor) MarkTermRead() {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if s.termRead {
+		return
+	}
+	s.termRead = true
+	s.Logger.Info().Str("event", "term").Uint64("term", s.term).Msg("read the newest term")
+	jaycontroller.Signal(s.reportSignal)
+}
+
+// mayFollow reports whether this process may follow the leader of the known term. The process before
+// it may have confirmed a higher one, of which entries do not tell and whose fence a runner with
+// orders by heartbeat may not have read. Other runners refuse what comes from an earlier leader.
+func (s *Supervisor) mayFollow() bool { return s.termRead || !s.OrdersByHeartbeat }
+
 // GrantLease allows the lease to be extended, counted from when the report with this
 // sequence number was sent: a report's sequence number is its time, as of Elapsed.
 func (s *Supervisor) GrantLease(term uint64, sequence int64) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	if term != s.term {
+	if term != s.term || !s.mayFollow() {
 		return
 	}
 	if term != s.grantedIn || s.lapseLogged {
@@ -515,7 +535,7 @@
 	s.logLapse(now)
 	r := jaycell.Report{
 		Node: s.Node, Sequence: int64(now), Term: min(s.confirmedFence, s.term), Runner: s.runner, Ended: s.ended,
-		Responsive: !s.ended && s.lastResponse > 0 && now-s.lastResponse < max(responsiveTimeout, s.HeartbeatInterval*responsiveHeartbeats),
+		Responsive: !s.ended && s.mayFollow() && s.lastResponse > 0 && now-s.lastResponse < max(responsiveTimeout, s.HeartbeatInterval*responsiveHeartbeats),
 		Running:    append([]jaycell.Run(nil), s.listing.Running...), Finished: append([]jaycell.End(nil), s.listing.Finished...),
 	}
 	r.Runner.Draining = r.Runner.Draining || s.deregistered
