Do not count a closing entry as a follower

What callers would see: a task runs twice. An entry that shuts down closes its listener when its context ends, its links some milliseconds later, or longer if the process stalls between. The next process at its address may be linked to a later leader by then, whose question excludes the closing life from the electors of earlier leaders.

Change: an entry whose context has ended answers nobody whom it follows, and a leader does not count itself. The listener closes after the end of the context, so each question that is answered was asked before the listener closed, however long the answer takes.

No play of two processes at one address was made: the platform starts the next one after the end of the former.

--- a/internal/process/jaycontroller/controller.go
+++ b/internal/process/jaycontroller/controller.go
@@ -214,11 +214,11 @@
 // Run serves links, follows the store's topics and takes part in elections until ctx
 // is done. It returns an error when the listener fails.
 func (c *Controller) Run(ctx context.Context) error {
-	c.ctx = ctx
 	var serveErr error
 	var wg jayassert.Group
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	c.ctx = ctx
 	wg.Go(func() {
 		if err := c.endpoint.Serve(ctx, c.listener); err != nil {
 			serveErr = fmt.Errorf("serve links: %w", err)
--- a/internal/process/jaycontroller/followers.go
+++ b/internal/process/jaycontroller/followers.go
@@ -52,8 +52,15 @@
 	}
 }
 
+// isClosing reports whether this process ends. From then on another one may accept links at its
+// address, whose answers exclude this life from the electors of earlier leaders.
+func (c *Controller) isClosing() bool { return c.ctx != nil && c.ctx.Err() != nil }
+
 // answerWhomItFollows tells a peer the term that this entry follows.
 func (c *Controller) answerWhomItFollows(l *jaylink.Link, m *jayframe.CellAsk) {
+	if c.isClosing() {
+		return
+	}
 	if err := l.Send(&jayframe.CellFollow{Term: c.Term().number, AskedNanos: m.AskedNanos}); err != nil {
 		c.Logger.Debug().Str("event", "link").Str("peer", l.Peer()).Err(err).Msg("cannot answer whom this entry follows")
 	}
@@ -86,7 +93,9 @@
 // by checkStanding only.
 func (l *leadership) noteAnswers(now time.Duration) {
 	c := l.controller
-	l.followedAt[c.elector()], l.alive[c.Address] = now, answer{elector: c.elector(), askedAt: now}
+	if !c.isClosing() {
+		l.followedAt[c.elector()], l.alive[c.Address] = now, answer{elector: c.elector(), askedAt: now}
+	}
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	for _, f := range c.peers {
