Settle the links of an agent before it ends its drain

Callers saw: `owner_lost (unknown): a new life of the owner began` while an agent was restarted gracefully (TestGracefulShutdownLosesNoRequests, once, at a load of about 100; no trace of that run is left).

Cause, found by reading: an agent without work ended 0.2 s after the notice of its drain, whether the entries had read it or not. Hypotheses: (1) the entry sends a request before it has read the notice, and the agent ends before it reads the request; (2) the agent ends before its last outcomes are written; (3) the link breaks off meanwhile. In all three the next hello tells the entry of a new life, and an attempt without news ends as unknown.

Change: the drain waits until the peer's heartbeats have acknowledged all that was sent to it, twice (Link.Settle): the first time the entries have read the notice and send nothing more, the second time they have the refusals of what they had sent. No message changes.

Conclusion: a graceful end waits for its peers, not for a time.

--- a/internal/connection/jaylink/link.go
+++ b/internal/connection/jaylink/link.go
@@ -23,6 +23,9 @@
 // outboxFrames bounds the frames that wait to be written to one link.
 const outboxFrames = 4096
 
+// settleInterval is how often Settle checks the acknowledgements.
+const settleInterval = 10 * time.Millisecond
+
 // ClosedError reports that a link was closed and why.
 type ClosedError struct {
 	Peer  string
@@ -67,9 +70,10 @@
 	mutex    sync.Mutex
 	calls    map[uint64]chan jayframe.Message
 
-	// Sequence numbers of the last heartbeat sent and received.
+	// Sequence numbers of the last heartbeat sent, received and acknowledged by the peer.
 	sentSequence     atomic.Uint64
 	receivedSequence atomic.Uint64
+	ackedSequence    atomic.Uint64
 	silence          *silence
 }
 
@@ -151,6 +155,24 @@
 	}
 }
 
+// Settle waits until the peer has handled all that was sent before, and this process all that
+// the peer had sent by then. It returns an error if the link closes or ctx ends first.
+func (l *Link) Settle(ctx context.Context) error {
+	next := l.sentSequence.Load() + 1
+	ticker := time.NewTicker(settleInterval)
+	defer ticker.Stop()
+	for l.ackedSequence.Load() < next {
+		select {
+		case <-ticker.C:
+		case <-l.done:
+			return l.Err()
+		case <-ctx.Done():
+			return fmt.Errorf("settle link to %s: %w", l.peer, ctx.Err())
+		}
+	}
+	return nil
+}
+
 func (l *Link) enqueue(f jayframe.Frame) error {
 	b, err := jayframe.Encode(f)
 	if err != nil {
@@ -260,6 +282,7 @@
 	}
 	if b, ok := f.Message().(*jayframe.Heartbeat); ok {
 		l.receivedSequence.Store(b.Sequence)
+		l.ackedSequence.Store(b.Ack)
 		// Only the ack of a heartbeat sent within SilenceTimeout proves that messages
 		// still arrive.
 		if b.Ack+uint64(l.timing.SilenceTimeout/l.timing.HeartbeatInterval) >= l.sentSequence.Load() {
--- a/internal/process/jayagent/agent.go
+++ b/internal/process/jayagent/agent.go
@@ -221,7 +221,8 @@
 	return nil
 }
 
-// drain refuses new work, reports that to the entries and waits for work in flight.
+// drain refuses new work, reports that to the entries and waits for work in flight and until
+// the entries have all outcomes.
 func (a *Agent) drain() {
 	a.SetDraining(true)
 	deadline := time.Now().Add(a.Settings.DrainTimeout)
@@ -230,8 +231,7 @@
 		idle := len(a.members) == 0 && len(a.activeGangs) == 0
 		a.mutex.Unlock()
 		if idle {
-			// The links still have to send the last outcomes.
-			time.Sleep(2 * tickInterval)
+			a.settleLinks(deadline)
 			return
 		}
 		time.Sleep(tickInterval)
@@ -243,6 +243,29 @@
 	}
 }
 
+// settleLinks waits until the entries have handled the notice of the drain, after which they send
+// no more requests, and then the refusals of those that they sent before.
+func (a *Agent) settleLinks(deadline time.Time) {
+	ctx, cancel := context.WithDeadline(context.Background(), deadline)
+	defer cancel()
+	a.sendReports()
+	var wg conc.WaitGroup
+	for _, l := range a.entryLinks() {
+		wg.Go(func() {
+			err := l.Settle(ctx)
+			if err == nil {
+				err = l.Settle(ctx)
+			}
+			if err != nil {
+				a.Logger.Warn().Str("entry", l.Peer()).Err(err).Msg("entry may lack outcomes")
+			}
+		})
+	}
+	wg.Wait()
+	// The calls of other agents are answered as well.
+	time.Sleep(2 * tickInterval)
+}
+
 // Freeze blocks the whole process for d, as if its machine were paused. It is for
 // tests and failure demonstrations.
 func (a *Agent) Freeze(d time.Duration) {
--- a/internal/process/jayagent/links.go
+++ b/internal/process/jayagent/links.go
@@ -254,16 +254,23 @@
 func (a *Agent) sendReports() {
 	a.mutex.Lock()
 	r := a.makeReport()
+	a.mutex.Unlock()
+	for _, l := range a.entryLinks() {
+		_ = l.Send(r)
+	}
+}
+
+// entryLinks returns the open links to entries.
+func (a *Agent) entryLinks() []*jaylink.Link {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
 	var links []*jaylink.Link
 	for _, e := range a.entries {
 		if e.link != nil {
 			links = append(links, e.link)
 		}
 	}
-	a.mutex.Unlock()
-	for _, l := range links {
-		_ = l.Send(r)
-	}
+	return links
 }
 
 // makeReport describes the ledger's reservations, free slots and health.
