--- a/internal/process/jayagent/links.go
+++ b/internal/process/jayagent/links.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -72,6 +73,7 @@
 	a.mutex.Lock()
 	e := a.entries[address]
 	e.link = link
+	e.openedAt = a.now()
 	e.name = reply.Name
 	e.incarnation = jayattempt.Incarnation(reply.Incarnation)
 	r := a.makeReport()
@@ -266,6 +268,23 @@
 	}
 }
 
+// entryAddresses returns the addresses of the entries that are followed.
+func (a *Agent) entryAddresses() []string {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	return slices.Collect(maps.Keys(a.entries))
+}
+
+// linkTo returns the link to the entry at an address and when it opened, or nil.
+func (a *Agent) linkTo(address string) (*jaylink.Link, time.Duration) {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	if e := a.entries[address]; e != nil {
+		return e.link, e.openedAt
+	}
+	return nil, 0
+}
+
 // makeReport describes the ledger's reservations, free slots and health.
 func (a *Agent) makeReport() *jayframe.Report {
 	now := a.now()
