Exclude no elector by an address that two entries announce

What callers would see: a task runs twice, where two entries announce the same address, by a mistake in their settings or a proxy before both. Cause: an elector is excluded once another life has answered at its address. Two entries with one address are two lives that both live: each answer excluded the other, so that a successor counted on the end of a leader which both still follow.

Change: an address that two known names announce, in the store or on a link, excludes no life in that term, and an error is logged. The successor then waits for the electors' own answers, or for outageWait.

Evidence: TestSharedAddressExcludesNoElector, three of its five rows fail without the condition. go test ./internal/process/jaycontroller passes (78.1 s, -parallel 2), the model of the electors among it.

Conclusion: bounded, not closed: a second entry that neither the store nor a link has shown excludes once. An address that passes to an entry of another name costs the same wait in the term that sees both names.

--- a/internal/process/jaycontroller/closing_test.go
+++ b/internal/process/jaycontroller/closing_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/jaystile/jaystile/internal/connection/jayframe"
 	"github.com/jaystile/jaystile/internal/connection/jaylink"
+	"github.com/jaystile/jaystile/internal/process/jaystore"
 )
 
 // Guards against an entry that counts for an earlier leader after its listener has closed, while the
@@ -58,3 +59,40 @@
 		cancel()
 	}
 }
+
+// Guards against a successor that excludes electors which live: two entries announce one address, and
+// the answers of each count as the end of the other.
+func TestSharedAddressExcludesNoElector(t *testing.T) {
+	entry := func(name, address string) jaystore.StoredRecord {
+		return jaystore.StoredRecord{Record: jaystore.Record{Key: entryPrefix + name, Value: encodeEntry(address, 1)}}
+	}
+	for _, x := range []struct {
+		name     string
+		known    []jaystore.StoredRecord
+		peers    []*follower
+		excluded bool
+	}{
+		{"one entry, restarted", []jaystore.StoredRecord{entry("b", "b:1")}, []*follower{{name: "b", elector: "b:1/2"}}, true},
+		{"announced twice", []jaystore.StoredRecord{entry("b", "b:1"), entry("c", "b:1")}, []*follower{{name: "c", elector: "b:1/2"}}, false},
+		{"announced by one, told on a link by the other", []jaystore.StoredRecord{entry("b", "b:1")}, []*follower{{name: "c", elector: "b:1/2"}}, false},
+		{"told on two links", nil, []*follower{{name: "b", elector: "b:1/3"}, {name: "c", elector: "b:1/2"}}, false},
+		{"one has moved", []jaystore.StoredRecord{entry("c", "b:1"), entry("c", "c:1"), entry("b", "b:1")}, []*follower{{name: "b", elector: "b:1/2"}}, true},
+	} {
+		t.Run(x.name, func(t *testing.T) {
+			c := New(nil)
+			c.Name, c.Address, c.Incarnation = "a", "a:1", 1
+			for _, r := range x.known {
+				c.applyCellRecord(r)
+			}
+			l := newLeadership(c, 2)
+			for _, f := range x.peers {
+				f.term, f.askedAt = 1, l.beganAt+1
+				c.peers[&jaylink.Link{}] = f
+			}
+			l.noteAnswers(l.beganAt + 2)
+			assert.Equal(t, l.followsNoOther("b:1/1"), x.excluded)
+			assert.Equal(t, l.predecessorsHaveCeased([]string{"a:1/1", "b:1/1", "c:1/1"}, l.beganAt+2), x.excluded)
+			assert.Assert(t, !l.followsNoOther("c:1/1"))
+		})
+	}
+}
--- a/internal/process/jaycontroller/followers.go
+++ b/internal/process/jaycontroller/followers.go
@@ -98,6 +98,7 @@
 	}
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
+	l.noteSharedAddresses()
 	for _, f := range c.peers {
 		if f.askedAt < l.beganAt {
 			// Before the term began, the electors may have been others.
@@ -119,10 +120,31 @@
 }
 
 // isReplaced reports whether another life has answered at the address of an elector, whose
-// process has ended: no two accept links at one address.
+// process has ended: no two accept links at one address, unless entries share it.
 func (l *leadership) isReplaced(elector string) bool {
-	newest, ok := l.alive[electorAddress(elector)]
-	return ok && newest.elector != elector
+	address := electorAddress(elector)
+	newest, ok := l.alive[address]
+	return ok && newest.elector != elector && !l.shared[address]
+}
+
+// noteSharedAddresses adds the addresses that several entries announce. Lives at such an address do
+// not follow each other. The controller's mutex is held.
+func (l *leadership) noteSharedAddresses() {
+	c := l.controller
+	names := map[string]string{c.Address: c.Name}
+	note := func(address, name string) {
+		if known, ok := names[address]; ok && known != name && !l.shared[address] {
+			l.shared[address] = true
+			c.Logger.Error().Str("event", "entry").Uint64("term", l.term).Str("address", address).Str("peer", name).Str("other", known).Msg("two entries announce one address: a restart of either excludes no elector")
+		}
+		names[address] = name
+	}
+	for name, address := range c.entryAddresses {
+		note(address, name)
+	}
+	for _, f := range c.peers {
+		note(electorAddress(f.elector), f.name)
+	}
 }
 
 // followsNoOther reports whether an elector follows no earlier leader any more.
--- a/internal/process/jaycontroller/leadership.go
+++ b/internal/process/jaycontroller/leadership.go
@@ -58,14 +58,16 @@
 	evacuationRequested atomic.Bool
 	// beganAt is when the term began here.
 	beganAt time.Duration
-	// standingCheckedAt, electorsCheckedAt and askedAt are used by tick only, followedAt and alive
-	// by checkStanding and tick. followedAt holds by elector when it was last asked and has answered
-	// that it follows this leader, alive by address the newest answer.
+	// standingCheckedAt, electorsCheckedAt and askedAt are used by tick only, followedAt, alive
+	// and shared by checkStanding and tick. followedAt holds by elector when it was last asked and has answered
+	// that it follows this leader, alive by address the newest answer, shared the addresses that
+	// several entries announce.
 	standingCheckedAt time.Duration
 	electorsCheckedAt time.Duration
 	askedAt           time.Duration
 	followedAt        map[string]time.Duration
 	alive             map[string]answer
+	shared            map[string]bool
 	// accountMadeAt, accountSequence and accountEmpty are of the latest account of the
 	// backlog, and used by tick only.
 	accountMadeAt   time.Duration
@@ -106,7 +108,7 @@
 
 func newLeadership(c *Controller, term uint64) *leadership {
 	now := jayclock.Elapsed()
-	l := &leadership{controller: c, term: term, wake: make(chan struct{}, 1), adviceWanted: make(chan struct{}, 1), done: make(chan struct{}), accountEmpty: true, reports: newReportQueue(), lastTick: now, beganAt: now, followedAt: map[string]time.Duration{}, alive: map[string]answer{}}
+	l := &leadership{controller: c, term: term, wake: make(chan struct{}, 1), adviceWanted: make(chan struct{}, 1), done: make(chan struct{}), accountEmpty: true, reports: newReportQueue(), lastTick: now, beganAt: now, followedAt: map[string]time.Duration{}, alive: map[string]answer{}, shared: map[string]bool{}}
 	l.cell = jaycell.New(jaycell.Settings{
 		Term: term, Lease: c.Timing.Lease, HandoverDelay: outageWait + handoverDelay, Retention: c.Timing.Retention, StopTimeout: c.Timing.StopTimeout, GangTimeout: c.Timing.GangTimeout, RemoteSlowdown: c.Timing.RemoteSlowdown,
 		Guaranteed: func(workspace string) int {
