Tell of entries that do not answer whom they follow

They were refused (an entry counts by its answers only), but nothing said so: operators saw a leader without a majority, and not which entries were missing.

Change: once a linked entry has left more than eight questions unanswered and has never answered one, a warning names it, once a link, and jaystile_silent_entries_total counts it. The log line was not looked for in a run with real processes.

Test: TestEntryThatAnswersNothingIsReportedOnce (four rows; new code, so it has no earlier form to fail on).

--- a/internal/process/jaycontroller/followers.go
+++ b/internal/process/jaycontroller/followers.go
@@ -15,11 +15,20 @@
 // at which the leader asked. A link that is open tells less: its silence does not count while the
 // leader itself stands still, and frames wait in sockets.
 
-// maxOpenQuestions bounds the questions on one link that wait for an answer.
-const maxOpenQuestions = 16
+const (
+	// maxOpenQuestions bounds the questions on one link that wait for an answer.
+	maxOpenQuestions = 16
+	// silentQuestions is how many questions without any answer tell that an entry does not answer
+	// such: two seconds at least, in which the link of one that has failed ends.
+	silentQuestions = 8
+)
 
-// unaskedAnswers counts answers to questions that were not asked on their link.
-var unaskedAnswers = metrics.NewCounter("jaystile_unasked_answers_total")
+var (
+	// unaskedAnswers counts answers to questions that were not asked on their link.
+	unaskedAnswers = metrics.NewCounter("jaystile_unasked_answers_total")
+	// silentEntries counts links to entries that do not tell whom they follow.
+	silentEntries = metrics.NewCounter("jaystile_silent_entries_total")
+)
 
 // follower is another entry that has opened a link to this one.
 type follower struct {
@@ -31,8 +40,19 @@
 	// asked, zero before the first answer.
 	term    uint64
 	askedAt time.Duration
-	// reported is set once an answer to no question has been logged.
-	reported bool
+	// reported is set once an answer to no question has been logged, silent once it has been logged
+	// that no question is answered.
+	reported, silent bool
+}
+
+// ask notes a question. It reports once that the entry has answered none.
+func (f *follower) ask(now time.Duration) bool {
+	f.asked = append(f.asked[max(0, len(f.asked)-maxOpenQuestions+1):], now)
+	if f.silent || f.askedAt > 0 || len(f.asked) <= silentQuestions {
+		return false
+	}
+	f.silent = true
+	return true
 }
 
 // askFollowers asks all linked entries whom they follow.
@@ -41,7 +61,10 @@
 	var links []*jaylink.Link
 	c.mutex.Lock()
 	for l, f := range c.peers {
-		f.asked = append(f.asked[max(0, len(f.asked)-maxOpenQuestions+1):], now)
+		if f.ask(now) {
+			silentEntries.Inc()
+			c.Logger.Warn().Str("event", "link").Str("peer", f.name).Str("address", electorAddress(f.elector)).Msg("entry does not tell whom it follows, as earlier versions do not: it counts as no follower")
+		}
 		links = append(links, l)
 	}
 	c.mutex.Unlock()
--- a/internal/process/jaycontroller/followers_test.go
+++ b/internal/process/jaycontroller/followers_test.go
@@ -111,6 +111,37 @@
 	c.recordAnswer(&jaylink.Link{}, &jayframe.CellFollow{Term: 1, AskedNanos: 3})
 }
 
+// Guards against entries of an earlier version that count as no followers without a word.
+func TestEntryThatAnswersNothingIsReportedOnce(t *testing.T) {
+	c := New(nil)
+	for _, x := range []struct {
+		name string
+		// answersFrom is the question from which on all are answered, zero if none is.
+		answersFrom int
+		reported    int
+	}{
+		{"answers nothing", 0, 1},
+		{"answers all", 1, 0},
+		{"answers late", silentQuestions, 0},
+		{"answers after it has been reported", silentQuestions + 2, 1},
+	} {
+		t.Run(x.name, func(t *testing.T) {
+			l, f, reported := &jaylink.Link{}, &follower{}, 0
+			c.peers[l] = f
+			for n := 1; n <= 4*maxOpenQuestions; n++ {
+				if f.ask(time.Duration(n)) {
+					reported++
+				}
+				if x.answersFrom > 0 && n >= x.answersFrom {
+					c.recordAnswer(l, &jayframe.CellFollow{Term: 1, AskedNanos: int64(n)})
+				}
+			}
+			assert.Equal(t, reported, x.reported)
+			assert.Assert(t, len(f.asked) <= maxOpenQuestions)
+		})
+	}
+}
+
 // Guards against a successor that takes leases for lapsed although it knows of no electors, or of none
 // of this version, while a leader of an earlier version may grant them.
 func TestPredecessorsThatAreNotKnownAreWaitedFor(t *testing.T) {
