--- a/internal/process/jaycontroller/followers.go
+++ b/internal/process/jaycontroller/followers.go
@@ -15,11 +15,20 @@
 // at which the leader asked. A link that is open tells less: its silence does not count while the
 // leader itself stands still, and frames wait in sockets.
 
-// maxOpenQuestions bounds the questions on one link that wait for an answer.
-const maxOpenQuestions = 16
+const (
+	// maxOpenQuestions bounds the questions on one link that wait for an answer.
+	maxOpenQuestions = 16
+	// silentQuestions is how many questions without any answer tell that an entry does not answer
+	// such: two seconds at least, in which the link of one that has failed ends.
+	silentQuestions = 8
+)
 
-// unaskedAnswers counts answers to questions that were not asked on their link.
-var unaskedAnswers = metrics.NewCounter("jaystile_unasked_answers_total")
+var (
+	// unaskedAnswers counts answers to questions that were not asked on their link.
+	unaskedAnswers = metrics.NewCounter("jaystile_unasked_answers_total")
+	// silentEntries counts links to entries that do not tell whom they follow.
+	silentEntries = metrics.NewCounter("jaystile_silent_entries_total")
+)
 
 // follower is another entry that has opened a link to this one.
 type follower struct {
@@ -31,8 +40,19 @@
 	// asked, zero before the first answer.
 	term    uint64
 	askedAt time.Duration
-	// reported is set once an answer to no question has been logged.
-	reported bool
+	// reported is set once an answer to no question has been logged, silent once it has been logged
+	// that no question is answered.
+	reported, silent bool
+}
+
+// ask notes a question. It reports once that the entry has answered none.
+func (f *follower) ask(now time.Duration) bool {
+	f.asked = append(f.asked[max(0, len(f.asked)-maxOpenQuestions+1):], now)
+	if f.silent || f.askedAt > 0 || len(f.asked) <= silentQuestions {
+		return false
+	}
+	f.silent = true
+	return true
 }
 
 // askFollowers asks all linked entries whom they follow.
@@ -41,7 +61,10 @@
 	var links []*jaylink.Link
 	c.mutex.Lock()
 	for l, f := range c.peers {
-		f.asked = append(f.asked[max(0, len(f.asked)-maxOpenQuestions+1):], now)
+		if f.ask(now) {
+			silentEntries.Inc()
+			c.Logger.Warn().Str("event", "link").Str("peer", f.name).Str("address", electorAddress(f.elector)).Msg("entry does not tell whom it follows, as earlier versions do not: it counts as no follower")
+		}
 		links = append(links, l)
 	}
 	c.mutex.Unlock()
@@ -98,6 +121,7 @@
 	}
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
+	l.noteSharedAddresses()
 	for _, f := range c.peers {
 		if f.askedAt < l.beganAt {
 			// Before the term began, the electors may have been others.
@@ -119,10 +143,31 @@
 }
 
 // isReplaced reports whether another life has answered at the address of an elector, whose
-// process has ended: no two accept links at one address.
+// process has ended: no two accept links at one address, unless entries share it.
 func (l *leadership) isReplaced(elector string) bool {
-	newest, ok := l.alive[electorAddress(elector)]
-	return ok && newest.elector != elector
+	address := electorAddress(elector)
+	newest, ok := l.alive[address]
+	return ok && newest.elector != elector && !l.shared[address]
+}
+
+// noteSharedAddresses adds the addresses that several entries announce. Lives at such an address do
+// not follow each other. The controller's mutex is held.
+func (l *leadership) noteSharedAddresses() {
+	c := l.controller
+	names := map[string]string{c.Address: c.Name}
+	note := func(address, name string) {
+		if known, ok := names[address]; ok && known != name && !l.shared[address] {
+			l.shared[address] = true
+			c.Logger.Error().Str("event", "entry").Uint64("term", l.term).Str("address", address).Str("peer", name).Str("other", known).Msg("two entries announce one address: a restart of either excludes no elector")
+		}
+		names[address] = name
+	}
+	for name, address := range c.entryAddresses {
+		note(address, name)
+	}
+	for _, f := range c.peers {
+		note(electorAddress(f.elector), f.name)
+	}
 }
 
 // followsNoOther reports whether an elector follows no earlier leader any more.
