Draw late answers, fresh 410s and slow successors in the model of states

What decided them came from the scheduler: an answer arrived the moment the store had executed the call, topics forgot their history when most readers had read it, and successors seldom read slowly. Change: drawn from the seed now are answers up to 1.5 s late, times below a millisecond, 410s right after an append, and pairs of successors that read slowly, lead late, and learn of new jobs late. Failures are part of the trace. A first start under a number that has ended fails a play: such a run is refused for good, and the job stays `running`.

--- a/internal/process/jaycontroller/modelstore_test.go
+++ b/internal/process/jaycontroller/modelstore_test.go
@@ -24,6 +24,8 @@
 	modelPageTime = 20 * time.Millisecond
 	// modelMaxLate bounds how late a call without an answer may be executed.
 	modelMaxLate = 5 * time.Second
+	// modelMaxAnswerDelay bounds how long an answer is on its way: answers of later calls overtake it.
+	modelMaxAnswerDelay = 1500 * time.Millisecond
 	// modelDedup is how many of the last appends of a producer are answered again.
 	modelDedup = 5
 )
@@ -53,6 +55,9 @@
 	streams map[string]*rand.Rand
 	// faults is the share of calls that are refused, get no answer or are late.
 	faults float64
+	// lateAnswers is the share of answers that are late, forgets that of appends with which the topic
+	// forgets its history.
+	lateAnswers, forgets float64
 	// silentUntil and cutUntil hold by topic and by entry until when calls are not handled.
 	silentUntil map[string]time.Time
 	cutUntil    map[string]time.Time
@@ -117,6 +122,8 @@
 	executed   bool
 	delay      time.Duration
 	loseAnswer bool
+	// answerDelay is how long the answer of an executed call is on its way.
+	answerDelay time.Duration
 }
 
 // draw draws the fate of a call. Each entry and topic has a stream of its own, so that the order in
@@ -125,14 +132,12 @@
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	name := entry + "/" + topic
-	r := s.streams[name]
-	if r == nil {
-		h := fnv.New64()
-		fmt.Fprint(h, name)
-		r = rand.New(rand.NewPCG(s.seed, h.Sum64()))
-		s.streams[name] = r
+	r := s.stream(name)
+	// Times of less than a millisecond decide which of several calls at one time comes first.
+	f := fate{executed: true, delay: time.Duration(1+r.IntN(5))*time.Millisecond + time.Duration(r.IntN(int(time.Millisecond)))}
+	if r.Float64() < s.lateAnswers {
+		f.answerDelay = time.Duration(r.Int64N(int64(modelMaxAnswerDelay)))
 	}
-	f := fate{executed: true, delay: time.Duration(1+r.IntN(5)) * time.Millisecond}
 	if time.Now().Before(s.cutUntil[entry]) {
 		return fate{delay: time.Duration(r.IntN(400)) * time.Millisecond, refused: r.IntN(2) == 0}
 	}
@@ -156,6 +161,18 @@
 	return f
 }
 
+// stream returns the random numbers of a name. The mutex is held.
+func (s *modelStore) stream(name string) *rand.Rand {
+	r := s.streams[name]
+	if r == nil {
+		h := fnv.New64()
+		fmt.Fprint(h, name)
+		r = rand.New(rand.NewPCG(s.seed, h.Sum64()))
+		s.streams[name] = r
+	}
+	return r
+}
+
 func (s *modelStore) silentFor(topic string) time.Duration {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
@@ -178,6 +195,7 @@
 				time.Sleep(silent)
 			}
 			if err := f(); !fate.loseAnswer {
+				time.Sleep(fate.answerDelay)
 				done <- err
 			}
 		}()
@@ -282,6 +300,11 @@
 		p.answers = append(p.answers, modelAnswer{a.Fence.Sequence, end})
 		p.answers = p.answers[max(0, len(p.answers)-modelDedup):]
 	}
+	if s.stream("forget/"+a.Topic).Float64() < s.forgets {
+		// Readers that follow the topic have not read the newest records yet.
+		t.first = end
+		s.tracef("FORGET %s up to its newest records", a.Topic)
+	}
 	t.changed.broadcast()
 	return end, nil
 }
@@ -384,6 +407,14 @@
 	t.changed.broadcast()
 }
 
+// fencedOut reports whether a topic rejects a producer's writes of a term.
+func (s *modelStore) fencedOut(topic, producer string, term uint64) bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	p := s.topic(topic).producers[producer]
+	return p != nil && p.term > term
+}
+
 // silence lets a topic handle no calls until a time.
 func (s *modelStore) silence(topic string, until time.Time) {
 	s.mutex.Lock()
@@ -411,12 +442,13 @@
 func (s *modelStore) setFaults(share float64) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	s.faults = share
+	s.faults, s.lateAnswers, s.forgets = share, share, share
 }
 
 // calm ends all faults but calls that are late.
 func (s *modelStore) calm() {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	s.faults, s.silentUntil, s.cutUntil, s.mutedUntil = 0, map[string]time.Time{}, map[string]time.Time{}, map[string]time.Time{}
+	s.faults, s.lateAnswers, s.forgets = 0, 0, 0
+	s.silentUntil, s.cutUntil, s.mutedUntil = map[string]time.Time{}, map[string]time.Time{}, map[string]time.Time{}
 }
--- a/internal/process/jaycontroller/statesmodel_test.go
+++ b/internal/process/jaycontroller/statesmodel_test.go
@@ -63,6 +63,8 @@
 	runner  modelRunner
 	starts  int
 	leaders int
+	// overtaken holds the terms whose leaders were overtaken while they read the records.
+	overtaken map[uint64]bool
 	// standbys counts the takeovers that read a standby topic.
 	standbys int
 	late     sync.WaitGroup
@@ -135,7 +137,7 @@
 func newStatesModel(t *testing.T, seed uint64) *statesModel {
 	m := &statesModel{
 		t: t, random: rand.New(rand.NewPCG(seed, 2)), store: newModelStore(seed, fenceReadings[seed%uint64(len(fenceReadings))]), log: zerolog.Nop(), began: time.Now(), clock: jayclock.Elapsed(),
-		accepted: map[string]bool{}, shown: map[string]shownState{}, canceled: map[string]bool{}, tasks: map[string]int{},
+		accepted: map[string]bool{}, shown: map[string]shownState{}, canceled: map[string]bool{}, tasks: map[string]int{}, overtaken: map[uint64]bool{},
 		runner: modelRunner{running: map[string]modelRun{}, highest: map[string]int{}, done: map[string]bool{}},
 	}
 	if folder := os.Getenv("JAYSTILE_STATES_LOG"); folder != "" {
@@ -158,6 +160,12 @@
 	return m
 }
 
+// failf fails the play, which goes on.
+func (m *statesModel) failf(format string, args ...any) {
+	m.store.tracef("FAIL "+format, args...)
+	m.t.Errorf(format, args...)
+}
+
 func (m *statesModel) newEntry(i int) *statesEntry {
 	c := New(nil)
 	c.Name, c.Logger = fmt.Sprint("entry-", i), m.log.With().Int("entry", i).Logger()
@@ -286,10 +294,24 @@
 			m.store.mute(former.Name, "cell", time.Now().Add(silent+2*time.Second))
 		}
 		wait := silent + time.Duration(m.intN(400)-200)*time.Millisecond
-		m.background(func() {
-			time.Sleep(wait)
-			m.takeOver(e)
-		})
+		successors := []*statesEntry{e}
+		if m.intN(2) == 0 {
+			successors = append(successors, m.entry())
+		}
+		for i, e := range successors {
+			after := wait + time.Duration(i*m.intN(2000))*time.Millisecond
+			m.background(func() {
+				time.Sleep(after)
+				// A successor may read slowly, lead later than the next one has claimed the term, and
+				// learn of new jobs late.
+				m.store.mute(e.Name, "runs", some(3*time.Second))
+				m.background(func() {
+					time.Sleep(time.Until(some(500 * time.Millisecond)))
+					m.store.mute(e.Name, "jobs", some(4*time.Second))
+				})
+				m.takeOver(e)
+			})
+		}
 	case n < 96:
 		i := slices.Index(m.entries, e)
 		e.stop()
@@ -426,7 +448,7 @@
 		m.shown[id] = shownState{state, time.Now()}
 		m.store.tracef("SHOWN %s %s by %s stateAt=%d acc=%d", id, state, e.Name, row.stateAt.Sub(m.began).Milliseconds(), row.spec.Accepted.Sub(m.began).Milliseconds())
 		if state == jaytask.Completed && !m.allDone(id) {
-			m.t.Errorf("job %s is shown as completed before it has run", id)
+			m.failf("job %s is shown as completed before it has run", id)
 		}
 	}
 	return state, true
@@ -517,7 +539,8 @@
 	return runs
 }
 
-// checkLoaded checks that a leader knows every final state that was shown before its term began.
+// checkLoaded checks that a leader knows every final state that was shown before its term began,
+// unless the store rejects its writes by now.
 func (m *statesModel) checkLoaded(e *statesEntry, l *leadership, began time.Time) {
 	unfinished := map[string]bool{}
 	for _, row := range e.jobs.unfinished() {
@@ -526,12 +549,19 @@
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 	m.leaders++
-	if e.newestStandby().Open {
+	overtaken := m.store.fencedOut("runs", producer, l.term)
+	if open := e.newestStandby(); open.Open {
 		m.standbys++
+		overtaken = overtaken && m.store.fencedOut(open.Topic, fmt.Sprintf("%s-%d", producer, open.Number), l.term)
+	}
+	if overtaken {
+		// What it has read may be what a later leader has deleted. It must not store anything.
+		m.overtaken[l.term] = true
+		return
 	}
 	for id, s := range m.shown {
 		if s.at.Before(began) && unfinished[id] {
-			m.t.Errorf("job %s was shown as %s and is unfinished for the leader of term %d", id, s.state, l.term)
+			m.failf("job %s was shown as %s and is unfinished for the leader of term %d", id, s.state, l.term)
 		}
 	}
 }
@@ -564,6 +594,11 @@
 	m.store.tracef("BATCH term=%d units=%v states=%v del=%v", l.term, keys(batch.Units), keys(batch.JobStates), keys(batch.Deletions))
 	orders, ok := l.storeAndPublish(ctx, runs, batch)
 	m.store.tracef("STORED term=%d ok=%v orders=%d", l.term, ok, len(orders))
+	m.mutex.Lock()
+	if ok && m.overtaken[l.term] && len(batch.Units)+len(batch.JobStates)+len(batch.Deletions) > 0 {
+		m.failf("the leader of term %d stores records although a later one has read them before", l.term)
+	}
+	m.mutex.Unlock()
 	if !ok {
 		return
 	}
@@ -622,10 +657,13 @@
 		job := o.Task[:16]
 		s, shown := m.shown[job]
 		if shown && (s.state != jaytask.Canceled || s.at.Before(began)) {
-			m.t.Errorf("task %s starts under term %d, run %d, after its job was shown as %s", o.Task, term, o.Run, s.state)
+			m.failf("task %s starts under term %d, run %d, after its job was shown as %s", o.Task, term, o.Run, s.state)
 		}
 		if w.done[o.Task] && o.Run > w.highest[o.Task] {
-			m.t.Errorf("task %s starts under term %d, run %d, after it has ended done", o.Task, term, o.Run)
+			m.failf("task %s starts under term %d, run %d, after it has ended done", o.Task, term, o.Run)
+		}
+		if !o.Repeated && o.Run <= w.highest[o.Task] {
+			m.failf("task %s starts under term %d, run %d, after run %d has ended", o.Task, term, o.Run, w.highest[o.Task])
 		}
 		if _, runs := w.running[o.Task]; runs || o.Run <= w.highest[o.Task] {
 			return
@@ -653,9 +691,9 @@
 			m.mutex.Unlock()
 			switch {
 			case found && !state.Ended():
-				m.t.Errorf("job %s is %s at %s at the end", id, state, e.Name)
+				m.failf("job %s is %s at %s at the end", id, state, e.Name)
 			case !found && accepted && !shown && !ended:
-				m.t.Errorf("job %s was accepted and is not known to %s at the end", id, e.Name)
+				m.failf("job %s was accepted and is not known to %s at the end", id, e.Name)
 			}
 		}
 	}
