Fence an open standby topic before the jobs are read

Cause: a new leader fenced the main topic, then read the jobs and, at the same time, the main topic; it fenced an open standby topic only after that. Until then the former leader, or an earlier successor that read slowly, went on in the standby topic. The state of a job that was accepted after the new leader's read of the jobs was taken for that of a deleted job and deleted, and its runs for remains; once read, the job began again with run 1. "No run has been stored since the fence" held for the main topic only. Change: the standby topic is fenced before the jobs and either topic are read. A takeover with an open standby topic makes that call first instead of between two reads, so no call is added.

--- a/internal/process/jaycontroller/failover.go
+++ b/internal/process/jaycontroller/failover.go
@@ -119,26 +119,32 @@
 	c.standby = s
 }
 
-// loadRuns returns the records of runs and states. Those of an open standby topic, whose name it
-// returns, replace those of the main topic, and the writer moves them there with its next records.
-func (l *leadership) loadRuns(ctx context.Context, runs *jaystore.FailoverWriter) (records []jaystore.Record, standbyTopic string, err error) {
-	c := l.controller
-	main, err := jaystore.LoadAll(ctx, c.storeClient, c.Topics.Runs, c.tailFailureLogger(c.Topics.Runs))
-	open := c.newestStandby()
+// fenceStandby makes the store reject writes of earlier terms to the standby topic that is open. It
+// returns the topic's writer, which is nil if none is open.
+func (l *leadership) fenceStandby(ctx context.Context, runs *jaystore.FailoverWriter) (open jaystore.Standby, writer *jaystore.TermWriter, err error) {
+	open = l.controller.newestStandby()
 	runs.Announced(open)
-	if err != nil || !open.Open {
-		return main, "", err
+	if !open.Open {
+		return open, nil, nil
 	}
-	standby := runs.NewWriter(open)
-	if err := standby.FenceLowerTerms(ctx); err != nil {
-		return nil, "", err
+	writer = runs.NewWriter(open)
+	return open, writer, writer.FenceLowerTerms(ctx)
+}
+
+// loadRuns returns the records of runs and states. Those of an open standby topic replace those of
+// the main topic, and the writer moves them there with its next records.
+func (l *leadership) loadRuns(ctx context.Context, runs *jaystore.FailoverWriter, open jaystore.Standby, writer *jaystore.TermWriter) ([]jaystore.Record, error) {
+	c := l.controller
+	main, err := jaystore.LoadAll(ctx, c.storeClient, c.Topics.Runs, c.tailFailureLogger(c.Topics.Runs))
+	if err != nil || writer == nil {
+		return main, err
 	}
 	moving, err := jaystore.LoadAll(ctx, c.storeClient, open.Topic, c.tailFailureLogger(open.Topic))
 	if err != nil {
-		return nil, "", err
+		return nil, err
 	}
 	moved, all := open.Overlay(main, moving)
-	runs.Restore(ctx, open, standby, moved)
+	runs.Restore(ctx, open, writer, moved)
 	c.Logger.Warn().Str("event", "failover").Uint64("term", l.term).Uint64("number", open.Number).Str("topic", open.Topic).Int("records", len(moved)).Msg("read the standby topic of an earlier term")
-	return all, open.Topic, nil
+	return all, nil
 }
--- a/internal/process/jaycontroller/leaderrecords.go
+++ b/internal/process/jaycontroller/leaderrecords.go
@@ -29,15 +29,19 @@
 	if err := errors.Join(fenceErr, cellErr); err != nil {
 		return err
 	}
-	// The job of every run is known: no run has been stored since the fence, and each job is
-	// stored before its runs.
+	open, standby, err := l.fenceStandby(ctx, runs)
+	if err != nil {
+		return err
+	}
+	// The job of every run is known: no run has been stored in either topic since the fences, and
+	// each job is stored before its runs.
 	var records []jaystore.Record
 	var found earlierRecords
 	var runsErr, jobsErr error
 	var wg conc.WaitGroup
 	wg.Go(func() {
 		runsErr = retryRead(ctx, func() (err error) {
-			records, found.standby, err = l.loadRuns(ctx, runs)
+			records, err = l.loadRuns(ctx, runs, open, standby)
 			return err
 		})
 	})
@@ -62,6 +66,9 @@
 		}
 	}
 	l.logStateDeletions(found.stateDeletions)
+	if standby != nil {
+		found.standby = open.Topic
+	}
 	// The reads may have taken long: another entry may lead by now.
 	l.checkStanding()
 	l.restore(found)
--- a/internal/process/jaycontroller/modelstore_test.go
+++ b/internal/process/jaycontroller/modelstore_test.go
@@ -63,7 +63,9 @@
 	cutUntil    map[string]time.Time
 	// mutedUntil holds by entry and topic until when the entry's reads of the topic get no answer.
 	mutedUntil map[string]time.Time
-	trace      func(format string, args ...any)
+	// held holds, by entry and topic and kind of call, what ends the hold of its calls and answers.
+	held  map[string]chan struct{}
+	trace func(format string, args ...any)
 }
 
 func (s *modelStore) tracef(format string, args ...any) {
@@ -105,7 +107,7 @@
 type modelAnswer struct{ sequence, end uint64 }
 
 func newModelStore(seed uint64, fence fenceReading) *modelStore {
-	return &modelStore{seed: seed, fence: fence, topics: map[string]*modelLog{}, streams: map[string]*rand.Rand{}, silentUntil: map[string]time.Time{}, cutUntil: map[string]time.Time{}, mutedUntil: map[string]time.Time{}}
+	return &modelStore{seed: seed, fence: fence, topics: map[string]*modelLog{}, streams: map[string]*rand.Rand{}, silentUntil: map[string]time.Time{}, cutUntil: map[string]time.Time{}, mutedUntil: map[string]time.Time{}, held: map[string]chan struct{}{}}
 }
 
 // topic returns a topic. The mutex is held.
@@ -173,6 +175,25 @@
 	return r
 }
 
+// hold holds the calls of one kind of an entry to a topic, and their answers, until release is called.
+func (s *modelStore) hold(entry, topic string, isAppend bool) (release func()) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	until := make(chan struct{})
+	s.held[fmt.Sprint(entry, "/", topic, "/", isAppend)] = until
+	return func() { close(until) }
+}
+
+// awaitRelease waits while calls are held.
+func (s *modelStore) awaitRelease(entry, topic string, isAppend bool) {
+	s.mutex.Lock()
+	until := s.held[fmt.Sprint(entry, "/", topic, "/", isAppend)]
+	s.mutex.Unlock()
+	if until != nil {
+		<-until
+	}
+}
+
 func (s *modelStore) silentFor(topic string) time.Duration {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
@@ -194,8 +215,10 @@
 			for silent := s.silentFor(topic); silent > 0; silent = s.silentFor(topic) {
 				time.Sleep(silent)
 			}
+			s.awaitRelease(entry, topic, isAppend)
 			if err := f(); !fate.loseAnswer {
 				time.Sleep(fate.answerDelay)
+				s.awaitRelease(entry, topic, isAppend)
 				done <- err
 			}
 		}()
--- a/internal/process/jaycontroller/statesmodel_test.go
+++ b/internal/process/jaycontroller/statesmodel_test.go
@@ -350,10 +350,7 @@
 		m.accept(id)
 		return
 	}
-	spec := &jaytask.Job{ID: id, Spec: "x", Accepted: time.Now(), Policy: jaytask.Policy{Route: "r", Service: "s", MaxAttempts: 3, Stretch: 3, Objective: time.Minute}, Steps: []jaytask.Step{{Count: tasks, Estimate: time.Second, Resources: jaytask.Resources{CPU: 1, Memory: 1}}}}
-	value, err := jaytask.EncodeJob(spec)
-	assert.Check(m.t, err)
-	record := jaystore.Record{Key: jaycell.JobKey(id), Value: value}
+	record := m.jobRecord(id, tasks)
 	if through := m.entry(); through.currentLeadership() != nil {
 		// As for another entry's records.
 		missing, _ := through.putAll([]jayframe.StoredRecord{{Key: record.Key, Value: record.Value}}, time.Now().Add(maxPutWait))
@@ -369,6 +366,14 @@
 	}
 }
 
+// jobRecord returns the record of a job that is accepted now.
+func (m *statesModel) jobRecord(id string, tasks int) jaystore.Record {
+	spec := &jaytask.Job{ID: id, Spec: "x", Accepted: time.Now(), Policy: jaytask.Policy{Route: "r", Service: "s", MaxAttempts: 3, Stretch: 3, Objective: time.Minute}, Steps: []jaytask.Step{{Count: tasks, Estimate: time.Second, Resources: jaytask.Resources{CPU: 1, Memory: 1}}}}
+	value, err := jaytask.EncodeJob(spec)
+	assert.Check(m.t, err)
+	return jaystore.Record{Key: jaycell.JobKey(id), Value: value}
+}
+
 func (m *statesModel) accept(id string) {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
