Count a crash of a runner that drains and had time left

Cause: an agent counted no end of a runner that had announced its shutdown, whenever it came. By the protocol a draining runner states the minimum time that is left, and deregisters as it ends.

The check of the model agrees with the rule and stays.

Change: such an end is a crash if it comes more than a second before the end of the announced time.

--- a/internal/process/jaysupervisor/crash.go
+++ b/internal/process/jaysupervisor/crash.go
@@ -17,6 +17,8 @@
 	// crashConfirmation is how long nothing listens at a runner's address before its end
 	// counts as a crash, unless a new incarnation answers sooner: two refused connections.
 	crashConfirmation = retryDelay
+	// maxReportDelay is how late a runner's report may be: after a second it calls another node.
+	maxReportDelay = time.Second
 	// maxKeptCrashes bounds the crashes that are kept until the leader has recorded them;
 	// a runner takes seconds to come back, so that the oldest are minutes old.
 	maxKeptCrashes = 16
@@ -121,18 +123,24 @@
 	}
 }
 
-// recordCrash notes that the runner has crashed, once. A runner that was about to leave has
-// not crashed, and neither has one that was silent before its end was seen: it may have been
+// mayHaveLeft reports whether an end of the runner at a time may be its announced one. A draining
+// runner tells how long it runs on at least, and deregisters as it ends.
+func (s *Supervisor) mayHaveLeft(at time.Duration) bool {
+	return s.deregistered || s.runner.Draining && at+maxReportDelay >= s.heartbeatAt+s.runner.DrainRemaining
+}
+
+// recordCrash notes that the runner has crashed, once. A runner that may have left as announced
+// has not crashed, and neither has one that was silent before its end was seen: it may have been
 // cut off with its machine, lost its power or been replaced while this process stood still.
 // Of runners that accept no calls, nothing but silence can be seen.
 func (s *Supervisor) recordCrash(now time.Duration) {
-	if s.runner.ID == "" || s.runner.Draining || s.deregistered || s.crashRecorded {
-		return
-	}
 	seenAt := s.endSeenAt
 	if seenAt == 0 {
 		seenAt = now
 	}
+	if s.runner.ID == "" || s.crashRecorded || s.mayHaveLeft(seenAt) {
+		return
+	}
 	if silence := seenAt - s.lastAnswer; s.lastAnswer == 0 || silence > responsiveTimeout && !s.OrdersByHeartbeat {
 		s.Logger.Info().Str("event", "crash").Str("runner", s.runner.ID).Str("outcome", "not counted").Int64("silent_ms", silence.Milliseconds()).Msg("runner was silent before it ended")
 		return
