--- a/internal/process/jayagent/agent.go
+++ b/internal/process/jayagent/agent.go
@@ -280,7 +280,7 @@
 		case link == nil:
 		case now-openedAt < askTime:
 			unlinkedSince = now
-		case link.Settle(ctx) == nil && link.Settle(ctx) == nil:
+		case settleTwice(ctx, link) == nil:
 			return true
 		default:
 			unlinkedSince = a.now()
@@ -290,6 +290,13 @@
 	return false
 }
 
+func settleTwice(ctx context.Context, l *jaylink.Link) error {
+	if err := l.Settle(ctx); err != nil {
+		return err
+	}
+	return l.Settle(ctx)
+}
+
 // Freeze blocks the whole process for d, as if its machine were paused. It is for
 // tests and failure demonstrations.
 func (a *Agent) Freeze(d time.Duration) {
