--- a/internal/process/jaycontroller/failover_test.go
+++ b/internal/process/jaycontroller/failover_test.go
@@ -98,7 +98,7 @@
 			if c.other {
 				topic.add(jaystore.Record{Key: TermKey, Value: Term{number: 2, leader: "entry-2"}.encode()})
 			}
-			entry.claimTerm(ctx, missing, func() bool { return false })
+			entry.claimTerm(ctx, missing)
 			claimed := uint64(0)
 			for _, r := range topic.records {
 				if term, err := DecodeTerm(r.Value); err == nil && term.leader == entry.Name {
--- a/internal/process/jaycontroller/term.go
+++ b/internal/process/jaycontroller/term.go
@@ -104,7 +104,7 @@
 func (c *Controller) runElections(ctx context.Context) {
 	ticker := time.NewTicker(electionInterval)
 	defer ticker.Stop()
-	election := &election{detector: newFailureDetector(minMisses + rand.IntN(maxMissJitter+1))}
+	detector := newFailureDetector(minMisses + rand.IntN(maxMissJitter+1))
 	for {
 		select {
 		case <-ctx.Done():
@@ -112,35 +112,14 @@
 		case <-c.leaderResigned:
 		case <-ticker.C:
 		}
-		c.checkLeader(ctx, election)
-	}
-}
-
-// election is what an entry knows about a leader to which it has no link.
-type election struct {
-	detector *failureDetector
-	sign     leaderSign
-}
-
-// checkLeader claims the next term if the leader has been missing for long enough.
-func (c *Controller) checkLeader(ctx context.Context, e *election) {
-	t := c.Term()
-	missing, resigned := c.mayClaimTerm(), c.hasResigned(t.number)
-	e.detector.deferral, e.detector.grace = c.electionDeferral(), c.newLeaderGrace()
-	e.sign.observe(ctx, c, t.number, missing && !resigned && c.mayStillDecide(t))
-	if e.detector.observe(t, missing, resigned, t.leader == c.Name || t.number == 0) {
-		c.claimTerm(ctx, t, e.sign.compare(ctx, c))
+		t := c.Term()
+		detector.deferral, detector.grace = c.electionDeferral(), c.newLeaderGrace()
+		if detector.observe(t, c.mayClaimTerm(), c.hasResigned(t.number), t.leader == c.Name || t.number == 0) {
+			c.claimTerm(ctx, t)
+		}
 	}
 }
 
-// mayStillDecide reports whether a leader to which this entry has no link may be alive: its machine
-// has refused no connection, and it is no earlier life of this entry.
-func (c *Controller) mayStillDecide(t Term) bool {
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	return t.number > 0 && t.leader != c.Name && c.refusedTerm != t.number
-}
-
 // failureDetector counts consecutive checks that found the leader unreachable.
 type failureDetector struct {
 	threshold int
@@ -226,9 +205,8 @@
 
 // claimTerm appends the term after the given one, whose leader is missing, at the offset up
 // to which this entry has read. Of concurrent attempts one succeeds; a late one fails if
-// anybody has written since, and one that finds a newer term leaves it to its leader. So does one
-// that finds that the missing leader still decides.
-func (c *Controller) claimTerm(ctx context.Context, missing Term, stillDecides func() bool) {
+// anybody has written since, and one that finds a newer term leaves it to its leader.
+func (c *Controller) claimTerm(ctx context.Context, missing Term) {
 	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
 	defer cancel()
 	if err := c.cellTail.Refresh(ctx); err != nil {
@@ -240,10 +218,6 @@
 	if !c.mayClaimTerm() || c.Term().number != missing.number {
 		return
 	}
-	if stillDecides() {
-		c.Logger.Info().Str("event", "term").Uint64("term", missing.number).Str("holder", missing.leader).Msg("the leader cannot be reached and still stores records; not claiming the next term yet")
-		return
-	}
 	next := Term{number: missing.number + 1, leader: c.Name, address: c.Address, incarnation: c.Incarnation}
 	records := []jaystore.Record{{Key: TermKey, Value: next.encode()}, {Key: claimKey, Value: c.newestClaim().next(missing.number).encode()}}
 	_, err := c.storeClient.Append(ctx, jaystore.Append{Topic: c.Topics.Cell, Records: records, ExpectedEnd: &at})
