Let late heartbeats of a runner end no life

What callers would see: a sound run is stopped and its work lost, or begun anew, on a runner with orders by heartbeat that does not tell its lives.

Cause: heartbeats whose clock is behind the newest one counted as another life once they had gone on for 0.5 s. (a) A late heartbeat of the former life, with a higher number and clock, was taken for the newest of the present life, whose own heartbeats then counted as another life's. (b) Three late ones of the same life, 0.3 s apart, began a life.

Change: a heartbeat that follows those of the former life, while the present one has not come as far, is ignored unless such go on. Both kinds must go on for 1.5 s: a runner that lives sends a newer one within a second.

Evidence: TestLateHeartbeatOfTheFormerLifeEndsNoRunOfTheNext and TestLateHeartbeatsFromBeforeAStartEndNoRun fail before ("heartbeat 1 after the late one", "r1/+... != r1") and pass now.

--- a/internal/process/jaysupervisor/foreign.go
+++ b/internal/process/jaysupervisor/foreign.go
@@ -10,6 +10,10 @@
 // the newest ones. Late ones that a cut has held back come at the same time.
 const minEarlierAge = 500 * time.Millisecond
 
+// minLifeAge is the same for heartbeats that do not continue those of the life that is known. A
+// runner that lives sends a newer one within maxReportDelay.
+const minLifeAge = maxReportDelay + minEarlierAge
+
 // earlierHeartbeats are heartbeats of the runner whose numbers are not above that of the newest
 // one. A late one comes by itself. If they go on, with rising numbers, the runner sends them, and
 // another process has sent the one that counts as the newest.
@@ -19,14 +23,14 @@
 	firstAt time.Duration
 }
 
-// goOn records a heartbeat and reports whether they go on.
-func (e *earlierHeartbeats) goOn(sequence uint64, now time.Duration) bool {
+// goOn records a heartbeat and reports whether they go on for a time.
+func (e *earlierHeartbeats) goOn(sequence uint64, now, minAge time.Duration) bool {
 	if e.firstAt == 0 || sequence <= e.highest {
 		*e = earlierHeartbeats{highest: sequence, firstAt: now}
 		return false
 	}
 	e.highest = sequence
-	return now-e.firstAt >= minEarlierAge
+	return now-e.firstAt >= minAge
 }
 
 // isOwn reports whether a heartbeat is about a runner of this service.
@@ -47,7 +51,7 @@
 		// They may be of another life, for which the response must not acknowledge ends.
 		return false
 	}
-	if !s.earlier.goOn(h.Sequence, s.Elapsed()) {
+	if !s.earlier.goOn(h.Sequence, s.Elapsed(), minEarlierAge) {
 		return false
 	}
 	s.Logger.Warn().Str("event", "runner").Str("runner", h.Runner.ID).Uint64("sequence", h.Sequence).Uint64("was", s.sequence).Msg("the newest heartbeat was not the runner's")
--- a/internal/process/jaysupervisor/heartbeats.go
+++ b/internal/process/jaysupervisor/heartbeats.go
@@ -54,9 +54,12 @@
 	}
 	now := s.Elapsed()
 	h.Runner.ID = s.presentLife(h.Runner.ID)
+	if s.continuesFormer(h) && !s.earlier.goOn(h.Sequence, now, minLifeAge) {
+		return HeartbeatResponse{NextHeartbeat: nextHeartbeatDelay}
+	}
 	if s.isEarlier(h) && !s.deregistered {
 		// A late one comes by itself; those of another life go on.
-		if s.listsKnownRun(h.Listing) || !s.earlier.goOn(h.Sequence, now) {
+		if s.listsKnownRun(h.Listing) || !s.earlier.goOn(h.Sequence, now, minLifeAge) {
 			return HeartbeatResponse{NextHeartbeat: nextHeartbeatDelay}
 		}
 		s.restart(now, h)
--- a/internal/process/jaysupervisor/restart.go
+++ b/internal/process/jaysupervisor/restart.go
@@ -40,10 +40,26 @@
 	return s.runner.ID == h.Runner.ID && !jaycell.TellsLife(s.runner.ID) && s.runnerClockKnown && h.Listing.Clock > 0 && h.Listing.Clock < s.runnerClock
 }
 
+// formerLife is the newest heartbeat of the life before the present one, of a runner that does not
+// tell its lives.
+type formerLife struct {
+	sequence uint64
+	clock    time.Duration
+}
+
+// continuesFormer reports whether a heartbeat follows those of the former life, while the present
+// one has not come as far: a late one.
+func (s *Supervisor) continuesFormer(h Heartbeat) bool {
+	f := s.formerLife
+	return s.runner.ID == h.Runner.ID && s.sequence < f.sequence && h.Sequence > f.sequence && h.Listing.Clock > f.clock
+}
+
 // restart begins a life of the runner under its name.
 func (s *Supervisor) restart(now time.Duration, h Heartbeat) {
 	s.recordCrash(now)
+	former := formerLife{sequence: s.sequence, clock: s.runnerClock}
 	h.Runner.ID = jaycell.InferredIncarnationID(jaycell.RunnerName(s.runner.ID), time.Now().UnixMilli())
 	s.replaceRunner(h)
+	s.formerLife = former
 	jaycontroller.Signal(s.pollSignal)
 }
--- a/internal/process/jaysupervisor/supervisor.go
+++ b/internal/process/jaysupervisor/supervisor.go
@@ -106,6 +106,8 @@
 	// sequence is that of the newest heartbeat, earlier what came since with lower ones.
 	sequence uint64
 	earlier  earlierHeartbeats
+	// formerLife is zero if the life before the present one had another name.
+	formerLife formerLife
 	// heartbeatAt is when the newest heartbeat came.
 	heartbeatAt  time.Duration
 	deregistered bool
@@ -351,7 +353,7 @@
 		s.pastIncarnations = append(s.pastIncarnations[max(0, len(s.pastIncarnations)-maxPastIncarnations+1):], s.runner.ID)
 	}
 	s.runner, s.sequence, s.deregistered, s.ended, s.acknowledged, s.results, s.runnerClockKnown, s.confirmedFence, s.sentFence = h.Runner, h.Sequence, false, false, 0, nil, false, 0, 0
-	s.listing, s.heartbeatAt, s.earlier = Listing{}, s.Elapsed(), earlierHeartbeats{}
+	s.listing, s.heartbeatAt, s.earlier, s.formerLife = Listing{}, s.Elapsed(), earlierHeartbeats{}, formerLife{}
 	s.lastAnswer, s.endSeenAt, s.crashRecorded, s.observed, s.doubtedAt, s.confirmedAt = 0, 0, false, nil, 0, 0
 	clear(s.unlisted)
 	clear(s.excluded)
