Count no term as read while a record that was left out may hold it

What callers would see: a task runs twice, as before, where the record of the term cannot be read.

Cause: records that the store's client cannot read are left out of a load, so that an agent with orders by heartbeat took the cell's topic for one without a term and followed the leader of whatever term an entry told it.

Change: without a record of a term, one that was left out counts as it. A valid record that is read later tells the newest term as well; before, an agent whose first load had an invalid one followed nobody until it restarted.

Evidence: the row "an unreadable record" of TestAgentFollowsNobodyBeforeItHasReadTheTerm fails before (granted); "the term beside an unreadable record" guards the other side. Both pass, also with -race.

--- a/internal/process/jaysupervisor/agent.go
+++ b/internal/process/jaysupervisor/agent.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
@@ -43,8 +44,12 @@
 	CellTopic string
 
 	endpoint *jaylink.Endpoint
-	mutex    sync.Mutex
-	term     jaycontroller.Term
+	// skippedRecords is set if records could not be read since the newest ones were loaded. The
+	// reader of the cell's topic alone uses it.
+	skippedRecords bool
+
+	mutex sync.Mutex
+	term  jaycontroller.Term
 	// entries holds the addresses of all entries that the agent has heard of.
 	entries map[string]bool
 	link    *jaylink.Link
@@ -66,7 +71,9 @@
 		MakeHeartbeat: func() jayframe.Heartbeat { return jayframe.Heartbeat{} },
 	}
 	a.Supervisor.SendReport = a.sendReport
-	tail := &jaystore.Tail{Client: a.Store, Topic: a.CellTopic, Wait: termPollWait, Apply: func(r jaystore.StoredRecord) { a.applyRecord(r) }, Replace: a.replaceRecords, OnError: func(err error) {
+	tail := &jaystore.Tail{Client: a.Store, Topic: a.CellTopic, Wait: termPollWait, Apply: a.applyNewRecord, Replace: a.replaceRecords, OnError: func(err error) {
+		var unreadable *jaystore.UnreadableError
+		a.skippedRecords = a.skippedRecords || errors.As(err, &unreadable)
 		a.Logger.Debug().Str("event", "dependency").Str("dependency", "store").Err(err).Msg("cannot read the term")
 	}}
 	var wg jayassert.Group
@@ -78,11 +85,22 @@
 
 // replaceRecords applies the newest records of the cell's topic, the newest term's among them.
 func (a *Agent) replaceRecords(all []jaystore.StoredRecord) {
-	readable := true
+	// Without a record of a term there is none yet, unless it is one that was left out.
+	read := !a.skippedRecords
+	a.skippedRecords = false
 	for _, r := range all {
-		readable = a.applyRecord(r) && readable
+		if valid := a.applyRecord(r); r.Key == jaycontroller.TermKey {
+			read = valid
+		}
+	}
+	if read {
+		a.Supervisor.MarkTermRead()
 	}
-	if readable {
+}
+
+// applyNewRecord applies a record that is newer than those of replaceRecords.
+func (a *Agent) applyNewRecord(r jaystore.StoredRecord) {
+	if valid := a.applyRecord(r); valid && r.Key == jaycontroller.TermKey {
 		a.Supervisor.MarkTermRead()
 	}
 }
--- a/internal/process/jaysupervisor/agent_test.go
+++ b/internal/process/jaysupervisor/agent_test.go
@@ -120,6 +120,8 @@
 		{"a higher term", true, term(encode(2)), nil, false},
 		{"no term yet", true, jaystore.Page{}, nil, true},
 		{"an invalid term", true, term([]byte{0xff}), nil, false},
+		{"an unreadable record", true, jaystore.Page{Unreadable: 1}, nil, false},
+		{"the term beside an unreadable record", true, jaystore.Page{Records: term(encode(1)).Records, Unreadable: 1}, nil, true},
 		{"no store", true, jaystore.Page{}, &jaystore.NoAnswerError{}, false},
 		{"no store, by call", false, jaystore.Page{}, &jaystore.NoAnswerError{}, true},
 	} {
