Acknowledge ends without a record only while leases may be granted

What callers would see: a task runs twice.

Cause: a leader that is overtaken while it reads may have read a part, since its successor moves and deletes records meanwhile. The store rejects its writes, but a batch that has orders and no records is not written. It could acknowledge the end of a run that it does not know, to a runner that has not seen the successor's fence. The end is gone then, and the successor takes the run for one that never began and starts it anew.

Change: acknowledgements of such a batch are left out unless the leader may grant leases, which rests on a read of its term or the electors' answers of the last second. Ends that are still listed are acknowledged again.

Evidence: TestUnwrittenBatchAcknowledgesEndsOnlyWhileLeasesMayBeGranted, its third row fails without the condition. go test ./internal/process/jaycontroller passes (44 s), the models of states and electors among it.

--- a/internal/process/jaycontroller/leaderrecords.go
+++ b/internal/process/jaycontroller/leaderrecords.go
@@ -178,7 +178,7 @@
 		// Write gives up only when ctx is done: the leadership has ended.
 		return nil, false
 	}
-	orders, mayOrder := l.confirmStored(b)
+	orders, mayOrder := l.confirmStored(b, len(records) > 0)
 	l.publishStates(b.JobStates)
 	if !mayOrder {
 		orders = nil
@@ -186,13 +186,19 @@
 	return orders, true
 }
 
-// confirmStored returns the orders that depend on a batch, and whether they may be sent.
-func (l *leadership) confirmStored(b *jaycell.Batch) (orders []jaycell.Order, mayOrder bool) {
+// confirmStored returns the orders that depend on a batch, and whether they may be sent. A batch
+// without records was not written, so that nothing shows that no other entry leads: it acknowledges
+// ends only while leases may be granted. Ends that are still listed are acknowledged again.
+func (l *leadership) confirmStored(b *jaycell.Batch, written bool) (orders []jaycell.Order, mayOrder bool) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	l.setCellTime()
 	l.writing = false
-	return l.cell.ConfirmStored(b), !l.termUnverified
+	orders = l.cell.ConfirmStored(b)
+	if !written && !l.mayGrant() {
+		orders = slices.DeleteFunc(orders, func(o jaycell.Order) bool { return o.Kind == jaycell.OrderAcknowledge })
+	}
+	return orders, !l.termUnverified
 }
 
 // deleteExpiredJobs deletes the records of jobs whose retention has passed, including
--- a/internal/process/jaycontroller/permissions_test.go
+++ b/internal/process/jaycontroller/permissions_test.go
@@ -6,6 +6,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/jaystile/jaystile/internal/process/jaycell"
 	"github.com/jaystile/jaystile/internal/process/jayclock"
 	"github.com/jaystile/jaystile/internal/process/jaystore"
 )
@@ -69,3 +70,31 @@
 	topic.add(jaystore.Record{Key: TermKey, Value: Term{number: 2, leader: "entry-2"}.encode()})
 	assert.Assert(t, !mayGrant(), "the leadership of term 1 grants leases, the entry follows term %d", entry.Term().Number())
 }
+
+// Guards against a leader that was overtaken while it read, and acknowledges the end of a run that it
+// does not know: its successor would take the run for one that never began.
+func TestUnwrittenBatchAcknowledgesEndsOnlyWhileLeasesMayBeGranted(t *testing.T) {
+	stop, acknowledge := jaycell.Order{Kind: jaycell.OrderStop}, jaycell.Order{Kind: jaycell.OrderAcknowledge}
+	for _, c := range []struct {
+		name              string
+		mayGrant, written bool
+		want              []jaycell.Order
+	}{
+		{"written", false, true, []jaycell.Order{stop, acknowledge}},
+		{"not written, leases may be granted", true, false, []jaycell.Order{stop, acknowledge}},
+		{"not written, nothing tells that the term is the newest", false, false, []jaycell.Order{stop}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			_, l := newLeader(true)
+			l.lastTick = jayclock.Elapsed()
+			if c.mayGrant {
+				l.standing.termKnownAt = jayclock.Elapsed()
+			} else {
+				l.standing.termKnownAt = jayclock.Elapsed() - isolationTimeout
+			}
+			orders, mayOrder := l.confirmStored(&jaycell.Batch{Orders: []jaycell.Order{stop, acknowledge}}, c.written)
+			assert.Assert(t, mayOrder)
+			assert.DeepEqual(t, orders, c.want)
+		})
+	}
+}
