--- a/internal/process/jaycontroller/followers.go
+++ b/internal/process/jaycontroller/followers.go
@@ -19,7 +19,8 @@
 	// maxOpenQuestions bounds the questions on one link that wait for an answer.
 	maxOpenQuestions = 16
 	// silentQuestions is how many questions without any answer tell that an entry does not answer
-	// such: two seconds at least, in which the link of one that has failed ends.
+	// such. At urgentQuestionInterval they take two seconds, in which the link of one that has
+	// failed ends.
 	silentQuestions = 8
 )
 
--- a/internal/process/jaycontroller/followers_test.go
+++ b/internal/process/jaycontroller/followers_test.go
@@ -111,7 +111,7 @@
 	c.recordAnswer(&jaylink.Link{}, &jayframe.CellFollow{Term: 1, AskedNanos: 3})
 }
 
-// Guards against entries of an earlier version that count as no followers without a word.
+// Guards against entries of an earlier version that are not counted as followers and not logged.
 func TestEntryThatAnswersNothingIsReportedOnce(t *testing.T) {
 	c := New(nil)
 	for _, x := range []struct {
