--- a/internal/process/jaysupervisor/restart_test.go
+++ b/internal/process/jaysupervisor/restart_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -142,3 +143,126 @@
 		})
 	}
 }
+
+// Guards against acknowledgements, deadlines and starts that reach a runner's next life because
+// this process stood still between the decision to make the call and the call.
+func TestCallDecidedBeforeAStallIsNotSent(t *testing.T) {
+	const stall, readings = 3 * time.Second, 12
+	for _, c := range []struct {
+		name    string
+		timeout time.Duration
+		call    func(s *Supervisor)
+	}{
+		{"poll", callTimeout, func(s *Supervisor) { s.poll(s.ctx, 0) }},
+		{"waiting poll", renewalWait + callTimeout, func(s *Supervisor) { s.poll(s.ctx, renewalWait) }},
+		{"start", callTimeout, func(s *Supervisor) {
+			s.ApplyOrders(1, []jaycell.Order{{Kind: jaycell.OrderStart, Runner: "r1", Task: "t", Run: 1}})
+			time.Sleep(2 * stall)
+		}},
+	} {
+		// The process stands still after one of the readings of its clock; in the last play after none.
+		for stalledAt := range readings + 1 {
+			t.Run(fmt.Sprintf("%s, reading %d", c.name, stalledAt), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					ctx, cancel := context.WithCancel(t.Context())
+					begin, read, sent := time.Now(), 0, 0
+					s := New()
+					s.Lease, s.ctx, s.SendReport = time.Minute, ctx, func(jaycell.Report) {}
+					s.Elapsed = func() time.Duration {
+						at := time.Hour + time.Since(begin)
+						if read == stalledAt && stalledAt < readings {
+							time.Sleep(stall)
+						}
+						read++
+						return at
+					}
+					s.runner.ID, s.term, s.grantedUntil, s.acknowledged, s.confirmedAt = "r1", 1, 2*time.Hour, 9, time.Hour
+					s.runnerClock, s.runnerClockReadAt, s.runnerClockKnown = time.Hour, time.Hour, true
+					carry := func(ctx context.Context) error {
+						if ctx.Err() != nil {
+							return &NoAnswerError{Call: "call", Cause: "timeout"}
+						}
+						sent++
+						age := time.Since(begin)
+						assert.Assert(t, age <= responsiveTimeout+c.timeout, "sent %v after the runner's life was confirmed", age)
+						return nil
+					}
+					s.Client = RunnerClient{
+						Start: func(ctx context.Context, _ Start) error { return carry(ctx) },
+						Stop:  func(context.Context, Stop) error { return nil },
+						Renew: func(ctx context.Context, r Renewal) (Listing, error) {
+							if r.Acknowledged == 0 && r.Deadline == 0 {
+								return Listing{Clock: time.Hour}, nil
+							}
+							return Listing{Clock: time.Hour}, carry(ctx)
+						},
+					}
+					c.call(s)
+					cancel()
+					s.tasks.Wait()
+					assert.Assert(t, stalledAt < readings || sent == 1, "sent %d without a stall", sent)
+				})
+			})
+		}
+	}
+}
+
+// Guards against acknowledgements of a runner's former life in the answers to the heartbeats of the
+// next one, which go on beyond the former numbers. The runner does not tell its lives.
+func TestHeartbeatsOfTheNextLifeGetNoOrdersOfTheFormer(t *testing.T) {
+	h := newHeartbeatHarness(t)
+	clock := 50 * time.Second
+	beat := func(l Listing) HeartbeatResponse {
+		h.supervisor.GrantLease(1, int64(h.elapsed))
+		clock += nextHeartbeatDelay
+		l.Clock = clock
+		return h.heartbeat("r1", l)
+	}
+	for range 10 {
+		beat(Listing{})
+	}
+	h.supervisor.ApplyOrders(1, []jaycell.Order{{Kind: jaycell.OrderAcknowledge, Runner: "r1", Number: 11}, {Kind: jaycell.OrderStart, Runner: "r1", Task: "t", Run: 1}})
+	assert.Equal(t, beat(Listing{}).Acknowledged, uint64(11))
+	assert.Equal(t, beat(running(1)).Acknowledged, uint64(11))
+	// Late ones of the same life have earlier numbers and clocks.
+	s := h.supervisor
+	for range 3 {
+		response := s.ExchangeHeartbeat(Heartbeat{Sequence: h.sequence - 2, Runner: jaycell.RunnerInfo{ID: "r1"}, Listing: Listing{Clock: clock - 2*nextHeartbeatDelay}})
+		assert.Equal(t, response.Acknowledged, uint64(0))
+		assert.Equal(t, beat(running(1)).Acknowledged, uint64(11))
+	}
+	h.order(jaycell.OrderStop, 1)
+	h.elapsed += 2 * time.Second
+	h.sequence, clock = 0, 0
+	taken := 0
+	for i := range 60 {
+		response := beat(Listing{})
+		assert.Equal(t, response.Acknowledged, uint64(0), "heartbeat %d", i+1)
+		assert.Equal(t, len(response.Stops), 0)
+		if response.Lease > 0 {
+			taken++
+		}
+	}
+	assert.Assert(t, taken > 50, "%d heartbeats of the next life were taken", taken)
+	assert.Assert(t, s.runner.ID != "r1" && jaycell.RunnerName(s.runner.ID) == "r1")
+	assert.Equal(t, len(s.crashes), 1)
+	assert.Equal(t, s.crashes[0].Runner, "r1")
+	assert.Equal(t, len(s.crashes[0].Runs), 1)
+	// What the leader orders for the next life reaches it.
+	s.ApplyOrders(1, []jaycell.Order{{Kind: jaycell.OrderStart, Runner: s.runner.ID, Task: "t", Run: 2}})
+	assert.Equal(t, len(beat(Listing{}).Starts), 1)
+}
+
+// Guards against runs that are taken for lost because late heartbeats of their life go on.
+func TestHeartbeatWithAKnownRunIsOfTheSameLife(t *testing.T) {
+	h := newHeartbeatHarness(t)
+	l := running(1)
+	l.Clock = 50 * time.Second
+	h.heartbeat("r1", l)
+	for range 10 {
+		l.Clock = 10*time.Second + h.elapsed - time.Hour
+		h.heartbeat("r1", l)
+	}
+	assert.Equal(t, h.supervisor.runner.ID, "r1")
+	assert.Equal(t, len(h.supervisor.crashes), 0)
+}
