--- a/internal/process/jaycontroller/leadersign_bound_test.go
+++ b/internal/process/jaycontroller/leadersign_bound_test.go
@@ -1,9 +1,14 @@
 package jaycontroller
 
 import (
+	"context"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/jaystile/jaystile/internal/connection/jaylink"
+	"github.com/jaystile/jaystile/internal/process/jaystore"
 )
 
 // Guards against a leader that nobody reaches and that holds its term for longer than its followers' leases last.
@@ -36,3 +41,32 @@
 		})
 	}
 }
+
+// Guards against a claim of the term of a leader to which the entry was linked again while it compared the topic's ends.
+func TestLeaderLinkedDuringTheComparisonIsNotReplaced(t *testing.T) {
+	a := newAbsentLeader(t, true)
+	read, runs := a.entry.storeClient.Read, 0
+	a.entry.storeClient.Read = func(ctx context.Context, topic string, from uint64, wait time.Duration) (jaystore.ReadResult, error) {
+		if topic == "runs" {
+			if runs++; runs == 2 {
+				time.Sleep(50 * time.Millisecond)
+				a.entry.mutex.Lock()
+				a.entry.leaderLink = &jaylink.Link{}
+				a.entry.mutex.Unlock()
+			}
+		}
+		return read(ctx, topic, from, wait)
+	}
+	for range minMisses {
+		a.entry.checkLeader(a.entry.ctx, a.election)
+		time.Sleep(5 * time.Millisecond)
+	}
+	assert.Equal(t, runs, 2)
+	claimed := a.entry.cellTail.Refresh(t.Context())
+	assert.NilError(t, claimed)
+	for _, r := range a.store.topics["cell"] {
+		if term, err := DecodeTerm(r.Value); r.Key == TermKey && err == nil {
+			assert.Equal(t, term.number, uint64(2), "claimed by %s while linked", term.leader)
+		}
+	}
+}
