--- a/internal/process/jaycontroller/leadersign_bound_test.go
+++ b/internal/process/jaycontroller/leadersign_bound_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"testing"
 	"time"
 
@@ -57,16 +58,15 @@
 		}
 		return read(ctx, topic, from, wait)
 	}
+	claims := 0
+	a.entry.storeClient.Append = func(context.Context, jaystore.Append) (uint64, error) {
+		claims++
+		return 0, errors.New("no answer")
+	}
 	for range minMisses {
 		a.entry.checkLeader(a.entry.ctx, a.election)
 		time.Sleep(5 * time.Millisecond)
 	}
 	assert.Equal(t, runs, 2)
-	claimed := a.entry.cellTail.Refresh(t.Context())
-	assert.NilError(t, claimed)
-	for _, r := range a.store.topics["cell"] {
-		if term, err := DecodeTerm(r.Value); r.Key == TermKey && err == nil {
-			assert.Equal(t, term.number, uint64(2), "claimed by %s while linked", term.leader)
-		}
-	}
+	assert.Equal(t, claims, 0, "claimed while linked to the leader")
 }
