--- a/internal/process/jaysupervisor/agent_test.go
+++ b/internal/process/jaysupervisor/agent_test.go
@@ -120,6 +120,7 @@
 		{"a higher term", true, term(encode(2)), nil, false},
 		{"no term yet", true, jaystore.Page{}, nil, true},
 		{"an invalid term", true, term([]byte{0xff}), nil, false},
+		{"an unreadable record", true, jaystore.Page{Unreadable: 1}, nil, false},
 		{"no store", true, jaystore.Page{}, &jaystore.NoAnswerError{}, false},
 		{"no store, by call", false, jaystore.Page{}, &jaystore.NoAnswerError{}, true},
 	} {
