Share two test fixtures that stood twice; correct a comment

Found by the last read of the change: the append that is held back stood in termwriter_test.go and termnumbers_test.go (fakeLog.clientHoldingFirst now), an entry that serves nothing twice in restart_test.go (newLockedEntry now). The comment of noteAnswers named a field that has another name. No assertion and no behaviour changed.

--- a/internal/process/jaycontroller/followers.go
+++ b/internal/process/jaycontroller/followers.go
@@ -113,7 +113,7 @@
 	f.term, f.askedAt = m.Term, askedAt
 }
 
-// noteAnswers adds to followedAt and aliveAt what the linked entries have answered. It is called
+// noteAnswers adds to followedAt and alive what the linked entries have answered. It is called
 // by checkStanding only.
 func (l *leadership) noteAnswers(now time.Duration) {
 	c := l.controller
--- a/internal/process/jayentry/restart_test.go
+++ b/internal/process/jayentry/restart_test.go
@@ -14,18 +14,25 @@
 	"github.com/jaystile/jaystile/internal/version/jaysettings"
 )
 
-// Requests that were lost with an earlier life of a runner's agent counted as failures of the
-// next one, which was ejected before it had been sent any.
-func TestLostRequestsDoNotEjectTheRestartedRunner(t *testing.T) {
+// newLockedEntry returns an entry that serves nothing and whose mutex is held.
+func newLockedEntry(t *testing.T) *Entry {
+	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
-	defer func() { _ = listener.Close() }()
+	t.Cleanup(func() { _ = listener.Close() })
 	settings := jaysettings.DefaultEntry()
 	settings.Name = "entry-1"
 	e, closeEntry := New(settings, listener, listener, zerolog.Nop())
-	defer closeEntry()
+	t.Cleanup(closeEntry)
 	e.mutex.Lock()
-	defer e.mutex.Unlock()
+	t.Cleanup(e.mutex.Unlock)
+	return e
+}
+
+// Requests that were lost with an earlier life of a runner's agent counted as failures of the
+// next one, which was ejected before it had been sent any.
+func TestLostRequestsDoNotEjectTheRestartedRunner(t *testing.T) {
+	e := newLockedEntry(t)
 	for _, name := range []string{"side-1", "side-2", "side-3"} {
 		e.agentOpened(nil, &jayframe.Hello{Role: jayframe.RoleAgent, Name: name, Incarnation: 1, Slots: 8})
 	}
@@ -53,15 +60,7 @@
 // An outcome or a request that was lost with a link was asked for only after 2 s, when the agent
 // might have ended gracefully.
 func TestAttemptsAreAskedForOnceTheirAgentIsLinkedAgain(t *testing.T) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	defer func() { _ = listener.Close() }()
-	settings := jaysettings.DefaultEntry()
-	settings.Name = "entry-1"
-	e, closeEntry := New(settings, listener, listener, zerolog.Nop())
-	defer closeEntry()
-	e.mutex.Lock()
-	defer e.mutex.Unlock()
+	e := newLockedEntry(t)
 	shape, err := jayjob.NewShape(1, 0, jayjob.Anywhere)
 	assert.NilError(t, err)
 	attempts := map[string]*attempt{}
--- a/internal/process/jaystore/termnumbers_test.go
+++ b/internal/process/jaystore/termnumbers_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"slices"
-	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -16,20 +15,14 @@
 func TestLateFirstAppendAfterAFenceThatSetsTheNumber(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := &fakeLog{fence: fenceKeepsNumber}
-		var held atomic.Bool
-		late := make(chan Append, 1)
+		holding, late := f.clientHoldingFirst()
 		client := &Client{Append: func(ctx context.Context, a Append) (uint64, error) {
 			if len(a.Records) == 0 {
 				p := f.producer(a.Fence.Producer)
 				p.term, p.sequence = a.Fence.Term, a.Fence.Sequence-1
 				return 0, nil
 			}
-			if held.CompareAndSwap(false, true) {
-				late <- a
-				<-ctx.Done()
-				return 0, &NoAnswerError{Operation: "append", Cause: "late"}
-			}
-			return f.append(ctx, a)
+			return holding.Append(ctx, a)
 		}}
 		w := NewTermWriter(client, "topic", "p", 1)
 		assert.NilError(t, w.FenceLowerTerms(t.Context()))
--- a/internal/process/jaystore/termwriter_test.go
+++ b/internal/process/jaystore/termwriter_test.go
@@ -33,6 +33,21 @@
 	}
 }
 
+// clientHoldingFirst returns a client whose first append of records gets no answer and is not
+// executed; it is passed to late.
+func (f *fakeLog) clientHoldingFirst() (client *Client, late <-chan Append) {
+	var held atomic.Bool
+	first := make(chan Append, 1)
+	return &Client{Append: func(ctx context.Context, a Append) (uint64, error) {
+		if len(a.Records) > 0 && held.CompareAndSwap(false, true) {
+			first <- a
+			<-ctx.Done()
+			return 0, &NoAnswerError{Operation: "append", Cause: "late"}
+		}
+		return f.append(ctx, a)
+	}}, first
+}
+
 // The first try of a term's first append is executed late, after the store has told which number it
 // expects and the append has been stored under that. It must not take the number of the next one.
 func TestLateFirstAppendTakesNoLaterNumber(t *testing.T) {
@@ -40,16 +55,7 @@
 		t.Run(fmt.Sprint(reading), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				f := &fakeLog{fence: reading}
-				var held atomic.Bool
-				late := make(chan Append, 1)
-				client := &Client{Append: func(ctx context.Context, a Append) (uint64, error) {
-					if len(a.Records) > 0 && held.CompareAndSwap(false, true) {
-						late <- a
-						<-ctx.Done()
-						return 0, &NoAnswerError{Operation: "append", Cause: "late"}
-					}
-					return f.append(ctx, a)
-				}}
+				client, late := f.clientHoldingFirst()
 				w := NewTermWriter(client, "topic", "p", 1)
 				assert.NilError(t, w.FenceLowerTerms(t.Context()))
 				assert.NilError(t, w.Write(t.Context(), []Record{{Key: "a", Value: []byte("1")}}))
