review: long tasks never end; an oversized record stops all starts (cases 6, 7)

Cause, case 6: a run whose percent stands still for 3.5 s counts as stalled, whatever its length (jaycell/progress.go). Cause, case 7: TermWriter repeats an append that the store refuses for its size, and nothing else is stored meanwhile (jaystore/termwriter.go). Shown: one accepted gang of 6,000 tasks stops every start of every job.

--- a/review/cases2/lost.go
+++ b/review/cases2/lost.go
@@ -1,6 +1,8 @@
 package main
 
 import (
+	"fmt"
+	"slices"
 	"sync"
 	"time"
 )
@@ -166,3 +168,66 @@
 	}
 	checkLost(w, "/sweep/", second, s, time.Now())
 }
+
+// largeCase: the record of a wide gang is larger than the store's records may be. The leader tries to
+// store it for good and stores nothing else, so that no other job starts.
+func largeCase(w *world, trouble bool) {
+	const large, other = "f000000000000001", "f000000000000002"
+	s := step{Count: 1, Cpu: 7500, MemMb: 15000, Gpu: 1, EstMs: 2500, work: 2500 * time.Millisecond}
+	if !w.submit(0, "/quote/", "f000000000000003", job{Spec: "before", Steps: []step{s}}) || !w.awaitRunning("f000000000000003", 1, 3*time.Second) {
+		w.fail("a job does not run")
+		return
+	}
+	if trouble && !w.submit(1, "/recalc/", large, job{Spec: "large", Steps: []step{{Count: 6000, Cpu: 10, MemMb: 20, EstMs: 2500, Gang: true, work: 2500 * time.Millisecond}}}) {
+		w.note("the large job is refused")
+	}
+	time.Sleep(time.Second)
+	if !w.submit(2, "/quote/", other, job{Spec: "after", Steps: []step{s}}) {
+		w.fail("a job is not accepted")
+		return
+	}
+	checkLost(w, "/quote/", other, s, time.Now())
+	if trouble {
+		w.call(0, "DELETE", "/recalc/"+large, nil, callerTimeout)
+		w.sleep(8 * time.Second)
+		w.note("8 s after the large job was canceled: %d starts of the other job, all ends of the job before it acknowledged: %t", len(w.startsOf(other)), !w.hasListedEnds())
+	}
+}
+
+// hasListedEnds reports whether a runner lists ends that are not acknowledged.
+func (w *world) hasListedEnds() bool {
+	w.runnersMutex.Lock()
+	defer w.runnersMutex.Unlock()
+	return slices.ContainsFunc(w.runners, func(r *runner) bool { return len(r.finished) > 0 })
+}
+
+// longCase: a job whose task takes ten minutes is stopped every few seconds, since its progress in whole
+// percent does not change for longer than a run may stand still. It begins anew each time, and waits
+// between where only the runner that it has just left has room.
+func longCase(w *world, trouble bool) {
+	const serving, long = "b100000000000001", "b100000000000002"
+	if !w.submit(0, "/recalc/", serving, job{Spec: "serve", Steps: []step{{Count: 10, Cpu: 2000, MemMb: 69000, Gpu: 1, EstMs: 1000, Daemon: true, MaxPerServer: 1}}}) || !w.awaitRunning(serving, 10, 10*time.Second) {
+		w.fail("the serving job does not run")
+		return
+	}
+	time.Sleep(4 * time.Second)
+	// One of 21 jobs takes long.
+	for n := range 20 {
+		if !w.submit(n%entryCount, "/recalc/", fmt.Sprintf("b1000000000001%02d", n), job{Spec: "short", Steps: []step{{Count: 1, Cpu: 500, MemMb: 500, EstMs: 1000, work: time.Second}}}) {
+			w.fail("a short job is not accepted")
+			return
+		}
+	}
+	time.Sleep(3 * time.Second)
+	s := step{Count: 1, Cpu: 13000, MemMb: 65000, Gpu: 2, EstMs: 600_000, work: 5 * time.Second}
+	if trouble {
+		s.work = 10 * time.Minute
+	}
+	if !w.submit(1, "/recalc/", long, job{Spec: "job", Steps: []step{s}}) {
+		w.fail("the job is not accepted")
+		return
+	}
+	checkLost(w, "/recalc/", long, s, time.Now())
+	w.sleep(30 * time.Second)
+	w.note("%d starts of the long job so far", len(w.startsOf(long)))
+}
--- a/review/cases2/main.go
+++ b/review/cases2/main.go
@@ -24,6 +24,8 @@
 
 var cases = map[string]func(w *world, trouble bool){
 	"rack":     rackCase,
+	"large":    largeCase,
+	"long":     longCase,
 	"suspect":  suspectCase,
 	"canceled": canceledCase,
 	"headroom": headroomCase,
--- a/review/cases2/runner.go
+++ b/review/cases2/runner.go
@@ -45,7 +45,6 @@
 	id       string
 	born     time.Time
 	down     bool
-	hung     time.Time
 	sequence int
 	fence    uint64
 	// deadline is the end of the lease on the runner's clock.
@@ -111,14 +110,6 @@
 	})
 }
 
-// hang keeps the runner from answering calls for a time; what it runs goes on.
-func (r *runner) hang(d time.Duration) {
-	r.mutex.Lock()
-	defer r.mutex.Unlock()
-	r.world.note("runner %s hangs for %s", r.id, d)
-	r.hung = time.Now().Add(d)
-}
-
 type runnerCall struct {
 	Task       string
 	Run        int
@@ -137,15 +128,6 @@
 		return
 	}
 	r.mutex.Lock()
-	if hung := time.Until(r.hung); hung > 0 {
-		// A hung runner takes the call and answers nothing.
-		r.mutex.Unlock()
-		select {
-		case <-time.After(hung):
-		case <-q.Context().Done():
-		}
-		panic(http.ErrAbortHandler)
-	}
 	defer r.mutex.Unlock()
 	if r.down {
 		panic(http.ErrAbortHandler)
--- a/review/cases2/store.go
+++ b/review/cases2/store.go
@@ -86,6 +86,27 @@
 	}
 }
 
+const (
+	// recordBytes and callBytes are RecordBytes and CallBytes of the settings.
+	recordBytes = 262_144
+	callBytes   = 2_097_152
+)
+
+// withinLimits reports whether the store takes the records of a call.
+func withinLimits(body []byte) bool {
+	if len(body) > callBytes {
+		return false
+	}
+	for len(body) >= 4 {
+		n := int(binary.BigEndian.Uint32(body))
+		if n > recordBytes {
+			return false
+		}
+		body = body[4+n:]
+	}
+	return true
+}
+
 // storeLatency is that of an answer of a store without trouble.
 const storeLatency = 4 * time.Millisecond
 
@@ -106,6 +127,11 @@
 }
 
 func (s *store) append(w http.ResponseWriter, r *http.Request, body []byte) {
+	if !withinLimits(body) {
+		s.world.note("store: refuses an append of %d bytes to %s: a record is larger than RecordBytes", len(body), r.URL.Query().Get("Topic"))
+		writeJSON(w, http.StatusRequestEntityTooLarge, map[string]any{"Reason": "size"})
+		return
+	}
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	t := s.topic(r.URL.Query().Get("Topic"))
