--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,4 +3,4 @@
 set -eu
 cd "$(dirname "$0")/.."
 mkdir -p target
-go build -o target/review-cases2 ./review/cases2
+go build -o target/review-cases2 ./review/cases2/platform
