A record that the store never accepts fails its own job only

Cause: a gang is stored as one record, 300 kB here, and the store accepts 262,144 bytes. TermWriter tried the append again after every refusal, and all later batches wait for it. Evidence: the stand-in's record shows the same append answered with 413 several times a second and no other.

Change: jobs whose records could outgrow the store are refused with 400 and the reason; a unit that outgrows it all the same fails its job; statuses 400, 413 and 422 narrow an append down to the record at fault, in TermWriter, FailoverWriter and Appender; checkpoints that cannot be stored are ignored.

Conclusion: one record holds back no others, whatever its size; gangs of 1,743 to about 5,000 tasks were accepted before and are refused now.

--- a/cmd/jaystile/cellentry.go
+++ b/cmd/jaystile/cellentry.go
@@ -14,6 +14,7 @@
 	"github.com/jaystile/jaystile/internal/process/jayassert"
 	"github.com/jaystile/jaystile/internal/process/jayclock"
 	"github.com/jaystile/jaystile/internal/process/jaycontroller"
+	"github.com/jaystile/jaystile/internal/process/jaystore"
 	"github.com/jaystile/jaystile/internal/version/jaysettings"
 	jayadapter "github.com/jaystile/jaystile/platform"
 )
@@ -65,6 +66,7 @@
 	controller.Cores, controller.Admission = s.Cores, s.Admission == jaysettings.AdmissionOn
 	controller.Timing = jaycontroller.Timing{Lease: s.Lease(), Retention: s.Retention, StopTimeout: s.StopTimeout, GangTimeout: s.GangTimeout, ReclaimDeadline: s.ReclaimDeadline, RemoteSlowdown: s.RemoteSlowdown, Evacuation: s.EvacuationBound}
 	controller.Topics = jaycontroller.Topics{Operator: jayadapter.TopicOperator, Cell: jayadapter.TopicCell, Jobs: jayadapter.TopicJobs, Runs: jayadapter.TopicRuns, RunsStandby: jayadapter.RunsStandbys(), ConfigKey: jayadapter.ConfigKey, EvacuationPrefix: jayadapter.EvacuationPrefix}
+	controller.StoreLimits = jaystore.Limits{RecordBytes: s.StoreRecordBytes, CallBytes: s.StoreCallBytes}
 	controller.Logger = logger
 	controller.CallStore, controller.NewStoreClient, controller.DecodeConfig = jayadapter.DirectTransport(s.Store), jayadapter.StoreClient, jayadapter.DecodeConfig
 	if s.Advice != "" {
--- a/internal/process/jaycell/cell.go
+++ b/internal/process/jaycell/cell.go
@@ -57,6 +57,8 @@
 	// NeedsTicket reports whether starts of a route need an admission ticket; nil
 	// means never.
 	NeedsTicket func(route string) bool
+	// MaxRecordBytes bounds the value of a unit's record, zero means no limit.
+	MaxRecordBytes int
 	// Evacuated reports whether operators have taken a data centre out of service; nil means
 	// that they take none.
 	Evacuated func(dataCentre string) bool
@@ -414,9 +416,7 @@
 	if checkpoint == "" {
 		checkpoint = pl.checkpoint
 	}
-	if checkpoint != "" {
-		u.checkpoint = checkpoint
-	}
+	c.setCheckpoint(u, checkpoint)
 	switch reason {
 	case EndDone:
 		pl.runner.resetFailures()
@@ -458,6 +458,7 @@
 
 // TakeBatch returns the records and orders since the last call.
 func (c *Cell) TakeBatch() *Batch {
+	c.failOutgrown()
 	b := &Batch{JobStates: c.jobRecords, Orders: c.orders, placements: c.pendingStarts}
 	for u := range c.dirtyUnits {
 		// The units of an ended job keep their records until their runs have ended.
--- a/internal/process/jaycell/cell_test.go
+++ b/internal/process/jaycell/cell_test.go
@@ -51,6 +51,9 @@
 			return h.orders
 		}
 		for _, r := range append(append([]Record(nil), batch.Units...), batch.Deletions...) {
+			if most := h.cell.settings.MaxRecordBytes; most > 0 {
+				assert.Assert(h.t, len(r.Value) <= most, "record of %d bytes", len(r.Value))
+			}
 			h.unitRecords[r.Key] = r.Value
 			if r.Value == nil {
 				delete(h.unitRecords, r.Key)
--- a/internal/process/jaycell/schedule.go
+++ b/internal/process/jaycell/schedule.go
@@ -1,6 +1,7 @@
 package jaycell
 
 import (
+	"fmt"
 	"slices"
 	"sort"
 	"time"
@@ -306,6 +307,10 @@
 	if !r.checkStart(u, runners) {
 		return
 	}
+	if !c.fitsRecord(u, runners) {
+		c.failUnstorable(u, fmt.Sprintf("its record would have %d bytes, at most %d", u.recordBytes(runners), c.settings.MaxRecordBytes))
+		return
+	}
 	u.claims, u.awaited, u.awaitingSince = nil, nil, 0
 	u.phase, u.stopping = phaseActive, false
 	u.run++
--- a/internal/process/jaycell/unit.go
+++ b/internal/process/jaycell/unit.go
@@ -172,14 +172,19 @@
 	return crashedUnitRecord{Phase: plain.Phase, Run: plain.Run, FailedRuns: plain.FailedRuns, Checkpoint: plain.Checkpoint, Members: plain.Members}, err
 }
 
-// record returns the record from which the next leader restores the unit.
+// record returns the record from which the next leader restores the unit. Of the units of an ended
+// job, only where their members may still run matters.
 func (u *unit) record() Record {
-	r := unitRecord{Phase: uint8(u.phase), Run: u.run, FailedRuns: u.failedRuns, Checkpoint: u.checkpoint}
+	r := unitRecord{Phase: uint8(u.phase), Run: u.run}
+	ended := u.job.state.Ended()
+	if !ended {
+		r.FailedRuns, r.Checkpoint = u.failedRuns, u.checkpoint
+	}
 	for _, pl := range u.placements {
 		r.Members = append(r.Members, memberRecord{Index: pl.index, Runner: pl.runner.id, Node: pl.runner.node})
 	}
 	var record any = r
-	if len(u.crashes) > 0 {
+	if len(u.crashes) > 0 && !ended {
 		record = crashedUnitRecord{Phase: r.Phase, Run: r.Run, FailedRuns: r.FailedRuns, Checkpoint: r.Checkpoint, Members: r.Members, Crashes: u.crashes}
 	}
 	b, err := cbor.Marshal(record)
--- a/internal/process/jaycontroller/controller.go
+++ b/internal/process/jaycontroller/controller.go
@@ -109,6 +109,8 @@
 	Logger    zerolog.Logger
 	// CallStore sends a request directly to the store.
 	CallStore func(ctx context.Context, req jaystore.Request) (jaystore.Response, error)
+	// StoreLimits are the sizes that the store accepts.
+	StoreLimits jaystore.Limits
 	// NewStoreClient returns a client that sends its requests with do.
 	NewStoreClient func(do func(ctx context.Context, req jaystore.Request) (jaystore.Response, error)) *jaystore.Client
 	// Advise asks the advice service which of the runners may run a step. It returns
@@ -188,10 +190,11 @@
 		c.Logger.Warn().Str("event", "dependency").Str("dependency", "store").Bool("through_peer", through).Str("cause", cause).Msg("route to the store changed")
 	}}
 	c.storeClient = c.NewStoreClient(c.storeTransport.Do)
+	c.storeClient.Limits = c.StoreLimits
 	c.evacuations.requests = jayevacuation.NewRequests(c.Topics.EvacuationPrefix)
 	c.jobs = newJobTable(c.Logger)
 	c.jobs.onChanged, c.jobs.recent = c.updateInCell, c.Timing.Retention/2
-	c.jobsAppender = jaystore.NewAppender(&jaystore.Client{Append: c.appendJobs}, c.Topics.Jobs)
+	c.jobsAppender = jaystore.NewAppender(&jaystore.Client{Append: c.appendJobs, Limits: c.StoreLimits}, c.Topics.Jobs)
 	c.jobsAppender.SetMinHedgeDelay(c.minAppendDelay)
 	c.cellTail = &jaystore.Tail{Client: c.storeClient, Topic: c.Topics.Cell, Apply: c.applyCellRecord, Wait: termPollWait, MaxWait: c.maxTermPollWait, OnError: c.tailFailureLogger(c.Topics.Cell)}
 	c.jobsTail = &jaystore.Tail{Client: c.storeClient, Topic: c.Topics.Jobs, Wait: jobsPollWait, BatchDelay: jobsPollDelay, OnError: c.tailFailureLogger(c.Topics.Jobs), Replace: c.jobs.replace, Apply: func(s jaystore.StoredRecord) { c.jobs.apply(s.Key, s.Value) }}
@@ -254,6 +257,12 @@
 	}
 }
 
+// maxUnitRecordBytes returns the size of the largest value of a unit's record, zero if there is no
+// limit.
+func (c *Controller) maxUnitRecordBytes() int {
+	return c.StoreLimits.MaxValueBytes(jaycell.LongestUnitKey())
+}
+
 // tailFailureLogger returns a function that logs a failed read of a topic.
 func (c *Controller) tailFailureLogger(topic string) func(error) {
 	var lastLogged time.Duration
--- a/internal/process/jaycontroller/leaderrecords.go
+++ b/internal/process/jaycontroller/leaderrecords.go
@@ -174,8 +174,15 @@
 		l.end("the store has accepted a higher term")
 		return nil, false
 	}
-	if err != nil {
-		// Write gives up only when ctx is done: the leadership has ended.
+	var rejected *jaystore.RejectedError
+	switch {
+	case errors.As(err, &rejected):
+		l.applyRejection(b, rejected)
+	case err != nil && ctx.Err() == nil:
+		l.fail(err)
+		return nil, false
+	case err != nil:
+		// The leadership has ended.
 		return nil, false
 	}
 	orders, mayOrder := l.confirmStored(b, len(records) > 0)
@@ -186,6 +193,21 @@
 	return orders, true
 }
 
+// applyRejection removes from a batch what depends on records that the store does not accept: their
+// states are not shown, and no end is acknowledged that they may have told of. The jobs fail.
+func (l *leadership) applyRejection(b *jaycell.Batch, rejected *jaystore.RejectedError) {
+	l.controller.Logger.Error().Str("event", "record").Uint64("term", l.term).Int("records", len(rejected.Keys)).Strs("keys", rejected.Keys[:min(len(rejected.Keys), maxLoggedJobs)]).
+		Err(rejected.Cause).Msg("the store does not accept records; failing their jobs")
+	b.JobStates = slices.DeleteFunc(b.JobStates, func(r jaycell.Record) bool { return slices.Contains(rejected.Keys, r.Key) })
+	b.Orders = slices.DeleteFunc(b.Orders, func(o jaycell.Order) bool {
+		return o.Kind == jaycell.OrderAcknowledge || o.Kind == jaycell.OrderAcknowledgeCrash
+	})
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.setCellTime()
+	l.cell.RejectRecords(rejected.Keys, rejected.Cause.Error())
+}
+
 // confirmStored returns the orders that depend on a batch, and whether they may be sent. A batch
 // without records was not written, so that nothing shows that no other entry leads: it acknowledges
 // ends only while leases may be granted. Ends that are still listed are acknowledged again.
--- a/internal/process/jaycontroller/leadership.go
+++ b/internal/process/jaycontroller/leadership.go
@@ -126,6 +126,7 @@
 			_, needed := config.Advice(route)
 			return needed
 		},
+		MaxRecordBytes:       c.maxUnitRecordBytes(),
 		Evacuated:            c.evacuated(),
 		ReclaimDeadline:      c.Timing.ReclaimDeadline,
 		OnDecision:           l.recordDecision,
--- a/internal/process/jaycontroller/modelstore_test.go
+++ b/internal/process/jaycontroller/modelstore_test.go
@@ -53,6 +53,8 @@
 	fence   fenceReading
 	topics  map[string]*modelLog
 	streams map[string]*rand.Rand
+	// recordBytes bounds a record, zero if nothing does.
+	recordBytes int
 	// faults is the share of calls that are refused, get no answer or are late.
 	faults float64
 	// lateAnswers is the share of answers that are late, forgets that of appends with which the topic
@@ -298,6 +300,9 @@
 func (s *modelStore) append(a jaystore.Append) (uint64, error) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
+	if s.recordBytes > 0 && slices.ContainsFunc(a.Records, func(r jaystore.Record) bool { return 1+len(r.Key)+len(r.Value) > s.recordBytes }) {
+		return 0, &jaystore.RefusedError{Operation: "append", Status: 413}
+	}
 	t := s.topic(a.Topic)
 	end := uint64(len(t.records))
 	if a.ExpectedEnd != nil && *a.ExpectedEnd != end {
--- a/internal/process/jaycontroller/requests.go
+++ b/internal/process/jaycontroller/requests.go
@@ -184,6 +184,9 @@
 		Route: r.route.Name, Service: r.route.Service, Workspace: r.workspace, Priority: r.route.Priority,
 		MaxAttempts: r.route.MaxAttempts, Stretch: r.route.Stretch, Objective: r.route.Objective,
 	}
+	if err := jaycell.CheckStorable(spec, c.maxUnitRecordBytes()); err != nil {
+		return c.recordResponse("submit", r.id, Response{Outcome: Malformed, Reason: err.Error()})
+	}
 	if refusal := c.refuseForCapacity(ctx, spec); refusal != nil {
 		return c.recordResponse("submit", r.id, *refusal)
 	}
@@ -213,6 +216,8 @@
 	recordSeconds.UpdateDuration(start)
 	var refused *jaystore.NotStoredError
 	switch {
+	case errors.As(err, &refused) && jaystore.IsRejection(err):
+		return Response{Outcome: Malformed, Reason: err.Error()}
 	case errors.As(err, &refused):
 		return Response{Outcome: NotNow, Reason: err.Error(), RetryAfter: c.retryAfter()}
 	case err != nil:
--- a/internal/process/jaystore/appender.go
+++ b/internal/process/jaystore/appender.go
@@ -32,7 +32,10 @@
 	latency latencyTracker
 	mutex   sync.Mutex
 	queue   []*pendingRecord
-	wake    chan struct{}
+	// maxGroup bounds the records of the next group, zero if only their size does. It is used by
+	// Run only.
+	maxGroup int
+	wake     chan struct{}
 	// ended is set once Run has returned: nothing is stored any more.
 	ended bool
 }
@@ -47,8 +50,13 @@
 }
 
 // Put stores a record. It returns a NotStoredError or an UnknownOutcomeError when
-// the record is not known to be stored by the deadline.
+// the record is not known to be stored by the deadline. IsRejection tells whether a record
+// that is not stored never will be as it is.
 func (a *Appender) Put(r Record, deadline time.Time) error {
+	if err := a.client.Limits.check(r, 0); err != nil {
+		recordsRejected.Inc()
+		return &NotStoredError{Cause: err}
+	}
 	p := &pendingRecord{record: r, deadline: deadline, done: make(chan error, 1)}
 	if !a.enqueue(p) {
 		return &NotStoredError{Cause: context.Canceled}
@@ -89,11 +97,16 @@
 		err := a.appendGroup(ctx, group)
 		if err == nil {
 			tries = 0
+			a.maxGroup = nextMaxGroup(a.maxGroup)
 			for _, p := range group {
 				p.done <- nil
 			}
 			continue
 		}
+		if IsRejection(err) {
+			a.handleRejection(group, err)
+			continue
+		}
 		last = err
 		a.requeue(group)
 		// Records that may have been stored are retried until their deadline.
@@ -108,6 +121,30 @@
 	}
 }
 
+// handleRejection narrows a rejected group down to the record for which the store rejects it, which
+// fails: it holds back no others.
+func (a *Appender) handleRejection(group []*pendingRecord, err error) {
+	if len(group) > 1 {
+		a.requeue(group)
+		a.maxGroup = len(group) / 2
+		return
+	}
+	// Earlier tries with this record were rejected as well, whenever they were executed.
+	recordsRejected.Inc()
+	group[0].done <- &NotStoredError{Cause: err}
+}
+
+// nextMaxGroup returns the bound of the group after one that was stored.
+func nextMaxGroup(bound int) int {
+	if bound >= maxNarrowedGroup {
+		return 0
+	}
+	return 2 * bound
+}
+
+// maxNarrowedGroup is the number of records from which a group is bounded by its size only.
+const maxNarrowedGroup = 1 << 12
+
 // nextGroup removes the next group from the queue and fails records whose deadline
 // has passed, with last as the cause.
 func (a *Appender) nextGroup(last error) []*pendingRecord {
@@ -122,8 +159,8 @@
 			n++
 			continue
 		}
-		bytes += len(p.record.Key) + len(p.record.Value)
-		if bytes > maxGroupBytes && len(group) > 0 {
+		bytes += recordLengthBytes + recordBytes(p.record)
+		if len(group) > 0 && (bytes > a.client.Limits.groupBytes() || a.maxGroup > 0 && len(group) >= a.maxGroup) {
 			break
 		}
 		group = append(group, p)
--- a/internal/process/jaystore/failover.go
+++ b/internal/process/jaystore/failover.go
@@ -94,17 +94,34 @@
 	err := <-answered
 	w.acquire()
 	defer w.release()
-	if err == nil {
+	// What the main topic has rejected was to be stored in the standby topic as well.
+	if err == nil || isRejected(err) {
 		err = w.returnToMain(ctx)
 	}
 	w.mainErr = err
 }
 
 // Write stores the records. It retries until they are stored, ctx ends, or a higher term has
-// written, which it reports as a FencedError.
+// written, which it reports as a FencedError. Records that the store does not accept as they are
+// hold back no others; they are reported as a RejectedError.
 func (w *FailoverWriter) Write(ctx context.Context, records []Record) error {
 	w.acquire()
 	defer w.release()
+	var rejected RejectedError
+	storable := make([]Record, 0, len(records))
+	for _, r := range records {
+		// What is stored in a standby topic must fit the main topic and the reverse.
+		if err := w.Main.client.Limits.check(r, maxStandbyBytes); err != nil {
+			rejected.add(r, err)
+			continue
+		}
+		storable = append(storable, r)
+	}
+	return rejected.merge(w.write(ctx, storable))
+}
+
+// write stores records that are not too large.
+func (w *FailoverWriter) write(ctx context.Context, records []Record) error {
 	if w.mainErr != nil {
 		return w.mainErr
 	}
@@ -133,16 +150,17 @@
 			continue
 		}
 		for range w.Standbys {
-			if w.open(ctx, records) {
+			if opened, err := w.open(ctx, records); opened {
 				go w.moveOnceAnswered(ctx, done)
-				return nil
+				return err
 			}
 		}
 	}
 }
 
-// open stores the records in the next standby topic and reports whether it has.
-func (w *FailoverWriter) open(ctx context.Context, records []Record) bool {
+// open stores the records in the next standby topic and reports whether it has. The error is a
+// RejectedError, or nil.
+func (w *FailoverWriter) open(ctx context.Context, records []Record) (bool, error) {
 	ctx, cancel := context.WithTimeout(ctx, standbyTimeout)
 	defer cancel()
 	number := w.announced.Number + 1
@@ -150,19 +168,26 @@
 	// A failed announcement may have been stored.
 	w.announced = next
 	if w.Announce(ctx, next) != nil {
-		return false
+		return false, nil
 	}
 	standby := w.NewWriter(next)
 	if standby.FenceLowerTerms(ctx) != nil {
-		return false
+		return false, nil
 	}
 	w.moved = map[string][]byte{}
 	w.standby = standby
-	if w.writeStandby(ctx, records) != nil {
+	err := w.writeStandby(ctx, records)
+	if err != nil && !isRejected(err) {
 		w.standby = nil
-		return false
+		return false, nil
 	}
-	return true
+	return true, err
+}
+
+// isRejected reports whether a write has stored all records but some that the store rejects.
+func isRejected(err error) bool {
+	var rejected *RejectedError
+	return errors.As(err, &rejected)
 }
 
 // writeStandby stores the records in the standby topic.
@@ -171,13 +196,21 @@
 	for i, r := range records {
 		encoded[i] = Record{Key: w.announced.key(r.Key), Value: encodeStandby(r.Value)}
 	}
-	if err := w.standby.Write(ctx, encoded); err != nil {
+	err := w.standby.Write(ctx, encoded)
+	var rejected *RejectedError
+	if err != nil && !errors.As(err, &rejected) {
 		return err
 	}
+	if rejected != nil {
+		for i, key := range rejected.Keys {
+			rejected.Keys[i] = w.announced.mainKey(key)
+		}
+		records = rejected.without(records)
+	}
 	for _, r := range records {
 		w.moved[r.Key] = r.Value
 	}
-	return nil
+	return err
 }
 
 // returnToMain moves the records of the standby topic to the main topic and closes the
@@ -227,6 +260,16 @@
 // key returns the key of a record in the standby topic.
 func (s Standby) key(key string) string { return fmt.Sprintf("%d/%s", s.Number, key) }
 
+// mainKey returns the key of a record whose key in the standby topic is given.
+func (s Standby) mainKey(key string) string {
+	_, main, _ := strings.Cut(key, "/")
+	return main
+}
+
+// maxStandbyBytes bounds what a record in a standby topic has more than in the main topic: the
+// number of up to 20 digits and the separator in its key, and the first byte of its value.
+const maxStandbyBytes = 22
+
 // standbyDeleted and standbyStored begin the values in a standby topic, where a deletion is a
 // record as well.
 const (
--- a/internal/process/jaystore/failover_test.go
+++ b/internal/process/jaystore/failover_test.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"maps"
 	"math/rand/v2"
+	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -22,6 +24,8 @@
 	logs    map[string]*fakeLog
 	silent  map[string]bool
 	standby Standby
+	// rejectedKey is part of the keys of records that the store never accepts, empty if there are none.
+	rejectedKey string
 	// term is that of the newest leader; announcements of earlier ones fail.
 	term uint64
 }
@@ -59,6 +63,9 @@
 			}
 			time.Sleep(10 * time.Millisecond)
 		}
+		if s.rejectedKey != "" && slices.ContainsFunc(a.Records, func(r Record) bool { return strings.Contains(r.Key, s.rejectedKey) }) {
+			return 0, &RefusedError{Operation: "append", Status: statusTooLarge}
+		}
 		return s.log(a.Topic).append(ctx, a)
 	}}
 }
--- a/internal/process/jaystore/store.go
+++ b/internal/process/jaystore/store.go
@@ -99,6 +99,8 @@
 	Read func(ctx context.Context, topic string, from uint64, wait time.Duration) (ReadResult, error)
 	// Newest returns a page of the newest records by key, after the given key.
 	Newest func(ctx context.Context, topic, after string) (Page, error)
+	// Limits are the sizes that the store accepts.
+	Limits Limits
 }
 
 // RefusedError reports a call that the store answered without acting.
--- a/internal/process/jaystore/termwriter.go
+++ b/internal/process/jaystore/termwriter.go
@@ -39,20 +39,43 @@
 func (w *TermWriter) FenceLowerTerms(ctx context.Context) error { return w.append(ctx, nil) }
 
 // Write stores the records. It retries until they are stored, ctx ends, or a higher
-// term has written, which it reports as a FencedError.
+// term has written, which it reports as a FencedError. Records that the store does not accept
+// as they are hold back no others; they are reported as a RejectedError.
 func (w *TermWriter) Write(ctx context.Context, records []Record) error {
+	var rejected RejectedError
 	for len(records) > 0 {
 		n, bytes := 0, 0
-		for n < len(records) && (n == 0 || bytes < maxGroupBytes) {
-			bytes += len(records[n].Key) + len(records[n].Value)
+		for n < len(records) {
+			bytes += recordLengthBytes + recordBytes(records[n])
+			if n > 0 && bytes > w.client.Limits.groupBytes() {
+				break
+			}
 			n++
 		}
-		if err := w.append(ctx, records[:n]); err != nil {
+		if err := w.store(ctx, records[:n], &rejected); err != nil {
 			return err
 		}
 		records = records[n:]
 	}
-	return nil
+	return rejected.err()
+}
+
+// store stores the records in one append. If the store rejects that for what it contains, it
+// stores each half by itself, in order, down to the records that are rejected.
+func (w *TermWriter) store(ctx context.Context, records []Record, rejected *RejectedError) error {
+	err := w.append(ctx, records)
+	if !IsRejection(err) {
+		return err
+	}
+	if len(records) == 1 {
+		rejected.add(records[0], err)
+		return nil
+	}
+	half := len(records) / 2
+	if err := w.store(ctx, records[:half], rejected); err != nil {
+		return err
+	}
+	return w.store(ctx, records[half:], rejected)
 }
 
 func (w *TermWriter) append(ctx context.Context, records []Record) error {
@@ -76,7 +99,7 @@
 			}
 			w.repeats--
 			continue
-		case errors.As(err, &fenced):
+		case errors.As(err, &fenced), len(records) > 0 && IsRejection(err):
 			return err
 		case errors.As(err, &outOfOrder) && !w.settled:
 			// The fence and the first append after it adopt the sequence number that the
--- a/internal/version/jaysettings/cell.go
+++ b/internal/version/jaysettings/cell.go
@@ -32,6 +32,9 @@
 	Metrics       string
 	Seeds         string
 	Store         string
+	// StoreRecordBytes and StoreCallBytes bound a record of the store and the records of one append.
+	StoreRecordBytes int
+	StoreCallBytes   int
 	// Advice is the address of the advice service, or empty if there is none.
 	Advice string
 	Runner string
@@ -72,6 +75,7 @@
 	return Cell{
 		Orders: OrdersByCall, HeartbeatInterval: 1500 * time.Millisecond,
 		MaxLease: 10 * time.Second, StopTimeout: 900 * time.Millisecond, GangTimeout: 3 * time.Second, ReclaimDeadline: 3400 * time.Millisecond,
+		StoreRecordBytes: 256 << 10, StoreCallBytes: 2 << 20,
 		Retention: 120 * time.Second, RemoteSlowdown: 3, GracePeriod: 6 * time.Second, Admission: AdmissionOff,
 	}
 }
@@ -102,6 +106,8 @@
 		address("listen", "control", "control address, which other processes list among their seeds", "127.0.0.1:8526", true, &c.Control),
 		address("listen", "link", "address for links of sides and entries", "127.0.0.1:7000", true, &c.Link),
 		address("listen", "link_announced", "link address that is announced to other processes; empty means the listen address", "127.0.0.1:7000", false, &c.LinkAnnounced),
+		byteCount("store", "record_bytes", "largest record that the store accepts, in bytes", &c.StoreRecordBytes),
+		byteCount("store", "call_bytes", "largest sum of the records of one append, in bytes", &c.StoreCallBytes),
 		address("advice", "address", "address of the service that decides which runners may run a step; empty for none", "127.0.0.1:8525", false, &c.Advice),
 		choice("overload", "admission", "whether jobs that certainly cannot be completed in time are refused; empty means off", AdmissionOff, &c.Admission, AdmissionOn, AdmissionOff),
 	)
@@ -161,6 +167,20 @@
 	}}
 }
 
+// byteCount is a number of bytes that holds at least the smallest records. An empty value keeps the
+// default.
+func byteCount(section, key, doc string, target *int) field {
+	const low, high = 16 << 10, 1 << 30
+	return field{section: section, key: key, doc: doc, allowed: fmt.Sprintf("whole number from %d to %d, or empty", low, high), example: strconv.Itoa(*target), set: func(s string) bool {
+		if s == "" {
+			return true
+		}
+		n, err := strconv.Atoi(s)
+		*target = n
+		return err == nil && n >= low && n <= high
+	}}
+}
+
 // scaledDuration is a duration given as a number of units, possibly fractional. An
 // empty value keeps the default, because not every deployment has every bound.
 func scaledDuration(section, key, doc string, unit time.Duration, target *time.Duration) field {
