A waiting job starts beside idle room, whatever it would rather run on

Cause: each preference of the scheduler waits for what would be better if it were empty, and never asks whether it comes free or how long the job has waited: mayRunRemote for racks, the estimate for data, eligible for slow and avoided runners, holdsElsewhere for nodes with a crash, the headroom. Evidence: a row for each fails before (TestJobStartsInIdleRoom, TestSuspectStartsWhereItHasCrashed), also with long tasks in place of daemons.

Change: the leader notes since when a waiting unit finds room twice over in a service of which less than half is in use, and starts it there after 2 s; users count 3 s. Preferences of place give way in a stated order.

Conclusion: work is held back beside idle room for 2.5 s at most; busy pools keep the preferences as they were.

--- a/internal/process/jaycell/crash.go
+++ b/internal/process/jaycell/crash.go
@@ -354,9 +354,14 @@
 	if !r.haveValidTickets(u, sel.runners) || !r.mayAddTrials(u, sel.runners) {
 		return
 	}
+	r.startTrial(u, sel.runners)
+}
+
+// startTrial starts a suspect on runners, which it shares with no other unit in this round.
+func (r *round) startTrial(u *unit, runners []*candidate) {
 	u.trialWantedAt = 0
-	r.startRun(u, sel.runners)
-	for _, cand := range sel.runners {
+	r.startRun(u, runners)
+	for _, cand := range runners {
 		if !slices.Contains(cand.tried, u) {
 			cand.tried = append(cand.tried, u)
 		}
--- /dev/null
+++ b/internal/process/jaycell/idleroom.go
@@ -0,0 +1,191 @@
+package jaycell
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/jaystile/jaystile/internal/request/jaytask"
+)
+
+// A unit may wait although it fits somewhere: for one rack or the rack of its data, for runners that
+// are not slow, on probation, avoided or the ones where it has crashed, for headroom or the reserve of
+// more urgent work, for room for the other tasks of its step. What it waits for may be held by work
+// that never ends. So all these preferences give way to idle room: the runners hold the unit
+// several times over and little of the service is in use. Preferences of place give way in the order
+// of idleScopes.
+
+const (
+	// maxIdleWait is how long a unit waits while there is idle room for it. Users count 3 s without a
+	// start; the rest is for a round, the store and the order.
+	maxIdleWait = 2 * time.Second
+	// maxClaimWait is how long a unit waits beside idle room that others have claimed and not
+	// taken.
+	maxClaimWait = maxIdleWait + 500*time.Millisecond
+	// idleRoomFactor is how many times over idle room holds a unit.
+	idleRoomFactor = 2
+	// idleUseShare is the share of a service's capacity from which on none of it is idle.
+	idleUseShare = 0.5
+)
+
+// stepOccurrence identifies a step of one occurrence of a job.
+type stepOccurrence struct{ occurrence, step int }
+
+// idleWait tells since when there is idle room for the units of a step that wait, of which the
+// first one counts. Daemon tasks count each by themselves.
+type idleWait struct {
+	since time.Duration
+	// round is the time of the last round that has looked.
+	round time.Duration
+}
+
+// idleWaitOf returns the idle wait of a unit.
+func (j *job) idleWaitOf(u *unit) *idleWait {
+	if u.spec().Daemon {
+		return &u.idle
+	}
+	k := stepOccurrence{u.occurrence, u.step}
+	if j.idle[k] == nil {
+		j.idle[k] = &idleWait{}
+	}
+	return j.idle[k]
+}
+
+// startInIdleRoom starts a unit that has waited beside idle room for maxIdleWait. A job of which
+// something runs has time for the others, unless they are daemon tasks.
+func (r *round) startInIdleRoom(u *unit) {
+	if u.phase != phaseWaiting || u.job.state.Ended() {
+		return
+	}
+	c, w := r.cell, u.job.idleWaitOf(u)
+	if w.round == c.now {
+		return
+	}
+	w.round = c.now
+	if !u.spec().Daemon && r.isActive(u.job) {
+		w.since = 0
+		return
+	}
+	if !r.hasIdleRoom(u) {
+		w.since = 0
+		return
+	}
+	if w.since == 0 {
+		w.since = c.now
+	}
+	if c.now-w.since < maxIdleWait || !r.startAnywhere(u, c.now-w.since >= maxClaimWait) {
+		return
+	}
+	w.since, r.active[u.job] = 0, true
+	c.reportDecision(Decision{Job: u.job.spec.ID, Task: u.key(), Run: u.run, Event: "idle_room", Outcome: "start", Reason: fmt.Sprintf("has waited %s beside idle room", maxIdleWait), AgeMS: c.jobAgeMS(u.job)})
+}
+
+// isActive reports whether something of a job has been placed.
+func (r *round) isActive(j *job) bool {
+	active, known := r.active[j]
+	if !known {
+		for _, u := range j.units {
+			active = active || u.phase == phaseActive
+		}
+		r.active[j] = active
+	}
+	return active
+}
+
+// hasIdleRoom reports whether the runners that may run the unit hold it several times over, and
+// little of its service is in use. However much is, a daemon task that does not run is missed.
+func (r *round) hasIdleRoom(u *unit) bool {
+	if !u.spec().Daemon && !r.isIdle(u.job.spec.Policy.Service) {
+		return false
+	}
+	slots, need := 0, idleRoomFactor*u.count
+	for _, cand := range r.anywhere(u) {
+		slots += capacityFor(cand.runner.available(), u, need)
+		if slots >= need {
+			return true
+		}
+	}
+	return false
+}
+
+// isIdle reports whether less than idleUseShare of a service's capacity is in use.
+func (r *round) isIdle(service string) bool {
+	idle, known := r.idle[service]
+	if known {
+		return idle
+	}
+	var capacity, used jaytask.Resources
+	for _, cand := range r.candidates {
+		if cand.runner.info.Service == service {
+			capacity = capacity.Add(cand.runner.info.Capacity)
+			used = used.Add(cand.runner.info.Capacity.Sub(cand.runner.available()))
+		}
+	}
+	idle = used.CoreEquivalents() < idleUseShare*capacity.CoreEquivalents()
+	r.idle[service] = idle
+	return idle
+}
+
+// anywhere returns the candidates that may run a unit, whatever it would rather run on. Runners on
+// probation fail what they start.
+func (r *round) anywhere(u *unit) []*candidate {
+	var all []*candidate
+	advice := r.cell.adviceFor(u)
+	for _, cand := range r.candidates {
+		if r.cell.now >= cand.runner.avoidUntil && cand.runner.eligibleFor(u) && advice.allows(cand.runner.id) && r.keepsApart(u, cand) {
+			all = append(all, cand)
+		}
+	}
+	return all
+}
+
+// idleScopes returns the candidates for a unit that starts in idle room: those of any rack that it
+// does not avoid, then those where it has not crashed, then all.
+func (r *round) idleScopes(u *unit) [][]*candidate {
+	all := r.anywhere(u)
+	var uncrashed []*candidate
+	for _, cand := range all {
+		if !u.hasCrashedOn(cand.runner.node) {
+			uncrashed = append(uncrashed, cand)
+		}
+	}
+	return [][]*candidate{r.eligible(u, ""), uncrashed, all}
+}
+
+// startAnywhere starts a unit in the first scope that holds it, without preemption, and reports
+// whether it has. Claims of other units are respected unless ignoreClaims is set.
+func (r *round) startAnywhere(u *unit, ignoreClaims bool) bool {
+	sel, ok := r.selectAnywhere(u, ignoreClaims)
+	if !ok || !r.haveValidTickets(u, sel.runners) {
+		return false
+	}
+	if !u.isSuspect() {
+		r.startRun(u, sel.runners)
+	} else if r.mayAddTrials(u, sel.runners) {
+		r.startTrial(u, sel.runners)
+	}
+	return u.phase == phaseActive
+}
+
+// selectAnywhere selects the runners for startAnywhere.
+func (r *round) selectAnywhere(u *unit, ignoreClaims bool) (selection, bool) {
+	free := make([]jaytask.Resources, len(r.candidates))
+	for i, cand := range r.candidates {
+		free[i] = cand.free
+		if ignoreClaims {
+			cand.free = cand.runner.available()
+		} else {
+			cand.free = cand.free.Add(u.claims[cand.runner.id])
+		}
+	}
+	defer func() {
+		for i, cand := range r.candidates {
+			cand.free = free[i]
+		}
+	}()
+	for _, candidates := range r.idleScopes(u) {
+		if sel, ok := r.assign(u, u.count, candidates, nil); ok {
+			return sel, true
+		}
+	}
+	return selection{}, false
+}
--- a/internal/process/jaycell/schedule.go
+++ b/internal/process/jaycell/schedule.go
@@ -52,6 +52,9 @@
 	tried map[*unit]bool
 	// costs caches preemptionCosts.
 	costs map[claimant]map[*unit]float64
+	// idle caches isIdle by service, active isActive by job.
+	idle   map[string]bool
+	active map[*job]bool
 	// unplaceable caches the shapes that did not fit, so that equal ones are skipped.
 	unplaceable map[shape]bool
 }
@@ -78,9 +81,13 @@
 	}
 	r := c.newRound()
 	r.stopOverdueRuns(waiting)
-	for _, u := range r.sortByUrgency(waiting) {
+	sorted := r.sortByUrgency(waiting)
+	for _, u := range sorted {
 		r.scheduleStep(u)
 	}
+	for _, u := range sorted {
+		r.startInIdleRoom(u)
+	}
 }
 
 // scheduleStep tries to start the startable units of u's step, together if they must
@@ -170,7 +177,7 @@
 }
 
 func (c *Cell) newRound() *round {
-	r := &round{cell: c, guaranteed: c.guaranteedJobs(), byRack: map[string][]*candidate{}, unreserved: map[string]int{}, patientRoom: map[level]jaytask.Resources{}, tried: map[*unit]bool{}, costs: map[claimant]map[*unit]float64{}, unplaceable: map[shape]bool{}}
+	r := &round{cell: c, guaranteed: c.guaranteedJobs(), byRack: map[string][]*candidate{}, unreserved: map[string]int{}, patientRoom: map[level]jaytask.Resources{}, tried: map[*unit]bool{}, costs: map[claimant]map[*unit]float64{}, unplaceable: map[shape]bool{}, idle: map[string]bool{}, active: map[*job]bool{}}
 	claimed := c.claimedResources()
 	for _, runner := range c.sortedRunners() {
 		if !runner.acceptsWork(c.now) {
--- a/internal/process/jaycell/unit.go
+++ b/internal/process/jaycell/unit.go
@@ -65,6 +65,8 @@
 	// awaitingSince is when it began to, zero if it does not.
 	awaited       []awaitedRun
 	awaitingSince time.Duration
+	// idle is the idle wait of a daemon task.
+	idle idleWait
 	// reason is why the unit's run was last stopped or refused.
 	reason string
 	// spansRacks caches whether the gang is larger than every rack, as of
@@ -268,12 +270,14 @@
 	// runners on which runs failed at once before.
 	healthy  bool
 	suspects map[*Runner]bool
+	// idle holds the idle waits of the steps other than daemon steps.
+	idle map[stepOccurrence]*idleWait
 	// guaranteeMissReported is set once a missed guarantee has been reported.
 	guaranteeMissReported bool
 }
 
 func newJob(spec *jaytask.Job) *job {
-	j := &job{spec: spec, state: jaytask.Queued, units: map[string]*unit{}}
+	j := &job{spec: spec, state: jaytask.Queued, units: map[string]*unit{}, idle: map[stepOccurrence]*idleWait{}}
 	for k := 0; k < spec.Occurrences(); k++ {
 		remaining := make([]int, len(spec.Steps))
 		for i, s := range spec.Steps {
