A cancellation of an unknown job is stored before it is answered with 410

Cause: Cancel answered from a read and left nothing that a submission on its way would meet: a request in the socket of an entry that stands still, or an append that the store executes late. Evidence: both orders fail before in TestLateSubmissionOfACanceledJobDoesNotRun, also without a process that stands still; TestLateSubmissionOfADeadLeaderDoesNotRun.

Change: early cancellations, records of the jobs' topic by ID and workspace. They cancel the job of their workspace in whatever order the records come, live for half of the retention, are deleted under the condition that nothing was stored meanwhile, and are bounded, with equal shares for workspaces.

--- a/internal/process/jaycontroller/jobtable.go
+++ b/internal/process/jaycontroller/jobtable.go
@@ -54,6 +54,8 @@
 
 	// jobEnded is notified of each final state.
 	jobEnded changeNotifier
+	// early holds the cancellations that came before their jobs. Its mutex is locked last.
+	early *earlyCancels
 
 	// mutex is locked after those of the controller and of a leadership.
 	mutex sync.Mutex
@@ -61,7 +63,7 @@
 }
 
 func newJobTable(logger zerolog.Logger) *jobTable {
-	return &jobTable{logger: logger, jobs: map[string]*jobRow{}}
+	return &jobTable{logger: logger, jobs: map[string]*jobRow{}, early: newEarlyCancels()}
 }
 
 // isRecent reports whether a row's newest dated fact is recent.
@@ -86,12 +88,15 @@
 // as new.
 func (t *jobTable) replace(all []jaystore.StoredRecord) {
 	newest := newJobTable(t.logger)
+	newest.recent = t.recent
 	for _, s := range all {
 		newest.apply(s.Key, s.Value)
 	}
 	var changed []string
 	t.mutex.Lock()
+	t.early.replaceBy(newest.early, t.recent)
 	for id, row := range newest.jobs {
+		row.canceled = row.canceled || row.spec != nil && t.cancelsEarly(row.spec)
 		old := t.jobs[id]
 		if old != nil && row.spec != nil && t.isReused(old, row.spec) {
 			old = nil
@@ -108,8 +113,15 @@
 		}
 	}
 	for id, old := range t.jobs {
-		if newest.jobs[id] == nil && t.isRecent(old) {
-			newest.jobs[id] = old
+		if newest.jobs[id] != nil || !t.isRecent(old) {
+			continue
+		}
+		newest.jobs[id] = old
+		if old.spec != nil && !old.canceled && t.cancelsEarly(old.spec) {
+			old.canceled = true
+			if !old.state.Ended() {
+				changed = append(changed, id)
+			}
 		}
 	}
 	t.jobs = newest.jobs
@@ -129,12 +141,16 @@
 // and slightly out of order, from a peer and from the store. A final state does not
 // change again.
 func (t *jobTable) apply(key string, value []byte) {
-	// The kinds are those of jaycell.JobKey, CancelKey and StateKey.
+	// The kinds are earlyCancelKind and those of jaycell.JobKey, CancelKey and StateKey.
 	kind, id, ok := strings.Cut(key, "/")
 	if !ok {
 		t.logger.Warn().Str("event", "record").Str("key", key).Msg("skipping a record with an unknown key")
 		return
 	}
+	if kind == earlyCancelKind {
+		t.applyEarlyCancel(id, value == nil)
+		return
+	}
 	if value == nil {
 		t.delete(kind, id)
 		return
@@ -156,6 +172,7 @@
 				break
 			}
 			row.spec, changed = spec, true
+			row.canceled = row.canceled || t.cancelsEarly(spec)
 		}
 	case "c":
 		changed = !row.canceled
--- a/internal/process/jaycontroller/leaderrecords.go
+++ b/internal/process/jaycontroller/leaderrecords.go
@@ -224,12 +224,13 @@
 }
 
 // deleteExpiredJobs deletes the records of jobs whose retention has passed, including
-// jobs that ended under earlier terms.
+// jobs that ended under earlier terms, and of early cancellations.
 func (l *leadership) deleteExpiredJobs() {
 	var wg conc.WaitGroup
 	for _, id := range l.controller.jobs.endedBefore(time.Now().Add(-l.controller.Timing.Retention), maxExpiredPerRound) {
 		wg.Go(func() { l.deleteJob(id) })
 	}
+	wg.Go(l.deleteExpiredEarlyCancels)
 	wg.Wait()
 }
 
--- a/internal/process/jaycontroller/requests.go
+++ b/internal/process/jaycontroller/requests.go
@@ -304,7 +304,7 @@
 	return row, nil
 }
 
-// Cancel cancels a job and responds once the cancellation is stored.
+// Cancel cancels a job and responds once the cancellation is stored, also if there is no such job.
 func (c *Controller) Cancel(ctx context.Context, req Request) Response {
 	r, refusal := c.resolve(ctx, req)
 	if refusal != nil {
@@ -314,6 +314,9 @@
 		return c.recordResponse("cancel", "", Response{Outcome: Malformed, Reason: "no identity"})
 	}
 	row, refusal := c.findJob(ctx, r)
+	if refusal != nil && refusal.Outcome == NoJob {
+		return c.recordResponse("cancel", r.id, c.cancelEarly(ctx, r, req))
+	}
 	if refusal != nil {
 		return c.recordResponse("cancel", r.id, *refusal)
 	}
--- a/internal/process/jaystore/appender.go
+++ b/internal/process/jaystore/appender.go
@@ -53,19 +53,26 @@
 // the record is not known to be stored by the deadline. IsRejection tells whether a record
 // that is not stored never will be as it is.
 func (a *Appender) Put(r Record, deadline time.Time) error {
+	return <-a.add(r, deadline)
+}
+
+// add hands a record to Run and returns where its outcome arrives.
+func (a *Appender) add(r Record, deadline time.Time) <-chan error {
+	p := &pendingRecord{record: r, deadline: deadline, done: make(chan error, 1)}
 	if err := a.client.Limits.check(r, 0); err != nil {
 		recordsRejected.Inc()
-		return &NotStoredError{Cause: err}
+		p.done <- &NotStoredError{Cause: err}
+		return p.done
 	}
-	p := &pendingRecord{record: r, deadline: deadline, done: make(chan error, 1)}
 	if !a.enqueue(p) {
-		return &NotStoredError{Cause: context.Canceled}
+		p.done <- &NotStoredError{Cause: context.Canceled}
+		return p.done
 	}
 	select {
 	case a.wake <- struct{}{}:
 	default:
 	}
-	return <-p.done
+	return p.done
 }
 
 // enqueue adds a record to the queue and reports whether it will be handled.
