Room that others have claimed counts as idle after 2.5 s only

Cause: counted room that other units have claimed as idle from the start.

Change: two clocks, 2 s beside room that nobody has claimed, 2.5 s beside room with claims.

--- a/internal/process/jaycell/idleroom.go
+++ b/internal/process/jaycell/idleroom.go
@@ -1,7 +1,6 @@
 package jaycell
 
 import (
-	"fmt"
 	"time"
 
 	"github.com/jaystile/jaystile/internal/request/jaytask"
@@ -18,9 +17,9 @@
 	// maxIdleWait is how long a unit waits while there is idle room for it. Users count 3 s without a
 	// start; the rest is for a round, the store and the order.
 	maxIdleWait = 2 * time.Second
-	// maxClaimWait is how long a unit waits beside idle room that others have claimed and not
-	// taken.
-	maxClaimWait = maxIdleWait + 500*time.Millisecond
+	// maxClaimedWait is how long a unit waits beside idle room that others have claimed for some of
+	// the time and not taken.
+	maxClaimedWait = 2500 * time.Millisecond
 	// idleRoomFactor is how many times over idle room holds a unit.
 	idleRoomFactor = 2
 	// idleUseShare is the share of a service's capacity from which on none of it is idle.
@@ -31,9 +30,11 @@
 type stepOccurrence struct{ occurrence, step int }
 
 // idleWait tells since when there is idle room for the units of a step that wait, of which the
-// first one counts. Daemon tasks count each by themselves.
+// first one counts. Each daemon task counts by itself.
 type idleWait struct {
-	since time.Duration
+	// since is since when there is room that nobody has claimed, claimedSince the same with what
+	// others have claimed; zero if there is none.
+	since, claimedSince time.Duration
 	// round is the time of the last round that has looked.
 	round time.Duration
 }
@@ -50,8 +51,9 @@
 	return j.idle[k]
 }
 
-// startInIdleRoom starts a unit that has waited beside idle room for maxIdleWait. A job of which
-// something runs has time for the others, unless they are daemon tasks.
+// startInIdleRoom starts a unit that has waited beside idle room. A job of which something runs has
+// time for the others, and a service that is in use has none. A daemon task that does not run is
+// missed all the same.
 func (r *round) startInIdleRoom(u *unit) {
 	if u.phase != phaseWaiting || u.job.state.Ended() {
 		return
@@ -61,22 +63,20 @@
 		return
 	}
 	w.round = c.now
-	if !u.spec().Daemon && r.isActive(u.job) {
-		w.since = 0
+	if !u.spec().Daemon && (r.isActive(u.job) || !r.isIdle(u.job.spec.Policy.Service)) {
+		w.since, w.claimedSince = 0, 0
 		return
 	}
-	if !r.hasIdleRoom(u) {
-		w.since = 0
+	r.noteRoom(&w.since, u, false)
+	r.noteRoom(&w.claimedSince, u, true)
+	switch {
+	case w.claimedSince > 0 && c.now-w.claimedSince >= maxClaimedWait && r.startAnywhere(u, true):
+	case w.since > 0 && c.now-w.since >= maxIdleWait && r.startAnywhere(u, false):
+	default:
 		return
 	}
-	if w.since == 0 {
-		w.since = c.now
-	}
-	if c.now-w.since < maxIdleWait || !r.startAnywhere(u, c.now-w.since >= maxClaimWait) {
-		return
-	}
-	w.since, r.active[u.job] = 0, true
-	c.reportDecision(Decision{Job: u.job.spec.ID, Task: u.key(), Run: u.run, Event: "idle_room", Outcome: "start", Reason: fmt.Sprintf("has waited %s beside idle room", maxIdleWait), AgeMS: c.jobAgeMS(u.job)})
+	w.since, w.claimedSince, r.active[u.job] = 0, 0, true
+	c.reportDecision(Decision{Job: u.job.spec.ID, Task: u.key(), Run: u.run, Event: "idle_room", Outcome: "start", Reason: "has waited beside idle room", AgeMS: c.jobAgeMS(u.job)})
 }
 
 // isActive reports whether something of a job has been placed.
@@ -91,20 +91,27 @@
 	return active
 }
 
-// hasIdleRoom reports whether the runners that may run the unit hold it several times over, and
-// little of its service is in use. However much is, a daemon task that does not run is missed.
-func (r *round) hasIdleRoom(u *unit) bool {
-	if !u.spec().Daemon && !r.isIdle(u.job.spec.Policy.Service) {
-		return false
-	}
+// noteRoom keeps since when the runners that may run the unit hold it several times over.
+func (r *round) noteRoom(since *time.Duration, u *unit, ignoreClaims bool) {
 	slots, need := 0, idleRoomFactor*u.count
 	for _, cand := range r.anywhere(u) {
-		slots += capacityFor(cand.runner.available(), u, need)
+		slots += capacityFor(r.idleRoom(u, cand, ignoreClaims), u, need)
 		if slots >= need {
-			return true
+			if *since == 0 {
+				*since = r.cell.now
+			}
+			return
 		}
 	}
-	return false
+	*since = 0
+}
+
+// idleRoom returns what is free on a candidate for a unit, beside the claims of others or with them.
+func (r *round) idleRoom(u *unit, cand *candidate, ignoreClaims bool) jaytask.Resources {
+	if ignoreClaims {
+		return cand.runner.available()
+	}
+	return cand.free.Add(u.claims[cand.runner.id])
 }
 
 // isIdle reports whether less than idleUseShare of a service's capacity is in use.
@@ -171,11 +178,7 @@
 	free := make([]jaytask.Resources, len(r.candidates))
 	for i, cand := range r.candidates {
 		free[i] = cand.free
-		if ignoreClaims {
-			cand.free = cand.runner.available()
-		} else {
-			cand.free = cand.free.Add(u.claims[cand.runner.id])
-		}
+		cand.free = r.idleRoom(u, cand, ignoreClaims)
 	}
 	defer func() {
 		for i, cand := range r.candidates {
