--- a/internal/process/jaycontroller/statesmodel_test.go
+++ b/internal/process/jaycontroller/statesmodel_test.go
@@ -43,7 +43,9 @@
 type statesModel struct {
 	t     *testing.T
 	store *modelStore
-	log   zerolog.Logger
+	// limits are what new entries know of the store's.
+	limits jaystore.Limits
+	log    zerolog.Logger
 
 	randomMutex sync.Mutex
 	random      *rand.Rand
@@ -175,6 +177,7 @@
 		return m.store.client(c.Name)
 	}
 	c.config.Store(jayconfig.NewConfig(1, nil, nil, nil, jayconfig.Limits{}))
+	c.StoreLimits = m.limits
 	c.Prepare()
 	ctx, cancel := context.WithCancel(context.Background())
 	c.ctx = ctx
--- a/internal/process/jaycontroller/unstorable_test.go
+++ b/internal/process/jaycontroller/unstorable_test.go
@@ -34,8 +34,11 @@
 				p := &takeoverPlay{statesModel: newStatesModel(t, 0), job: other}
 				defer p.end()
 				p.store.recordBytes = recordBytes
-				for _, e := range p.entries {
-					e.StoreLimits, e.storeClient.Limits = c.limits, c.limits
+				p.limits = c.limits
+				for i, former := range p.entries {
+					former.stop()
+					p.background(former.tasks.Wait)
+					p.entries[i] = p.newEntry(i)
 				}
 				p.leader, p.successor = p.entries[0], p.entries[1]
 				ctx := p.entries[2].ctx
@@ -79,19 +82,14 @@
 			synctest.Test(t, func(t *testing.T) {
 				m := newStatesModel(t, 0)
 				defer m.end()
-				e := m.entries[0]
-				e.StoreLimits.RecordBytes = 256 << 10
-				e.jobsAppender = jaystore.NewAppender(&jaystore.Client{Append: e.appendJobs, Limits: e.StoreLimits}, "jobs")
-				e.tasks.Go(func() { e.jobsAppender.Run(e.ctx) })
+				m.limits.RecordBytes = 256 << 10
+				e := m.newEntry(modelEntries)
+				m.entries = append(m.entries, e)
 				e.config.Store(jayconfig.NewConfig(1, []jayconfig.Route{{Name: "r", Host: "host", Prefix: "/r/", Service: "s", Public: true, MaxAttempts: 3}}, nil, nil, jayconfig.Limits{}))
-				e.operatorTail = &jaystore.Tail{}
-				submit := func() Response {
-					return e.Submit(context.Background(), Request{Host: "host", Path: "/r/" + id}, func() (*jaytask.Job, error) {
-						j := &jaytask.Job{Steps: []jaytask.Step{c.step}}
-						return j, j.Validate()
-					})
-				}
-				response := submit()
+				response := e.Submit(context.Background(), Request{Host: "host", Path: "/r/" + id}, func() (*jaytask.Job, error) {
+					j := &jaytask.Job{Steps: []jaytask.Step{c.step}}
+					return j, j.Validate()
+				})
 				assert.Equal(t, response.Outcome, c.want, response.Reason)
 				assert.Assert(t, strings.Contains(response.Reason, c.reason), response.Reason)
 				assert.Equal(t, response.RetryAfter, time.Duration(0))
