Reuse the parsing of unit keys and of whole numbers; look at candidates once

Found by reading the change again; behaviour and checks are the same. RestoreUnit and RejectRecords parsed a unit's key each by itself: parseUnitKey. A byte count in the settings is an integer that may be empty. The wait beside idle room listed a unit's candidates twice in a round, and had a key type of its own beside that of the advice. The longest unit key is a length, not a made-up key.

--- a/internal/process/jaycell/cell.go
+++ b/internal/process/jaycell/cell.go
@@ -266,11 +266,7 @@
 // all jobs have been submitted.
 func (c *Cell) RestoreUnit(r Record) error {
 	name := r.Key
-	id, occurrence, step, index, ok := parseTaskName(name)
-	if !ok {
-		// The key of a gang has no task index.
-		id, occurrence, step, index, ok = parseTaskName(name + ".0")
-	}
+	id, occurrence, step, index, ok := parseUnitKey(name)
 	if !ok {
 		return &jaytask.RecordError{What: "unit " + name, Cause: &jaytask.InvalidError{Field: "key", Cause: "not a unit"}}
 	}
--- a/internal/process/jaycell/idleroom.go
+++ b/internal/process/jaycell/idleroom.go
@@ -26,9 +26,6 @@
 	idleUseShare = 0.5
 )
 
-// stepOccurrence identifies a step of one occurrence of a job.
-type stepOccurrence struct{ occurrence, step int }
-
 // idleWait tells since when there is idle room for the units of a step that wait, of which the
 // first one counts. Each daemon task counts by itself.
 type idleWait struct {
@@ -44,7 +41,7 @@
 	if u.spec().Daemon {
 		return &u.idle
 	}
-	k := stepOccurrence{u.occurrence, u.step}
+	k := [2]int{u.occurrence, u.step}
 	if j.idle[k] == nil {
 		j.idle[k] = &idleWait{}
 	}
@@ -67,8 +64,9 @@
 		w.since, w.claimedSince = 0, 0
 		return
 	}
-	r.noteRoom(&w.since, u, false)
-	r.noteRoom(&w.claimedSince, u, true)
+	candidates := r.anywhere(u)
+	r.noteRoom(&w.since, u, candidates, false)
+	r.noteRoom(&w.claimedSince, u, candidates, true)
 	switch {
 	case w.claimedSince > 0 && c.now-w.claimedSince >= maxClaimedWait && r.startAnywhere(u, true):
 	case w.since > 0 && c.now-w.since >= maxIdleWait && r.startAnywhere(u, false):
@@ -91,10 +89,10 @@
 	return active
 }
 
-// noteRoom keeps since when the runners that may run the unit hold it several times over.
-func (r *round) noteRoom(since *time.Duration, u *unit, ignoreClaims bool) {
+// noteRoom keeps since when the candidates that may run the unit hold it several times over.
+func (r *round) noteRoom(since *time.Duration, u *unit, candidates []*candidate, ignoreClaims bool) {
 	slots, need := 0, idleRoomFactor*u.count
-	for _, cand := range r.anywhere(u) {
+	for _, cand := range candidates {
 		slots += capacityFor(r.idleRoom(u, cand, ignoreClaims), u, need)
 		if slots >= need {
 			if *since == 0 {
--- a/internal/process/jaycell/idleroom_test.go
+++ b/internal/process/jaycell/idleroom_test.go
@@ -54,7 +54,7 @@
 		name  string
 		begin func(f *failing)
 		step  jaytask.Step
-		// priority is the job's, workspace is empty if it has no guarantee.
+		// priority is the job's.
 		priority int
 	}{
 		{name: "a gang for one rack beside serving tasks", step: wholeRunners, priority: 1, begin: func(f *failing) {
--- a/internal/process/jaycell/recordsize.go
+++ b/internal/process/jaycell/recordsize.go
@@ -28,15 +28,12 @@
 	// crashesPerTask is how many crashes of runners under each task have space. A task under which
 	// as many runners have crashed may be given up.
 	crashesPerTask = 2
-	// maxUnitKeyBytes is the longest key of a unit.
-	maxUnitKeyBytes = 48
+	// MaxUnitKeyBytes is the length of the longest key of a unit.
+	MaxUnitKeyBytes = 48
 )
 
-// LongestUnitKey returns a key as long as that of any unit.
-func LongestUnitKey() string { return fmt.Sprintf("%0*d", maxUnitKeyBytes, 0) }
-
 // CheckStorable returns an InvalidError if a record of the job may outgrow max bytes, the largest
-// value of a record under LongestUnitKey. Zero means that there is no limit.
+// value of a record under a unit's key. Zero means that there is no limit.
 func CheckStorable(j *jaytask.Job, max int) error {
 	if max == 0 {
 		return nil
@@ -102,9 +99,6 @@
 // failOutgrown fails the jobs of the changed units that have outgrown their records: what has been
 // stored of them is out of date, and no more can be.
 func (c *Cell) failOutgrown() {
-	if c.settings.MaxRecordBytes == 0 {
-		return
-	}
 	var outgrown []*unit
 	for u := range c.dirtyUnits {
 		if !u.job.state.Ended() && !c.fitsRecord(u, nil) {
@@ -122,10 +116,7 @@
 // ConfirmStored.
 func (c *Cell) RejectRecords(keys []string, cause string) {
 	for _, key := range keys {
-		id, _, _, _, ok := parseTaskName(key)
-		if !ok {
-			id, _, _, _, ok = parseTaskName(key + ".0")
-		}
+		id, _, _, _, ok := parseUnitKey(key)
 		if j := c.jobs[id]; ok && j != nil && j.units[key] != nil {
 			c.failUnstorable(j.units[key], cause)
 		}
--- a/internal/process/jaycell/recordsize_test.go
+++ b/internal/process/jaycell/recordsize_test.go
@@ -134,7 +134,7 @@
 			size, bound := len(u.record().Value), u.recordBytes(nil)
 			assert.Assert(t, size <= bound, "%d bytes, counted as %d", size, bound)
 			assert.Assert(t, bound <= unitBytes(*u.spec(), j.spec.Policy), "%d bytes with %d tasks and %d crashes each", bound, count, crashes)
-			assert.Assert(t, len(u.key()) <= maxUnitKeyBytes)
+			assert.Assert(t, len(u.key()) <= MaxUnitKeyBytes)
 		}
 	}
 }
--- a/internal/process/jaycell/unit.go
+++ b/internal/process/jaycell/unit.go
@@ -135,6 +135,14 @@
 	return parts[0], n[0], n[1], n[2], true
 }
 
+// parseUnitKey parses the output of makeKey. That of a gang has no task index.
+func parseUnitKey(key string) (job string, occurrence, step, index int, ok bool) {
+	if job, occurrence, step, index, ok = parseTaskName(key); ok {
+		return job, occurrence, step, index, true
+	}
+	return parseTaskName(key + ".0")
+}
+
 type memberRecord struct {
 	_      struct{} `cbor:",toarray"`
 	Index  int
@@ -270,14 +278,14 @@
 	// runners on which runs failed at once before.
 	healthy  bool
 	suspects map[*Runner]bool
-	// idle holds the idle waits of the steps other than daemon steps.
-	idle map[stepOccurrence]*idleWait
+	// idle holds the idle waits of the steps other than daemon steps, by occurrence and step.
+	idle map[[2]int]*idleWait
 	// guaranteeMissReported is set once a missed guarantee has been reported.
 	guaranteeMissReported bool
 }
 
 func newJob(spec *jaytask.Job) *job {
-	j := &job{spec: spec, state: jaytask.Queued, units: map[string]*unit{}, idle: map[stepOccurrence]*idleWait{}}
+	j := &job{spec: spec, state: jaytask.Queued, units: map[string]*unit{}, idle: map[[2]int]*idleWait{}}
 	for k := 0; k < spec.Occurrences(); k++ {
 		remaining := make([]int, len(spec.Steps))
 		for i, s := range spec.Steps {
--- a/internal/process/jaycontroller/controller.go
+++ b/internal/process/jaycontroller/controller.go
@@ -260,7 +260,7 @@
 // maxUnitRecordBytes returns the size of the largest value of a unit's record, zero if there is no
 // limit.
 func (c *Controller) maxUnitRecordBytes() int {
-	return c.StoreLimits.MaxValueBytes(jaycell.LongestUnitKey())
+	return c.StoreLimits.MaxValueBytes(jaycell.MaxUnitKeyBytes)
 }
 
 // tailFailureLogger returns a function that logs a failed read of a topic.
--- a/internal/process/jaystore/limits.go
+++ b/internal/process/jaystore/limits.go
@@ -35,13 +35,13 @@
 	CallBytes int
 }
 
-// MaxValueBytes returns the size of the largest value that fits under a key, in a standby topic as
-// well, or zero if there is no limit.
-func (l Limits) MaxValueBytes(key string) int {
+// MaxValueBytes returns the size of the largest value that fits under a key of the given length, in
+// a standby topic as well, or zero if there is no limit.
+func (l Limits) MaxValueBytes(keyBytes int) int {
 	if l.RecordBytes == 0 {
 		return 0
 	}
-	return max(1, l.RecordBytes-keyLengthBytes-len(key)-maxStandbyBytes)
+	return max(1, l.RecordBytes-keyLengthBytes-keyBytes-maxStandbyBytes)
 }
 
 // groupBytes returns the bound of one append of several records.
--- a/internal/version/jaysettings/cell.go
+++ b/internal/version/jaysettings/cell.go
@@ -171,14 +171,11 @@
 // default.
 func byteCount(section, key, doc string, target *int) field {
 	const low, high = 16 << 10, 1 << 30
-	return field{section: section, key: key, doc: doc, allowed: fmt.Sprintf("whole number from %d to %d, or empty", low, high), example: strconv.Itoa(*target), set: func(s string) bool {
-		if s == "" {
-			return true
-		}
-		n, err := strconv.Atoi(s)
-		*target = n
-		return err == nil && n >= low && n <= high
-	}}
+	f := integer(section, key, doc, low, high, target)
+	set := f.set
+	f.allowed += ", or empty"
+	f.set = func(s string) bool { return s == "" || set(s) }
+	return f
 }
 
 // scaledDuration is a duration given as a number of units, possibly fractional. An
