--- a/internal/request/jayjson/elements.go
+++ b/internal/request/jayjson/elements.go
@@ -20,13 +20,21 @@
 
 // CheckCount returns a TooManyError if a valid list has more elements than most; what names them.
 func CheckCount(b []byte, what string, most int) error {
+	if Count(b, most) > most {
+		return &TooManyError{What: what, Most: most}
+	}
+	return nil
+}
+
+// Count returns the number of elements of a valid list, or more than most if there are more.
+func Count(b []byte, most int) int {
 	count := 0
 	for range Elements(b) {
 		if count++; count > most {
-			return &TooManyError{What: what, Most: most}
+			break
 		}
 	}
-	return nil
+	return count
 }
 
 // DecodeAtMost decodes a valid list unless it has more elements than most.
