Log lines about single requests are bounded

Operators saw: 54 MB of log of an entry and 35 MB of an agent from 90 clients in six seconds, and in it what the clients chose to send.

Cause: each answer to a caller and each unreadable report is a line, whose number and, through reasons and errors, length the client chooses; the server for metrics logged each malformed request with its bytes.

Change: RequestLogger passes 200 lines a second and counts the others (jaystile_log_lines_suppressed_total); what a line quotes of a client has at most 400 bytes; the HTTP servers log nothing themselves.

Conclusion: the log no longer grows with what clients send. Lines that change what a process believes are not bounded by this.

--- a/cmd/jaystile/cell.go
+++ b/cmd/jaystile/cell.go
@@ -14,6 +14,7 @@
 	"github.com/rs/zerolog/diode"
 	"github.com/valyala/fasthttp"
 
+	"github.com/jaystile/jaystile/internal/connection/jayhttp"
 	"github.com/jaystile/jaystile/internal/version/jaysettings"
 )
 
@@ -44,7 +45,7 @@
 
 // serveMetrics serves the process's metrics until ctx ends.
 func serveMetrics(ctx context.Context, l net.Listener, logger zerolog.Logger) {
-	server := &fasthttp.Server{NoDefaultServerHeader: true, Handler: func(c *fasthttp.RequestCtx) {
+	server := &fasthttp.Server{NoDefaultServerHeader: true, Logger: jayhttp.DiscardLogger{}, Handler: func(c *fasthttp.RequestCtx) {
 		c.SetContentType("text/plain; version=0.0.4")
 		metrics.WritePrometheus(c.Response.BodyWriter(), true)
 	}}
--- a/cmd/jaystile/cellentry.go
+++ b/cmd/jaystile/cellentry.go
@@ -11,6 +11,7 @@
 	"github.com/jessevdk/go-flags"
 	"github.com/rs/zerolog"
 
+	"github.com/jaystile/jaystile/internal/connection/jayhttp"
 	"github.com/jaystile/jaystile/internal/process/jayassert"
 	"github.com/jaystile/jaystile/internal/process/jayclock"
 	"github.com/jaystile/jaystile/internal/process/jaycontroller"
@@ -115,7 +116,7 @@
 }
 
 func serveUntilClosed(server *jayadapter.Server, l net.Listener, logger zerolog.Logger) {
-	server.Logger = logger
+	server.Logger = jayhttp.RequestLogger(logger)
 	if err := server.Serve(l); err != nil {
 		logger.Error().Str("event", "serve").Str("address", l.Addr().String()).Err(err).Msg("server failed")
 	}
--- a/cmd/jaystile/cellside.go
+++ b/cmd/jaystile/cellside.go
@@ -6,6 +6,7 @@
 
 	"github.com/jessevdk/go-flags"
 
+	"github.com/jaystile/jaystile/internal/connection/jayhttp"
 	"github.com/jaystile/jaystile/internal/process/jayassert"
 	"github.com/jaystile/jaystile/internal/process/jaysupervisor"
 	"github.com/jaystile/jaystile/internal/version/jaysettings"
@@ -55,8 +56,9 @@
 	defer stopSignals()
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
+	requestLogger := jayhttp.RequestLogger(logger)
 	control := jayadapter.ControlServer(ctx, supervisor, func(err error) {
-		logger.Warn().Str("event", "heartbeat").Err(err).Msg("skipping an invalid heartbeat")
+		requestLogger.Warn().Str("event", "heartbeat").Str("error", jayhttp.Quote(err.Error())).Msg("skipping an invalid heartbeat")
 	})
 	var wg jayassert.Group
 	wg.Go(func() { serveUntilClosed(control, listeners[0], logger) })
--- a/internal/process/jaycontroller/controller.go
+++ b/internal/process/jaycontroller/controller.go
@@ -18,6 +18,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/jaystile/jaystile/internal/connection/jayframe"
+	"github.com/jaystile/jaystile/internal/connection/jayhttp"
 	"github.com/jaystile/jaystile/internal/connection/jaylink"
 	"github.com/jaystile/jaystile/internal/process/jayassert"
 	"github.com/jaystile/jaystile/internal/process/jaycell"
@@ -134,9 +135,11 @@
 	runsTail       *jaystore.Tail
 	operatorTail   *jaystore.Tail
 	config         atomic.Pointer[jayconfig.Config]
-	evacuations    evacuations
-	tasks          jayassert.Group
-	ctx            context.Context
+	// requestLogger logs the answers to callers.
+	requestLogger zerolog.Logger
+	evacuations   evacuations
+	tasks         jayassert.Group
+	ctx           context.Context
 	// leaderResigned is signaled when the leader resigns.
 	leaderResigned chan struct{}
 	// resignedTerm is the newest term whose leader has resigned.
@@ -189,6 +192,7 @@
 	c.storeTransport = &jaystore.Transport{Direct: c.CallStore, Relay: c.relay, HasPeer: c.hasPeer, OnRouteChange: func(through bool, cause string) {
 		c.Logger.Warn().Str("event", "dependency").Str("dependency", "store").Bool("through_peer", through).Str("cause", cause).Msg("route to the store changed")
 	}}
+	c.requestLogger = jayhttp.RequestLogger(c.Logger)
 	c.storeClient = c.NewStoreClient(c.storeTransport.Do)
 	c.storeClient.Limits = c.StoreLimits
 	c.evacuations.requests = jayevacuation.NewRequests(c.Topics.EvacuationPrefix)
--- a/internal/process/jaycontroller/requests.go
+++ b/internal/process/jaycontroller/requests.go
@@ -10,6 +10,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"github.com/jaystile/jaystile/internal/connection/jayframe"
+	"github.com/jaystile/jaystile/internal/connection/jayhttp"
 	"github.com/jaystile/jaystile/internal/process/jaycell"
 	"github.com/jaystile/jaystile/internal/process/jayclock"
 	"github.com/jaystile/jaystile/internal/process/jaystore"
@@ -335,6 +336,6 @@
 		version = config.Version()
 	}
 	age, _ := c.operatorTail.Age()
-	c.Logger.Info().Str("event", kind).Str("job", id).Str("outcome", resp.Outcome.String()).Str("reason", resp.Reason).Uint64("config", version).Int64("config_age_ms", age.Milliseconds()).Int64("at_ms", jayclock.Elapsed().Milliseconds()).Msg("answered")
+	c.requestLogger.Info().Str("event", kind).Str("job", id).Str("outcome", resp.Outcome.String()).Str("reason", jayhttp.Quote(resp.Reason)).Uint64("config", version).Int64("config_age_ms", age.Milliseconds()).Int64("at_ms", jayclock.Elapsed().Milliseconds()).Msg("answered")
 	return resp
 }
