Servers get whole requests, and connections are charged to a budget of the machine

Callers saw: an entry that ran out of memory, with all that it had accepted to be answered anew, after clients had sent requests of legal size made of very many short or odd header lines, headers without end, or bodies far over the limit.

Cause: a process answered for bytes that it had not asked for, at a factor that the sender chose, and knew no bound for all connections together. The HTTP server kept each header line in allocations of its own as long as the connection was open: 15 KiB of four-byte lines cost 0.4 MB, also after the answer. LimitedListener kept a copy of the header and searched it from its start at each read; an empty line passed for the end of a header, so that its deadline was lost. Bodies were read up to 4 MiB whatever the configuration said, chunks and trailers too, and forms were parsed before any handler. Nothing wrote under a deadline, and no setting told the process what its machine has.

Change: LimitedListener reads whole requests before a server gets them. Of the header it keeps only the fields that the server uses, line by line; it knows the limits of header and body while it reads, decodes chunks, and refuses with 400, 408, 413, 431 or 503, then reads on for a bounded while so that the refusal arrives. Each connection is charged for what its state costs to the budget of its address, a share of the machine's memory (settings process.memory_mb, process.descriptors, filled by the platform). Order of giving way: idle connections, then parts of requests by what they cost, then the one that asks. A request that is handled is never cut; 503 goes only to what no handler has seen. Servers keep no buffers for idle connections, responses have a deadline, the garbage collector knows the machine's memory, and kernel buffers of clients' connections are 16 KiB. Callers, readiness and control of entries and agents use it.

Conclusion: what a connection costs no longer depends on how its bytes are cut into lines, and a crowd is let go before the memory is used up.

--- a/cmd/jaystile/cell.go
+++ b/cmd/jaystile/cell.go
@@ -43,6 +43,21 @@
 	return zerolog.New(w).Level(level).With().Timestamp().Logger(), func() { _ = w.Close() }
 }
 
+// The parts of a machine that the connections to each address of an entry or agent may use. Open links and
+// connections to the store need the rest of the descriptors.
+var (
+	callerShare    = jayhttp.Share{Door: "callers", Memory: 60, Descriptors: 60}
+	readinessShare = jayhttp.Share{Door: "readiness", Memory: 6, Descriptors: 2}
+	seedShare      = jayhttp.Share{Door: "control", Memory: 6, Descriptors: 2}
+	// controlShare is that of an agent, whose runner sends large reports.
+	controlShare = jayhttp.Share{Door: "control", Memory: 90, Descriptors: 50}
+)
+
+// machineOf returns what the machine of a process has for it.
+func machineOf(s jaysettings.Cell) jayhttp.Machine {
+	return jayhttp.Machine{MemoryBytes: s.MemoryMB << 20, Descriptors: s.Descriptors}
+}
+
 // serveMetrics serves the process's metrics until ctx ends.
 func serveMetrics(ctx context.Context, l net.Listener, logger zerolog.Logger) {
 	server := &fasthttp.Server{NoDefaultServerHeader: true, Logger: jayhttp.DiscardLogger{}, Handler: func(c *fasthttp.RequestCtx) {
--- a/cmd/jaystile/cellentry.go
+++ b/cmd/jaystile/cellentry.go
@@ -8,6 +8,7 @@
 	"strings"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/jessevdk/go-flags"
 	"github.com/rs/zerolog"
 
@@ -58,11 +59,15 @@
 		return &exitError{status: exitInvalid, cause: err}
 	}
 	logger = logger.With().Str("process", s.Name).Logger()
-	listeners, err := listenAll(s.Link, s.Callers, s.Readiness, s.Control, s.Metrics)
+	link, err := net.Listen("tcp", s.Link)
+	if err != nil {
+		return fmt.Errorf("listen: %w", err)
+	}
+	listeners, err := listenAll(s.Callers, s.Readiness, s.Control, s.Metrics)
 	if err != nil {
 		return err
 	}
-	controller := jaycontroller.New(listeners[0])
+	controller := jaycontroller.New(link)
 	controller.Name, controller.DataCentre, controller.Address, controller.Incarnation = s.Name, s.DataCentre, cmp.Or(s.LinkAnnounced, s.Link), uint64(time.Now().UnixNano())
 	controller.Cores, controller.Admission = s.Cores, s.Admission == jaysettings.AdmissionOn
 	controller.Timing = jaycontroller.Timing{Lease: s.Lease(), Retention: s.Retention, StopTimeout: s.StopTimeout, GangTimeout: s.GangTimeout, ReclaimDeadline: s.ReclaimDeadline, RemoteSlowdown: s.RemoteSlowdown, Evacuation: s.EvacuationBound}
@@ -73,9 +78,11 @@
 	if s.Advice != "" {
 		controller.Advise = jayadapter.AdviceClient(s.Advice)
 	}
+	machine := machineOf(s)
+	machine.SetMemoryLimit()
 	controller.Prepare()
 	logger.Info().Str("event", "start").Str("callers", s.Callers).Str("store", s.Store).Dur("lease", s.Lease()).Msg("entry starts")
-	return serveEntry(s, controller, listeners[1:], logger, c.Settings)
+	return serveEntry(s, controller, listeners, logger, c.Settings)
 }
 
 // serveEntry runs the controller and its servers until SIGTERM, then drains them.
@@ -85,8 +92,12 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	callerServer := jayadapter.CallerServer(ctx, controller, controller.Config, func() bool { return shutdown.Err() != nil })
+	machine := machineOf(s)
 	servers := []*jayadapter.Server{callerServer, jayadapter.ReadinessServer(controller.Ready), jayadapter.SeedServer()}
 	var wg jayassert.Group
+	for i, share := range []jayhttp.Share{callerShare, readinessShare, seedShare} {
+		servers[i].Budget = machine.Budget(share, metrics.GetDefaultSet())
+	}
 	for i, server := range servers {
 		wg.Go(func() { serveUntilClosed(server, listeners[i], logger) })
 	}
@@ -122,11 +133,11 @@
 	}
 }
 
-// listenAll opens listeners on all addresses.
+// listenAll opens listeners on all addresses, whose connections have small buffers in the kernel.
 func listenAll(addresses ...string) ([]net.Listener, error) {
 	var all []net.Listener
 	for _, a := range addresses {
-		l, err := net.Listen("tcp", a)
+		l, err := jayhttp.Listen(a)
 		if err != nil {
 			return nil, fmt.Errorf("listen: %w", err)
 		}
--- a/cmd/jaystile/cellside.go
+++ b/cmd/jaystile/cellside.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/jessevdk/go-flags"
 
 	"github.com/jaystile/jaystile/internal/connection/jayhttp"
@@ -60,6 +61,9 @@
 	control := jayadapter.ControlServer(ctx, supervisor, func(err error) {
 		requestLogger.Warn().Str("event", "heartbeat").Str("error", jayhttp.Quote(err.Error())).Msg("skipping an invalid heartbeat")
 	})
+	machine := machineOf(s)
+	machine.SetMemoryLimit()
+	control.Budget = machine.Budget(controlShare, metrics.GetDefaultSet())
 	var wg jayassert.Group
 	wg.Go(func() { serveUntilClosed(control, listeners[0], logger) })
 	wg.Go(func() { serveMetrics(ctx, listeners[1], logger) })
--- a/internal/connection/jayhttp/limits.go
+++ b/internal/connection/jayhttp/limits.go
@@ -1,151 +1,134 @@
 package jayhttp
 
 import (
-	"bytes"
 	"net"
-	"strconv"
+	"slices"
+	"sync"
 	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+)
+
+// Limits that apply unless a listener has others.
+const (
+	// MaxHeadBytes bounds a request line and the header together in any case.
+	MaxHeadBytes = 32 << 10
+	// MaxBodyBytes bounds a body.
+	MaxBodyBytes = 4 << 20
+	// RequestTimeout bounds reading one request. Callers usually wait 3 s in total, and
+	// even the largest body over the slowest link takes less.
+	RequestTimeout = 5 * time.Second
+)
+
+const (
+	// idleTimeout closes idle connections unless the listener has another limit; it is
+	// twice the usual limit of 15 s.
+	idleTimeout = 30 * time.Second
+	// responseTimeout bounds writing one response.
+	responseTimeout = 10 * time.Second
+	// upgradedBytes is what a connection with another protocol costs.
+	upgradedBytes = 40 << 10
+	// windowBytes is the buffer of an open connection, which grows for long lines.
+	windowBytes = 2 << 10
+	// lingerTimeout and lingerBytes bound what is read after a refusal, so that a client that is still
+	// sending gets it: closing a connection with unread bytes discards what has been written.
+	lingerTimeout = time.Second
+	lingerBytes   = 256 << 10
+	// retryAfterSeconds is when a client may come back that was refused for lack of memory.
+	retryAfterSeconds = 1
 )
 
-// Limits bound how long a connection may be idle and how long the header of a request
-// may take. Zero means no limit.
+// Limits bound one request and an idle connection. Zero means the limit of the listener or, if that is
+// zero as well, the default.
 type Limits struct {
+	// HeaderBytes bounds the header without its request line.
+	HeaderBytes int
+	// BodyBytes bounds the body.
+	BodyBytes int
+	// Header is the time from the first byte of a request to the end of its header, Idle that from a
+	// response to the first byte of the next request.
 	Header time.Duration
 	Idle   time.Duration
+	// Request is the time from the first byte of a request to its end.
+	Request time.Duration
 }
 
-// LimitedListener closes connections that exceed the limits, which may change
-// while connections are open. Its exported fields are set before Accept.
+// LimitedListener hands whole requests to an HTTP server and refuses those that exceed the limits, which
+// may change while connections are open. What its connections cost is charged to a budget. Its exported
+// fields are set before Accept.
 type LimitedListener struct {
 	net.Listener
-	// Limits returns the limits in force; it is called at each read.
+	// Limits returns the limits in force; it is called at each read. It may be nil.
 	Limits func() Limits
-}
-
-// Accept implements net.Listener.
-func (l *LimitedListener) Accept() (net.Conn, error) {
-	c, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	return &limitedConn{Conn: c, limits: l.Limits}, nil
-}
-
-// headerEnd is the end of a request's header.
-var headerEnd = []byte("\r\n\r\n")
-
-// limitedConn tracks whether the connection is idle, in a header or in a body. The
-// first bytes after a response, or after the end of the request before it, start a request. The
-// server's own deadlines, which bound the body, still apply.
-type limitedConn struct {
-	net.Conn
-	limits func() Limits
-
-	// headerStart is when the header began, zero between two requests.
-	headerStart time.Time
-	// headerDone is set when the header has ended.
-	headerDone bool
-	// header holds what has been read of the header, and what came after it together with
-	// its end.
-	header []byte
-	// next holds what has come of the next request.
-	next []byte
-	// serverDeadline is the deadline that the server has set.
-	serverDeadline time.Time
-}
+	// Default holds limits for those that Limits leaves out.
+	Default Limits
+	// Budget bounds the connections; nil means a budget of their own.
+	Budget *Budget
+	// Fields names the header fields that the server uses, beside Host, Connection and those that frame
+	// the request. It gets no others.
+	Fields []string
+	// Refusal returns the content type and body of a response with which a request is refused; nil means
+	// the status as text.
+	Refusal func(status int) (contentType string, body []byte)
 
-// SetReadDeadline implements net.Conn.
-func (c *limitedConn) SetReadDeadline(t time.Time) error {
-	c.serverDeadline = t
-	return c.Conn.SetReadDeadline(t)
+	once   sync.Once
+	fields []string
 }
 
-// SetDeadline implements net.Conn.
-func (c *limitedConn) SetDeadline(t time.Time) error {
-	c.serverDeadline = t
-	return c.Conn.SetDeadline(t)
-}
-
-// Read implements net.Conn.
-func (c *limitedConn) Read(b []byte) (int, error) {
-	if err := c.Conn.SetReadDeadline(c.deadline()); err != nil {
-		return 0, err
-	}
-	n, err := c.Conn.Read(b)
-	if n > 0 && !c.headerDone {
-		c.readHeader(b[:n])
-	}
-	return n, err
-}
-
-// readHeader adds to the header of the request. It reports whether the whole request has come.
-func (c *limitedConn) readHeader(b []byte) bool {
-	if c.headerStart.IsZero() {
-		c.headerStart = time.Now()
-	}
-	c.header = append(c.header, b...)
-	end := bytes.Index(c.header, headerEnd)
-	if c.headerDone = end >= 0; !c.headerDone {
-		return false
+func (l *LimitedListener) prepare() {
+	l.fields = slices.Concat(baseFields, l.Fields)
+	if l.Budget == nil {
+		l.Budget = NewBudget("other", metrics.NewSet(), unknownBytes, unknownConnections)
 	}
-	end += len(headerEnd)
-	length, known := bodyLength(c.header[:end])
-	whole := known && len(c.header)-end >= length
-	if whole {
-		c.next = c.header[end+length:]
-	}
-	c.header = nil
-	return whole
 }
 
-// bodyLength returns the length of the body that follows a header, and false if the header
-// does not tell it.
-func bodyLength(header []byte) (int, bool) {
-	length := 0
-	for line := range bytes.Lines(header) {
-		name, value, _ := bytes.Cut(line, []byte(":"))
-		switch {
-		case bytes.EqualFold(name, []byte("Transfer-Encoding")):
-			return 0, false
-		case bytes.EqualFold(name, []byte("Content-Length")):
-			n, err := strconv.Atoi(string(bytes.TrimSpace(value)))
-			if err != nil || n < 0 {
-				return 0, false
-			}
-			length = n
+// Accept implements net.Listener.
+func (l *LimitedListener) Accept() (net.Conn, error) {
+	l.once.Do(l.prepare)
+	for {
+		conn, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		c := &limitedConn{Conn: conn, listener: l, budget: l.Budget, base: connectionBytes, since: time.Now()}
+		if _, ok := conn.(interface{ NetConn() net.Conn }); ok {
+			c.base += tlsBytes
 		}
+		c.charged = c.base
+		if l.Budget.admit(c) {
+			return c, nil
+		}
+		l.Budget.count("connections")
+		_ = c.closeTransport()
 	}
-	return length, true
 }
 
-// deadline returns the deadline of the next read.
-func (c *limitedConn) deadline() time.Time {
-	limits, at := c.limits(), c.serverDeadline
-	switch {
-	case c.headerDone:
-	case !c.headerStart.IsZero() && limits.Header > 0:
-		at = earlier(at, c.headerStart.Add(limits.Header))
-	case c.headerStart.IsZero() && limits.Idle > 0:
-		// This limit replaces the server's own idle timeout.
-		at = time.Now().Add(limits.Idle)
-	}
-	return at
+// Drain closes idle connections at once, and those that have sent a part of a request after a timeout.
+func (l *LimitedListener) Drain(timeout time.Duration) {
+	l.once.Do(l.prepare)
+	l.Budget.drain(timeout)
 }
 
-func earlier(a, b time.Time) time.Time {
-	if a.IsZero() || b.Before(a) {
-		return b
+// limits returns the limits in force.
+func (l *LimitedListener) limits() Limits {
+	var v Limits
+	if l.Limits != nil {
+		v = l.Limits()
 	}
-	return a
+	d := l.Default
+	v.HeaderBytes = firstPositive(v.HeaderBytes, d.HeaderBytes, MaxHeadBytes)
+	v.BodyBytes = firstPositive(v.BodyBytes, d.BodyBytes, MaxBodyBytes)
+	v.Request = firstPositive(v.Request, d.Request, RequestTimeout)
+	v.Header = min(firstPositive(v.Header, d.Header, v.Request), v.Request)
+	v.Idle = firstPositive(v.Idle, d.Idle, idleTimeout)
+	return v
 }
 
-// Write implements net.Conn. A response ends the request; the next one may have begun. The server
-// reads on only when it has answered all whole requests that have come.
-func (c *limitedConn) Write(b []byte) (int, error) {
-	for whole := true; whole; {
-		next := c.next
-		c.headerStart, c.headerDone, c.header, c.next = time.Time{}, false, nil, nil
-		whole = len(next) > 0 && c.readHeader(next)
+func firstPositive[T int | time.Duration](values ...T) T {
+	for _, v := range values {
+		if v > 0 {
+			return v
+		}
 	}
-	return c.Conn.Write(b)
+	return 0
 }
--- a/internal/connection/jayhttp/limits_test.go
+++ b/internal/connection/jayhttp/limits_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"net"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -59,6 +60,14 @@
 		{"half a header with the request before", Limits{Idle: slow, Header: short}, []string{"GET / HTTP/1.1\r\nHost: h\r\n\r\nGET / HT"}},
 		{"half a header with the body before", Limits{Idle: slow, Header: short}, []string{"POST / HTTP/1.1\r\nHost: h\r\ncontent-length: 2\r\n\r\nabGET / HT"}},
 		{"half a header after two requests", Limits{Idle: slow, Header: short}, []string{"GET / HTTP/1.1\r\nHost: h\r\n\r\nGET / HTTP/1.1\r\nHost: h\r\n\r\nGET / HT"}},
+		// Guards against empty lines that pass for the end of a header, so that its limit is lost.
+		{"empty lines", Limits{Idle: slow, Header: short}, []string{"\r\n\r\n"}},
+		{"empty lines before half a header", Limits{Idle: slow, Header: short}, []string{"\r\n\r\n", "GET / HTTP/1.1\r\nHost"}},
+		// Guards against deadlines that start anew with each byte.
+		{"empty lines one by one", Limits{Idle: slow, Header: short}, strings.Split(strings.Repeat("\r\n", 50), "")},
+		{"a body byte by byte", Limits{Idle: slow, Header: slow, Request: short}, append([]string{"POST / HTTP/1.1\r\nContent-Length: 99\r\n\r\n"}, strings.Split(strings.Repeat("a", 50), "")...)},
+		{"chunks of a byte", Limits{Idle: slow, Header: slow, Request: short}, append([]string{"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"}, strings.SplitAfter(strings.Repeat("1\r\na\r\n", 50), "\n")...)},
+		{"a trailer without end", Limits{Idle: slow, Header: slow, Request: short}, []string{"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", "A: b\r\n"}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
@@ -67,8 +76,10 @@
 			assert.NilError(t, err)
 			defer func() { _ = conn.Close() }()
 			for _, s := range c.send {
-				_, err := conn.Write([]byte(s))
-				assert.NilError(t, err)
+				if _, err := conn.Write([]byte(s)); err != nil {
+					// The connection has been closed.
+					break
+				}
 				time.Sleep(5 * time.Millisecond)
 			}
 			assert.Assert(t, closed(t, conn), "the connection stays open")
--- a/internal/version/jaysettings/cell.go
+++ b/internal/version/jaysettings/cell.go
@@ -50,6 +50,9 @@
 	Retention       time.Duration
 	// Cores is the number of CPU cores that the process may use; zero means unknown.
 	Cores float64
+	// MemoryMB and Descriptors are the memory, in MiB, and the file descriptors that the process may use.
+	MemoryMB    int
+	Descriptors int
 	// RemoteSlowdown is the factor by which work away from its rack or data runs
 	// longer.
 	RemoteSlowdown float64
@@ -73,6 +76,7 @@
 
 func defaultCell() Cell {
 	return Cell{
+		MemoryMB: 256, Descriptors: 4096,
 		Orders: OrdersByCall, HeartbeatInterval: 1500 * time.Millisecond,
 		MaxLease: 10 * time.Second, StopTimeout: 900 * time.Millisecond, GangTimeout: 3 * time.Second, ReclaimDeadline: 3400 * time.Millisecond,
 		StoreRecordBytes: 256 << 10, StoreCallBytes: 2 << 20,
@@ -94,6 +98,8 @@
 		scaledDuration("bounds", "evacuation_ms", "time within which no more tasks start in a data centre that operators take out of service, in milliseconds; 0 means that they take none", time.Millisecond, &c.EvacuationBound),
 		scaledDuration("bounds", "retention_s", "time for which an ended job can be queried, in seconds", time.Second, &c.Retention),
 		floatNumber("process", "cores", "CPU cores of this process", 0, &c.Cores),
+		amount("process", "memory_mb", "memory of this process, in MiB; connections of clients get a quarter of it", 32, 1<<20, &c.MemoryMB),
+		amount("process", "descriptors", "file descriptors of this process, of which connections of clients get a part", 64, 1<<24, &c.Descriptors),
 		floatNumber("bounds", "far_factor", "factor by which work away from its rack or data takes longer", 1, &c.RemoteSlowdown),
 		scaledDuration("bounds", "grace_s", "time between SIGTERM and SIGKILL, in seconds", time.Second, &c.GracePeriod),
 	}
@@ -178,6 +184,22 @@
 	return f
 }
 
+// amount is a whole number that may be written with a fraction, which is dropped. An empty value keeps
+// the default.
+func amount(section, key, doc string, low, high int, target *int) field {
+	return field{section: section, key: key, doc: doc, allowed: fmt.Sprintf("number from %d to %d, or empty", low, high), example: strconv.Itoa(*target), set: func(s string) bool {
+		if s == "" {
+			return true
+		}
+		n, err := strconv.ParseFloat(s, 64)
+		if err != nil || !(n >= float64(low) && n <= float64(high)) {
+			return false
+		}
+		*target = int(n)
+		return true
+	}}
+}
+
 // scaledDuration is a duration given as a number of units, possibly fractional. An
 // empty value keeps the default, because not every deployment has every bound.
 func scaledDuration(section, key, doc string, unit time.Duration, target *time.Duration) field {
