The metrics address has limits and a budget of its own

Operators saw: a process that ran out of memory through the address of its metrics, which had neither a timeout nor a limit of its own.

Cause: a bare HTTP server with bodies of up to 4 MiB, held for as long as the client liked.

Change: it uses LimitedListener with a share of the machine, so that it neither waits for callers nor takes from them; bodies have at most 16 KiB and are ignored.

Conclusion: the address stands on the mechanism of the others.

--- a/cmd/jaystile/cell.go
+++ b/cmd/jaystile/cell.go
@@ -24,6 +24,8 @@
 	maxQueuedLogLines = 2048
 	// logFlushInterval is how often queued lines are written.
 	logFlushInterval = 20 * time.Millisecond
+	// metricsBodyBytes bounds the bodies of requests for metrics, which are ignored.
+	metricsBodyBytes = 16 << 10
 	// settingsPollInterval is how often the settings file is read, because it may
 	// change without a signal.
 	settingsPollInterval = 3 * time.Second
@@ -49,6 +51,7 @@
 	callerShare    = jayhttp.Share{Door: "callers", Memory: 60, Descriptors: 60}
 	readinessShare = jayhttp.Share{Door: "readiness", Memory: 6, Descriptors: 2}
 	seedShare      = jayhttp.Share{Door: "control", Memory: 6, Descriptors: 2}
+	metricsShare   = jayhttp.Share{Door: "metrics", Memory: 8, Descriptors: 2}
 	// controlShare is that of an agent, whose runner sends large reports.
 	controlShare = jayhttp.Share{Door: "control", Memory: 90, Descriptors: 50}
 )
@@ -59,8 +62,9 @@
 }
 
 // serveMetrics serves the process's metrics until ctx ends.
-func serveMetrics(ctx context.Context, l net.Listener, logger zerolog.Logger) {
-	server := &fasthttp.Server{NoDefaultServerHeader: true, Logger: jayhttp.DiscardLogger{}, Handler: func(c *fasthttp.RequestCtx) {
+func serveMetrics(ctx context.Context, l net.Listener, machine jayhttp.Machine, logger zerolog.Logger) {
+	l = &jayhttp.LimitedListener{Listener: l, Budget: machine.Budget(metricsShare, metrics.GetDefaultSet()), Default: jayhttp.Limits{BodyBytes: metricsBodyBytes}}
+	server := &fasthttp.Server{NoDefaultServerHeader: true, ReadBufferSize: jayhttp.MaxHeadBytes, ReduceMemoryUsage: true, DisablePreParseMultipartForm: true, Logger: jayhttp.DiscardLogger{}, Handler: func(c *fasthttp.RequestCtx) {
 		c.SetContentType("text/plain; version=0.0.4")
 		metrics.WritePrometheus(c.Response.BodyWriter(), true)
 	}}
--- a/cmd/jaystile/cellentry.go
+++ b/cmd/jaystile/cellentry.go
@@ -101,7 +101,7 @@
 	for i, server := range servers {
 		wg.Go(func() { serveUntilClosed(server, listeners[i], logger) })
 	}
-	wg.Go(func() { serveMetrics(ctx, listeners[len(servers)], logger) })
+	wg.Go(func() { serveMetrics(ctx, listeners[len(servers)], machine, logger) })
 	wg.Go(func() { watchSettings(ctx, jaysettings.RoleCellEntry, file, logger) })
 	failed := make(chan error, 1)
 	wg.Go(func() { failed <- controller.Run(ctx) })
--- a/cmd/jaystile/cellside.go
+++ b/cmd/jaystile/cellside.go
@@ -66,7 +66,7 @@
 	control.Budget = machine.Budget(controlShare, metrics.GetDefaultSet())
 	var wg jayassert.Group
 	wg.Go(func() { serveUntilClosed(control, listeners[0], logger) })
-	wg.Go(func() { serveMetrics(ctx, listeners[1], logger) })
+	wg.Go(func() { serveMetrics(ctx, listeners[1], machine, logger) })
 	wg.Go(func() { watchSettings(ctx, jaysettings.RoleCellAgent, c.Settings, logger) })
 	wg.Go(func() { agent.Run(ctx) })
 	<-shutdown.Done()
