A link costs nothing of a link before its hello is accepted

Operators saw: an entry that ran out of memory through its link address before any peer was authenticated.

Cause: a connection became a link, with an outbox of 4,096 frames, before its hello was read; the hello could have 8 MiB and come in fragments without end; silent connections were held without a bound but 4,096.

Change: the hello has at most 16 KiB, the link is made once the peer is admitted, and until then the connection is charged to the budget of the address and may be evicted. A request that asks for no link is limited like any other; one whose upgrade fails closes its connection.

Conclusion: what strangers can cost is bounded. On the users' platform a hello needs no key, so links that are open are bounded by their number only, as before.

--- a/cmd/jaystile/cellentry.go
+++ b/cmd/jaystile/cellentry.go
@@ -80,6 +80,7 @@
 	}
 	machine := machineOf(s)
 	machine.SetMemoryLimit()
+	controller.LinkBudget = machine.Budget(linkShare, metrics.GetDefaultSet())
 	controller.Prepare()
 	logger.Info().Str("event", "start").Str("callers", s.Callers).Str("store", s.Store).Dur("lease", s.Lease()).Msg("entry starts")
 	return serveEntry(s, controller, listeners, logger, c.Settings)
--- a/internal/connection/jaylink/endpoint.go
+++ b/internal/connection/jaylink/endpoint.go
@@ -18,6 +18,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/jaystile/jaystile/internal/connection/jayframe"
+	"github.com/jaystile/jaystile/internal/connection/jayhttp"
 )
 
 const (
@@ -29,6 +30,8 @@
 	// bufferBytes is the size of a connection's buffers and the greatest body of an
 	// HTTP request.
 	bufferBytes = 16 << 10
+	// helloBytes bounds the first message of a peer, which is not authenticated yet.
+	helloBytes = 16 << 10
 	// requestTimeout bounds reading an HTTP request and each step of a handshake.
 	requestTimeout = 5 * time.Second
 )
@@ -68,6 +71,9 @@
 	TLS *tls.Config
 	// MaxLinks bounds the number of concurrent accepted links.
 	MaxLinks int
+	// Budget bounds the accepted connections until their peers are admitted, and those for metrics; nil
+	// means a default.
+	Budget *jayhttp.Budget
 	// Metrics writes the process's metrics for GET /metrics; it may be nil.
 	Metrics func(w io.Writer)
 }
@@ -77,6 +83,7 @@
 	if e.TLS != nil {
 		listener = tls.NewListener(listener, e.TLS)
 	}
+	listener = &jayhttp.LimitedListener{Listener: listener, Budget: e.Budget, Default: jayhttp.Limits{HeaderBytes: bufferBytes, BodyBytes: bufferBytes, Request: requestTimeout}, Fields: upgradeFields}
 	upgrader := websocket.FastHTTPUpgrader{ReadBufferSize: bufferBytes, WriteBufferSize: bufferBytes, CheckOrigin: isNotBrowser}
 	server := &fasthttp.Server{
 		Handler: func(c *fasthttp.RequestCtx) {
@@ -86,13 +93,18 @@
 			}
 			nonce := newNonce()
 			c.Response.Header.Set(nonceHeader, hex.EncodeToString(nonce))
-			_ = upgrader.Upgrade(c, func(conn *websocket.Conn) { e.accept(ctx, conn, nonce) })
+			accepted := c.Conn()
+			if upgrader.Upgrade(c, func(conn *websocket.Conn) { e.accept(ctx, conn, accepted, nonce) }) != nil {
+				c.SetConnectionClose()
+			}
 		},
-		ReadTimeout:           requestTimeout,
-		MaxRequestBodySize:    bufferBytes,
-		Concurrency:           e.MaxLinks,
-		NoDefaultServerHeader: true,
-		Logger:                discardLogger{},
+		ReadBufferSize:               jayhttp.MaxHeadBytes,
+		MaxRequestBodySize:           bufferBytes,
+		ReduceMemoryUsage:            true,
+		DisablePreParseMultipartForm: true,
+		Concurrency:                  e.MaxLinks,
+		NoDefaultServerHeader:        true,
+		Logger:                       jayhttp.DiscardLogger{},
 	}
 	stop := context.AfterFunc(ctx, func() { _ = listener.Close() })
 	defer stop()
@@ -113,12 +125,8 @@
 	e.Metrics(c.Response.BodyWriter())
 }
 
-// discardLogger drops the HTTP server's log lines: failures are counted, and the ends
-// of links are logged elsewhere.
-type discardLogger struct{}
-
-// Printf implements fasthttp.Logger.
-func (discardLogger) Printf(string, ...any) {}
+// upgradeFields are the header fields of a request for a link, beside those of every request.
+var upgradeFields = []string{"Upgrade", "Origin", "Sec-WebSocket-Key", "Sec-WebSocket-Version", "Sec-WebSocket-Protocol", "Sec-WebSocket-Extensions"}
 
 // isNotBrowser rejects upgrades requested by web pages.
 func isNotBrowser(c *fasthttp.RequestCtx) bool { return len(c.Request.Header.Peek("Origin")) == 0 }
@@ -138,18 +146,22 @@
 	return h.Sum(nil)
 }
 
-func (e *Endpoint) accept(ctx context.Context, conn *websocket.Conn, nonce []byte) {
-	l := newLink("unknown peer", conn, e)
-	defer l.Close("handshake failed")
+// accept runs the link of a connection whose peer is admitted. Until then the connection counts for the
+// budget.
+func (e *Endpoint) accept(ctx context.Context, conn *websocket.Conn, accepted net.Conn, nonce []byte) {
+	defer func() { _ = conn.Close() }()
+	conn.SetReadLimit(helloBytes)
 	hello, err := e.readHello(conn, nonce)
 	if err != nil {
 		return
 	}
-	l.peer = hello.Name
 	reply, err := e.Admit(hello)
 	if err != nil {
 		return
 	}
+	jayhttp.Release(accepted)
+	l := newLink(hello.Name, conn, e)
+	defer l.Close("handshake failed")
 	reply.Name = e.Name
 	reply.Incarnation = e.Incarnation
 	reply.Proof = e.proof(hello.Nonce, "listener", e.Name, e.Incarnation)
--- a/internal/process/jaycontroller/controller.go
+++ b/internal/process/jaycontroller/controller.go
@@ -110,6 +110,8 @@
 	Logger    zerolog.Logger
 	// CallStore sends a request directly to the store.
 	CallStore func(ctx context.Context, req jaystore.Request) (jaystore.Response, error)
+	// LinkBudget bounds the connections of links that are not established yet; nil means a default.
+	LinkBudget *jayhttp.Budget
 	// StoreLimits are the sizes that the store accepts.
 	StoreLimits jaystore.Limits
 	// NewStoreClient returns a client that sends its requests with do.
@@ -214,7 +216,7 @@
 		Admit: func(*jayframe.Hello) (*jayframe.HelloReply, error) {
 			return &jayframe.HelloReply{Entries: c.knownEntries()}, nil
 		},
-		Opened: c.linkOpened, Closed: c.linkClosed,
+		Opened: c.linkOpened, Closed: c.linkClosed, Budget: c.LinkBudget,
 	}
 }
 
