The product's own interface stands on the same limits and budgets

Callers saw: an entry of our own interface that ran out of memory, with TLS as without.

Cause: as for the users' platform: header lines and bodies at a factor of the sender's, no bound for all connections together, no deadline for responses; and fiber's Body and BodyParser undid compression without a bound and parsed forms.

Change: callers and links use LimitedListener, above TLS, with shares of process.memory_mb and process.descriptors (defaults 2048 and 32768, so that the default of max_callers still fits but with TLS, where some 6,000 connections do). Refusals keep the JSON of the API; `overloaded` is new. Bodies are JSON as they came. The shutdown closes idle connections at once.

Conclusion: one mechanism for all addresses of both interfaces.

--- a/cmd/jaystile/entry.go
+++ b/cmd/jaystile/entry.go
@@ -6,6 +6,7 @@
 
 	"github.com/jessevdk/go-flags"
 
+	"github.com/jaystile/jaystile/internal/connection/jayhttp"
 	"github.com/jaystile/jaystile/internal/connection/jaytls"
 	"github.com/jaystile/jaystile/internal/process/jayentry"
 	"github.com/jaystile/jaystile/internal/version/jaysettings"
@@ -41,6 +42,7 @@
 	if err != nil {
 		return fmt.Errorf("listen for links: %w", err)
 	}
+	jayhttp.Machine{MemoryBytes: s.MemoryMB << 20}.SetMemoryLimit()
 	e, closeEntry := jayentry.New(s, http, link, newLogger())
 	defer closeEntry()
 	e.TLS, err = jaytls.Peers(jaytls.Files{Certificate: s.Certificate, PrivateKey: s.PrivateKey, Authority: s.Authority})
--- a/internal/process/jayentry/agents.go
+++ b/internal/process/jayentry/agents.go
@@ -59,6 +59,7 @@
 		Opened:        e.linkOpened,
 		Closed:        e.linkClosed,
 		MaxLinks:      e.Settings.MaxLinks,
+		Budget:        e.budget(linkShare),
 	}
 }
 
--- a/internal/process/jayentry/entry.go
+++ b/internal/process/jayentry/entry.go
@@ -184,10 +184,7 @@
 	e.mutex.Unlock()
 	var linkErr, httpErr error
 	e.endpoint.TLS = e.TLS
-	callers := e.HTTPListener
-	if e.TLS != nil {
-		callers = tls.NewListener(callers, e.TLS)
-	}
+	callers := e.limitCallers()
 	wg.Go(func() { linkErr = e.endpoint.Serve(inner, e.LinkListener) })
 	wg.Go(func() { httpErr = e.app.Listener(callers) })
 	wg.Go(func() { e.background.Run(inner) })
@@ -206,6 +203,7 @@
 		e.drain()
 	}
 	close(e.closed)
+	callers.Drain(shutdownGrace)
 	_ = e.app.ShutdownWithTimeout(time.Second)
 	// Shutdown has no effect on a server that has not started to serve.
 	_ = e.HTTPListener.Close()
--- a/internal/process/jayentry/http.go
+++ b/internal/process/jayentry/http.go
@@ -1,6 +1,8 @@
 package jayentry
 
 import (
+	"crypto/tls"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"math"
@@ -9,7 +11,9 @@
 	"time"
 
 	"github.com/gofiber/fiber/v2"
+	"github.com/gofiber/fiber/v2/utils"
 
+	"github.com/jaystile/jaystile/internal/connection/jayhttp"
 	"github.com/jaystile/jaystile/internal/request/jayjob"
 	"github.com/jaystile/jaystile/pkg/jayapi"
 	"github.com/jaystile/jaystile/pkg/jayrefusal"
@@ -43,6 +47,7 @@
 	jayrefusal.NoManifest:      fiber.StatusServiceUnavailable,
 	jayrefusal.LogUnavailable:  fiber.StatusServiceUnavailable,
 	jayrefusal.Draining:        fiber.StatusServiceUnavailable,
+	jayrefusal.Overloaded:      fiber.StatusServiceUnavailable,
 	jayrefusal.Canceled:        fiber.StatusConflict,
 	jayrefusal.Conflict:        fiber.StatusConflict,
 	jayrefusal.Failed:          fiber.StatusBadGateway,
@@ -57,10 +62,11 @@
 		Immutable:             true,
 		BodyLimit:             e.Settings.MaxBodyBytes,
 		Concurrency:           e.Settings.MaxCallers,
-		ReadBufferSize:        maxHeaderBytes,
-		ReadTimeout:           readTimeout,
-		IdleTimeout:           idleTimeout,
+		ReadBufferSize:        jayhttp.MaxHeadBytes,
 		ErrorHandler:          e.handleError,
+		// Idle connections hold no buffers.
+		ReduceMemoryUsage:            true,
+		DisablePreParseMultipartForm: true,
 	})
 	app.Use(e.refuseWhenClosed)
 	app.Get("/healthz", func(c *fiber.Ctx) error { return c.SendString("ok\n") })
@@ -83,6 +89,44 @@
 	return app
 }
 
+// The parts of the machine that the connections to each address may use.
+var (
+	callerShare = jayhttp.Share{Door: "callers", Memory: 75, Descriptors: 60}
+	linkShare   = jayhttp.Share{Door: "links", Memory: 25, Descriptors: 10}
+)
+
+// budget returns the budget of the connections to one address.
+func (e *Entry) budget(s jayhttp.Share) *jayhttp.Budget {
+	return jayhttp.Machine{MemoryBytes: e.Settings.MemoryMB << 20, Descriptors: e.Settings.Descriptors}.Budget(s, e.metrics)
+}
+
+// limitCallers returns the listener for callers and operators with its limits, and TLS if it is set.
+func (e *Entry) limitCallers() *jayhttp.LimitedListener {
+	l := &jayhttp.LimitedListener{
+		Listener: e.HTTPListener, Budget: e.budget(callerShare),
+		Default: jayhttp.Limits{HeaderBytes: maxHeaderBytes, BodyBytes: e.Settings.MaxBodyBytes, Idle: idleTimeout, Request: readTimeout},
+		Fields:  []string{jayapi.AuthorizationHeader, jayapi.WorkspaceHeader, fiber.HeaderContentType},
+		Refusal: refusalBody,
+	}
+	if e.TLS != nil {
+		l.Listener = tls.NewListener(e.HTTPListener, e.TLS)
+	}
+	return l
+}
+
+// refusalBody returns the body of a response to a request that exceeds the limits.
+func refusalBody(status int) (string, []byte) {
+	code, message := jayrefusal.Malformed, utils.StatusMessage(status)
+	if status == fiber.StatusServiceUnavailable {
+		code = jayrefusal.Overloaded
+	}
+	b, err := json.Marshal(jayapi.FromRefusal(jayrefusal.New(code, jayrefusal.NotRun, "%s", message)))
+	if err != nil {
+		return fiber.MIMETextPlain, []byte(message)
+	}
+	return fiber.MIMEApplicationJSON, b
+}
+
 // refuseWhenClosed closes connections that are still open after shutdown, when
 // the tables are no longer maintained.
 func (e *Entry) refuseWhenClosed(c *fiber.Ctx) error {
@@ -204,9 +248,23 @@
 	return jayrefusal.New(jayrefusal.Malformed, jayrefusal.NotRun, "%v", err)
 }
 
+// contentTypeError reports a body that is not JSON.
+type contentTypeError struct{}
+
+// Error implements error.
+func (contentTypeError) Error() string { return "the content type is not JSON" }
+
+// decodeBody decodes a body of JSON. Forms and compressed bodies are no part of the API.
+func decodeBody(c *fiber.Ctx, v any) error {
+	if !strings.HasPrefix(strings.ToLower(c.Get(fiber.HeaderContentType)), fiber.MIMEApplicationJSON) {
+		return contentTypeError{}
+	}
+	return json.Unmarshal(c.BodyRaw(), v)
+}
+
 func (e *Entry) handleSubmit(c *fiber.Ctx) error {
 	var b jayapi.Submission
-	if err := c.BodyParser(&b); err != nil {
+	if err := decodeBody(c, &b); err != nil {
 		return malformed(err)
 	}
 	spec, err := parseSpec(workspaceOf(c), b)
--- a/internal/process/jayentry/operator.go
+++ b/internal/process/jayentry/operator.go
@@ -196,7 +196,7 @@
 }
 
 func (e *Entry) handlePublish(c *fiber.Ctx) error {
-	p, err := e.publish(e.ctx, c.Body(), c.QueryBool("dry_run"))
+	p, err := e.publish(e.ctx, c.BodyRaw(), c.QueryBool("dry_run"))
 	if err != nil {
 		return err
 	}
--- a/internal/version/jaysettings/roles.go
+++ b/internal/version/jaysettings/roles.go
@@ -105,6 +105,8 @@
 	MaxBodyBytes      int
 	MaxLinks          int
 	MaxCallers        int
+	MemoryMB          int
+	Descriptors       int
 	HeartbeatInterval time.Duration
 	SilenceTimeout    time.Duration
 	Lease             time.Duration
@@ -120,6 +122,8 @@
 		MaxBodyBytes:      2 << 20,
 		MaxLinks:          4096,
 		MaxCallers:        16384,
+		MemoryMB:          2048,
+		Descriptors:       32768,
 		HeartbeatInterval: 500 * time.Millisecond,
 		SilenceTimeout:    2 * time.Second,
 		Lease:             4 * time.Second,
@@ -137,6 +141,8 @@
 	all := append([]field{
 		text("process", "name", "name of this process, unique in the deployment", "entry-1", true, &e.Name),
 		text("process", "data_centre", "data centre that this process runs in", "fryserum-a", true, &e.DataCentre),
+		integer("process", "memory_mb", "memory of this process, in MiB; connections of clients get a quarter of it", 32, 1<<20, &e.MemoryMB),
+		integer("process", "descriptors", "file descriptors of this process, of which connections of clients get a part", 64, 1<<24, &e.Descriptors),
 		address("listen", "http", "address for callers and operators", "127.0.0.1:8080", true, &e.HTTP),
 		address("listen", "link", "address for sides and other entries", "127.0.0.1:8081", true, &e.Link),
 		address("log", "address", "address of the platform's log service", "127.0.0.1:8090", true, &e.Log),
--- a/pkg/jayrefusal/refusal.go
+++ b/pkg/jayrefusal/refusal.go
@@ -40,6 +40,7 @@
 	NoManifest      Code = "no_manifest"
 	LogUnavailable  Code = "log_unavailable"
 	Draining        Code = "draining"
+	Overloaded      Code = "overloaded"
 	Canceled        Code = "canceled"
 	Failed          Code = "failed"
 	OwnerLost       Code = "owner_lost"
