A manifest's lists are counted before they are decoded, and its problems end

Operators saw: an entry that used 422 MB for five manifests of 256 KB, which it refused.

Cause: 80,000 empty workspaces were decoded whole, and the check listed some eight problems for each, with their locations, without an end.

Change: workspaces and guarantees beyond the most that can be valid are refused before they are decoded; a report ends after 200 problems.

--- a/internal/version/jaymanifest/codec.go
+++ b/internal/version/jaymanifest/codec.go
@@ -14,6 +14,7 @@
 	"strings"
 
 	"github.com/jaystile/jaystile/internal/request/jayjob"
+	"github.com/jaystile/jaystile/internal/request/jayjson"
 )
 
 var namePattern = regexp.MustCompile(`^[A-Za-z0-9._-]{1,64}$`)
@@ -61,7 +62,7 @@
 	return fmt.Sprintf("%s: given %s, allowed %s", p.Location, p.Value, p.Allowed)
 }
 
-// InvalidError lists all problems of a manifest.
+// InvalidError lists the problems of a manifest, at most maxProblems.
 type InvalidError struct{ Problems []Problem }
 
 // Error implements error.
@@ -73,9 +74,15 @@
 	return "manifest: " + strings.Join(lines, "; ")
 }
 
+// maxProblems bounds the problems that are listed.
+const maxProblems = 200
+
 type checker struct{ problems []Problem }
 
 func (c *checker) addProblem(location, allowed string, value any) {
+	if len(c.problems) == maxProblems {
+		return
+	}
 	c.problems = append(c.problems, Problem{Location: location, Value: fmt.Sprintf("%q", fmt.Sprint(value)), Allowed: allowed})
 }
 
@@ -91,6 +98,9 @@
 	if len(source) > MaxManifestBytes {
 		return nil, &InvalidError{Problems: []Problem{{Location: "size", Value: fmt.Sprint(len(source)), Allowed: fmt.Sprintf("0 to %d bytes", MaxManifestBytes)}}}
 	}
+	if err := checkCounts(source); err != nil {
+		return nil, err
+	}
 	var w wireManifest
 	d := json.NewDecoder(bytes.NewReader(source))
 	d.DisallowUnknownFields()
@@ -116,6 +126,34 @@
 	return &InvalidError{Problems: []Problem{{Location: fmt.Sprintf("line %d", line), Value: err.Error(), Allowed: "the JSON of docs/operations/manifest.md"}}}
 }
 
+// checkCounts returns an InvalidError if a list is too long to be decoded. Other errors are left to the
+// decoder.
+func checkCounts(source []byte) error {
+	var w struct{ Workspaces json.RawMessage }
+	if json.NewDecoder(bytes.NewReader(source)).Decode(&w) != nil {
+		return nil
+	}
+	if err := jayjson.CheckCount(w.Workspaces, "workspaces", MaxWorkspaces); err != nil {
+		return countError("workspaces", MaxWorkspaces, err)
+	}
+	i := 0
+	for element := range jayjson.Elements(w.Workspaces) {
+		var ww struct{ Guarantees json.RawMessage }
+		if json.Unmarshal(element, &ww) != nil {
+			return nil
+		}
+		if err := jayjson.CheckCount(ww.Guarantees, "guarantees", MaxGuarantees); err != nil {
+			return countError(fmt.Sprintf("workspaces[%d].guarantees", i), MaxGuarantees, err)
+		}
+		i++
+	}
+	return nil
+}
+
+func countError(location string, most int, err error) error {
+	return &InvalidError{Problems: []Problem{{Location: location, Value: err.Error(), Allowed: fmt.Sprintf("0 to %d", most)}}}
+}
+
 func buildManifest(w wireManifest, source []byte) (*Manifest, error) {
 	c := &checker{}
 	if w.Format != currentFormat {
