More of an entry's memory for connections goes to links that are being opened

Cause: after a change of the leader all agents open a link to it at once, at 54 KiB each until the hello is accepted; a fifth of the memory for connections holds 270 of them on a machine of 284 MiB.

Change: 35% for links, which holds more than the 410 that the descriptors allow; 45% for callers. TestAdmittedLinkIsNotEvicted guards the other side: a link that was accepted gives way to nobody.

Conclusion: agents of some hundred machines reconnect at once without being turned away.

--- a/cmd/jaystile/cell.go
+++ b/cmd/jaystile/cell.go
@@ -48,8 +48,8 @@
 // The parts of a machine that the connections to each address of an entry or agent may use. Open links and
 // connections to the store need the rest of the descriptors.
 var (
-	callerShare    = jayhttp.Share{Door: "callers", Memory: 60, Descriptors: 60}
-	linkShare      = jayhttp.Share{Door: "links", Memory: 20, Descriptors: 10}
+	callerShare    = jayhttp.Share{Door: "callers", Memory: 45, Descriptors: 60}
+	linkShare      = jayhttp.Share{Door: "links", Memory: 35, Descriptors: 10}
 	readinessShare = jayhttp.Share{Door: "readiness", Memory: 6, Descriptors: 2}
 	seedShare      = jayhttp.Share{Door: "control", Memory: 6, Descriptors: 2}
 	metricsShare   = jayhttp.Share{Door: "metrics", Memory: 8, Descriptors: 2}
--- a/internal/connection/jaylink/link_test.go
+++ b/internal/connection/jaylink/link_test.go
@@ -6,9 +6,11 @@
 	"testing"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"gotest.tools/v3/assert"
 
 	"github.com/jaystile/jaystile/internal/connection/jayframe"
+	"github.com/jaystile/jaystile/internal/connection/jayhttp"
 	"github.com/jaystile/jaystile/internal/process/jaystandin"
 )
 
@@ -74,6 +76,35 @@
 	assert.Assert(t, ok)
 }
 
+// Guards against links that give way to strangers.
+func TestAdmittedLinkIsNotEvicted(t *testing.T) {
+	const connections = 4
+	listener := endpoint("listener", "key")
+	listener.Timing.SilenceTimeout = time.Minute
+	listener.Budget = jayhttp.NewBudget("links", metrics.NewSet(), 1<<20, connections)
+	relay := serve(t, listener)
+	dialer := endpoint("dialer", "key")
+	dialer.Timing.SilenceTimeout = time.Minute
+	first := dial(t, dialer, relay.Address())
+	evicted := make(chan struct{}, 3*connections)
+	for range 3 * connections {
+		c, err := net.Dial("tcp", relay.Address())
+		assert.NilError(t, err)
+		t.Cleanup(func() { _ = c.Close() })
+		_, err = c.Write([]byte("GET "))
+		assert.NilError(t, err)
+		go func() {
+			_, _ = c.Read(make([]byte, 1))
+			evicted <- struct{}{}
+		}()
+	}
+	for range 2 * connections {
+		<-evicted
+	}
+	_, err := first.Call(context.Background(), &jayframe.Drain{})
+	assert.NilError(t, err)
+}
+
 func TestWrongSharedKeyIsRejected(t *testing.T) {
 	relay := serve(t, endpoint("listener", "key"))
 	_, _, err := endpoint("dialer", "another").Dial(context.Background(), relay.Address(), &jayframe.Hello{})
