Charge the header's memory only when it grows; simplify refusals

Read as a newcomer: the budget's mutex was taken for each header line, 3,840 times a request at the limit; a window could grow to 64 KiB for a line of 32; a type kept status and reason where one follows from the other; a once guarded a Close that nothing needs once.

--- a/internal/connection/jayhttp/budget.go
+++ b/internal/connection/jayhttp/budget.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"math"
 	"net"
 	"runtime/debug"
 	"slices"
@@ -261,7 +262,7 @@
 // rank orders connections for eviction: idle ones first, then by what they cost.
 func (c *limitedConn) rank() int {
 	if c.phase == phaseIdle {
-		return -1 << 62
+		return math.MinInt
 	}
 	return -c.charged
 }
--- a/internal/connection/jayhttp/conn.go
+++ b/internal/connection/jayhttp/conn.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"io"
 	"net"
-	"sync"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -35,8 +34,6 @@
 	upgraded bool
 	// responseDeadline is zero until the response to the request begins.
 	responseDeadline time.Time
-	closeOnce        sync.Once
-	closeErr         error
 }
 
 // SetDeadline implements net.Conn.
@@ -63,7 +60,7 @@
 // Close implements net.Conn.
 func (c *limitedConn) Close() error {
 	c.budget.remove(c)
-	return c.close(c.Conn)
+	return c.Conn.Close()
 }
 
 // closeTransport closes the connection below TLS, which sends nothing and so never blocks.
@@ -74,11 +71,6 @@
 	return c.Conn.Close()
 }
 
-func (c *limitedConn) close(conn net.Conn) error {
-	c.closeOnce.Do(func() { c.closeErr = conn.Close() })
-	return c.closeErr
-}
-
 // Read implements net.Conn. It returns io.EOF when no further request can be read; the client has been
 // told why, if it has sent a part of one.
 func (c *limitedConn) Read(b []byte) (int, error) {
@@ -135,36 +127,30 @@
 	return n, err
 }
 
-// refusal is why a request is not handed to the server.
-type refusal struct {
-	status int
-	reason string
-}
-
-// Reasons of refusals, for metrics.
-const (
-	reasonMalformed = "malformed"
-	reasonHeader    = "header"
-	reasonBody      = "body"
-	reasonTimeout   = "timeout"
-	reasonMemory    = "memory"
-)
+// refusal is the status with which a request is refused that is not handed to the server.
+type refusal int
 
-func refuse(status int) *refusal {
-	reasons := map[int]string{fasthttp.StatusRequestHeaderFieldsTooLarge: reasonHeader, fasthttp.StatusRequestEntityTooLarge: reasonBody, fasthttp.StatusRequestTimeout: reasonTimeout, fasthttp.StatusServiceUnavailable: reasonMemory}
-	reason, ok := reasons[status]
-	if !ok {
-		reason = reasonMalformed
-	}
-	return &refusal{status: status, reason: reason}
+// Error implements error.
+func (r refusal) Error() string { return fmt.Sprintf("request refused with status %d", int(r)) }
+
+// reason names the refusal in metrics.
+func (r refusal) reason() string {
+	switch int(r) {
+	case fasthttp.StatusRequestHeaderFieldsTooLarge:
+		return "header"
+	case fasthttp.StatusRequestEntityTooLarge:
+		return "body"
+	case fasthttp.StatusRequestTimeout:
+		return "timeout"
+	case fasthttp.StatusServiceUnavailable:
+		return "memory"
+	}
+	return "malformed"
 }
 
 // errEnded is returned when the connection ends, or is to be closed without a response.
 var errEnded = errors.New("connection ended")
 
-// Error implements error.
-func (r *refusal) Error() string { return fmt.Sprintf("request refused with status %d", r.status) }
-
 // readRequest reads the next request. It reports false if the connection is to be closed.
 func (c *limitedConn) readRequest() bool {
 	c.responseDeadline, c.upgrades = time.Time{}, false
@@ -179,10 +165,10 @@
 	if err == nil {
 		return true
 	}
-	var refused *refusal
+	var refused refusal
 	if errors.As(err, &refused) {
-		c.budget.count(refused.reason)
-		c.refuse(refused.status)
+		c.budget.count(refused.reason())
+		c.refuse(int(refused))
 	}
 	return false
 }
--- a/internal/connection/jayhttp/request.go
+++ b/internal/connection/jayhttp/request.go
@@ -55,7 +55,7 @@
 	request := r.head.kept
 	r.head.kept = nil
 	if !c.budget.handle(c, cap(c.window)+cap(request)+requestBytes+handledFactor*len(request)) {
-		return refuse(fasthttp.StatusServiceUnavailable)
+		return refusal(fasthttp.StatusServiceUnavailable)
 	}
 	c.request, c.handed, c.upgrades = request, 0, r.head.upgrade
 	return nil
@@ -76,7 +76,7 @@
 		if end < 0 {
 			r.searched = len(c.window) - used
 			if r.overLimit(r.searched) {
-				return false, refuse(fasthttp.StatusRequestHeaderFieldsTooLarge)
+				return false, refusal(fasthttp.StatusRequestHeaderFieldsTooLarge)
 			}
 			return false, nil
 		}
@@ -85,12 +85,12 @@
 		used, r.searched = used+size, 0
 		if len(line) == 0 && r.head.lines == 0 {
 			if r.before += size; r.before > r.limits.HeaderBytes {
-				return false, refuse(fasthttp.StatusRequestHeaderFieldsTooLarge)
+				return false, refusal(fasthttp.StatusRequestHeaderFieldsTooLarge)
 			}
 			continue
 		}
 		if r.overLimit(size) {
-			return false, refuse(fasthttp.StatusRequestHeaderFieldsTooLarge)
+			return false, refusal(fasthttp.StatusRequestHeaderFieldsTooLarge)
 		}
 		r.headBytes += size
 		if r.head.lines > 0 {
@@ -98,12 +98,16 @@
 		}
 		if len(line) == 0 {
 			if status := r.head.end(); status != 0 {
-				return false, refuse(status)
+				return false, refusal(status)
 			}
 			return true, nil
 		}
+		kept := cap(r.head.kept)
 		if status := r.head.add(line); status != 0 {
-			return false, refuse(status)
+			return false, refusal(status)
+		}
+		if cap(r.head.kept) == kept {
+			continue
 		}
 		if err := r.chargeKept(); err != nil {
 			return false, err
@@ -122,7 +126,7 @@
 // chargeKept charges the connection for the window and the request.
 func (r *requestReader) chargeKept() error {
 	if !r.conn.budget.charge(r.conn, cap(r.conn.window)+cap(r.head.kept)) {
-		return refuse(fasthttp.StatusServiceUnavailable)
+		return refusal(fasthttp.StatusServiceUnavailable)
 	}
 	return nil
 }
@@ -131,9 +135,9 @@
 func (r *requestReader) fill() error {
 	c := r.conn
 	if len(c.window) == cap(c.window) {
-		size := max(2*cap(c.window), windowBytes)
+		size := min(max(2*cap(c.window), windowBytes), MaxHeadBytes+windowBytes)
 		if !c.budget.charge(c, size+cap(r.head.kept)) {
-			return refuse(fasthttp.StatusServiceUnavailable)
+			return refusal(fasthttp.StatusServiceUnavailable)
 		}
 		c.window = append(make([]byte, 0, size), c.window...)
 	}
@@ -166,7 +170,7 @@
 	}
 	if errors.Is(err, os.ErrDeadlineExceeded) {
 		if !r.begun.IsZero() {
-			return 0, refuse(fasthttp.StatusRequestTimeout)
+			return 0, refusal(fasthttp.StatusRequestTimeout)
 		}
 		c.budget.count("idle")
 	}
@@ -177,7 +181,7 @@
 func (r *requestReader) readBody() error {
 	c, h := r.conn, &r.head
 	if h.length > r.limits.BodyBytes {
-		return refuse(fasthttp.StatusRequestEntityTooLarge)
+		return refusal(fasthttp.StatusRequestEntityTooLarge)
 	}
 	if h.expect && !h.oldHTTP && len(c.window) == 0 && (h.chunked || h.length > 0) {
 		if err := c.Conn.SetWriteDeadline(r.begun.Add(r.limits.Request)); err != nil {
@@ -240,7 +244,7 @@
 		h.kept = kept
 		c.window = c.window[:copy(c.window, c.window[used:])]
 		if status != 0 {
-			return refuse(status)
+			return refusal(status)
 		}
 		if r.chunks.state == chunkDone {
 			return nil
@@ -261,7 +265,7 @@
 	size := max(min(need+need/2+windowBytes, most), need)
 	// The old bytes stay until they are copied.
 	if !c.budget.charge(c, cap(c.window)+cap(h.kept)+size) {
-		return refuse(fasthttp.StatusServiceUnavailable)
+		return refusal(fasthttp.StatusServiceUnavailable)
 	}
 	h.kept = append(make([]byte, 0, size), h.kept...)
 	return r.chargeKept()
