--- a/cmd/jaystile/cell.go
+++ b/cmd/jaystile/cell.go
@@ -48,13 +48,13 @@
 // The parts of a machine that the connections to each address of an entry or agent may use. Open links and
 // connections to the store need the rest of the descriptors.
 var (
-	callerShare    = jayhttp.Share{Door: "callers", Memory: 45, Descriptors: 60}
-	linkShare      = jayhttp.Share{Door: "links", Memory: 35, Descriptors: 10}
-	readinessShare = jayhttp.Share{Door: "readiness", Memory: 6, Descriptors: 2}
-	seedShare      = jayhttp.Share{Door: "control", Memory: 6, Descriptors: 2}
-	metricsShare   = jayhttp.Share{Door: "metrics", Memory: 8, Descriptors: 2}
+	callerShare    = jayhttp.Share{Listener: "callers", Memory: 45, Descriptors: 60}
+	linkShare      = jayhttp.Share{Listener: "links", Memory: 35, Descriptors: 10}
+	readinessShare = jayhttp.Share{Listener: "readiness", Memory: 6, Descriptors: 2}
+	seedShare      = jayhttp.Share{Listener: "control", Memory: 6, Descriptors: 2}
+	metricsShare   = jayhttp.Share{Listener: "metrics", Memory: 8, Descriptors: 2}
 	// controlShare is that of an agent, whose runner sends large reports.
-	controlShare = jayhttp.Share{Door: "control", Memory: 90, Descriptors: 50}
+	controlShare = jayhttp.Share{Listener: "control", Memory: 90, Descriptors: 50}
 )
 
 // machineOf returns what the machine of a process has for it.
--- a/internal/connection/jayhttp/budget.go
+++ b/internal/connection/jayhttp/budget.go
@@ -58,15 +58,15 @@
 // Share is the part of a machine that the connections to one address may use, in percent of the
 // memory for connections and of the descriptors. Shares are apart, so that no address waits for another.
 type Share struct {
-	// Door names the address in metrics.
-	Door        string
+	// Listener names the address in metrics.
+	Listener    string
 	Memory      int
 	Descriptors int
 }
 
 // Budget returns the budget of a share, whose metrics are in the set.
 func (m Machine) Budget(s Share, set *metrics.Set) *Budget {
-	return NewBudget(s.Door, set, m.MemoryBytes/100*clientPercent/100*s.Memory, max(m.Descriptors*s.Descriptors/100, minConnections))
+	return NewBudget(s.Listener, set, m.MemoryBytes/100*clientPercent/100*s.Memory, max(m.Descriptors*s.Descriptors/100, minConnections))
 }
 
 // phase is what a connection is doing.
@@ -91,7 +91,7 @@
 // response, the costliest and then the oldest first; then the one that asks for more. For a part of a
 // request only costlier connections are closed, for a whole request or a new connection also cheaper ones.
 type Budget struct {
-	door        string
+	listener    string
 	set         *metrics.Set
 	bytes       int
 	connections int
@@ -101,11 +101,11 @@
 	open  map[*limitedConn]struct{}
 }
 
-// NewBudget returns a budget; door names its address in the metrics of the set.
-func NewBudget(door string, set *metrics.Set, bytes, connections int) *Budget {
-	b := &Budget{door: door, set: set, bytes: bytes, connections: connections, open: map[*limitedConn]struct{}{}}
-	set.GetOrCreateGauge(fmt.Sprintf("jaystile_client_connections{door=%q}", door), func() float64 { n, _ := b.inUse(); return float64(n) })
-	set.GetOrCreateGauge(fmt.Sprintf("jaystile_client_bytes{door=%q}", door), func() float64 { _, n := b.inUse(); return float64(n) })
+// NewBudget returns a budget; listener names its address in the metrics of the set.
+func NewBudget(listener string, set *metrics.Set, bytes, connections int) *Budget {
+	b := &Budget{listener: listener, set: set, bytes: bytes, connections: connections, open: map[*limitedConn]struct{}{}}
+	set.GetOrCreateGauge(fmt.Sprintf("jaystile_client_connections{listener=%q}", listener), func() float64 { n, _ := b.inUse(); return float64(n) })
+	set.GetOrCreateGauge(fmt.Sprintf("jaystile_client_bytes{listener=%q}", listener), func() float64 { _, n := b.inUse(); return float64(n) })
 	return b
 }
 
@@ -117,7 +117,7 @@
 
 // count counts a connection that the server has closed or refused a request on.
 func (b *Budget) count(reason string) {
-	b.set.GetOrCreateCounter(fmt.Sprintf("jaystile_client_refusals_total{door=%q,reason=%q}", b.door, reason)).Inc()
+	b.set.GetOrCreateCounter(fmt.Sprintf("jaystile_client_refusals_total{listener=%q,reason=%q}", b.listener, reason)).Inc()
 }
 
 // admit adds a connection. It reports false if there is no room for it.
--- a/internal/connection/jayhttp/limits_test.go
+++ b/internal/connection/jayhttp/limits_test.go
@@ -50,24 +50,26 @@
 		name   string
 		limits Limits
 		send   []string
+		// early is set if the limit is exceeded before all is sent.
+		early bool
 	}{
-		{"nothing sent", Limits{Idle: short, Header: slow}, nil},
-		{"half a header", Limits{Idle: slow, Header: short}, []string{"POST /x HTTP/1.1\r\nHost: h\r\n"}},
-		{"header byte by byte", Limits{Idle: slow, Header: short}, []string{"G", "E", "T", " ", "/"}},
-		{"idle after an answer", Limits{Idle: short, Header: slow}, []string{"GET / HTTP/1.1\r\nHost: h\r\n\r\n"}},
-		{"half a header after an answer", Limits{Idle: slow, Header: short}, []string{"GET / HTTP/1.1\r\nHost: h\r\n\r\n", "GET / HT"}},
+		{"nothing sent", Limits{Idle: short, Header: slow}, nil, false},
+		{"half a header", Limits{Idle: slow, Header: short}, []string{"POST /x HTTP/1.1\r\nHost: h\r\n"}, false},
+		{"header byte by byte", Limits{Idle: slow, Header: short}, []string{"G", "E", "T", " ", "/"}, false},
+		{"idle after an answer", Limits{Idle: short, Header: slow}, []string{"GET / HTTP/1.1\r\nHost: h\r\n\r\n"}, false},
+		{"half a header after an answer", Limits{Idle: slow, Header: short}, []string{"GET / HTTP/1.1\r\nHost: h\r\n\r\n", "GET / HT"}, false},
 		// Guards against a header that never times out because its beginning came with the request before.
-		{"half a header with the request before", Limits{Idle: slow, Header: short}, []string{"GET / HTTP/1.1\r\nHost: h\r\n\r\nGET / HT"}},
-		{"half a header with the body before", Limits{Idle: slow, Header: short}, []string{"POST / HTTP/1.1\r\nHost: h\r\ncontent-length: 2\r\n\r\nabGET / HT"}},
-		{"half a header after two requests", Limits{Idle: slow, Header: short}, []string{"GET / HTTP/1.1\r\nHost: h\r\n\r\nGET / HTTP/1.1\r\nHost: h\r\n\r\nGET / HT"}},
+		{"half a header with the request before", Limits{Idle: slow, Header: short}, []string{"GET / HTTP/1.1\r\nHost: h\r\n\r\nGET / HT"}, false},
+		{"half a header with the body before", Limits{Idle: slow, Header: short}, []string{"POST / HTTP/1.1\r\nHost: h\r\ncontent-length: 2\r\n\r\nabGET / HT"}, false},
+		{"half a header after two requests", Limits{Idle: slow, Header: short}, []string{"GET / HTTP/1.1\r\nHost: h\r\n\r\nGET / HTTP/1.1\r\nHost: h\r\n\r\nGET / HT"}, false},
 		// Guards against empty lines that pass for the end of a header, so that its limit is lost.
-		{"empty lines", Limits{Idle: slow, Header: short}, []string{"\r\n\r\n"}},
-		{"empty lines before half a header", Limits{Idle: slow, Header: short}, []string{"\r\n\r\n", "GET / HTTP/1.1\r\nHost"}},
+		{"empty lines", Limits{Idle: slow, Header: short}, []string{"\r\n\r\n"}, false},
+		{"empty lines before half a header", Limits{Idle: slow, Header: short}, []string{"\r\n\r\n", "GET / HTTP/1.1\r\nHost"}, false},
 		// Guards against deadlines that start anew with each byte.
-		{"empty lines one by one", Limits{Idle: slow, Header: short}, strings.Split(strings.Repeat("\r\n", 50), "")},
-		{"a body byte by byte", Limits{Idle: slow, Header: slow, Request: short}, append([]string{"POST / HTTP/1.1\r\nContent-Length: 99\r\n\r\n"}, strings.Split(strings.Repeat("a", 50), "")...)},
-		{"chunks of a byte", Limits{Idle: slow, Header: slow, Request: short}, append([]string{"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"}, strings.SplitAfter(strings.Repeat("1\r\na\r\n", 50), "\n")...)},
-		{"a trailer without end", Limits{Idle: slow, Header: slow, Request: short}, []string{"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", "A: b\r\n"}},
+		{"empty lines one by one", Limits{Idle: slow, Header: short}, strings.Split(strings.Repeat("\r\n", 50), ""), true},
+		{"a body byte by byte", Limits{Idle: slow, Header: slow, Request: short}, append([]string{"POST / HTTP/1.1\r\nContent-Length: 99\r\n\r\n"}, strings.Split(strings.Repeat("a", 50), "")...), true},
+		{"chunks of a byte", Limits{Idle: slow, Header: slow, Request: short}, append([]string{"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"}, strings.SplitAfter(strings.Repeat("1\r\na\r\n", 50), "\n")...), true},
+		{"a trailer without end", Limits{Idle: slow, Header: slow, Request: short}, []string{"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", "A: b\r\n"}, false},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
@@ -76,10 +78,11 @@
 			assert.NilError(t, err)
 			defer func() { _ = conn.Close() }()
 			for _, s := range c.send {
-				if _, err := conn.Write([]byte(s)); err != nil {
-					// The connection has been closed.
+				_, err := conn.Write([]byte(s))
+				if c.early && err != nil {
 					break
 				}
+				assert.NilError(t, err)
 				time.Sleep(5 * time.Millisecond)
 			}
 			assert.Assert(t, closed(t, conn), "the connection stays open")
--- a/internal/process/jayentry/http.go
+++ b/internal/process/jayentry/http.go
@@ -91,8 +91,8 @@
 
 // The parts of the machine that the connections to each address may use.
 var (
-	callerShare = jayhttp.Share{Door: "callers", Memory: 75, Descriptors: 60}
-	linkShare   = jayhttp.Share{Door: "links", Memory: 25, Descriptors: 10}
+	callerShare = jayhttp.Share{Listener: "callers", Memory: 75, Descriptors: 60}
+	linkShare   = jayhttp.Share{Listener: "links", Memory: 25, Descriptors: 10}
 )
 
 // budget returns the budget of the connections to one address.
