--- a/review/cases3/cases.go
+++ b/review/cases3/cases.go
@@ -11,7 +11,7 @@
 )
 
 // cases are the scripted cases by name. Each reports whether it could run.
-var cases = map[string]func(d *deployment, trouble bool) bool{"crash": playCrash, "hang": playHang, "frame": playFrame, "reclaim": playReclaim}
+var cases = map[string]func(d *deployment, trouble bool) bool{"crash": playCrash, "hang": playHang, "frame": playFrame, "steps": playSteps, "budget": playBudget, "collide": playCollide, "fragment": playFragment}
 
 // Times of a case.
 const (
@@ -21,6 +21,11 @@
 	reclaimMS = 3400
 	// troubleAt is when the jobs that disturb are handed in.
 	troubleAt = 5 * time.Second
+	// slowTime is for how long the store is slow, storeSlowness how much. collideDelay is the time between two
+	// jobs with one ID.
+	slowTime      = 4500 * time.Millisecond
+	storeSlowness = 60
+	collideDelay  = 100 * time.Millisecond
 	// idleS is for how long a job has nothing running, by LOST.
 	idleS = 3
 )
@@ -37,7 +42,19 @@
 	return &job{id: newID(), route: quoteRoute, key: ordinaryKey, body: `{"Spec":"quote","Steps":[{"Count":3,"Cpu":7500,"MemMb":15000,"Gpu":1,"EstMs":2500}]}`, steps: []jobStep{{count: 3, work: work{need: amount{7500, 15000, 1}, runs: 2500 * time.Millisecond}}}}
 }
 
-// number returns a figure of a case, which the environment may change for a trial.
+// specOf returns the body of a small job whose specification names the caller's workspace.
+func specOf(key string) string {
+	return `{"Spec":"` + keyName(key) + `","Steps":[{"Count":3,"Cpu":7500,"MemMb":15000,"Gpu":1,"EstMs":2500}]}`
+}
+
+func keyName(key string) string {
+	if key == ordinaryKey {
+		return "kaje80"
+	}
+	return "moru17"
+}
+
+// figure returns a figure of a case, which the environment may change for a trial.
 func figure(name string, value int) int {
 	if n, err := strconv.Atoi(os.Getenv(name)); err == nil {
 		return n
@@ -145,8 +162,8 @@
 	d.judgeIdle(all)
 	d.record.add("%d jobs handed in, %d accepted", len(all), accepted)
 	for _, p := range d.processes {
-		if p.overLimit > 0 {
-			d.record.violate("memory", fmt.Sprintf("process %s was over the memory of its machine %d times", p.name, p.overLimit))
+		if _, over, _ := p.figures(); over > 0 {
+			d.record.violate("memory", fmt.Sprintf("process %s was over the memory of its machine %d times", p.name, over))
 		}
 	}
 	return accepted > 0
@@ -192,25 +209,62 @@
 	return max(float64(a.Cpu)/n/float64(capacity.Cpu), float64(a.MemMb)/n/float64(capacity.MemMb), float64(a.Gpu)/n/float64(capacity.Gpu))
 }
 
-// playReclaim fills the pool with the second step of a job whose first step is within its workspace's
-// guarantee. Then another workspace asks for its guaranteed shape.
-func playReclaim(d *deployment, trouble bool) bool {
+// one is what a subtask of another workspace needs, shape that of the workspace that asks for its guarantee.
+var (
+	one   = amount{Cpu: 5600, MemMb: 15000, Gpu: 1}
+	shape = amount{Cpu: 26000, MemMb: 38000, Gpu: 8}
+)
+
+// playSteps fills the pool with the second step of a job whose first step is within its workspace's
+// guarantee.
+func playSteps(d *deployment, trouble bool) bool {
+	j := &job{id: newID(), route: quoteRoute, key: otherKey, steps: []jobStep{{count: 1, work: work{need: one, runs: time.Second}}, {count: 88, work: work{need: one}}}}
+	j.body = `{"Spec":"season","Steps":[{"Count":1,"Cpu":5600,"MemMb":15000,"Gpu":1,"EstMs":1000},{"Count":88,"Cpu":5600,"MemMb":15000,"Gpu":1,"EstMs":60000,"After":[0],"Daemon":true}]}`
+	if os.Getenv("ONE_STEP") != "" {
+		j.steps = j.steps[1:]
+		j.body = `{"Spec":"season","Steps":[{"Count":88,"Cpu":5600,"MemMb":15000,"Gpu":1,"EstMs":60000,"Daemon":true}]}`
+	}
+	return playReclaim(d, trouble, j)
+}
+
+// playBudget fills the pool with a job of low priority whose step lasts and may miss one subtask.
+func playBudget(d *deployment, trouble bool) bool {
+	j := &job{id: newID(), route: castRoute, key: otherKey, steps: []jobStep{{count: 88, work: work{need: one}}}}
+	j.body = `{"Spec":"serve","Steps":[{"Count":88,"Cpu":5600,"MemMb":15000,"Gpu":1,"EstMs":60000,"Daemon":true,"MayMiss":1}]}`
+	if os.Getenv("NO_BUDGET") != "" {
+		j.body = strings.Replace(j.body, `,"MayMiss":1`, "", 1)
+	}
+	return playReclaim(d, trouble, j)
+}
+
+// playFragment lets a job within its workspace's guarantee have one accelerator of each runner: the others were
+// in use when it came.
+func playFragment(d *deployment, trouble bool) bool {
+	j := &job{id: newID(), route: quoteRoute, key: otherKey, steps: []jobStep{{count: 11, work: work{need: one}}}}
+	j.body = `{"Spec":"serve","Steps":[{"Count":11,"Cpu":5600,"MemMb":15000,"Gpu":1,"EstMs":60000,"Daemon":true}]}`
+	if !trouble {
+		return playReclaim(d, false, j)
+	}
+	filler := &job{id: newID(), route: castRoute, key: otherKey, steps: []jobStep{{count: 77, work: work{need: one}}}}
+	filler.body = `{"Spec":"cast","Steps":[{"Count":77,"Cpu":5600,"MemMb":15000,"Gpu":1,"EstMs":60000,"MaxPerServer":7,"Daemon":true}]}`
+	if !d.submit(filler) {
+		return false
+	}
+	time.Sleep(4 * time.Second)
+	time.AfterFunc(4*time.Second, func() { d.call(0, "DELETE", filler.route+filler.id, otherKey, "") })
+	return playReclaim(d, true, j)
+}
+
+// playReclaim lets a workspace ask for its guaranteed shape while another one's job has the pool.
+func playReclaim(d *deployment, trouble bool, other *job) bool {
 	if trouble {
-		wide := amount{Cpu: 5600, MemMb: 15000, Gpu: 1}
-		j := &job{id: newID(), route: quoteRoute, key: otherKey, steps: []jobStep{{count: 1, work: work{need: wide, runs: time.Second}}, {count: 88, work: work{need: wide}}}}
-		j.body = `{"Spec":"season","Steps":[{"Count":1,"Cpu":5600,"MemMb":15000,"Gpu":1,"EstMs":1000},{"Count":88,"Cpu":5600,"MemMb":15000,"Gpu":1,"EstMs":60000,"After":[0],"Daemon":true}]}`
-		if os.Getenv("ONE_STEP") != "" {
-			j.steps = j.steps[1:]
-			j.body = `{"Spec":"season","Steps":[{"Count":88,"Cpu":5600,"MemMb":15000,"Gpu":1,"EstMs":60000,"Daemon":true}]}`
-		}
-		if !d.submit(j) {
+		if !d.submit(other) {
 			return false
 		}
 		time.Sleep(6 * time.Second)
-		_, running := d.record.doneTasks(j.tasks())
+		_, running := d.record.doneTasks(other.tasks())
 		d.record.add("%d subtasks of the other workspace run", running)
 	}
-	shape := amount{Cpu: 26000, MemMb: 38000, Gpu: 8}
 	j := &job{id: newID(), route: quoteRoute, key: ordinaryKey, steps: []jobStep{{count: 2, work: work{need: shape, runs: 5 * time.Second}}}}
 	j.body = `{"Spec":"quote","Steps":[{"Count":2,"Cpu":26000,"MemMb":38000,"Gpu":8,"EstMs":5000}]}`
 	if !d.submit(j) {
@@ -220,14 +274,54 @@
 	if begun := d.record.begun(j.tasks()); begun < 2 {
 		d.record.violate("RECLAIM", fmt.Sprintf("job %s needs 16 accelerators, as many as its workspace is guaranteed; %d of 2 subtasks have begun %d ms after its confirmation", j.id, begun, reclaimMS))
 	}
-	for i := range figure("WATCH_S", 60) {
+	for i := range figure("WATCH_S", 30) {
 		if begun := d.record.begun(j.tasks()); begun == 2 {
 			d.record.add("both have begun after %d ms or less", reclaimMS+1000*i)
 			break
 		}
 		time.Sleep(time.Second)
 	}
-	d.record.add("%d of 2 subtasks have begun in the end", d.record.begun(j.tasks()))
+	_, running := d.record.doneTasks(other.tasks())
+	d.record.add("%d of 2 subtasks have begun in the end; %d subtasks of the other workspace run", d.record.begun(j.tasks()), running)
 	d.state(j, 0)
 	return true
 }
+
+// playCollide lets two workspaces hand in jobs with the same ID, the second a moment after the first and at another
+// entry, while the store is slow.
+func playCollide(d *deployment, trouble bool) bool {
+	if trouble {
+		d.store.slowness.Store(storeSlowness)
+		d.record.add("the store's answers take %d times as long", storeSlowness)
+	}
+	var all []*job
+	var wg sync.WaitGroup
+	for range figure("PAIRS", 4) {
+		a, b := quote(), quote()
+		b.id, b.key = a.id, otherKey
+		a.body, b.body = specOf(a.key), specOf(b.key)
+		all = append(all, a, b)
+		wg.Go(func() { d.submit(a) })
+		time.Sleep(collideDelay)
+		wg.Go(func() { d.submit(b) })
+		time.Sleep(time.Second)
+	}
+	time.Sleep(slowTime - time.Duration(len(all)/2)*(time.Second+collideDelay))
+	d.store.slowness.Store(1)
+	d.record.add("the store is as fast as before")
+	wg.Wait()
+	time.Sleep(finishS * time.Second)
+	for _, j := range all {
+		if !j.accepted {
+			continue
+		}
+		n := d.record.specs(j.id, keyName(j.key))
+		for entry := range entries {
+			if s := d.state(j, entry); s != "completed" || n == 0 {
+				d.record.violate("LOST", fmt.Sprintf("job %s of %s was accepted %.0f s ago; entry %d tells its state as %q; %d of its subtasks have begun with its Spec", j.id, keyName(j.key), time.Since(j.acceptedAt).Seconds(), entry, s, n))
+				break
+			}
+		}
+	}
+	return true
+}
--- a/review/cases3/deployment.go
+++ b/review/cases3/deployment.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -62,8 +63,9 @@
 	next      atomic.Int64
 	version   int
 
-	mutex sync.Mutex
-	jobs  map[string]*job
+	mutex    sync.Mutex
+	jobs     map[string]*job
+	stopOnce sync.Once
 }
 
 // job is a job that a caller hands in.
@@ -98,23 +100,71 @@
 	return fmt.Sprintf("127.%d.%d.%d", 60+os.Getpid()%150, 1+os.Getpid()/150%200, 1+machine)
 }
 
-const basePort = 8520
+// The ports of each machine begin with basePort, which findPorts chooses.
+var basePort int
+
+const (
+	portsPerMachine = 6
+	firstPort       = 8500
+	portRange       = 10_000
+	portTries       = 50
+	storeMachine    = 100
+	adviceMachine   = 101
+)
 
 func at(machine, port int) string { return address(machine) + ":" + strconv.Itoa(basePort+port) }
 
-// newDeployment starts the stand-ins and the programs.
-func newDeployment(binary string, rec *record) (*deployment, error) {
-	dir, err := os.MkdirTemp("", "jaystile-case-")
-	if err != nil {
-		return nil, err
+// findPorts chooses ports that are free on all machines.
+func findPorts() error {
+	var err error
+	for range portTries {
+		basePort = firstPort + rand.IntN(portRange)/portsPerMachine*portsPerMachine
+		if err = checkPorts(); err == nil {
+			return nil
+		}
+	}
+	return err
+}
+
+func checkPorts() error {
+	machines := []int{storeMachine, adviceMachine}
+	for i := range entries + runners {
+		machines = append(machines, i)
+	}
+	for _, m := range machines {
+		for p := range portsPerMachine {
+			l, err := net.Listen("tcp", at(m, p))
+			if err != nil {
+				return err
+			}
+			if err := l.Close(); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+// newDeployment returns a deployment that has not been started.
+func newDeployment(rec *record) *deployment {
+	return &deployment{record: rec, store: newStore(), done: make(chan struct{}), jobs: map[string]*job{}}
+}
+
+// start starts the stand-ins and the programs. The deployment is to be stopped also after an error.
+func (d *deployment) start(binary string) error {
+	var err error
+	if d.dir, err = os.MkdirTemp("", "jaystile-case-"); err != nil {
+		return err
 	}
-	d := &deployment{record: rec, dir: dir, store: newStore(), done: make(chan struct{}), jobs: map[string]*job{}}
-	storeAt := at(100, 0)
+	if err := findPorts(); err != nil {
+		return err
+	}
+	storeAt := at(storeMachine, 0)
 	if err := d.serve(storeAt, d.store); err != nil {
-		return nil, err
+		return err
 	}
-	if err := d.serve(at(101, 0), http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { answer(w, 429, struct{}{}) })); err != nil {
-		return nil, err
+	if err := d.serve(at(adviceMachine, 0), http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { answer(w, 429, struct{}{}) })); err != nil {
+		return err
 	}
 	d.publish()
 	var seeds []string
@@ -125,35 +175,35 @@
 		d.fronts = append(d.fronts, at(i, 0))
 		ini := fmt.Sprintf("[process]\nname = edge-%s-1\ndata_centre = %s\ncores = 0.4\nmemory_mb = %d\ndescriptors = 4100\n\n[listen]\ncallers = %s\nreadiness = %s\ncontrol = %s\nlink = %s\nmetrics = %s\n\n", zones[i], zones[i], entryMemory, at(i, 0), at(i, 1), at(i, 2), at(i, 3), at(i, 4))
 		ini += settings(seeds, storeAt, true)
-		if err := d.start(binary, "edge-"+zones[i]+"-1", "cell-entry", ini, entryMemory); err != nil {
-			return nil, err
+		if err := d.startProcess(binary, "edge-"+zones[i]+"-1", "cell-entry", ini, entryMemory); err != nil {
+			return err
 		}
 	}
 	for i := range runners {
 		m := entries + i
 		zone := zones[i%len(zones)]
-		r := newRunner(fmt.Sprintf("i-%08x", 0x7f3a9100+i), at(m, 5), at(m, 2), zone, "huvo11a", fmt.Sprintf("r%d-%d", i%len(zones)+1, i/9+1), rec, d.workOf)
+		r := newRunner(fmt.Sprintf("i-%08x", 0x7f3a9100+i), at(m, 5), at(m, 2), zone, "huvo11a", fmt.Sprintf("r%d-%d", i%len(zones)+1, i/9+1), d.record, d.workOf)
 		d.runners = append(d.runners, r)
 		if err := d.serve(r.address, r); err != nil {
-			return nil, err
+			return err
 		}
 		d.wg.Add(1)
 		go func() { defer d.wg.Done(); r.supervise(d.done) }()
 		name := fmt.Sprintf("side-%s-%d", zone, i/len(zones)+1)
 		ini := fmt.Sprintf("[process]\nname = %s\ndata_centre = %s\ncores = 0.24\nmemory_mb = %d\ndescriptors = 4096\n\n[listen]\ncontrol = %s\nlink = %s\nmetrics = %s\n\n", name, zone, agentMemory, at(m, 2), at(m, 3), at(m, 4))
 		ini += settings(seeds, storeAt, false) + fmt.Sprintf("[runner]\naddress = %s\nservice = huvo11a\norders = call\nheartbeat_ms = 1500\n", r.address)
-		if err := d.start(binary, name, "cell-side", ini, agentMemory); err != nil {
-			return nil, err
+		if err := d.startProcess(binary, name, "cell-side", ini, agentMemory); err != nil {
+			return err
 		}
 	}
-	return d, nil
+	return nil
 }
 
 // settings returns the part of the settings file that all machines share.
 func settings(seeds []string, store string, entry bool) string {
 	s := "[peers]\nseeds = " + strings.Join(seeds, ",") + "\n\n[store]\naddress = " + store + "\n"
 	if entry {
-		s += fmt.Sprintf("record_bytes = %d\ncall_bytes = 2097152\n\n[advice]\naddress = %s\n", recordBytes, at(101, 0))
+		s += fmt.Sprintf("record_bytes = %d\ncall_bytes = 2097152\n\n[advice]\naddress = %s\n", recordBytes, at(adviceMachine, 0))
 	}
 	s += "\n[bounds]\nhold_most_ms = 10000\nstop_ms = 900\ngang_ms = 3000\nreclaim_ms = 3400\nevacuation_ms = \nretention_s = 120\nfar_factor = 3\ngrace_s = 6\n\n"
 	if entry {
@@ -200,7 +250,7 @@
 	return nil
 }
 
-func (d *deployment) start(binary, name, role, ini string, memoryMB int) error {
+func (d *deployment) startProcess(binary, name, role, ini string, memoryMB int) error {
 	p := &process{name: name, role: role, settings: filepath.Join(d.dir, name+".ini"), memoryMB: memoryMB, logFile: filepath.Join(d.dir, name+".log")}
 	if err := os.WriteFile(p.settings, []byte(ini), 0o600); err != nil {
 		return err
@@ -282,6 +332,25 @@
 	return 0
 }
 
+// note notes the resident size and reports whether it is over the memory of the machine.
+func (p *process) note(mb int) bool {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.peakMB = max(p.peakMB, mb)
+	if mb > p.memoryMB {
+		p.overLimit++
+	}
+	return mb > p.memoryMB
+}
+
+// figures returns the peak of the resident size, how often that was over the memory, and how often the
+// process has ended.
+func (p *process) figures() (peakMB, overLimit, exits int) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return p.peakMB, p.overLimit, p.exits
+}
+
 // enforceMemory kills processes over the memory of their machines, as the platform does, until done is closed.
 func (d *deployment) enforceMemory() {
 	d.wg.Add(1)
@@ -295,9 +364,7 @@
 			}
 			for _, p := range d.processes {
 				mb := p.resident()
-				p.peakMB = max(p.peakMB, mb)
-				if mb > p.memoryMB {
-					p.overLimit++
+				if p.note(mb) {
 					d.record.add("process %s has %d MB, its machine %d: killed", p.name, mb, p.memoryMB)
 					p.signal(syscall.SIGKILL)
 				}
@@ -306,8 +373,10 @@
 	}()
 }
 
-// stop ends all processes and stand-ins.
-func (d *deployment) stop(keepLogs bool) {
+// stop ends all processes and stand-ins, once.
+func (d *deployment) stop(keepLogs bool) { d.stopOnce.Do(func() { d.end(keepLogs) }) }
+
+func (d *deployment) end(keepLogs bool) {
 	for _, p := range d.processes {
 		p.mutex.Lock()
 		p.stopped = true
--- a/review/cases3/main.go
+++ b/review/cases3/main.go
@@ -32,11 +32,7 @@
 		os.Exit(statusNotRun)
 	}
 	trouble := os.Getenv("TROUBLE") != "0"
-	d, err := newDeployment(os.Args[2], rec)
-	if err != nil {
-		rec.add("cannot start: %v", err)
-		os.Exit(statusNotRun)
-	}
+	d := newDeployment(rec)
 	go func() {
 		ends := make(chan os.Signal, 1)
 		signal.Notify(ends, syscall.SIGTERM, syscall.SIGINT)
@@ -48,6 +44,11 @@
 		d.stop(false)
 		os.Exit(statusNotRun)
 	}()
+	if err := d.start(os.Args[2]); err != nil {
+		rec.add("cannot start: %v", err)
+		d.stop(false)
+		os.Exit(statusNotRun)
+	}
 	d.enforceMemory()
 	status := statusNotRun
 	if d.awaitReady() {
@@ -62,7 +63,8 @@
 		rec.add("not ready in time")
 	}
 	for _, p := range d.processes {
-		rec.add("process %s: peak %d MB, over its memory %d times, ended %d times", p.name, p.peakMB, p.overLimit, p.exits)
+		peak, over, exits := p.figures()
+		rec.add("process %s: peak %d MB, over its memory %d times, ended %d times", p.name, peak, over, exits)
 	}
 	rec.add("lapsed runs %d, store calls refused %d, status %d", rec.lapsed, d.store.refused, status)
 	d.stop(os.Getenv("KEEP_LOGS") != "")
--- a/review/cases3/record.go
+++ b/review/cases3/record.go
@@ -19,6 +19,8 @@
 	done    map[string]bool
 	isNoted map[string]bool
 	lapsed  int
+	// begunSpecs counts the starts of a job's subtasks by the job and the Spec.
+	begunSpecs map[[2]string]int
 }
 
 func newRecord(file string) (*record, error) {
@@ -26,7 +28,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &record{file: f, began: time.Now(), runs: map[string]int{}, active: map[string]int{}, done: map[string]bool{}, isNoted: map[string]bool{}}, nil
+	return &record{file: f, began: time.Now(), runs: map[string]int{}, active: map[string]int{}, done: map[string]bool{}, isNoted: map[string]bool{}, begunSpecs: map[[2]string]int{}}, nil
 }
 
 func (r *record) elapsed() float64 { return time.Since(r.began).Seconds() }
@@ -108,3 +110,17 @@
 	}
 	return n
 }
+
+// beganWith notes with which Spec a subtask of a job was started.
+func (r *record) beganWith(job, spec string) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.begunSpecs[[2]string{job, spec}]++
+}
+
+// specs returns how many subtasks of a job were started with a Spec.
+func (r *record) specs(job, spec string) int {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return r.begunSpecs[[2]string{job, spec}]
+}
--- a/review/cases3/runner.go
+++ b/review/cases3/runner.go
@@ -243,6 +243,7 @@
 	}
 	r.running[c.Task] = &run{task: c.Task, run: c.Run, since: time.Now(), work: k}
 	r.record.started(c.Task)
+	r.record.beganWith(c.Task[:strings.Index(c.Task, ".")], c.Spec)
 	close(r.changed)
 	r.changed = make(chan struct{})
 	return ""
--- a/review/cases3/store.go
+++ b/review/cases3/store.go
@@ -10,12 +10,13 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
 // Limits of the store, as in the settings of a small deployment.
 const (
-	appendDelay   = 4 * time.Millisecond
+	answerDelay   = 4 * time.Millisecond
 	readsPerS     = 2000
 	writesPerS    = 800
 	recordBytes   = 262144
@@ -31,6 +32,8 @@
 	topics map[string]*topic
 	reads  bucket
 	writes bucket
+	// slowness is by how much an answer takes longer than usual.
+	slowness atomic.Int64
 	// refused counts the calls beyond the rates.
 	refused int
 }
@@ -72,8 +75,13 @@
 	return true
 }
 
+// delay takes the time of an answer.
+func (s *store) delay() { time.Sleep(answerDelay * time.Duration(s.slowness.Load())) }
+
 func newStore() *store {
-	return &store{topics: map[string]*topic{}, reads: bucket{perS: readsPerS, at: time.Now()}, writes: bucket{perS: writesPerS, at: time.Now()}}
+	s := &store{topics: map[string]*topic{}, reads: bucket{perS: readsPerS, at: time.Now()}, writes: bucket{perS: writesPerS, at: time.Now()}}
+	s.slowness.Store(1)
+	return s
 }
 
 // topic returns a topic. The mutex is held.
@@ -134,8 +142,10 @@
 	case "/log-append":
 		s.append(w, r)
 	case "/log-read":
+		s.delay()
 		s.read(w, r)
 	case "/log-newest":
+		s.delay()
 		s.readNewest(w, r)
 	default:
 		answer(w, 404, struct{}{})
@@ -176,7 +186,7 @@
 	s.mutex.Unlock()
 	t.turn.Lock()
 	defer t.turn.Unlock()
-	time.Sleep(appendDelay)
+	s.delay()
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	if at, set := number(r, "At"); set && at != uint64(len(t.records)) {
