--- a/review/cases3/cases.go
+++ b/review/cases3/cases.go
@@ -11,7 +11,7 @@
 )
 
 // cases are the scripted cases by name. Each reports whether it could run.
-var cases = map[string]func(d *deployment, trouble bool) bool{"crash": playCrash, "hang": playHang, "frame": playFrame, "steps": playSteps, "budget": playBudget, "collide": playCollide, "fragment": playFragment}
+var cases = map[string]func(d *deployment, trouble bool) bool{"crash": playCrash, "hang": playHang, "frame": playFrame, "steps": playSteps, "budget": playBudget, "collide": playCollide, "fragment": playFragment, "gang": playGang}
 
 // Times of a case.
 const (
@@ -130,6 +130,27 @@
 	return playBeside(d, true, func() { d.submit(j) }, j)
 }
 
+// playGang hands in one wide gang, and crashes the runner with most of its subtasks.
+func playGang(d *deployment, trouble bool) bool {
+	count := figure("COUNT", 5000)
+	j := &job{id: newID(), route: castRoute, key: otherKey, steps: []jobStep{{count: count, work: work{need: amount{Cpu: 10, MemMb: 20}, runs: 20 * time.Second}}}}
+	j.body = fmt.Sprintf(`{"Spec":"gang","Steps":[{"Count":%d,"Cpu":10,"MemMb":20,"EstMs":20000,"Gang":true}]}`, count)
+	return playBeside(d, true, func() {
+		d.submit(j)
+		time.Sleep(5 * time.Second)
+		if !trouble {
+			return
+		}
+		most := d.runners[0]
+		for _, r := range d.runners {
+			if r.runs() > most.runs() {
+				most = r
+			}
+		}
+		d.crash(most, 4500*time.Millisecond)
+	})
+}
+
 // playBeside lets ordinary jobs come, and others beside them, and judges the ordinary ones and those given by
 // LOST.
 func playBeside(d *deployment, trouble bool, others func(), judged ...*job) bool {
--- a/review/cases3/deployment.go
+++ b/review/cases3/deployment.go
@@ -59,7 +59,7 @@
 	fronts    []string
 	done      chan struct{}
 	wg        sync.WaitGroup
-	servers   []*http.Server
+	servers   map[string]*http.Server
 	next      atomic.Int64
 	version   int
 
@@ -147,7 +147,7 @@
 
 // newDeployment returns a deployment that has not been started.
 func newDeployment(rec *record) *deployment {
-	return &deployment{record: rec, store: newStore(), done: make(chan struct{}), jobs: map[string]*job{}}
+	return &deployment{record: rec, store: newStore(), done: make(chan struct{}), jobs: map[string]*job{}, servers: map[string]*http.Server{}}
 }
 
 // start starts the stand-ins and the programs. The deployment is to be stopped also after an error.
@@ -245,11 +245,27 @@
 		return err
 	}
 	s := &http.Server{Handler: h}
-	d.servers = append(d.servers, s)
+	d.mutex.Lock()
+	d.servers[address] = s
+	d.mutex.Unlock()
 	go func() { _ = s.Serve(l) }()
 	return nil
 }
 
+// crash crashes a runner, which is back after a time.
+func (d *deployment) crash(r *runner, back time.Duration) {
+	d.mutex.Lock()
+	s := d.servers[r.address]
+	d.mutex.Unlock()
+	_ = s.Close()
+	d.record.add("runner %s crashes with %d runs", r.id, r.crash())
+	time.Sleep(back)
+	r.restart()
+	if err := d.serve(r.address, r); err != nil {
+		d.record.add("runner %s isn't back: %v", r.id, err)
+	}
+}
+
 func (d *deployment) startProcess(binary, name, role, ini string, memoryMB int) error {
 	p := &process{name: name, role: role, settings: filepath.Join(d.dir, name+".ini"), memoryMB: memoryMB, logFile: filepath.Join(d.dir, name+".log")}
 	if err := os.WriteFile(p.settings, []byte(ini), 0o600); err != nil {
@@ -386,9 +402,11 @@
 	}
 	close(d.done)
 	d.wg.Wait()
+	d.mutex.Lock()
 	for _, s := range d.servers {
 		_ = s.Close()
 	}
+	d.mutex.Unlock()
 	if !keepLogs {
 		_ = os.RemoveAll(d.dir)
 	}
--- a/review/cases3/runner.go
+++ b/review/cases3/runner.go
@@ -63,6 +63,8 @@
 	ends     int
 	sequence int
 	changed  chan struct{}
+	// down is set while the runner has crashed.
+	down bool
 }
 
 func newRunner(id, address, control, zone, service, rack string, rec *record, workOf func(string) (work, bool)) *runner {
@@ -126,13 +128,14 @@
 		}
 		r.mutex.Lock()
 		r.update()
+		down, began := r.down, r.began
 		r.mutex.Unlock()
-		if time.Now().Before(next) {
+		if down || time.Now().Before(next) {
 			continue
 		}
 		next = time.Now().Add(heartbeatInterval)
 		r.sequence++
-		b, err := json.Marshal(map[string]any{"Service": r.service, "Addr": r.address, "Zone": r.zone, "Version": "v1", "Slots": 8, "State": "ready", "ColdLeftMs": 0, "Capacity": capacity, "Labels": []string{"a", r.rack}, "ClockMs": r.clock().Milliseconds(), "Seq": r.sequence, "born": r.began.UnixMilli()})
+		b, err := json.Marshal(map[string]any{"Service": r.service, "Addr": r.address, "Zone": r.zone, "Version": "v1", "Slots": 8, "State": "ready", "ColdLeftMs": 0, "Capacity": capacity, "Labels": []string{"a", r.rack}, "ClockMs": r.clock().Milliseconds(), "Seq": r.sequence, "born": began.UnixMilli()})
 		if err != nil {
 			panic(err)
 		}
@@ -145,6 +148,27 @@
 	}
 }
 
+// crash ends the runner's life and returns how many runs that has ended. Nothing listens meanwhile.
+func (r *runner) crash() int {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	n := len(r.running)
+	for task := range r.running {
+		r.record.ended(task, "crashed")
+	}
+	r.down, r.running, r.finished, r.highest, r.ends, r.fence, r.deadline = true, map[string]*run{}, nil, map[string]int{}, 0, 0, 0
+	close(r.changed)
+	r.changed = make(chan struct{})
+	return n
+}
+
+// restart begins a new life under the same name.
+func (r *runner) restart() {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.down, r.began, r.sequence = false, time.Now(), 0
+}
+
 type call struct {
 	Task       string
 	Run        int
@@ -291,3 +315,10 @@
 	}
 	answer(w, 200, map[string]any{"ClockMs": r.clock().Milliseconds(), "Running": running, "Finished": finished, "born": r.began.UnixMilli()})
 }
+
+// runs returns how many runs the runner has.
+func (r *runner) runs() int {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return len(r.running)
+}
