--- a/review/cases3/cases.go
+++ b/review/cases3/platform/cases.go
@@ -130,13 +130,15 @@
 	return playBeside(d, true, func() { d.submit(j) }, j)
 }
 
-// playGang hands in one wide gang, and crashes the runner with most of its subtasks.
+// playGang hands in wide gangs, and crashes the runner with most of their subtasks.
 func playGang(d *deployment, trouble bool) bool {
-	count := figure("COUNT", 5000)
-	j := &job{id: newID(), route: castRoute, key: otherKey, steps: []jobStep{{count: count, work: work{need: amount{Cpu: 10, MemMb: 20}, runs: 20 * time.Second}}}}
-	j.body = fmt.Sprintf(`{"Spec":"gang","Steps":[{"Count":%d,"Cpu":10,"MemMb":20,"EstMs":20000,"Gang":true}]}`, count)
+	count := figure("COUNT", 1700)
 	return playBeside(d, true, func() {
-		d.submit(j)
+		for range figure("JOBS", 3) {
+			j := &job{id: newID(), route: castRoute, key: otherKey, steps: []jobStep{{count: count, work: work{need: amount{Cpu: 10, MemMb: 20}, runs: 20 * time.Second}}}}
+			j.body = fmt.Sprintf(`{"Spec":"gang","Steps":[{"Count":%d,"Cpu":10,"MemMb":20,"EstMs":20000,"Gang":true}]}`, count)
+			d.submit(j)
+		}
 		time.Sleep(5 * time.Second)
 		if !trouble {
 			return
