Long rounds of decisions are no pause of the leader's process

Cause: the leader compared the beginnings of two rounds. A round and the pause of the same length after it were inside that time, so that rounds of over 0.35 s counted as a freeze of 0.7 s. After each, it doubted its term, dropped the agents' reports (no lease was granted) and the start orders of the batch that was just stored.

A freeze would show a gap that no round explains.

Change: signs of life come from a goroutine of their own and from whoever asks (pauseDetector), so that only the process counts, not the round. A pause is looked for before each grant and each order, also in the middle of a round. While the term is being verified, reports and orders wait and go out afterwards, in place of being dropped. Counter jaystile_leader_pauses_total.

Conclusion: a round may be slow without ending work.

--- a/internal/process/jaycontroller/isolation.go
+++ b/internal/process/jaycontroller/isolation.go
@@ -14,9 +14,9 @@
 	followTimeout    = time.Second
 	// maxOutage is how long a leader may grant leases without knowing that its term is the
 	// newest. A successor that cannot exclude half of the electors waits outageWait: a leader of
-	// the version before may notice the end up to maxTickGap late.
+	// the version before may notice the end up to maxPause late.
 	maxOutage  = 20 * time.Second
-	outageWait = maxOutage + maxTickGap
+	outageWait = maxOutage + maxPause
 	// handoverDelay is how long a leader may grant leases after its successor has begun and half
 	// of the electors have ceased to follow it. The margin is for clocks of different speed.
 	handoverDelay = max(isolationTimeout, followTimeout) + clockMargin
@@ -55,17 +55,10 @@
 func (l *leadership) mayGrant() bool {
 	// Reports reach the leadership until its loop has returned, and the read that shows a higher
 	// term is a read of the newest one.
-	select {
-	case <-l.done:
+	if l.hasEnded() || !l.termVerified() {
 		return false
-	default:
 	}
-	now := jayclock.Elapsed()
-	// The loop has not noticed yet that this process stood still.
-	if now-l.lastTick > maxTickGap {
-		return false
-	}
-	return now < l.standing.grantsUntil()
+	return jayclock.Elapsed() < l.standing.grantsUntil()
 }
 
 // majorityFollowsSince is followedSince for the electors in force, also those that may be by now.
--- a/internal/process/jaycontroller/leaderrecords.go
+++ b/internal/process/jaycontroller/leaderrecords.go
@@ -11,7 +11,6 @@
 
 	"github.com/jaystile/jaystile/internal/connection/jayframe"
 	"github.com/jaystile/jaystile/internal/process/jaycell"
-	"github.com/jaystile/jaystile/internal/process/jayclock"
 	"github.com/jaystile/jaystile/internal/process/jaystore"
 	"github.com/jaystile/jaystile/internal/request/jaytask"
 )
@@ -127,7 +126,7 @@
 		}
 	}
 	l.stateDeletions = append(l.stateDeletions, found.stateDeletions...)
-	l.loaded, l.lastTick = true, jayclock.Elapsed()
+	l.loaded = true
 	l.controller.Logger.Info().Str("event", "term").Uint64("term", l.term).Int("runs", len(found.units)).Int("unfinished_jobs", len(rows)).Int("states", found.states).
 		Int("unknown_states", len(found.stateDeletions)).Str("standby", found.standby).Msg("deciding")
 }
@@ -185,11 +184,8 @@
 		// The leadership has ended.
 		return nil, false
 	}
-	orders, mayOrder := l.confirmStored(b, len(records) > 0)
+	orders := l.confirmStored(b, len(records) > 0)
 	l.publishStates(b.JobStates)
-	if !mayOrder {
-		orders = nil
-	}
 	return orders, true
 }
 
@@ -208,19 +204,24 @@
 	l.cell.RejectRecords(rejected.Keys, rejected.Cause.Error())
 }
 
-// confirmStored returns the orders that depend on a batch, and whether they may be sent. A batch
-// without records was not written, so that nothing shows that no other entry leads: it acknowledges
-// ends only while leases may be granted. Ends that are still listed are acknowledged again.
-func (l *leadership) confirmStored(b *jaycell.Batch, written bool) (orders []jaycell.Order, mayOrder bool) {
+// confirmStored returns the orders that depend on a batch. They are held back until the term is
+// verified if it is not. A batch without records was not written, so that nothing shows that no other
+// entry leads: it acknowledges ends only while leases may be granted. Ends that are still listed are
+// acknowledged again.
+func (l *leadership) confirmStored(b *jaycell.Batch, written bool) []jaycell.Order {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	l.setCellTime()
 	l.writing = false
-	orders = l.cell.ConfirmStored(b)
+	orders := l.cell.ConfirmStored(b)
 	if !written && !l.mayGrant() {
 		orders = slices.DeleteFunc(orders, func(o jaycell.Order) bool { return o.Kind == jaycell.OrderAcknowledge })
 	}
-	return orders, !l.termUnverified
+	if !l.termVerified() {
+		l.heldOrders = append(l.heldOrders, orders...)
+		return nil
+	}
+	return orders
 }
 
 // deleteExpiredJobs deletes the records of jobs whose retention has passed, including
--- a/internal/process/jaycontroller/leadership.go
+++ b/internal/process/jaycontroller/leadership.go
@@ -19,9 +19,6 @@
 const (
 	// tickInterval bounds how late a timeout or deadline is noticed.
 	tickInterval = 100 * time.Millisecond
-	// maxTickGap is the gap between two ticks after which this process may have been
-	// frozen, so that another entry may lead by now.
-	maxTickGap = 700 * time.Millisecond
 	// maxStartDelay is how long a batch may take to be stored before nothing more is placed
 	// or preempted: what waits for it would be decided on a picture of long ago.
 	maxStartDelay = storeDownThreshold
@@ -86,7 +83,9 @@
 	// termUnverified is set after a pause in which the process may have been frozen,
 	// until the store confirms that the term still lasts.
 	termUnverified bool
-	lastTick       time.Duration
+	// heldOrders wait until the term is verified.
+	heldOrders []jaycell.Order
+	pauses     *pauseDetector
 	// standing tells until when this leader may grant leases; isolated is set once the log tells
 	// that it may not.
 	standing standing
@@ -108,7 +107,7 @@
 
 func newLeadership(c *Controller, term uint64) *leadership {
 	now := jayclock.Elapsed()
-	l := &leadership{controller: c, term: term, wake: make(chan struct{}, 1), adviceWanted: make(chan struct{}, 1), done: make(chan struct{}), accountEmpty: true, reports: newReportQueue(), lastTick: now, beganAt: now, followedAt: map[string]time.Duration{}, alive: map[string]answer{}, shared: map[string]bool{}}
+	l := &leadership{controller: c, term: term, wake: make(chan struct{}, 1), adviceWanted: make(chan struct{}, 1), done: make(chan struct{}), accountEmpty: true, reports: newReportQueue(), pauses: newPauseDetector(), beganAt: now, followedAt: map[string]time.Duration{}, alive: map[string]answer{}, shared: map[string]bool{}}
 	l.cell = jaycell.New(jaycell.Settings{
 		Term: term, Lease: c.Timing.Lease, HandoverDelay: outageWait + handoverDelay, Retention: c.Timing.Retention, StopTimeout: c.Timing.StopTimeout, GangTimeout: c.Timing.GangTimeout, RemoteSlowdown: c.Timing.RemoteSlowdown,
 		Guaranteed: func(workspace string) int {
@@ -145,6 +144,9 @@
 // tickSeconds is how long the leader takes to decide once.
 var tickSeconds = metrics.NewHistogram("jaystile_tick_seconds")
 
+// pausesTotal counts the pauses after which leaders have verified their terms.
+var pausesTotal = metrics.NewCounter("jaystile_leader_pauses_total")
+
 // recordDecision counts and logs a scheduling decision.
 func (l *leadership) recordDecision(d jaycell.Decision) {
 	metrics.GetOrCreateCounter(fmt.Sprintf(`jaystile_decisions_total{event=%q,outcome=%q}`, d.Event, d.Outcome)).Inc()
@@ -221,6 +223,7 @@
 	})
 	defer l.controller.clearLeadership(l)
 	l.spawn(func() { l.informEntries(ctx) })
+	l.spawn(func() { l.pauses.run(ctx) })
 	runs := l.newRunsWriter()
 	if err := l.load(ctx, runs); err != nil {
 		l.controller.Logger.Warn().Str("event", "term").Uint64("term", l.term).Err(err).Msg("cannot load the records of earlier terms")
@@ -285,12 +288,12 @@
 	defer l.mutex.Unlock()
 	l.setCellTime()
 	now := jayclock.Elapsed()
-	if now-l.lastTick > maxTickGap && !l.termUnverified {
+	if l.pauses.check() && !l.termUnverified {
 		l.termUnverified = true
-		l.controller.Logger.Warn().Str("event", "pause").Int64("gap_ms", (now - l.lastTick).Milliseconds()).Msg("this process may have been frozen; verifying its term")
+		pausesTotal.Inc()
+		l.controller.Logger.Warn().Str("event", "pause").Uint64("term", l.term).Msg("this process may have been frozen; verifying its term")
 		l.spawn(func() { l.verifyTerm(ctx) })
 	}
-	l.lastTick = now
 	if now-l.lastExpiry > expiryInterval && !l.resigned {
 		l.lastExpiry = now
 		l.spawn(l.deleteExpiredJobs)
@@ -311,24 +314,48 @@
 	if batch != nil {
 		l.writing, l.writingSince = true, now
 	}
+	if !l.termVerified() {
+		return batch, nil
+	}
 	return batch, l.cell.TakeImmediateOrders()
 }
 
+// termVerified reports whether this process has not been frozen since its term was last known to be
+// the newest. Until it is, no lease is granted and no order is sent. The mutex is held.
+func (l *leadership) termVerified() bool { return !l.pauses.check() && !l.termUnverified }
+
 // verifyTerm reads the newest term from the store after a pause. A higher one ends
-// this leadership.
+// this leadership. What has waited for it goes on.
 func (l *leadership) verifyTerm(ctx context.Context) {
 	for ctx.Err() == nil {
+		l.pauses.reset()
 		call, cancel := context.WithTimeout(ctx, claimTimeout)
 		err := l.controller.cellTail.Refresh(call)
 		cancel()
-		if err == nil {
+		if err == nil && !l.pauses.check() {
 			break
 		}
-		time.Sleep(tickInterval)
+		jayclock.Sleep(ctx, tickInterval)
+	}
+	if ctx.Err() != nil || l.hasEnded() {
+		return
 	}
 	l.mutex.Lock()
 	l.termUnverified = false
-	l.lastTick = jayclock.Elapsed()
+	held := l.heldOrders
+	l.heldOrders = nil
 	l.mutex.Unlock()
+	l.sendOrders(held)
+	l.applyWaitingReports()
 	Signal(l.wake)
 }
+
+// hasEnded reports whether the leadership has ended, also before its loop has returned.
+func (l *leadership) hasEnded() bool {
+	select {
+	case <-l.done:
+		return true
+	default:
+		return false
+	}
+}
--- a/internal/process/jaycontroller/reports.go
+++ b/internal/process/jaycontroller/reports.go
@@ -97,7 +97,8 @@
 
 // applyNextReport applies a report and answers it with a lease grant, whose sequence number
 // is zero if the lease may not be extended. It returns false when no report can be applied
-// now; those that arrive before the records of earlier terms are read wait for them.
+// now; those that arrive before the records of earlier terms are read, or while the term is to be
+// verified, wait for that.
 func (l *leadership) applyNextReport() bool {
 	r, granted, ok := l.takeReport()
 	if !ok || r.link == nil {
@@ -114,17 +115,16 @@
 	return true
 }
 
-// takeReport applies a report and returns it and whether a lease is granted. The report is
-// empty if it was dropped, since the term may be over.
+// takeReport applies a report and returns it and whether a lease is granted.
 func (l *leadership) takeReport() (r receivedReport, granted, ok bool) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	if !l.loaded {
+	if !l.loaded || l.termUnverified {
 		l.reports.stop()
 		return receivedReport{}, false, false
 	}
-	if r, ok = l.reports.take(); !ok || l.termUnverified {
-		return receivedReport{}, false, ok
+	if r, ok = l.reports.take(); !ok {
+		return receivedReport{}, false, false
 	}
 	l.setCellTime()
 	report := decodeReport(r.message)
