The cost of a round of decisions is bounded

Cause: the chain of steps behind a waiting task was walked for each task, and a map key made for each step: 19,745 tasks times 32,640 entries of After, in each round. Nothing bounded a round.

Change: chains are computed once a job, until an estimate changes. Steps are ranked, not tasks; the first task that does not fit stands for those that wait for the same. A round does at most 1,000,000 looks at a runner; steps that are left are tried by the next rounds, beside the most urgent ones, which get half at least. Work is counted, not timed, so that a replay decides the same. Related paths: passes over the tasks of all jobs go by steps; After names each step once, also in stored jobs; the account of the backlog is linear in the tasks that expire.

--- a/internal/process/jayadmission/backlog.go
+++ b/internal/process/jayadmission/backlog.go
@@ -213,13 +213,16 @@
 	}
 	// The tasks expire one after the other; what is left then may be done by the job's start.
 	slices.SortStableFunc(first, func(a, b Task) int { return cmp.Compare(a.Until, b.Until) })
+	// ahead holds by task the work that is left once all before it have expired.
+	ahead := make([]work, len(first)+1)
+	ahead[len(first)] = running
+	for i := len(first) - 1; i >= 0; i-- {
+		ahead[i] = ahead[i+1]
+		ahead[i].add(first[i].Resources, first[i].RunTime)
+	}
 	expired := time.Duration(0)
 	for i := range first {
-		ahead := running
-		for _, t := range first[i:] {
-			ahead.add(t.Resources, t.RunTime)
-		}
-		wait := max(ahead.timeOn(capacity)-longest, expired)
+		wait := max(ahead[i].timeOn(capacity)-longest, expired)
 		if wait < first[i].Until {
 			return wait
 		}
--- a/internal/process/jaycell/await.go
+++ b/internal/process/jaycell/await.go
@@ -64,13 +64,13 @@
 	c.reportDecision(Decision{Job: running.job.spec.ID, Event: "preempt", Outcome: "awaited", Reason: "ends before a stop would make room for " + u.key(), AgeMS: c.jobAgeMS(running.job)})
 }
 
-// stopOverdueRuns stops the runs that should have ended by now and that claims of the
+// stopOverdueRuns stops the runs that should have ended by now and that claims of
 // waiting units depend on beside others that were stopped. The claims then last as long as
 // for other stops.
-func (r *round) stopOverdueRuns(waiting []*unit) {
+func (r *round) stopOverdueRuns() {
 	c := r.cell
-	for _, u := range waiting {
-		if u.claims == nil {
+	for _, u := range c.sortedClaimants() {
+		if !u.startable(c.now) || u.job.canceled || u.job.state.Ended() {
 			continue
 		}
 		k := r.claimantOf(u)
--- a/internal/process/jaycell/backlog.go
+++ b/internal/process/jaycell/backlog.go
@@ -42,7 +42,7 @@
 // backlog until it has or is forgotten.
 func (c *Cell) Backlog() (jayadmission.Backlog, bool) {
 	b := jayadmission.Backlog{LowestPriority: map[string]int{}}
-	waiting := c.startableUnits()
+	waiting := c.waitingSteps()
 	if len(waiting) == 0 {
 		return b, false
 	}
@@ -64,15 +64,18 @@
 		}
 		b.Runners = append(b.Runners, x)
 	}
-	for _, u := range waiting {
-		if t, ok := c.certainTask(u); ok {
-			b.Tasks = append(b.Tasks, t)
+	for _, s := range waiting {
+		t, ok := c.certainTask(s.units[0])
+		for _, u := range s.units {
+			if ok && u.startsAfresh() {
+				b.Tasks = append(b.Tasks, t)
+			}
 		}
 	}
 	for _, name := range slices.Sorted(maps.Keys(c.routes)) {
 		r := *c.routes[name]
 		r.RunTimes = nil
-		for step := 0; c.meanRunTimes[runTimeKey(name, step)] != nil; step++ {
+		for step := 0; c.meanRunTimes[runTimeKey{name, step}] != nil; step++ {
 			r.RunTimes = append(r.RunTimes, c.runTimes(name, step))
 		}
 		b.Routes = append(b.Routes, r)
@@ -93,11 +96,7 @@
 		service, priority := j.spec.Policy.Service, j.spec.Policy.Priority
 		lowest[service] = max(lowest[service], priority)
 		active := 0
-		for _, u := range j.units {
-			if u.phase == phaseActive {
-				active++
-			}
-		}
+		j.eachStep(func(_ stepID, units []*unit) { active += countActive(units) })
 		if active == j.remainingUnits {
 			continue
 		}
@@ -113,7 +112,7 @@
 
 // runTimes returns the bounds of the run times of a route's step, zero before minMeanRuns.
 func (c *Cell) runTimes(route string, step int) jayadmission.RunTimes {
-	m := c.meanRunTimes[runTimeKey(route, step)]
+	m := c.meanRunTimes[runTimeKey{route, step}]
 	if m == nil || m.runs < minMeanRuns {
 		return jayadmission.RunTimes{}
 	}
@@ -139,16 +138,22 @@
 	return max(left-maxReportAge, 0)
 }
 
-// certainTask returns a waiting unit as a task that is sure to go before any job of a lower
-// priority, and whether it is. It is not if it waits for more than free resources. A job
-// with slack leaves resources to others for the reserve and for startLimit.
+// startsAfresh reports whether nothing that has happened to the unit decides where and for how long it
+// runs.
+func (u *unit) startsAfresh() bool {
+	return len(u.avoidUntil) == 0 && !u.isSuspect() && u.checkpoint == ""
+}
+
+// certainTask returns a task like those of a waiting unit's step that start afresh as one that is
+// sure to go before any job of a lower priority, and whether it is. It is not if it waits for more than
+// free resources. A job with slack leaves resources to others for the reserve and for startLimit.
 func (c *Cell) certainTask(u *unit) (jayadmission.Task, bool) {
 	s, j := u.spec(), u.job
 	runTime := c.runTimes(j.spec.Policy.Route, u.step).Least()
 	switch {
 	case s.Gang, s.Daemon, j.spec.TimedOccurrences > 0, s.DataRack != "", s.Label != "", s.MaxPerRunner > 0:
 		return jayadmission.Task{}, false
-	case len(u.avoidUntil) > 0, u.isSuspect(), u.checkpoint != "", c.settings.NeedsTicket != nil && c.settings.NeedsTicket(j.spec.Policy.Route):
+	case c.settings.NeedsTicket != nil && c.settings.NeedsTicket(j.spec.Policy.Route):
 		return jayadmission.Task{}, false
 	case j.spec.Policy.Priority == 0 && s.Count > 1, c.slack(u) >= waveMargin, runTime == 0:
 		return jayadmission.Task{}, false
--- a/internal/process/jaycell/backlog_test.go
+++ b/internal/process/jaycell/backlog_test.go
@@ -42,7 +42,7 @@
 // submitTo submits a job of the given age to a route whose runs have taken the given time.
 func (b *backlogHarness) submitTo(id, route string, priority int, runTime, age time.Duration, s jaytask.Step) {
 	s.Estimate = runTime
-	b.cell.meanRunTimes[runTimeKey(route, 0)] = &runTimeMean{runs: minMeanRuns, mean: runTime, shortest: runTime, longest: runTime}
+	b.cell.meanRunTimes[runTimeKey{route, 0}] = &runTimeMean{runs: minMeanRuns, mean: runTime, shortest: runTime, longest: runTime}
 	b.lasts[route] = b.cell.runTimes(route, 0).Least()
 	b.cell.Submit(&jaytask.Job{ID: id, Steps: []jaytask.Step{s}, Accepted: b.wall.Add(-age), Policy: jaytask.Policy{Route: route, Service: "s", Priority: priority, MaxAttempts: 2, Stretch: 3, Objective: time.Second}})
 }
--- a/internal/process/jaycell/cell.go
+++ b/internal/process/jaycell/cell.go
@@ -154,7 +154,9 @@
 	// handoverEnd is until when earlier leaders may grant leases.
 	handoverEnd time.Duration
 
-	meanRunTimes map[string]*runTimeMean
+	meanRunTimes map[runTimeKey]*runTimeMean
+	// estimatesVersion counts the changes of the estimates of run times.
+	estimatesVersion uint64
 	// routes holds what has been seen of the jobs of each route.
 	routes      map[string]*jayadmission.Route
 	shareLimits map[imagePair]int
@@ -169,6 +171,15 @@
 	peaks map[level]*peakUse
 	// waitingForHeadroom counts the units that the headroom kept waiting in the last round.
 	waitingForHeadroom int
+	// triedSteps holds the steps that have been tried since a round last had work left for all, undecided
+	// is how many the last round has left. nextIdleStep is where the next one looks for idle room first.
+	triedSteps   map[stepID]bool
+	undecided    int
+	nextIdleStep int
+	// lastWork is the work of the last round.
+	lastWork int
+	// claimants holds the units that have claims, and some that have had.
+	claimants map[*unit]bool
 	// dirtyUnits, orphanedKeys (of units without a job), jobRecords and pendingStarts
 	// are what the next batch stores.
 	dirtyUnits    map[*unit]bool
@@ -184,7 +195,7 @@
 
 // New returns an empty cell for one term.
 func New(s Settings, now time.Duration, wall time.Time) *Cell {
-	return &Cell{settings: s, handoverEnd: now + s.HandoverDelay, now: now, wall: wall, jobs: map[string]*job{}, runners: map[string]*Runner{}, meanRunTimes: map[string]*runTimeMean{}, routes: map[string]*jayadmission.Route{}, shareLimits: map[imagePair]int{}, slots: map[poolShape]int{}, demand: map[string]*demand{}, peaks: map[level]*peakUse{}, dirtyUnits: map[*unit]bool{}}
+	return &Cell{settings: s, handoverEnd: now + s.HandoverDelay, now: now, wall: wall, jobs: map[string]*job{}, runners: map[string]*Runner{}, meanRunTimes: map[runTimeKey]*runTimeMean{}, routes: map[string]*jayadmission.Route{}, shareLimits: map[imagePair]int{}, slots: map[poolShape]int{}, demand: map[string]*demand{}, peaks: map[level]*peakUse{}, triedSteps: map[stepID]bool{}, claimants: map[*unit]bool{}, dirtyUnits: map[*unit]bool{}}
 }
 
 // SetTime sets the time for the calls that follow: now is monotonic, wall is the
--- a/internal/process/jaycell/estimate.go
+++ b/internal/process/jaycell/estimate.go
@@ -1,7 +1,6 @@
 package jaycell
 
 import (
-	"strconv"
 	"time"
 
 	"github.com/jaystile/jaystile/internal/process/jayadmission"
@@ -24,15 +23,20 @@
 	longest  time.Duration
 }
 
-func runTimeKey(route string, step int) string { return route + "/" + strconv.Itoa(step) }
+// runTimeKey identifies a step of a route.
+type runTimeKey struct {
+	route string
+	step  int
+}
 
 // recordRunTime adds the run time of a completed run to the mean of its step.
 func (c *Cell) recordRunTime(pl *placement) {
 	if !pl.confirmed {
 		return
 	}
+	c.estimatesVersion++
 	runTime := c.now - pl.confirmedAt
-	k := runTimeKey(pl.unit.job.spec.Policy.Route, pl.unit.step)
+	k := runTimeKey{pl.unit.job.spec.Policy.Route, pl.unit.step}
 	m := c.meanRunTimes[k]
 	if m == nil {
 		c.meanRunTimes[k] = &runTimeMean{runs: 1, mean: runTime, shortest: runTime, longest: runTime}
@@ -80,6 +84,7 @@
 		}
 		mean = runTime
 	}
+	c.estimatesVersion++
 	u.job.measuredRunTimes[u.step] = mean + time.Duration(measuredWeight*float64(runTime-mean))
 }
 
@@ -89,7 +94,7 @@
 	if m := j.measuredRunTimes[step]; m > 0 {
 		return m
 	}
-	if m := c.meanRunTimes[runTimeKey(j.spec.Policy.Route, step)]; m != nil && m.runs >= minMeanRuns {
+	if m := c.meanRunTimes[runTimeKey{j.spec.Policy.Route, step}]; m != nil && m.runs >= minMeanRuns {
 		return m.mean
 	}
 	return j.spec.Steps[step].Estimate
@@ -172,15 +177,29 @@
 // remainingPath returns the expected run time of the longest chain of steps that
 // starts with the unit's.
 func (c *Cell) remainingPath(u *unit) time.Duration {
-	longest := make([]time.Duration, len(u.job.spec.Steps))
-	for i := len(longest) - 1; i >= u.step; i-- {
-		longest[i] += c.estimate(u.job, i)
-		for _, a := range u.job.spec.Steps[i].After {
-			longest[a] = max(longest[a], longest[i])
-		}
-	}
+	left := c.remainingPaths(u.job)[u.step]
 	if c.spansRacks(u) {
-		return longest[u.step] + time.Duration((c.settings.RemoteSlowdown-1)*float64(c.estimate(u.job, u.step)))
+		return left + time.Duration((c.settings.RemoteSlowdown-1)*float64(c.estimate(u.job, u.step)))
+	}
+	return left
+}
+
+// remainingPaths returns by step the expected run time of the longest chain of steps that starts with
+// it. It is computed once for all tasks of a job, until an estimate changes.
+func (c *Cell) remainingPaths(j *job) []time.Duration {
+	if j.paths != nil && j.pathsVersion == c.estimatesVersion {
+		return j.paths
+	}
+	if j.paths == nil {
+		j.paths = make([]time.Duration, len(j.spec.Steps))
+	}
+	clear(j.paths)
+	for i := len(j.paths) - 1; i >= 0; i-- {
+		j.paths[i] += c.estimate(j, i)
+		for _, a := range j.spec.Steps[i].After {
+			j.paths[a] = max(j.paths[a], j.paths[i])
+		}
 	}
-	return longest[u.step]
+	j.pathsVersion = c.estimatesVersion
+	return j.paths
 }
--- a/internal/process/jaycell/headroom.go
+++ b/internal/process/jaycell/headroom.go
@@ -57,15 +57,19 @@
 // nothing.
 func (c *Cell) useOf(j *job) use {
 	var x use
-	for _, u := range j.units {
-		n := u.spec().Allocation().Times(u.count)
-		switch {
-		case u.phase == phaseActive:
-			x = x.add(use{allocated: n, wanted: n})
-		case u.phase == phaseWaiting && c.poolSlots(j, u.step) >= u.count:
-			x.wanted = x.wanted.Add(n)
+	j.eachStep(func(id stepID, units []*unit) {
+		s := j.spec.Steps[id.step]
+		members := 1
+		if s.Gang {
+			members = s.Count
 		}
-	}
+		active, waiting := countActive(units), 0
+		if c.poolSlots(j, id.step) >= members {
+			waiting = countPhase(units, phaseWaiting)
+		}
+		n := s.Allocation().Times(members)
+		x = x.add(use{allocated: n.Times(active), wanted: n.Times(active + waiting)})
+	})
 	return x
 }
 
--- a/internal/process/jaycell/idleroom.go
+++ b/internal/process/jaycell/idleroom.go
@@ -1,6 +1,7 @@
 package jaycell
 
 import (
+	"slices"
 	"time"
 
 	"github.com/jaystile/jaystile/internal/request/jaytask"
@@ -32,8 +33,6 @@
 	// since is since when there is room that nobody has claimed, claimedSince the same with what
 	// others have claimed; zero if there is none.
 	since, claimedSince time.Duration
-	// round is the time of the last round that has looked.
-	round time.Duration
 }
 
 // idleWaitOf returns the idle wait of a unit.
@@ -48,6 +47,27 @@
 	return j.idle[k]
 }
 
+// startStepInIdleRoom starts units of a step that have waited beside idle room: of a daemon step each
+// by itself.
+func (r *round) startStepInIdleRoom(s *waitingStep) {
+	r.work++
+	if s.job.spec.Steps[s.step].Daemon {
+		for _, u := range s.sortedByKey() {
+			r.startInIdleRoom(u)
+		}
+		return
+	}
+	if !slices.ContainsFunc(s.units, func(u *unit) bool { return u.phase == phaseWaiting }) {
+		return
+	}
+	if r.isActive(s.job) || !r.isIdle(s.job.spec.Policy.Service) {
+		w := s.job.idleWaitOf(s.units[0])
+		w.since, w.claimedSince = 0, 0
+		return
+	}
+	r.startInIdleRoom(s.firstByKey())
+}
+
 // startInIdleRoom starts a unit that has waited beside idle room. A job of which something runs has
 // time for the others, and a service that is in use has none. A daemon task that does not run is
 // missed all the same.
@@ -56,14 +76,6 @@
 		return
 	}
 	c, w := r.cell, u.job.idleWaitOf(u)
-	if w.round == c.now {
-		return
-	}
-	w.round = c.now
-	if !u.spec().Daemon && (r.isActive(u.job) || !r.isIdle(u.job.spec.Policy.Service)) {
-		w.since, w.claimedSince = 0, 0
-		return
-	}
 	candidates := r.anywhere(u)
 	r.noteRoom(&w.since, u, candidates, false)
 	r.noteRoom(&w.claimedSince, u, candidates, true)
@@ -81,9 +93,7 @@
 func (r *round) isActive(j *job) bool {
 	active, known := r.active[j]
 	if !known {
-		for _, u := range j.units {
-			active = active || u.phase == phaseActive
-		}
+		j.eachStep(func(_ stepID, units []*unit) { active = active || countActive(units) > 0 })
 		r.active[j] = active
 	}
 	return active
@@ -135,6 +145,7 @@
 func (r *round) anywhere(u *unit) []*candidate {
 	var all []*candidate
 	advice := r.cell.adviceFor(u)
+	r.work += len(r.candidates)
 	for _, cand := range r.candidates {
 		if r.cell.now >= cand.runner.avoidUntil && cand.runner.eligibleFor(u) && advice.allows(cand.runner.id) && r.keepsApart(u, cand) {
 			all = append(all, cand)
--- a/internal/process/jaycell/preempt.go
+++ b/internal/process/jaycell/preempt.go
@@ -70,6 +70,7 @@
 	r.costs[k] = costs
 	interrupted := map[*unit]int{}
 	for _, cand := range r.candidates {
+		r.work += len(cand.runner.placements)
 		for _, pl := range cand.runner.placements {
 			victim := pl.unit
 			if victim.phase != phaseActive || victim.stopping || k.guaranteed && !r.mayPreempt(k, victim) {
@@ -216,6 +217,7 @@
 		u.awaited = slices.DeleteFunc(u.awaited, func(a awaitedRun) bool { return !slices.Contains(sel.victims, a.unit) })
 	}
 	u.claims, u.claimedAt, u.yields = map[string]jaytask.Resources{}, c.now, len(stopped) == 0
+	c.claimants[u] = true
 	for _, cand := range sel.runners {
 		request := u.spec().Allocation()
 		u.claims[cand.runner.id] = u.claims[cand.runner.id].Add(request)
--- a/internal/process/jaycell/priority.go
+++ b/internal/process/jaycell/priority.go
@@ -48,30 +48,23 @@
 
 func (r *round) isGuaranteed(j *job) bool { return r.guaranteed[j] }
 
-// rankedUnit is a unit with its sort keys.
-type rankedUnit struct {
-	unit       *unit
-	guaranteed bool
-	tier       float64
-}
-
-// compare orders units: guaranteed jobs first, then by tier, then jobs that have
+// compare orders steps: guaranteed jobs first, then by tier, then jobs that have
 // started, since only complete jobs count, then by acceptance.
-func (a rankedUnit) compare(b rankedUnit) int {
+func (a *waitingStep) compare(b *waitingStep) int {
 	if a.guaranteed != b.guaranteed {
 		return compareFirst(a.guaranteed)
 	}
 	if a.tier != b.tier {
 		return cmp.Compare(a.tier, b.tier)
 	}
-	x, y := a.unit.job, b.unit.job
+	x, y := a.job, b.job
 	if x.started != y.started {
 		return compareFirst(x.started)
 	}
 	if x != y {
 		return compareFirst(acceptedBefore(x, y))
 	}
-	return cmp.Compare(a.unit.key(), b.unit.key())
+	return cmp.Compare(a.units[0].key(), b.units[0].key())
 }
 
 // compareFirst returns the comparison result that puts a before b if condition holds
--- a/internal/process/jaycell/round_bench_test.go
+++ b/internal/process/jaycell/round_bench_test.go
@@ -112,3 +112,46 @@
 		}
 	}
 }
+
+// wideJob returns a job of many steps, of which the first has all tasks but one a further step. Each
+// step waits for all before it.
+func wideJob(id string, accepted time.Time, steps, tasks int) *jaytask.Job {
+	j := &jaytask.Job{ID: id, Accepted: accepted, Policy: jaytask.Policy{Route: "wide", Service: "s", Priority: 2, MaxAttempts: 2, Stretch: 3, Objective: time.Second}}
+	for i := range steps {
+		s := step(1, 1)
+		if i == 0 {
+			s.Count = tasks - steps + 1
+		}
+		for a := range i {
+			s.After = append(s.After, a)
+		}
+		j.Steps = append(j.Steps, s)
+	}
+	return j
+}
+
+// BenchmarkRoundWithWideJob measures one round of decisions while a wide job waits for a pool that
+// is full of its own tasks.
+func BenchmarkRoundWithWideJob(b *testing.B) {
+	const workers, accelerators = 11, 8
+	for _, tasks := range []int{5000, 10_000, 20_000} {
+		for _, steps := range []int{1, 64, 256} {
+			b.Run(fmt.Sprintf("%d/%d", tasks, steps), func(b *testing.B) {
+				now, wall := time.Hour, time.UnixMilli(1_700_000_000_000)
+				c := New(testSettings(1, nil), now, wall)
+				for i := range workers {
+					c.ApplyReport(Report{Node: fmt.Sprint("n", i), Sequence: int64(now), Term: 1, Responsive: true, Runner: RunnerInfo{ID: fmt.Sprint("r", i), Service: "s", Capacity: jaytask.Resources{CPU: 32000, Memory: 131072, Accelerators: accelerators}}})
+				}
+				c.Submit(wideJob("wide", wall, steps, tasks))
+				c.Tick()
+				c.ConfirmStored(c.TakeBatch())
+				b.ReportAllocs()
+				for b.Loop() {
+					now, wall = now+time.Microsecond, wall.Add(time.Microsecond)
+					c.SetTime(now, wall)
+					c.Tick()
+				}
+			})
+		}
+	}
+}
--- a/internal/process/jaycell/schedule.go
+++ b/internal/process/jaycell/schedule.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"slices"
 	"sort"
+	"strings"
 	"time"
 
 	"github.com/jaystile/jaystile/internal/request/jaytask"
@@ -48,8 +49,8 @@
 	unreserved map[string]int
 	// patientRoom holds the free resources beside the headroom, by level.
 	patientRoom map[level]jaytask.Resources
-	// tried holds the units that were tried in this round.
-	tried map[*unit]bool
+	// work is the work done, as bounded by maxRoundWork.
+	work int
 	// costs caches preemptionCosts.
 	costs map[claimant]map[*unit]float64
 	// idle caches isIdle by service, active isActive by job.
@@ -74,59 +75,63 @@
 
 // schedule starts the units that fit, the most urgent first.
 func (c *Cell) schedule() {
-	c.queries, c.waitingForHeadroom = nil, 0
-	waiting := c.startableUnits()
-	if len(waiting) == 0 {
+	c.queries, c.waitingForHeadroom, c.undecided = nil, 0, 0
+	steps := c.waitingSteps()
+	if len(steps) == 0 {
+		clear(c.triedSteps)
 		return
 	}
 	r := c.newRound()
-	r.stopOverdueRuns(waiting)
-	sorted := r.sortByUrgency(waiting)
-	for _, u := range sorted {
-		r.scheduleStep(u)
-	}
-	for _, u := range sorted {
-		r.startInIdleRoom(u)
-	}
+	r.stopOverdueRuns()
+	r.sortByUrgency(steps)
+	r.tryAll(steps)
+	r.startAllInIdleRoom(steps)
+	c.lastWork = r.work
 }
 
-// scheduleStep tries to start the startable units of u's step, together if they must
-// start all or none. A step that was tried in this round is skipped.
-func (r *round) scheduleStep(u *unit) {
-	if r.tried[u] {
-		return
-	}
-	units := r.startableOf(u)
-	for _, t := range units {
-		r.tried[t] = true
-	}
-	if units = r.trySuspects(units); len(units) == 0 {
+// scheduleStep tries to start the units of a step, together if they must start all or
+// none.
+func (r *round) scheduleStep(s *waitingStep) {
+	s.tried = true
+	r.work++
+	if s.isOver() {
 		return
 	}
-	units = units[:r.startLimit(u, len(units))]
+	units := r.trySuspects(s.units)
 	if len(units) == 0 {
 		return
 	}
+	u := units[0]
+	units = units[:r.startLimit(u, len(units))]
 	if len(units) > 1 && r.allOrNothing(u) && r.poolHolds(u, len(units)) {
 		r.placeUnits(units)
 		return
 	}
-	for _, t := range units {
-		r.placeUnits([]*unit{t})
+	blocked := false
+	for i, t := range units {
+		switch plain := t.isPlain(); {
+		case s.isOver() || i > 0 && r.isSpent(maxRoundWork):
+			return
+		case blocked && plain:
+			// It would wait for the same.
+		default:
+			fitting := r.placeUnits(units[i : i+1])
+			blocked = blocked || plain && !fitting
+		}
 	}
 }
 
-// sortByUrgency sorts units in place, the most urgent first.
-func (r *round) sortByUrgency(units []*unit) []*unit {
-	all := make([]rankedUnit, len(units))
-	for i, u := range units {
-		all[i] = rankedUnit{unit: u, guaranteed: r.isGuaranteed(u.job), tier: r.cell.tier(u)}
-	}
-	slices.SortFunc(all, rankedUnit.compare)
-	for i, x := range all {
-		units[i] = x.unit
+// isPlain reports whether nothing but its step decides where the unit may run.
+func (u *unit) isPlain() bool {
+	return u.claims == nil && len(u.avoidUntil) == 0 && u.awaitingSince == 0
+}
+
+// sortByUrgency sorts steps, the most urgent first.
+func (r *round) sortByUrgency(steps []*waitingStep) {
+	for _, s := range steps {
+		s.guaranteed, s.tier = r.isGuaranteed(s.job), r.cell.tier(s.units[0])
 	}
-	return units
+	slices.SortFunc(steps, (*waitingStep).compare)
 }
 
 // allOrNothing reports whether the tasks of u's step start all or none although they
@@ -139,17 +144,6 @@
 	return r.isGuaranteed(u.job) || r.cell.slack(u) >= 0
 }
 
-// startableOf returns the startable units of u's step.
-func (r *round) startableOf(u *unit) []*unit {
-	var all []*unit
-	for _, w := range u.job.unitTable[u.occurrence][u.step] {
-		if w != nil && w.startable(r.cell.now) {
-			all = append(all, w)
-		}
-	}
-	return all
-}
-
 // poolHolds reports whether the empty pool could hold n tasks like u's at once.
 func (r *round) poolHolds(u *unit, n int) bool {
 	slots := 0
@@ -159,25 +153,8 @@
 	return slots >= n
 }
 
-// startableUnits returns the units that may start now.
-func (c *Cell) startableUnits() []*unit {
-	var all []*unit
-	for _, j := range c.jobs {
-		if j.state.Ended() || j.canceled {
-			continue
-		}
-		j.createReadyUnits(c.wall.Add(-dueSlack))
-		for _, u := range j.units {
-			if u.startable(c.now) {
-				all = append(all, u)
-			}
-		}
-	}
-	return all
-}
-
 func (c *Cell) newRound() *round {
-	r := &round{cell: c, guaranteed: c.guaranteedJobs(), byRack: map[string][]*candidate{}, unreserved: map[string]int{}, patientRoom: map[level]jaytask.Resources{}, tried: map[*unit]bool{}, costs: map[claimant]map[*unit]float64{}, unplaceable: map[shape]bool{}, idle: map[string]bool{}, active: map[*job]bool{}}
+	r := &round{cell: c, guaranteed: c.guaranteedJobs(), byRack: map[string][]*candidate{}, unreserved: map[string]int{}, patientRoom: map[level]jaytask.Resources{}, costs: map[claimant]map[*unit]float64{}, unplaceable: map[shape]bool{}, idle: map[string]bool{}, active: map[*job]bool{}}
 	claimed := c.claimedResources()
 	for _, runner := range c.sortedRunners() {
 		if !runner.acceptsWork(c.now) {
@@ -199,46 +176,56 @@
 // to a start in time are dropped.
 func (c *Cell) claimedResources() map[string]jaytask.Resources {
 	sum := map[string]jaytask.Resources{}
-	for _, j := range c.jobs {
-		for _, u := range j.units {
-			if u.claims == nil {
-				continue
-			}
-			if u.phase != phaseWaiting || u.yields || c.now-u.claimedAt > c.settings.StopTimeout+claimGrace {
-				u.claims = nil
-				continue
-			}
-			for id, claim := range u.claims {
-				sum[id] = sum[id].Add(claim)
-			}
+	for u := range c.claimants {
+		if u.phase != phaseWaiting || u.yields || c.now-u.claimedAt > c.settings.StopTimeout+claimGrace {
+			u.claims = nil
+		}
+		if u.claims == nil {
+			delete(c.claimants, u)
+		}
+		for id, claim := range u.claims {
+			sum[id] = sum[id].Add(claim)
 		}
 	}
 	return sum
 }
 
+// sortedClaimants returns the units with claims, by key.
+func (c *Cell) sortedClaimants() []*unit {
+	var all []*unit
+	for u := range c.claimants {
+		if u.claims != nil {
+			all = append(all, u)
+		}
+	}
+	slices.SortFunc(all, func(a, b *unit) int { return strings.Compare(a.key(), b.key()) })
+	return all
+}
+
 func (r *round) shapeOf(u *unit) shape {
 	s := u.spec()
 	return shape{service: u.job.spec.Policy.Service, resources: s.Allocation(), count: u.count, sameRack: s.SameRack, label: s.Label, dataRack: s.DataRack, maxPerRunner: s.MaxPerRunner, priority: u.job.spec.Policy.Priority, guaranteed: r.isGuaranteed(u.job)}
 }
 
 // placeUnits starts identical units together, preempts others for them, or leaves
-// them waiting for resources or tickets.
-func (r *round) placeUnits(units []*unit) {
+// them waiting for resources or tickets. It reports whether plain units of the same step may
+// fare better in this round.
+func (r *round) placeUnits(units []*unit) bool {
 	u := units[0]
 	n := len(units) * u.count
 	k := r.shapeOf(u)
 	k.count = n
 	if !r.mayUseReserve(u) {
-		return
+		return false
 	}
 	if !r.mayUseHeadroom(u) {
 		r.cell.waitingForHeadroom += len(units)
-		return
+		return false
 	}
 	// Failures for reasons of this unit, such as avoided runners, are not cached.
 	cacheable := u.claims == nil && len(u.avoidUntil) == 0 && u.spec().MaxPerRunner == 0 && u.spec().DataRack == "" && r.cell.adviceFor(u) == nil
 	if cacheable && r.unplaceable[k] {
-		return
+		return false
 	}
 	r.releaseClaims(u)
 	sel, ok := r.selectAny(u, n)
@@ -249,8 +236,10 @@
 		if cacheable {
 			r.unplaceable[k] = true
 		}
+		return false
 	case len(sel.victims) == 0 && !r.haveValidTickets(u, sel.runners):
 		r.reapplyClaims(u)
+		return false
 	case len(sel.victims) == 0:
 		u.claims = nil
 		for i, t := range units {
@@ -259,6 +248,7 @@
 	default:
 		r.preempt(u, sel)
 	}
+	return true
 }
 
 // selectAny selects runners for n members like those of u: where they run at full speed,
@@ -331,6 +321,7 @@
 		cand.free = cand.free.Sub(pl.resources)
 		r.unreserved[u.job.spec.Policy.Service] -= pl.resources.Accelerators
 		r.takePatientRoom(u.job.spec.Policy.Service, pl.resources)
+		r.work += startWork
 		c.pendingStarts = append(c.pendingStarts, pl)
 		c.reportDecision(Decision{Job: u.job.spec.ID, Task: pl.task(), Run: u.run, Runner: cand.runner.id, Event: "place", Outcome: "start", Reason: reason, AgeMS: c.jobAgeMS(u.job)})
 	}
--- a/internal/process/jaycell/select.go
+++ b/internal/process/jaycell/select.go
@@ -117,6 +117,7 @@
 	if rack != "" {
 		candidates = r.byRack[rack]
 	}
+	r.work += len(candidates)
 	for _, cand := range candidates {
 		runner := cand.runner
 		if !runner.eligibleFor(u) || !advice.allows(runner.id) || !r.keepsApart(u, cand) || shunsCrashes && u.hasCrashedOn(runner.node) {
@@ -164,6 +165,7 @@
 	options := make([]preemptionOption, len(candidates))
 	var sel selection
 	for m := 0; m < n; m++ {
+		r.work += len(candidates)
 		best, victims, cost := -1, []*unit(nil), 0.0
 		bestLeftover := 0
 		for i, cand := range candidates {
@@ -179,6 +181,7 @@
 				}
 				o := &options[i]
 				if !o.known {
+					r.work += len(cand.runner.placements)
 					o.victims, o.cost, o.possible = cheapestVictims(request, free[i], cand, costs, stopped)
 					o.known = true
 				}
--- a/internal/process/jaycell/startlimit.go
+++ b/internal/process/jaycell/startlimit.go
@@ -46,12 +46,7 @@
 	if s.Gang || s.Daemon || s.Count == 1 || r.isGuaranteed(u.job) {
 		return n
 	}
-	running := 0
-	for _, w := range u.job.unitTable[u.occurrence][u.step] {
-		if w != nil && w.phase == phaseActive {
-			running++
-		}
-	}
+	running := countActive(u.job.unitTable[u.occurrence][u.step])
 	limit := (c.poolSlots(u.job, u.step) + wavesPerPool - 1) / wavesPerPool
 	if runTime := c.estimate(u.job, u.step); runTime > 0 {
 		// waves is how many waves the step has time for; if not one, it is late anyway.
--- a/internal/process/jaycell/unit.go
+++ b/internal/process/jaycell/unit.go
@@ -82,6 +82,30 @@
 	return u.phase == phaseWaiting && now >= u.notBefore
 }
 
+// startable returns those of a step's units that may start now.
+func startable(units []*unit, now time.Duration) []*unit {
+	var all []*unit
+	for _, u := range units {
+		if u != nil && u.startable(now) {
+			all = append(all, u)
+		}
+	}
+	return all
+}
+
+// countPhase counts the units in a phase.
+func countPhase(units []*unit, p phase) int {
+	n := 0
+	for _, u := range units {
+		if u != nil && u.phase == p {
+			n++
+		}
+	}
+	return n
+}
+
+func countActive(units []*unit) int { return countPhase(units, phaseActive) }
+
 // exhausted reports whether the unit has used up its attempts.
 func (u *unit) exhausted() bool {
 	return !u.spec().Daemon && len(u.failedRuns) >= max(u.job.spec.Policy.MaxAttempts, 1)
@@ -274,6 +298,9 @@
 	// measuredRunTimes holds run times extrapolated from the progress of the job's own
 	// runs, by step.
 	measuredRunTimes map[int]time.Duration
+	// paths caches Cell.remainingPaths, as of pathsVersion.
+	paths        []time.Duration
+	pathsVersion uint64
 	// healthy is set once a run of the job has worked for a while; suspects holds the
 	// runners on which runs failed at once before.
 	healthy  bool
--- a/internal/process/jaycontroller/leadership.go
+++ b/internal/process/jaycontroller/leadership.go
@@ -141,6 +141,12 @@
 // that may come.
 var waitingForHeadroom = metrics.NewGauge("jaystile_units_waiting_for_headroom", nil)
 
+// undecidedSteps is how many steps of jobs the last round has left to the next ones.
+var undecidedSteps = metrics.NewGauge("jaystile_undecided_steps", nil)
+
+// roundWork is the work of a round of decisions, in looks at a runner.
+var roundWork = metrics.NewHistogram("jaystile_round_work")
+
 // tickSeconds is how long the leader takes to decide once.
 var tickSeconds = metrics.NewHistogram("jaystile_tick_seconds")
 
@@ -303,6 +309,8 @@
 		l.cell.SetStarting((!l.writing || now-l.writingSince < maxStartDelay) && knowsEvacuations)
 		l.cell.Tick()
 		waitingForHeadroom.Set(float64(l.cell.WaitingForHeadroom()))
+		undecidedSteps.Set(float64(l.cell.Undecided()))
+		roundWork.Update(float64(l.cell.RoundWork()))
 		l.logRemainingPool()
 		if !l.writing {
 			batch = l.cell.TakeBatch()
--- a/internal/request/jaytask/job.go
+++ b/internal/request/jaytask/job.go
@@ -5,6 +5,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 )
 
@@ -207,6 +208,12 @@
 	return nil
 }
 
+// DistinctSteps returns the step indexes of a list without repeats, in order: callers may name a step
+// any number of times.
+func DistinctSteps(steps []int) []int {
+	return slices.Compact(slices.Sorted(slices.Values(steps)))
+}
+
 func (s Step) validate(index int) error {
 	field := fmt.Sprintf("step %d", index)
 	if s.Count < 1 || s.Count > MaxTasks {
--- a/internal/request/jaytask/record.go
+++ b/internal/request/jaytask/record.go
@@ -108,7 +108,7 @@
 	}
 	for i, s := range r.Steps {
 		j.Steps[i] = Step{
-			Count: s.Count, Resources: Resources{CPU: s.CPU, Memory: s.Memory, Accelerators: s.Accelerators}, Estimate: time.Duration(s.Estimate), After: s.After,
+			Count: s.Count, Resources: Resources{CPU: s.CPU, Memory: s.Memory, Accelerators: s.Accelerators}, Estimate: time.Duration(s.Estimate), After: DistinctSteps(s.After),
 			Checkpoint: s.Flags&flagCheckpoint != 0, Gang: s.Flags&flagGang != 0, SameRack: s.Flags&flagSameRack != 0,
 			Speculative: s.Flags&flagSpeculative != 0, Daemon: s.Flags&flagDaemon != 0, BestEffort: s.Flags&flagBestEffort != 0,
 			Label: s.Label, DataRack: s.DataRack, MaxPerRunner: s.MaxPerRunner, Image: s.Image, LatencyTarget: time.Duration(s.LatencyTarget), MaxUnavailable: s.MaxUnavailable,
