Starts of a wide job never exceed a frame, and leave room for others

Cause: only receivers knew the size of a frame, 8 MiB. The orders for a node were one message, with the Spec in each; nothing bounded the starts of a runner (12,800 here, 51 MB). The agent closed the link ("read limit exceeded"), and the next one began with the same message ("new connection").

Change: messages are checked before the socket, by a typed error, for all kinds. Orders and states go in parts of 256 KiB. A runner gets at most 256 starts that it has not listed, 192 for priorities after 0, and 4,096 runs; the rest of a step waits with the leader, where more urgent work goes first, so that new links repeat a bounded number. Related paths: reports are bounded by the crashes that they hold, and go without checkpoints before they would not go at all; agents have at most 32 start and 32 stop calls open; heartbeat responses carry 256 KiB of starts; a run is looked up in a listing, not searched.

Conclusion: what is sent is bounded where it is made.

--- a/internal/connection/jayframe/codec.go
+++ b/internal/connection/jayframe/codec.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"reflect"
 
 	"github.com/fxamacker/cbor/v2"
 )
@@ -63,6 +64,20 @@
 // Unwrap returns the codec's error.
 func (e *CorruptError) Unwrap() error { return e.Cause }
 
+// TooLargeError reports a message that the receiver would refuse for its size, so that it is not sent.
+type TooLargeError struct {
+	Kind Kind
+	// Size is that of the frame in bytes, or of a list in the message in elements.
+	Size int
+	Max  int
+	Unit string
+}
+
+// Error implements error.
+func (e *TooLargeError) Error() string {
+	return fmt.Sprintf("frame of kind %d is too large: %d %s, at most %d", e.Kind, e.Size, e.Unit, e.Max)
+}
+
 // UnknownKindError reports a message of a kind that this version does not support.
 type UnknownKindError struct{ Kind Kind }
 
@@ -96,7 +111,7 @@
 	return m
 }
 
-// Encode returns the encoded frame.
+// Encode returns the encoded frame, or a TooLargeError if no receiver would accept it.
 func Encode(f Frame) ([]byte, error) {
 	body, err := encoder.Marshal(f.message)
 	if err != nil {
@@ -106,9 +121,45 @@
 	if err != nil {
 		return nil, &CorruptError{Kind: f.message.Kind(), Cause: err}
 	}
+	if len(b) > MaxFrameBytes {
+		return nil, &TooLargeError{Kind: f.message.Kind(), Size: len(b), Max: MaxFrameBytes, Unit: "bytes"}
+	}
+	// A longer list has more bytes than elements.
+	if len(b) > maxArrayElements {
+		if n := longestList(reflect.ValueOf(f.message)); n > maxArrayElements {
+			return nil, &TooLargeError{Kind: f.message.Kind(), Size: n, Max: maxArrayElements, Unit: "elements"}
+		}
+	}
 	return b, nil
 }
 
+// longestList returns the number of elements of the longest list in a message. Strings and bytes are
+// no lists.
+func longestList(v reflect.Value) int {
+	switch v.Kind() {
+	case reflect.Pointer:
+		return longestList(v.Elem())
+	case reflect.Struct:
+		n := 0
+		for _, field := range v.Fields() {
+			n = max(n, longestList(field))
+		}
+		return n
+	case reflect.Slice:
+		if v.Type().Elem().Kind() == reflect.Uint8 {
+			return 0
+		}
+		n := v.Len()
+		for i := range v.Len() {
+			n = max(n, longestList(v.Index(i)))
+		}
+		return n
+	case reflect.Map:
+		return v.Len()
+	}
+	return 0
+}
+
 // Decode decodes one frame or returns a CorruptError or an UnknownKindError.
 func Decode(b []byte) (Frame, error) {
 	var e envelope
--- a/internal/connection/jayframe/codec_test.go
+++ b/internal/connection/jayframe/codec_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"errors"
+	"reflect"
+	"strings"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -66,3 +68,71 @@
 		assert.Assert(t, err == nil || errors.As(err, &corrupt) || errors.As(err, &unknown))
 	})
 }
+
+// fillLargest sets each string, byte slice and list of a message, also those in the first element of a
+// list, to what no receiver accepts. It returns how many it has set.
+func fillLargest(v reflect.Value) int {
+	n := 0
+	switch v.Kind() {
+	case reflect.String:
+		v.SetString(strings.Repeat("x", MaxFrameBytes))
+		return 1
+	case reflect.Struct:
+		for f, field := range v.Fields() {
+			if f.IsExported() {
+				n += fillLargest(field)
+			}
+		}
+	case reflect.Slice:
+		if v.Type().Elem().Kind() == reflect.Uint8 {
+			v.SetBytes(make([]byte, MaxFrameBytes))
+			return 1
+		}
+		v.Set(reflect.MakeSlice(v.Type(), 1, 1))
+		if n = fillLargest(v.Index(0)); n == 0 {
+			v.Set(reflect.MakeSlice(v.Type(), maxArrayElements+1, maxArrayElements+1))
+			n = 1
+		}
+	}
+	return n
+}
+
+// Guards against senders that build what their receivers refuse, by whatever part of a message grows.
+func TestNoKindIsEncodedBeyondWhatReceiversAccept(t *testing.T) {
+	for k := range constructors {
+		m := newMessage(Kind(k))
+		if m == nil || fillLargest(reflect.ValueOf(m).Elem()) == 0 {
+			continue
+		}
+		_, err := Encode(NewFrame(m))
+		var large *TooLargeError
+		assert.Assert(t, errors.As(err, &large), "%T: %v", m, err)
+		assert.Equal(t, large.Kind, Kind(k))
+	}
+}
+
+// Guards against lists that receivers refuse although the frame is small enough.
+func TestLongListsAreNotEncoded(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		message  Message
+		accepted bool
+	}{
+		{"as many records as accepted", &StoredRecords{Records: make([]StoredRecord, maxArrayElements)}, true},
+		{"one more", &StoredRecords{Records: make([]StoredRecord, maxArrayElements+1)}, false},
+		{"a list in a list", &CellReport{Crashes: []CellCrash{{}, {Runs: make([]CellCrashedRun, maxArrayElements+1)}}}, false},
+		{"bytes are no list", &StoreReply{Body: make([]byte, maxArrayElements+1)}, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			b, err := Encode(NewFrame(c.message))
+			if c.accepted {
+				assert.NilError(t, err)
+				_, err = Decode(b)
+				assert.NilError(t, err)
+				return
+			}
+			var large *TooLargeError
+			assert.Assert(t, errors.As(err, &large), "%v", err)
+		})
+	}
+}
--- a/internal/connection/jaylink/link.go
+++ b/internal/connection/jaylink/link.go
@@ -12,6 +12,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/fasthttp/websocket"
 	"github.com/sourcegraph/conc"
 
@@ -23,6 +24,10 @@
 // outboxFrames bounds the frames that wait to be written to one link.
 const outboxFrames = 4096
 
+// framesNotSent counts the messages that could not be encoded, such as those that the peer would refuse
+// for their size.
+var framesNotSent = metrics.NewCounter("jaystile_frames_not_sent_total")
+
 // settleInterval is how often Settle checks the acknowledgements.
 const settleInterval = 10 * time.Millisecond
 
@@ -176,6 +181,7 @@
 func (l *Link) enqueue(f jayframe.Frame) error {
 	b, err := jayframe.Encode(f)
 	if err != nil {
+		framesNotSent.Inc()
 		return fmt.Errorf("send to %s: %w", l.peer, err)
 	}
 	select {
--- a/internal/process/jaycell/invariant.go
+++ b/internal/process/jaycell/invariant.go
@@ -39,6 +39,9 @@
 		if !c.checkInvariant(left.CPU >= 0 && left.Memory >= 0 && left.Accelerators >= 0, "a runner is not overfilled", u) {
 			return false
 		}
+		if !c.checkInvariant(need[runner] <= runner.startSlots(u), "a runner's backlog of starts is bounded", u) {
+			return false
+		}
 		if limit := u.spec().MaxPerRunner; !c.checkInvariant(limit == 0 || r.countSameStep(u, runner)+need[runner] <= limit, "tasks are spread", u) {
 			return false
 		}
--- a/internal/process/jaycell/progress.go
+++ b/internal/process/jaycell/progress.go
@@ -7,6 +7,7 @@
 func (c *Cell) recordProgress(pl *placement, run Run) {
 	if !pl.confirmed {
 		pl.confirmed, pl.confirmedAt = true, c.now
+		pl.runner.unlisted--
 		pl.progressAt, pl.percent, pl.firstPercent = c.now, run.Percent, run.Percent
 	}
 	if run.Percent != pl.percent {
--- a/internal/process/jaycell/recordsize.go
+++ b/internal/process/jaycell/recordsize.go
@@ -25,6 +25,8 @@
 	namesBytes = 54
 	// minCheckpointBytes is the space for a checkpoint that every unit has.
 	minCheckpointBytes = 4 << 10
+	// maxCheckpointBytes bounds a checkpoint where the store bounds none: each start carries it.
+	maxCheckpointBytes = 1 << 20
 	// crashesPerTask is how many crashes of runners under each task have space. A task under which
 	// as many runners have crashed may be given up.
 	crashesPerTask = 2
@@ -129,8 +131,12 @@
 	if checkpoint == "" {
 		return
 	}
-	if most := c.settings.MaxRecordBytes - unitBytes(*u.spec(), u.job.spec.Policy); c.settings.MaxRecordBytes > 0 && len(checkpoint) > max(most, minCheckpointBytes) {
-		c.reportDecision(Decision{Job: u.job.spec.ID, Task: u.key(), Run: u.run, Event: "checkpoint", Outcome: "ignored", Reason: fmt.Sprintf("too large to be stored: %d bytes, at most %d", len(checkpoint), max(most, minCheckpointBytes)), AgeMS: c.jobAgeMS(u.job)})
+	most := maxCheckpointBytes
+	if c.settings.MaxRecordBytes > 0 {
+		most = max(c.settings.MaxRecordBytes-unitBytes(*u.spec(), u.job.spec.Policy), minCheckpointBytes)
+	}
+	if len(checkpoint) > most {
+		c.reportDecision(Decision{Job: u.job.spec.ID, Task: u.key(), Run: u.run, Event: "checkpoint", Outcome: "ignored", Reason: fmt.Sprintf("too large to be stored: %d bytes, at most %d", len(checkpoint), most), AgeMS: c.jobAgeMS(u.job)})
 		return
 	}
 	u.checkpoint = checkpoint
--- a/internal/process/jaycell/runner.go
+++ b/internal/process/jaycell/runner.go
@@ -189,6 +189,8 @@
 	drainDoubtEnd time.Duration
 	placements    map[string]*placement
 	used          jaytask.Resources
+	// unlisted counts the placements that the runner has not listed yet.
+	unlisted int
 	// stray is what the listed runs without a placement need, which are being stopped.
 	// hasUnknownStray is set while that is not known of all of them.
 	stray           jaytask.Resources
@@ -273,6 +275,9 @@
 func (r *Runner) addPlacement(pl *placement) {
 	r.placements[pl.task()] = pl
 	r.used = r.used.Add(pl.resources)
+	if !pl.confirmed {
+		r.unlisted++
+	}
 }
 
 func (r *Runner) removePlacement(pl *placement) {
@@ -281,4 +286,7 @@
 	}
 	delete(r.placements, pl.task())
 	r.used = r.used.Sub(pl.resources)
+	if !pl.confirmed {
+		r.unlisted--
+	}
 }
--- a/internal/process/jaycell/schedule.go
+++ b/internal/process/jaycell/schedule.go
@@ -71,6 +71,7 @@
 	maxPerRunner int
 	priority     int
 	guaranteed   bool
+	gang         bool
 }
 
 // schedule starts the units that fit, the most urgent first.
@@ -148,7 +149,7 @@
 func (r *round) poolHolds(u *unit, n int) bool {
 	slots := 0
 	for _, cand := range r.eligible(u, "") {
-		slots += capacityFor(cand.runner.info.Capacity, u, n)
+		slots += min(capacityFor(cand.runner.info.Capacity, u, n), u.startLimit())
 	}
 	return slots >= n
 }
@@ -204,7 +205,7 @@
 
 func (r *round) shapeOf(u *unit) shape {
 	s := u.spec()
-	return shape{service: u.job.spec.Policy.Service, resources: s.Allocation(), count: u.count, sameRack: s.SameRack, label: s.Label, dataRack: s.DataRack, maxPerRunner: s.MaxPerRunner, priority: u.job.spec.Policy.Priority, guaranteed: r.isGuaranteed(u.job)}
+	return shape{service: u.job.spec.Policy.Service, resources: s.Allocation(), count: u.count, sameRack: s.SameRack, label: s.Label, dataRack: s.DataRack, maxPerRunner: s.MaxPerRunner, priority: u.job.spec.Policy.Priority, guaranteed: r.isGuaranteed(u.job), gang: s.Gang}
 }
 
 // placeUnits starts identical units together, preempts others for them, or leaves
--- a/internal/process/jaycell/select.go
+++ b/internal/process/jaycell/select.go
@@ -97,6 +97,7 @@
 // capacityFor returns how many of n members of a unit an empty runner holds.
 func capacityFor(capacity jaytask.Resources, u *unit, n int) int {
 	s := u.spec()
+	n = min(n, u.runLimit())
 	if s.MaxPerRunner > 0 {
 		n = min(n, s.MaxPerRunner)
 	}
@@ -153,10 +154,11 @@
 // runners.
 func (r *round) assign(u *unit, n int, candidates []*candidate, costs map[*unit]float64) (selection, bool) {
 	free := make([]jaytask.Resources, len(candidates))
+	slots := make([]int, len(candidates))
 	counts := make([]int, len(candidates))
 	request, limit, urgent := u.spec().Allocation(), u.spec().MaxPerRunner, u.job.spec.Policy.Priority == 0
 	for i, cand := range candidates {
-		free[i] = cand.free
+		free[i], slots[i] = cand.free, cand.runner.startSlots(u)
 		if limit > 0 {
 			counts[i] = r.countSameStep(u, cand.runner)
 		}
@@ -169,7 +171,7 @@
 		best, victims, cost := -1, []*unit(nil), 0.0
 		bestLeftover := 0
 		for i, cand := range candidates {
-			if limit > 0 && counts[i] >= limit {
+			if slots[i] <= 0 || limit > 0 && counts[i] >= limit {
 				continue
 			}
 			// Without free resources, the member needs victims on this runner.
@@ -221,6 +223,7 @@
 		free[best] = free[best].Sub(request)
 		options[best].known = false
 		counts[best]++
+		slots[best]--
 		sel.runners = append(sel.runners, candidates[best])
 	}
 	return sel, true
--- a/internal/process/jaycell/startlimit.go
+++ b/internal/process/jaycell/startlimit.go
@@ -29,7 +29,7 @@
 	}
 	for _, r := range c.runners {
 		if r.inPool() && r.info.Service == k.service {
-			n += k.request.CountIn(r.info.Capacity, jaytask.MaxTasks)
+			n += k.request.CountIn(r.info.Capacity, maxRunsPerRunner)
 		}
 	}
 	c.slots[k] = n
--- a/internal/process/jaycontroller/leaderlinks.go
+++ b/internal/process/jaycontroller/leaderlinks.go
@@ -1,6 +1,7 @@
 package jaycontroller
 
 import (
+	"errors"
 	"time"
 
 	"github.com/jaystile/jaystile/internal/connection/jayframe"
@@ -11,25 +12,25 @@
 // sendOrders sends orders to the agents that are linked; the others receive them
 // after they reconnect.
 func (l *leadership) sendOrders(orders []jaycell.Order) {
-	byNode := map[string]*jayframe.CellOrders{}
-	var nodes []string
-	for _, o := range orders {
-		m := byNode[o.Node]
-		if m == nil {
-			m = &jayframe.CellOrders{Term: l.term}
-			byNode[o.Node] = m
-			nodes = append(nodes, o.Node)
-		}
-		m.Orders = append(m.Orders, encodeOrder(o))
-	}
-	for _, node := range nodes {
-		link := l.controller.agentLink(node)
+	for _, n := range groupByNode(orders) {
+		link := l.controller.agentLink(n.node)
 		if link == nil {
 			continue
 		}
-		if err := link.Send(byNode[node]); err != nil {
-			l.controller.Logger.Warn().Str("event", "link").Str("peer", node).Err(err).Msg("cannot send orders; sending them again on the next link")
+		for _, part := range inParts(n.orders, orderBytes) {
+			err := link.Send(encodeOrders(l.term, part))
+			if err == nil {
+				continue
+			}
+			var tooLarge *jayframe.TooLargeError
+			if errors.As(err, &tooLarge) {
+				// Another link would not carry it either.
+				l.controller.Logger.Error().Str("event", "order").Str("peer", n.node).Str("task", part[0].Task).Err(err).Msg("cannot send an order for its size")
+				continue
+			}
+			l.controller.Logger.Warn().Str("event", "link").Str("peer", n.node).Err(err).Msg("cannot send orders; sending them again on the next link")
 			link.Close("cannot send orders")
+			break
 		}
 	}
 }
--- a/internal/process/jaycontroller/leaderrecords.go
+++ b/internal/process/jaycontroller/leaderrecords.go
@@ -9,7 +9,6 @@
 
 	"github.com/sourcegraph/conc"
 
-	"github.com/jaystile/jaystile/internal/connection/jayframe"
 	"github.com/jaystile/jaystile/internal/process/jaycell"
 	"github.com/jaystile/jaystile/internal/process/jaystore"
 	"github.com/jaystile/jaystile/internal/request/jaytask"
@@ -253,13 +252,10 @@
 // publishStates applies stored states of jobs and broadcasts them to the other
 // entries.
 func (l *leadership) publishStates(records []jaycell.Record) {
-	if len(records) == 0 {
-		return
-	}
-	m := &jayframe.StoredRecords{}
 	for _, r := range records {
 		l.controller.jobs.apply(r.Key, r.Value)
-		m.Records = append(m.Records, jayframe.StoredRecord{Key: r.Key, Value: r.Value})
 	}
-	l.controller.broadcast(m)
+	for _, part := range inParts(records, recordBytes) {
+		l.controller.broadcast(encodeRecords(part))
+	}
 }
--- a/internal/process/jaycontroller/pauses_test.go
+++ b/internal/process/jaycontroller/pauses_test.go
@@ -52,6 +52,21 @@
 	runs  map[string]int
 }
 
+// handle notes the starts in a message.
+func (s *startedTasks) handle(m jayframe.Message) {
+	orders, ok := m.(*jayframe.CellOrders)
+	if !ok {
+		return
+	}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	for _, o := range orders.Orders {
+		if o.Kind == uint8(jaycell.OrderStart) {
+			s.runs[o.Task] = o.Run
+		}
+	}
+}
+
 func (s *startedTasks) count() int {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
@@ -65,17 +80,7 @@
 	f.served.Store(true)
 	f.records.Store(true)
 	started := &startedTasks{runs: map[string]int{}}
-	f.onMessage.Store(func(m jayframe.Message) {
-		if orders, ok := m.(*jayframe.CellOrders); ok {
-			started.mutex.Lock()
-			defer started.mutex.Unlock()
-			for _, o := range orders.Orders {
-				if o.Kind == uint8(jaycell.OrderStart) {
-					started.runs[o.Task] = o.Run
-				}
-			}
-		}
-	})
+	f.onMessage.Store(started.handle)
 	f.controller.Logger = zerolog.New(log)
 	f.controller.config.Store(jayconfig.NewConfig(1, nil, nil, nil, jayconfig.Limits{}))
 	f.leadership.loaded = false
--- a/internal/process/jaysupervisor/agent.go
+++ b/internal/process/jaysupervisor/agent.go
@@ -260,7 +260,18 @@
 	if l == nil {
 		return
 	}
-	if err := l.Send(encodeReport(r)); err != nil {
+	err := l.Send(encodeReport(r))
+	var tooLarge *jayframe.TooLargeError
+	if errors.As(err, &tooLarge) {
+		// The runner's lease depends on the report, while the checkpoint of a run matters only once
+		// its runner is lost.
+		for i := range r.Running {
+			r.Running[i].Checkpoint = ""
+		}
+		a.Logger.Warn().Str("event", "report").Str("runner", r.Runner.ID).Int("runs", len(r.Running)).Err(err).Msg("sending a report without checkpoints")
+		err = l.Send(encodeReport(r))
+	}
+	if err != nil {
 		a.Logger.Debug().Str("event", "link").Str("peer", l.Peer()).Err(err).Msg("cannot send a report")
 	}
 }
--- a/internal/process/jaysupervisor/crash.go
+++ b/internal/process/jaysupervisor/crash.go
@@ -22,6 +22,8 @@
 	// maxKeptCrashes bounds the crashes that are kept until the leader has recorded them;
 	// a runner takes seconds to come back, so that the oldest are minutes old.
 	maxKeptCrashes = 16
+	// maxKeptCrashedRuns bounds their runs: a report holds them all.
+	maxKeptCrashedRuns = 32 << 10
 	// maxCrashedRuns bounds the runs that the log line of a crash names.
 	maxCrashedRuns = 10
 )
@@ -147,7 +149,7 @@
 	}
 	s.crashRecorded = true
 	c := jaycell.Crash{Runner: s.runner.ID, Runs: s.exposedRuns()}
-	if len(s.crashes) == maxKeptCrashes {
+	for len(s.crashes) > 0 && (len(s.crashes) >= maxKeptCrashes || s.countCrashedRuns()+len(c.Runs) > maxKeptCrashedRuns) {
 		s.Logger.Warn().Str("event", "crash").Str("runner", s.crashes[0].Runner).Str("outcome", "dropped").Msg("too many crashes that no leader has recorded")
 		s.crashes = s.crashes[1:]
 	}
@@ -160,6 +162,15 @@
 	jaycontroller.Signal(s.reportSignal)
 }
 
+// countCrashedRuns returns how many runs the kept crashes have.
+func (s *Supervisor) countCrashedRuns() int {
+	n := 0
+	for _, c := range s.crashes {
+		n += len(c.Runs)
+	}
+	return n
+}
+
 // exposedRuns returns the runs that were on the runner, or may have begun, when it ended.
 func (s *Supervisor) exposedRuns() []jaycell.CrashedRun {
 	var runs []jaycell.CrashedRun
--- a/internal/process/jaysupervisor/heartbeats.go
+++ b/internal/process/jaysupervisor/heartbeats.go
@@ -22,6 +22,8 @@
 	// maxStartsSent is how many responses carry a start that the runner does not list
 	// before the start is withdrawn by a stop: one response may be lost.
 	maxStartsSent = 2
+	// maxResponseBytes bounds the starts in one response: those that are left come with the next one.
+	maxResponseBytes = 256 << 10
 	// maxPastIncarnations bounds the past incarnations of a runner that are remembered to
 	// ignore their late heartbeats.
 	maxPastIncarnations = 16
@@ -119,6 +121,7 @@
 	}
 	slices.Sort(tasks)
 	evacuation := s.evacuation.Check(s.Elapsed())
+	bytes := 0
 	for _, task := range tasks {
 		o := s.orders[task]
 		switch {
@@ -137,6 +140,13 @@
 		case !o.stop && (s.runner.Draining || o.timesSent >= maxStartsSent):
 			s.withdraw(o, ReasonNotStarted)
 		}
+		if !o.stop {
+			size := len(o.Spec) + len(o.Checkpoint) + len(o.Ticket)
+			if bytes > 0 && bytes+size > maxResponseBytes {
+				continue
+			}
+			bytes += size
+		}
 		o.timesSent++
 		if o.stop {
 			r.Stops = append(r.Stops, Stop{Task: task, Run: o.Run})
--- a/internal/process/jaysupervisor/orders.go
+++ b/internal/process/jaysupervisor/orders.go
@@ -128,31 +128,27 @@
 // start repeats a start call until the runner answers. Starts are idempotent.
 func (s *Supervisor) start(ctx context.Context, o *order) {
 	for ctx.Err() == nil {
-		// As in poll, a call that has waited since the decision to make it is not sent.
-		callUntil := time.Now().Add(callTimeout)
-		s.mutex.Lock()
-		request := Start{Incarnation: o.Runner, Task: o.Task, Run: o.Run, Spec: o.Spec, Checkpoint: o.Checkpoint, Ticket: o.Ticket, Deadline: s.leaseDeadline(), Fence: o.term}
-		draining, shrunk, evacuation := s.runner.Draining || s.deregistered, s.hasShrunk(o), s.evacuation.Check(s.Elapsed())
-		ready := evacuation == jayevacuation.Start && s.grantedUntil-s.Elapsed() > minLeaseLeft && request.Deadline > 0 && s.knowsCapacity() && !s.isDoubted()
-		s.mutex.Unlock()
-		if draining {
-			s.refuse(ctx, o, ReasonDraining)
+		closeCall := openCall(ctx, s.startCalls)
+		if closeCall == nil {
 			return
 		}
-		if shrunk {
-			s.refuse(ctx, o, ReasonShrunk)
-			return
+		// As in poll, a call that has waited since the decision to make it is not sent.
+		callUntil := time.Now().Add(callTimeout)
+		request, refusal, ready := s.prepareStart(o)
+		var err error
+		if ready {
+			o.calls++
+			err = s.tryStart(ctx, request, callUntil)
 		}
-		if evacuation == jayevacuation.Refuse {
-			s.refuse(ctx, o, ReasonEvacuated)
+		closeCall()
+		if refusal != "" {
+			s.refuse(ctx, o, refusal)
 			return
 		}
 		if !ready {
 			jayclock.Sleep(ctx, retryDelay)
 			continue
 		}
-		o.calls++
-		err := s.tryStart(ctx, request, callUntil)
 		s.noteCallError(o.Runner, err)
 		s.noteStartCall(o, err)
 		if err != nil {
@@ -186,6 +182,25 @@
 	}
 }
 
+// prepareStart returns the start call for an order and whether it may be made now, or why the start is
+// refused.
+func (s *Supervisor) prepareStart(o *order) (request Start, refusal string, ready bool) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	request = Start{Incarnation: o.Runner, Task: o.Task, Run: o.Run, Spec: o.Spec, Checkpoint: o.Checkpoint, Ticket: o.Ticket, Deadline: s.leaseDeadline(), Fence: o.term}
+	evacuation := s.evacuation.Check(s.Elapsed())
+	switch {
+	case s.runner.Draining || s.deregistered:
+		return request, ReasonDraining, false
+	case s.hasShrunk(o):
+		return request, ReasonShrunk, false
+	case evacuation == jayevacuation.Refuse:
+		return request, ReasonEvacuated, false
+	}
+	ready = evacuation == jayevacuation.Start && s.grantedUntil-s.Elapsed() > minLeaseLeft && request.Deadline > 0 && s.knowsCapacity() && !s.isDoubted()
+	return request, "", ready
+}
+
 func (s *Supervisor) tryStart(ctx context.Context, request Start, until time.Time) error {
 	ctx, cancel := context.WithDeadline(ctx, until)
 	defer cancel()
@@ -246,9 +261,14 @@
 // stop repeats a stop call until the runner answers, then waits for the run to end.
 func (s *Supervisor) stop(ctx context.Context, o *order) {
 	for ctx.Err() == nil {
+		closeCall := openCall(ctx, s.stopCalls)
+		if closeCall == nil {
+			return
+		}
 		call, cancel := context.WithTimeout(ctx, callTimeout)
 		err := s.Client.Stop(call, Stop{Incarnation: o.Runner, Task: o.Task, Run: o.Run, Fence: o.term})
 		cancel()
+		closeCall()
 		s.noteCallError(o.Runner, err)
 		var refused *RefusedError
 		var replaced *ReplacedError
@@ -291,12 +311,24 @@
 	return s.listingRequestedAt > after && s.listing.showsAllEnds()
 }
 
+// listedRun identifies a run in a listing.
+type listedRun struct {
+	task string
+	run  int
+}
+
 // isListed reports whether the newest listing shows a run as running.
 func (s *Supervisor) isListed(task string, run int) bool {
-	for _, r := range s.listing.Running {
-		if r.Task == task && r.Run == run {
-			return true
-		}
+	return s.listed[listedRun{task: task, run: run}]
+}
+
+// openCall waits until a call may be made, as bounded by maxConcurrentCalls, and returns the
+// function that ends it. It returns nil if ctx ends first.
+func openCall(ctx context.Context, calls chan struct{}) func() {
+	select {
+	case calls <- struct{}{}:
+		return func() { <-calls }
+	case <-ctx.Done():
+		return nil
 	}
-	return false
 }
--- a/internal/process/jaysupervisor/supervisor.go
+++ b/internal/process/jaysupervisor/supervisor.go
@@ -35,6 +35,9 @@
 	// responsiveHeartbeats heartbeat intervals if that is longer.
 	responsiveTimeout    = 1200 * time.Millisecond
 	responsiveHeartbeats = 2
+	// maxConcurrentCalls bounds the start calls that are open at the same time, and the stop calls: a
+	// runner accepts a bounded number of connections.
+	maxConcurrentCalls = 32
 	// minLeaseLeft is the minimum remaining lease for a start.
 	minLeaseLeft = 500 * time.Millisecond
 	// resultRetention is how long the result of an order is repeated in reports.
@@ -133,6 +136,10 @@
 	// the starts that no listing has shown yet.
 	observed map[string]observedRun
 	unlisted map[string]unlistedStart
+	// listed holds the runs that the newest listing shows as running.
+	listed map[listedRun]bool
+	// startCalls and stopCalls hold an element for each open call.
+	startCalls, stopCalls chan struct{}
 	// runnerClock is the runner's own clock at runnerClockReadAt.
 	runnerClock       time.Duration
 	runnerClockReadAt time.Duration
@@ -172,7 +179,7 @@
 
 // New returns a supervisor without a runner.
 func New() *Supervisor {
-	return &Supervisor{Elapsed: jayclock.Elapsed, orders: map[string]*order{}, excluded: map[string]exclusion{}, unlisted: map[string]unlistedStart{}, reportSignal: make(chan struct{}, 1), pollSignal: make(chan struct{}, 1)}
+	return &Supervisor{Elapsed: jayclock.Elapsed, orders: map[string]*order{}, excluded: map[string]exclusion{}, unlisted: map[string]unlistedStart{}, startCalls: make(chan struct{}, maxConcurrentCalls), stopCalls: make(chan struct{}, maxConcurrentCalls), reportSignal: make(chan struct{}, 1), pollSignal: make(chan struct{}, 1)}
 }
 
 // Run supervises the runner until ctx is done.
@@ -353,7 +360,7 @@
 		s.pastIncarnations = append(s.pastIncarnations[max(0, len(s.pastIncarnations)-maxPastIncarnations+1):], s.runner.ID)
 	}
 	s.runner, s.sequence, s.deregistered, s.ended, s.acknowledged, s.results, s.runnerClockKnown, s.confirmedFence, s.sentFence = h.Runner, h.Sequence, false, false, 0, nil, false, 0, 0
-	s.listing, s.heartbeatAt, s.earlier, s.formerLife = Listing{}, s.Elapsed(), earlierHeartbeats{}, formerLife{}
+	s.listing, s.listed, s.heartbeatAt, s.earlier, s.formerLife = Listing{}, nil, s.Elapsed(), earlierHeartbeats{}, formerLife{}
 	s.lastAnswer, s.endSeenAt, s.crashRecorded, s.observed, s.doubtedAt, s.confirmedAt = 0, 0, false, nil, 0, 0
 	clear(s.unlisted)
 	clear(s.excluded)
@@ -498,7 +505,10 @@
 	s.listingRequestedAt = requestedAt
 	s.confirmedFence = max(s.confirmedFence, fence)
 	old := s.listing
-	s.listing = l
+	s.listing, s.listed = l, make(map[listedRun]bool, len(l.Running))
+	for _, r := range l.Running {
+		s.listed[listedRun{task: r.Task, run: r.Run}] = true
+	}
 	s.observeRuns(l, requestedAt, answeredAt)
 	// A listed run needs no start any more, and an ended one no order at all.
 	for _, e := range l.Finished {
