Reports are granted leases after a round of over a second

Callers would see: running work lapses on runners that nothing disturbs, while very many jobs wait on a leader with a part of a core.

Cause: a lease is granted by the newest read of the term, at most 1 s old, and reads were noted between rounds only. Reports that come during a longer round are answered right after it, before the next reads are noted.

Change: a goroutine of its own notes when the term was read last. Whether the leadership has ended is looked at after that time, so that the read that shows a higher term grants nothing.

Test, on / now: TestReportsOfALongRoundAreGranted fails, 2 of 2 ("timeout hit after 20s: the report is granted a lease") / passes, 5 of 5.

Conclusion: leases depend on no round.

--- a/internal/process/jaycell/round_bench_test.go
+++ b/internal/process/jaycell/round_bench_test.go
@@ -155,3 +155,20 @@
 		}
 	}
 }
+
+// BenchmarkRoundWithManyJobs measures one round of decisions while small jobs wait for a pool that is full
+// of others.
+func BenchmarkRoundWithManyJobs(b *testing.B) {
+	for _, jobs := range []int{10_000, 30_000, 100_000} {
+		b.Run(fmt.Sprint(jobs), func(b *testing.B) {
+			p := newFullPool(11, 8)
+			for i := range jobs {
+				p.submit(fmt.Sprintf("%016x", i*7919%jobs), 2, step(1, 1))
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				p.round()
+			}
+		})
+	}
+}
--- a/internal/process/jaycontroller/cutleader_test.go
+++ b/internal/process/jaycontroller/cutleader_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"github.com/rs/zerolog"
 	"gotest.tools/v3/assert"
 
 	"github.com/jaystile/jaystile/internal/connection/jayframe"
@@ -35,13 +36,16 @@
 	onMessage atomic.Value
 }
 
-func newCutLeader(t *testing.T) *cutLeader {
+func newCutLeader(t *testing.T) *cutLeader { return newLoggedCutLeader(t, zerolog.Logger{}) }
+
+// newLoggedCutLeader is newCutLeader with a log.
+func newLoggedCutLeader(t *testing.T, logger zerolog.Logger) *cutLeader {
 	f := &cutLeader{t: t}
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	c := New(listener)
 	f.controller = c
-	c.Name, c.Timing.Lease = "entry-1", 300*time.Millisecond
+	c.Name, c.Timing.Lease, c.Logger = "entry-1", 300*time.Millisecond, logger
 	c.CallStore = func(context.Context, jaystore.Request) (jaystore.Response, error) {
 		if f.served.Load() {
 			return jaystore.Response{Status: 200}, nil
--- a/internal/process/jaycontroller/isolation.go
+++ b/internal/process/jaycontroller/isolation.go
@@ -1,6 +1,7 @@
 package jaycontroller
 
 import (
+	"context"
 	"time"
 
 	"github.com/jaystile/jaystile/internal/process/jayclock"
@@ -54,11 +55,23 @@
 // mayGrant reports whether the leader may extend leases now. The mutex is held.
 func (l *leadership) mayGrant() bool {
 	// Reports reach the leadership until its loop has returned, and the read that shows a higher
-	// term is a read of the newest one.
+	// term is a read of the newest one: whether the leadership has ended is looked at after the reads.
+	s := l.standing
+	s.termKnownAt = max(s.termKnownAt, time.Duration(l.termReadAt.Load()))
 	if l.hasEnded() || !l.termVerified() {
 		return false
 	}
-	return jayclock.Elapsed() < l.standing.grantsUntil()
+	return jayclock.Elapsed() < s.grantsUntil()
+}
+
+// noteTermReads keeps when the newest term was read last until ctx is done. A round of decisions may take
+// longer than a read permits to grant leases, and checkStanding waits for it.
+func (l *leadership) noteTermReads(ctx context.Context) {
+	for jayclock.Sleep(ctx, tickInterval) {
+		if readAt, complete := l.controller.cellTail.CompleteAt(); complete {
+			l.termReadAt.Store(int64(readAt))
+		}
+	}
 }
 
 // majorityFollowsSince is followedSince for the electors in force, also those that may be by now.
--- a/internal/process/jaycontroller/leadership.go
+++ b/internal/process/jaycontroller/leadership.go
@@ -49,6 +49,9 @@
 	endOnce      sync.Once
 	// lastGrantAt is when a lease was last granted, as of jayclock.Elapsed.
 	lastGrantAt atomic.Int64
+	// termReadAt is when the read was requested that told last that the term is the newest one, as
+	// noted beside the rounds of decisions.
+	termReadAt atomic.Int64
 	// entryLinked is set once an entry has opened a link that has not been asked whom it follows.
 	entryLinked atomic.Bool
 	// evacuationRequested is set until the next decisions have applied the request.
@@ -230,6 +233,7 @@
 	defer l.controller.clearLeadership(l)
 	l.spawn(func() { l.informEntries(ctx) })
 	l.spawn(func() { l.pauses.run(ctx) })
+	l.spawn(func() { l.noteTermReads(ctx) })
 	runs := l.newRunsWriter()
 	if err := l.load(ctx, runs); err != nil {
 		l.controller.Logger.Warn().Str("event", "term").Uint64("term", l.term).Err(err).Msg("cannot load the records of earlier terms")
--- a/internal/process/jaycontroller/pauses_test.go
+++ b/internal/process/jaycontroller/pauses_test.go
@@ -76,12 +76,11 @@
 // newDecidingLeader returns a leader that runs, with one agent whose runner has room, and the tasks
 // that were started there.
 func newDecidingLeader(t *testing.T, log *decisionLog) (*cutLeader, *startedTasks) {
-	f := newCutLeader(t)
+	f := newLoggedCutLeader(t, zerolog.New(log))
 	f.served.Store(true)
 	f.records.Store(true)
 	started := &startedTasks{runs: map[string]int{}}
 	f.onMessage.Store(started.handle)
-	f.controller.Logger = zerolog.New(log)
 	f.controller.config.Store(jayconfig.NewConfig(1, nil, nil, nil, jayconfig.Limits{}))
 	f.leadership.loaded = false
 	f.controller.tasks.Go(f.leadership.run)
@@ -123,6 +122,30 @@
 	assert.Assert(t, !log.contains(`"event":"pause"`), "the leader doubts its term after its own decisions")
 }
 
+// Guards against a leader that refuses leases after a round that has taken longer than one read of the
+// term permits to grant them: with each round as long, all leases lapse.
+func TestReportsOfALongRoundAreGranted(t *testing.T) {
+	var f *cutLeader
+	var once sync.Once
+	var during atomic.Int64
+	log := &decisionLog{}
+	log.atPlacement = func() {
+		once.Do(func() {
+			time.Sleep(isolationTimeout + 200*time.Millisecond)
+			f.reportRoom()
+			during.Store(f.sent)
+			time.Sleep(200 * time.Millisecond)
+		})
+	}
+	f, _ = newDecidingLeader(t, log)
+	f.reportRoom()
+	await(t, "the runner is known", func() bool { return f.granted.Load() > 0 })
+	f.submit("a")
+	Signal(f.leadership.wake)
+	await(t, "a report came in a long round", func() bool { return during.Load() > 0 })
+	await(t, "the report is granted a lease", func() bool { return f.granted.Load() == during.Load() })
+}
+
 // Guards against starts that are lost, and reports that are dropped, while a leader that stood still
 // in the middle of a round reads its term: none is sent or answered before, all are after.
 func TestPauseInARoundHoldsOrdersBack(t *testing.T) {
