A wide step leaves starts to others of its priority

Callers would see: a small job waits beside free resources until all tasks of an older, wide job of the same priority have started.

Cause: the most urgent step took all starts that a runner had left in each round. A step that did not get any stood for all of its shape.

Change: a step other than a gang gets at most half of what each runner has left in a round. A selection that was short of starts says nothing about other steps of the shape.

Tests: TestWideStepLeavesRoomForItsEquals failed before ("0 of 96 tasks that started beside 1 wide jobs" with the half alone) and passes. TestWideJobWithALongSpecHoldsBackNoOtherJob plays the whole path over sockets, with orders by call and by heartbeat; on both fail ("timeout hit after 20s: waiting for completion"). The expectations of TestWideStepLeavesRoomForUrgentStarts, TestRunsOnARunnerAreBounded and TestStepsWiderThanStartSlotsStart are the same, reached over several rounds.

--- a/internal/process/jaycell/idleroom.go
+++ b/internal/process/jaycell/idleroom.go
@@ -51,6 +51,7 @@
 // by itself.
 func (r *round) startStepInIdleRoom(s *waitingStep) {
 	r.work++
+	clear(r.stepSlots)
 	if s.job.spec.Steps[s.step].Daemon {
 		for _, u := range s.sortedByKey() {
 			r.startInIdleRoom(u)
--- a/internal/process/jaycell/schedule.go
+++ b/internal/process/jaycell/schedule.go
@@ -49,6 +49,10 @@
 	unreserved map[string]int
 	// patientRoom holds the free resources beside the headroom, by level.
 	patientRoom map[level]jaytask.Resources
+	// stepSlots holds by candidate how many starts are left to the step that is being tried.
+	stepSlots map[*candidate]int
+	// slotsShort is set if a selection has passed over a runner for want of start slots.
+	slotsShort bool
 	// work is the work done, as bounded by maxRoundWork.
 	work int
 	// costs caches preemptionCosts.
@@ -95,6 +99,7 @@
 func (r *round) scheduleStep(s *waitingStep) {
 	s.tried = true
 	r.work++
+	clear(r.stepSlots)
 	if s.isOver() {
 		return
 	}
@@ -145,17 +150,17 @@
 	return r.isGuaranteed(u.job) || r.cell.slack(u) >= 0
 }
 
-// poolHolds reports whether the empty pool could hold n tasks like u's at once.
+// poolHolds reports whether the empty pool could hold n tasks like u's at once, and start them now.
 func (r *round) poolHolds(u *unit, n int) bool {
 	slots := 0
 	for _, cand := range r.eligible(u, "") {
-		slots += min(capacityFor(cand.runner.info.Capacity, u, n), u.startLimit())
+		slots += min(capacityFor(cand.runner.info.Capacity, u, n), r.startSlots(u, cand))
 	}
 	return slots >= n
 }
 
 func (c *Cell) newRound() *round {
-	r := &round{cell: c, guaranteed: c.guaranteedJobs(), byRack: map[string][]*candidate{}, unreserved: map[string]int{}, patientRoom: map[level]jaytask.Resources{}, costs: map[claimant]map[*unit]float64{}, unplaceable: map[shape]bool{}, idle: map[string]bool{}, active: map[*job]bool{}}
+	r := &round{cell: c, guaranteed: c.guaranteedJobs(), byRack: map[string][]*candidate{}, unreserved: map[string]int{}, stepSlots: map[*candidate]int{}, patientRoom: map[level]jaytask.Resources{}, costs: map[claimant]map[*unit]float64{}, unplaceable: map[shape]bool{}, idle: map[string]bool{}, active: map[*job]bool{}}
 	claimed := c.claimedResources()
 	for _, runner := range c.sortedRunners() {
 		if !runner.acceptsWork(c.now) {
@@ -229,12 +234,14 @@
 		return false
 	}
 	r.releaseClaims(u)
+	r.slotsShort = false
 	sel, ok := r.selectAny(u, n)
 	switch {
 	case !ok:
 		r.queryUnknownRunners(u)
 		r.reapplyClaims(u)
-		if cacheable {
+		// Other steps have start slots of their own.
+		if cacheable && !r.slotsShort {
 			r.unplaceable[k] = true
 		}
 		return false
@@ -319,6 +326,9 @@
 		u.placements = append(u.placements, pl)
 		cand.runner.addPlacement(pl)
 		cand.placements = nil
+		if left, known := r.stepSlots[cand]; known {
+			r.stepSlots[cand] = left - 1
+		}
 		cand.free = cand.free.Sub(pl.resources)
 		r.unreserved[u.job.spec.Policy.Service] -= pl.resources.Accelerators
 		r.takePatientRoom(u.job.spec.Policy.Service, pl.resources)
--- a/internal/process/jaycell/select.go
+++ b/internal/process/jaycell/select.go
@@ -158,7 +158,7 @@
 	counts := make([]int, len(candidates))
 	request, limit, urgent := u.spec().Allocation(), u.spec().MaxPerRunner, u.job.spec.Policy.Priority == 0
 	for i, cand := range candidates {
-		free[i], slots[i] = cand.free, cand.runner.startSlots(u)
+		free[i], slots[i] = cand.free, r.startSlots(u, cand)
 		if limit > 0 {
 			counts[i] = r.countSameStep(u, cand.runner)
 		}
@@ -171,7 +171,11 @@
 		best, victims, cost := -1, []*unit(nil), 0.0
 		bestLeftover := 0
 		for i, cand := range candidates {
-			if slots[i] <= 0 || limit > 0 && counts[i] >= limit {
+			if slots[i] <= 0 {
+				r.slotsShort = true
+				continue
+			}
+			if limit > 0 && counts[i] >= limit {
 				continue
 			}
 			// Without free resources, the member needs victims on this runner.
--- a/internal/process/jaycell/startslots.go
+++ b/internal/process/jaycell/startslots.go
@@ -35,6 +35,19 @@
 	return min(u.startLimit()-r.unlisted, u.runLimit()-len(r.placements))
 }
 
+// startSlots is that of the candidate's runner, of which a step other than a gang gets half in one round:
+// however many wide steps wait, there is something left for the next one.
+func (r *round) startSlots(u *unit, cand *candidate) int {
+	slots := cand.runner.startSlots(u)
+	if u.spec().Gang {
+		return slots
+	}
+	if _, known := r.stepSlots[cand]; !known {
+		r.stepSlots[cand] = (slots + 1) / 2
+	}
+	return min(slots, r.stepSlots[cand])
+}
+
 // runLimit returns how many runs a runner may have once the unit is placed.
 func (u *unit) runLimit() int {
 	if u.count > 1 {
