--- a/internal/process/jaycontroller/electors_test.go
+++ b/internal/process/jaycontroller/electors_test.go
@@ -132,11 +132,13 @@
 	await(t, "all entries are linked to their leader", func() bool {
 		linked, leader := 0, -1
 		for i, e := range entries {
+			// It takes the lock of the first entry.
+			term := entries[0].Term().number
 			e.mutex.Lock()
 			if e.leadership != nil && len(e.peers) == n-1 {
 				leader = i
 			}
-			if e.leaderLink != nil && e.linkedTerm == entries[0].term.number {
+			if e.leaderLink != nil && e.linkedTerm == term {
 				linked++
 			}
 			e.mutex.Unlock()
