One piece each for the order by key, a unit's size and a job that is over

The bound on rounds wrote three things again that stood elsewhere: the comparison by key (twice, beside that of failOutgrown), the number of tasks of a unit (beside unitFor) and "canceled or ended" (three times, beside checkStart). They are sortByKey, unitSize and job.isOver now. The check for a report without a link is dead since reports wait for the term, and goes. A comment moves to the function that it is about. Behaviour is the same, no test changes.

--- a/internal/process/jaycell/await.go
+++ b/internal/process/jaycell/await.go
@@ -70,7 +70,7 @@
 func (r *round) stopOverdueRuns() {
 	c := r.cell
 	for _, u := range c.sortedClaimants() {
-		if !u.startable(c.now) || u.job.canceled || u.job.state.Ended() {
+		if !u.startable(c.now) || u.job.isOver() {
 			continue
 		}
 		k := r.claimantOf(u)
--- a/internal/process/jaycell/headroom.go
+++ b/internal/process/jaycell/headroom.go
@@ -59,10 +59,7 @@
 	var x use
 	j.eachStep(func(id stepID, units []*unit) {
 		s := j.spec.Steps[id.step]
-		members := 1
-		if s.Gang {
-			members = s.Count
-		}
+		members := unitSize(s)
 		active, waiting := countActive(units), 0
 		if c.poolSlots(j, id.step) >= members {
 			waiting = countPhase(units, phaseWaiting)
--- a/internal/process/jaycell/idleroom.go
+++ b/internal/process/jaycell/idleroom.go
@@ -47,8 +47,9 @@
 	return j.idle[k]
 }
 
-// startStepInIdleRoom starts units of a step that have waited beside idle room: of a daemon step each
-// by itself.
+// startStepInIdleRoom starts units of a step that have waited beside idle room, of a daemon step each
+// by itself. A job of which something runs has time for the others, and a service that is in use has
+// none. A daemon task that does not run is missed all the same.
 func (r *round) startStepInIdleRoom(s *waitingStep) {
 	r.work++
 	clear(r.stepSlots)
@@ -69,9 +70,7 @@
 	r.startInIdleRoom(s.firstByKey())
 }
 
-// startInIdleRoom starts a unit that has waited beside idle room. A job of which something runs has
-// time for the others, and a service that is in use has none. A daemon task that does not run is
-// missed all the same.
+// startInIdleRoom starts a unit that has waited beside idle room.
 func (r *round) startInIdleRoom(u *unit) {
 	if u.phase != phaseWaiting || u.job.state.Ended() {
 		return
--- a/internal/process/jaycell/invariant.go
+++ b/internal/process/jaycell/invariant.go
@@ -19,7 +19,7 @@
 		!c.checkInvariant(u.job.dependenciesDone(u.occurrence, u.step), "earlier steps are done", u) ||
 		!c.checkInvariant(!u.exhausted(), "attempts are left", u) ||
 		!c.checkInvariant(!u.isDeadly(), "a task that crashes runners is given up", u) ||
-		!c.checkInvariant(!u.job.canceled && !u.job.state.Ended(), "the job is not over", u) {
+		!c.checkInvariant(!u.job.isOver(), "the job is not over", u) {
 		return false
 	}
 	if !c.checkInvariant(r.haveValidTickets(u, runners), "tickets hold", u) {
--- a/internal/process/jaycell/recordsize.go
+++ b/internal/process/jaycell/recordsize.go
@@ -2,8 +2,6 @@
 
 import (
 	"fmt"
-	"slices"
-	"strings"
 
 	"github.com/jaystile/jaystile/internal/request/jaytask"
 )
@@ -107,7 +105,7 @@
 			outgrown = append(outgrown, u)
 		}
 	}
-	slices.SortFunc(outgrown, func(a, b *unit) int { return strings.Compare(a.key(), b.key()) })
+	sortByKey(outgrown)
 	for _, u := range outgrown {
 		c.failUnstorable(u, fmt.Sprintf("its record has grown to %d bytes, at most %d", u.recordBytes(nil), c.settings.MaxRecordBytes))
 	}
--- a/internal/process/jaycell/schedule.go
+++ b/internal/process/jaycell/schedule.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"slices"
 	"sort"
-	"strings"
 	"time"
 
 	"github.com/jaystile/jaystile/internal/request/jaytask"
@@ -100,7 +99,7 @@
 	s.tried = true
 	r.work++
 	clear(r.stepSlots)
-	if s.isOver() {
+	if s.job.isOver() {
 		return
 	}
 	units := r.trySuspects(s.units)
@@ -116,7 +115,7 @@
 	blocked := false
 	for i, t := range units {
 		switch plain := t.isPlain(); {
-		case s.isOver() || i > 0 && r.isSpent(maxRoundWork):
+		case s.job.isOver() || i > 0 && r.isSpent(maxRoundWork):
 			return
 		case blocked && plain:
 			// It would wait for the same.
@@ -204,7 +203,7 @@
 			all = append(all, u)
 		}
 	}
-	slices.SortFunc(all, func(a, b *unit) int { return strings.Compare(a.key(), b.key()) })
+	sortByKey(all)
 	return all
 }
 
--- a/internal/process/jaycell/unit.go
+++ b/internal/process/jaycell/unit.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -82,6 +83,11 @@
 	return u.phase == phaseWaiting && now >= u.notBefore
 }
 
+// sortByKey sorts units by their record keys.
+func sortByKey(units []*unit) {
+	slices.SortFunc(units, func(a, b *unit) int { return strings.Compare(a.key(), b.key()) })
+}
+
 // startable returns those of a step's units that may start now.
 func startable(units []*unit, now time.Duration) []*unit {
 	var all []*unit
@@ -333,6 +339,17 @@
 	return s.Count
 }
 
+// unitSize returns the number of tasks of each unit of a step.
+func unitSize(s jaytask.Step) int {
+	if s.Gang {
+		return s.Count
+	}
+	return 1
+}
+
+// isOver reports whether nothing of the job is to start any more.
+func (j *job) isOver() bool { return j.canceled || j.state.Ended() }
+
 // unitFor returns the unit of a task and creates it if necessary. It returns nil if
 // the job has no such task.
 func (j *job) unitFor(occurrence, step, index int) *unit {
@@ -348,10 +365,7 @@
 	}
 	slot := &j.unitTable[occurrence][step][index]
 	if *slot == nil {
-		u := &unit{job: j, occurrence: occurrence, step: step, firstIndex: index, count: 1}
-		if s.Gang {
-			u.count = s.Count
-		}
+		u := &unit{job: j, occurrence: occurrence, step: step, firstIndex: index, count: unitSize(*s)}
 		u.name = u.makeKey()
 		*slot, j.units[u.name] = u, u
 	}
--- a/internal/process/jaycell/waiting.go
+++ b/internal/process/jaycell/waiting.go
@@ -1,9 +1,6 @@
 package jaycell
 
-import (
-	"slices"
-	"strings"
-)
+import "slices"
 
 // waitingStep holds the units of one occurrence of a step that may start now, in the order of their
 // indexes. They are alike in all that decides how urgent they are, so that a wide step is ranked
@@ -28,7 +25,7 @@
 func (c *Cell) waitingSteps() []*waitingStep {
 	var all []*waitingStep
 	for _, j := range c.jobs {
-		if j.state.Ended() || j.canceled {
+		if j.isOver() {
 			continue
 		}
 		j.createReadyUnits(c.wall.Add(-dueSlack))
@@ -67,13 +64,10 @@
 // sortedByKey returns the units by their keys.
 func (s *waitingStep) sortedByKey() []*unit {
 	all := slices.Clone(s.units)
-	slices.SortFunc(all, func(a, b *unit) int { return strings.Compare(a.key(), b.key()) })
+	sortByKey(all)
 	return all
 }
 
-// isOver reports whether the job has ended in this round.
-func (s *waitingStep) isOver() bool { return s.job.canceled || s.job.state.Ended() }
-
 // A round looks at runners for each step that waits, and their number has no bound: callers choose
 // how many shapes of tasks a job has. So the work of a round is bounded. It is counted, not timed, so
 // that the same calls give the same decisions on every machine. The most urgent steps get half of a
--- a/internal/process/jaycontroller/reports.go
+++ b/internal/process/jaycontroller/reports.go
@@ -101,8 +101,8 @@
 // verified, wait for that.
 func (l *leadership) applyNextReport() bool {
 	r, granted, ok := l.takeReport()
-	if !ok || r.link == nil {
-		return ok
+	if !ok {
+		return false
 	}
 	grant := &jayframe.CellLeaseGrant{Term: l.term}
 	if granted {
